--- /dev/null
+++ b/packages/common/src/check.ts
@@ -0,0 +1,28 @@
+import * as v from 'valibot'
+import { IbisError } from './errors.ts'
+
+const MAX_SHOWN_ISSUES = 5
+const MAX_SHOWN_VALUE = 80
+
+const showValue = (value: unknown): string => {
+  const text = JSON.stringify(value) ?? String(value)
+  return text.length > MAX_SHOWN_VALUE ? `${text.slice(0, MAX_SHOWN_VALUE)}…` : text
+}
+
+const describeIssue = (issue: v.BaseIssue<unknown>): string => {
+  const field = v.getDotPath(issue) ?? '(whole value)'
+  const accepted = issue.expected ?? issue.message
+  const detail = issue.expected && !issue.message.startsWith('Invalid') ? ` (${issue.message})` : ''
+  return `field ${field}: got ${showValue(issue.input)}, accepted is ${accepted}${detail}`
+}
+
+/**
+ * Validates untrusted input against a schema. Throws `invalid-request` with each wrong field, its
+ * value and what is accepted; `what` names the input, for example a file or a message.
+ */
+export const checkValue = <S extends v.GenericSchema>(schema: S, value: unknown, what: string): v.InferOutput<S> => {
+  const result = v.safeParse(schema, value)
+  if (result.success) return result.output
+  const shown = result.issues.slice(0, MAX_SHOWN_ISSUES).map(describeIssue)
+  throw new IbisError('invalid-request', `${what}: ${shown.join('; ')}`, { info: { fields: result.issues.slice(0, MAX_SHOWN_ISSUES).map((issue) => v.getDotPath(issue) ?? '') } })
+}
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,4 @@
+export * from './check.ts'
 export * from './errors.ts'
 export * from './hash.ts'
 export * from './invariant.ts'
--- /dev/null
+++ b/packages/common/tests/check.test.ts
@@ -0,0 +1,24 @@
+import t from 'tap'
+import * as v from 'valibot'
+import { checkValue, IbisError } from '../src/index.ts'
+
+const Schema = v.strictObject({
+  name: v.string(),
+  size: v.pipe(v.number(), v.integer(), v.minValue(1))
+})
+
+t.test('a wrong field is reported with its path, value and what is accepted', async (t) => {
+  const err = t.throws(() => checkValue(Schema, { name: 'a', size: -4 }, 'request')) as unknown as IbisError
+  t.equal(err.kind, 'invalid-request')
+  t.match(err.message, /request: field size: got -4, accepted is >=1/)
+})
+
+t.test('an unknown field is refused by name', async (t) => {
+  const err = t.throws(() => checkValue(Schema, { name: 'a', size: 1, colour: 'red' }, 'request')) as unknown as IbisError
+  t.match(err.message, /colour/)
+})
+
+t.test('a huge value is cut in the message', async (t) => {
+  const err = t.throws(() => checkValue(Schema, { name: 'a', size: 'x'.repeat(10_000) }, 'request')) as unknown as IbisError
+  t.ok(err.message.length < 300)
+})
