rpc: add JSON-RPC 2.0 over HTTP with deadlines and bounded message queues

Cause: processes of one deployment need calls that never wait on a silent connection. Conclusion: packages/rpc/tests/rpc.test.ts covers a proxy that swallows bytes on its first connection.

--- /dev/null
+++ b/packages/rpc/src/http.ts
@@ -0,0 +1,137 @@
+import { timingSafeEqual, createHash } from 'node:crypto'
+import { request as httpRequest, type Agent, type IncomingMessage, type ServerResponse } from 'node:http'
+import { IbisError } from '@ibisstair/common'
+import type { TimerService } from '@ibisstair/timers'
+
+export interface HttpReply {
+  readonly status: number
+  readonly body: Buffer
+}
+
+export interface HttpCall {
+  readonly address: string
+  readonly port: number
+  readonly method: string
+  readonly path: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: string
+  readonly timeoutMs: number
+  readonly maxBytes: number
+  readonly agent: Agent
+}
+
+/**
+ * Sends one request and reads the whole answer. Rejects with `unreachable` on any transport error,
+ * on a truncated answer and when the deadline passes; the socket is destroyed in these cases, so
+ * that a silent connection is never put back into the pool.
+ */
+export const sendHttp = (call: HttpCall, timers: TimerService): Promise<HttpReply> =>
+  new Promise((resolve, reject) => {
+    const chunks: Buffer[] = []
+    let size = 0
+    let settled = false
+    const finish = (fn: () => void): void => {
+      if (settled) return
+      settled = true
+      stopTimer()
+      fn()
+    }
+    const fail = (detail: string, reason: string, cause?: Error): void => finish(() => {
+      req.destroy()
+      reject(new IbisError('unreachable', `${call.address}:${call.port}${call.path}: ${detail}`, { ...(cause && { cause }), info: { reason } }))
+    })
+    const req = httpRequest({
+      host: call.address,
+      port: call.port,
+      method: call.method,
+      path: call.path,
+      agent: call.agent,
+      headers: {
+        ...call.headers,
+        ...(call.body !== undefined && { 'content-type': 'application/json', 'content-length': Buffer.byteLength(call.body) })
+      }
+    })
+    const stopTimer = timers.subscribe(call.timeoutMs, () => fail(`no answer within ${Math.round(call.timeoutMs)} ms`, 'timeout'))
+    req.on('error', (err) => fail(err.message, isConnectError(err) ? 'connect' : 'connection', err))
+    req.on('response', (res) => {
+      res.on('data', (chunk: Buffer) => {
+        size += chunk.length
+        if (size > call.maxBytes) return fail(`answer exceeds ${call.maxBytes} bytes`, 'too-large')
+        chunks.push(chunk)
+      })
+      res.on('error', (err) => fail(err.message, 'connection', err))
+      res.on('aborted', () => fail('answer was cut off', 'connection'))
+      res.on('end', () => {
+        if (!res.complete) return fail('answer was cut off', 'connection')
+        finish(() => resolve({ status: res.statusCode ?? 0, body: Buffer.concat(chunks, size) }))
+      })
+    })
+    req.end(call.body)
+  })
+
+const isConnectError = (err: Error): boolean => {
+  const { code, syscall } = err as NodeJS.ErrnoException
+  return syscall === 'connect' || code === 'ECONNREFUSED'
+}
+
+/** Reads a request body up to a limit; rejects with `body-too-large` without buffering more. */
+export const readBody = (req: IncomingMessage, maxBytes: number): Promise<Buffer> =>
+  new Promise((resolve, reject) => {
+    const chunks: Buffer[] = []
+    let size = 0
+    let tooLarge = false
+    const refuse = (): void => {
+      tooLarge = true
+      chunks.length = 0
+      reject(new IbisError('body-too-large', `the body exceeds ${maxBytes} bytes`, { info: { maxBytes } }))
+    }
+    if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
+      req.resume()
+      refuse()
+      return
+    }
+    req.on('data', (chunk: Buffer) => {
+      if (tooLarge) return
+      size += chunk.length
+      if (size > maxBytes) return refuse()
+      chunks.push(chunk)
+    })
+    req.on('end', () => resolve(Buffer.concat(chunks, size)))
+    req.on('error', (err) => reject(new IbisError('invalid-request', 'the body was cut off', { cause: err })))
+    req.on('aborted', () => reject(new IbisError('invalid-request', 'the body was cut off')))
+  })
+
+export const parseJson = (body: Buffer, what: string): unknown => {
+  try {
+    return JSON.parse(body.toString('utf8'))
+  } catch (err) {
+    throw new IbisError('invalid-request', `${what}: not valid JSON: ${(err as Error).message}`)
+  }
+}
+
+export const sendJson = (res: ServerResponse, status: number, value: unknown, headers: Readonly<Record<string, string>> = {}): void => {
+  if (res.writableEnded || res.destroyed) return
+  const text = JSON.stringify(value)
+  res.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...headers })
+  res.end(text)
+}
+
+export const sendError = (res: ServerResponse, err: IbisError): void => {
+  const retry = err.retryAfterMs === undefined ? {} : { 'retry-after': String(Math.ceil(err.retryAfterMs / 1000)) }
+  sendJson(res, err.status, { error: err.toBody() }, retry)
+}
+
+/** Compares in constant time; hashing first makes the lengths equal. */
+export const isSecretEqual = (given: string, expected: string): boolean => {
+  const digest = (text: string): Buffer => createHash('sha256').update(text).digest()
+  return timingSafeEqual(digest(given), digest(expected))
+}
+
+const BEARER = 'Bearer '
+
+export const checkBearer = (req: IncomingMessage, secret: string): void => {
+  const header = req.headers.authorization ?? ''
+  const given = header.startsWith(BEARER) ? header.slice(BEARER.length) : ''
+  if (isSecretEqual(given, secret)) return
+  throw new IbisError('unauthorized', 'the shared secret is missing or wrong')
+}
--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+export * from './client.ts'
+export * from './constants.ts'
+export * from './http.ts'
+export * from './messages.ts'
+export * from './server.ts'
+export * from './types.ts'
--- /dev/null
+++ b/packages/rpc/tests/rpc.test.ts
@@ -0,0 +1,123 @@
+import { createServer, type Socket } from 'node:net'
+import t, { type Test } from 'tap'
+import { asId, IbisError, type NodeId } from '@ibisstair/common'
+import { SystemTimerService } from '@ibisstair/timers'
+import { MessageSender, RpcClient, RpcServer, sendHttp, createPool, type Identity, type Target } from '../src/index.ts'
+
+const identity: Identity = { deployment: 'test', node: asId<NodeId>('n1'), secret: 'a-long-enough-secret' }
+const timers = new SystemTimerService()
+const getErrorKind = async (call: Promise<unknown>): Promise<string> =>
+  await call.then(() => 'none', (err: IbisError) => err.kind)
+
+const LOCAL = { address: '127.0.0.1', port: 0 }
+
+const withServer = async (t: Test, setUp: (server: RpcServer) => void): Promise<Target> => {
+  const server = new RpcServer(identity)
+  setUp(server)
+  t.teardown(() => server.destroy())
+  return await server.listen(LOCAL)
+}
+
+const withClient = (t: Test, as: Identity = identity): RpcClient => {
+  const client = new RpcClient(as, timers)
+  t.teardown(() => client.close())
+  return client
+}
+
+t.test('a call returns the result and hands on the deadline', async (t) => {
+  const target = await withServer(t, (server) => server.register('echo', (params, ctx) => ({ params, remainingMs: ctx.remainingMs, from: ctx.from })))
+  const result = await withClient(t).call(target, 'echo', { a: 1 }, 700)
+  t.same(result, { params: { a: 1 }, remainingMs: 700, from: 'n1' })
+})
+
+t.test('an error keeps its kind, execution and retry time', async (t) => {
+  const target = await withServer(t, (server) => server.register('fail', () => { throw new IbisError('queue-full', 'full', { retryAfterMs: 20, execution: 'unknown' }) }))
+  const err = await withClient(t).call(target, 'fail', {}).catch((err: IbisError) => err) as IbisError
+  t.equal(err.kind, 'queue-full')
+  t.equal(err.execution, 'unknown')
+  t.equal(err.retryAfterMs, 20)
+})
+
+t.test('a wrong secret and a wrong deployment are refused before the method runs', async (t) => {
+  let ran = 0
+  const target = await withServer(t, (server) => server.register('count', () => { ran += 1 }))
+  t.equal(await getErrorKind(withClient(t, { ...identity, secret: 'another-long-secret' }).call(target, 'count', {})), 'unauthorized')
+  t.equal(await getErrorKind(withClient(t, { ...identity, deployment: 'other' }).call(target, 'count', {})), 'wrong-deployment')
+  t.equal(ran, 0)
+})
+
+t.test('malformed messages get an error and do not stop the server', async (t) => {
+  const target = await withServer(t, (server) => server.register('echo', () => 'ok'))
+  const agent = createPool()
+  t.teardown(() => agent.destroy())
+  const send = async (body: string): Promise<string> => {
+    const reply = await sendHttp({
+      ...target,
+      agent,
+      method: 'POST',
+      path: '/rpc',
+      body,
+      timeoutMs: 1000,
+      maxBytes: 10_000,
+      headers: { authorization: `Bearer ${identity.secret}`, 'x-ibisstair-deployment': 'test' }
+    }, timers)
+    return reply.body.toString()
+  }
+  t.match(await send('{'), /not valid JSON/)
+  t.match(await send('{"jsonrpc":"1.0","method":"echo"}'), /not a JSON-RPC 2.0 request/)
+  t.match(await send('[]'), /not a JSON-RPC 2.0 request/)
+  t.match(await send('{"jsonrpc":"2.0","id":1,"method":"nope"}'), /-32601/)
+  t.match(await send('"' + 'x'.repeat(5 * 1024 * 1024) + '"'), /body-too-large/)
+  t.equal(await withClient(t).call(target, 'echo', {}), 'ok')
+})
+
+t.test('a connection that went silent is dropped and the next call uses a new one', async (t) => {
+  // A proxy whose first connection stops passing bytes after the first answer, like a lost NAT entry.
+  const target = await withServer(t, (server) => server.register('echo', () => 'ok'))
+  let connections = 0
+  let swallow = false
+  const sockets = new Set<Socket>()
+  const { connect } = await import('node:net')
+  const proxy = createServer((down) => {
+    const first = ++connections === 1
+    const up = connect(target.port, target.address)
+    sockets.add(down).add(up)
+    down.on('data', (chunk) => { if (!(first && swallow)) up.write(chunk) })
+    up.on('data', (chunk) => { if (!(first && swallow)) down.write(chunk) })
+    down.on('error', () => {})
+    up.on('error', () => {})
+    down.on('close', () => up.destroy())
+  })
+  await new Promise<void>((resolve) => { proxy.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy()
+    proxy.close()
+  })
+  const via = { address: '127.0.0.1', port: (proxy.address() as { port: number }).port }
+  const client = withClient(t)
+  t.equal(await client.call(via, 'echo', {}), 'ok')
+  swallow = true
+  t.equal(await getErrorKind(client.call(via, 'echo', {}, 150)), 'unreachable')
+  t.equal(await client.call(via, 'echo', {}, 1000), 'ok')
+  t.equal(connections, 2)
+  t.ok(client.counters.connectionsDropped >= 1)
+})
+
+t.test('messages to a node share batches, and an unreachable node has a bounded queue', async (t) => {
+  const seen: number[] = []
+  let batches = 0
+  const target = await withServer(t, (server) => server.register('raft.message', (params) => {
+    batches += 1
+    for (const { message } of (params as { messages: Array<{ message: number }> }).messages) seen.push(message)
+  }))
+  const client = withClient(t)
+  const there = asId<NodeId>('there')
+  const gone = asId<NodeId>('gone')
+  const sender = new MessageSender(client, new Map([[there, target], [gone, { address: '127.0.0.1', port: 1 }]]), 500)
+  for (let i = 0; i < 40; i++) sender.send('g', there, i)
+  for (let i = 0; i < 2000; i++) sender.send('g', gone, i)
+  while (seen.length < 40) await timers.delay(5)
+  t.same(seen, Array.from({ length: 40 }, (_, i) => i))
+  t.ok(batches <= 3)
+  t.ok(client.counters.messagesDropped > 1000)
+})
