gateway: add routing of requests over failure domains, retry budget and config sync

Cause: an entry must say truthfully what happened after unanswered attempts. Change: RequestRoute is pure; it keeps "not run" only when the home domain's record or a definite refusal supports it.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,6 +1,6 @@
 const ORDER = [
   'common', 'timers', 'telemetry', 'settings', 'model', 'storage', 'consensus', 'registers',
-  'membership', 'scheduler', 'gang', 'endpoint-client', 'rpc', 'gateway', 'control'
+  'membership', 'scheduler', 'gang', 'rpc', 'endpoint-client', 'config-sync', 'gateway', 'control'
 ]
 
 const layered = ORDER.map((name, i) => ({
--- /dev/null
+++ b/packages/config-sync/src/types.ts
@@ -0,0 +1,18 @@
+import type { NodeId } from '@ibisstair/common'
+import type { Config } from '@ibisstair/model'
+import type { Target } from '@ibisstair/rpc'
+
+/** Keeps the newest configuration over restarts; absent on a VM without a disk. */
+export interface ConfigStore {
+  load (): Promise<Config | null>
+  /** Resolves once the configuration is synced. */
+  save (config: Config): Promise<void>
+}
+
+export interface Peer extends Target {
+  readonly node: NodeId
+}
+
+export interface VersionAnswer {
+  readonly version: number
+}
--- /dev/null
+++ b/packages/endpoint-client/src/client.ts
@@ -0,0 +1,86 @@
+import type { Agent } from 'node:http'
+import { checkValue, IbisError, type TaskId } from '@ibisstair/common'
+import type { CallResult, EndpointOperation } from '@ibisstair/gang'
+import { MAX_JOB_ANSWER_BYTES, type EndpointInfo } from '@ibisstair/model'
+import { createPool, dropIdleConnections, limitIdleTime, LONG_POLL_GRACE_MS, parseJson, sendHttp } from '@ibisstair/rpc'
+import type { TimerService } from '@ibisstair/timers'
+import type * as v from 'valibot'
+import { EventsAnswerSchema, LeasesAnswerSchema, OperationAnswerSchema, TasksAnswerSchema } from './schemas.ts'
+import type { EventsAnswer, LeasesAnswer, TasksAnswer } from './types.ts'
+
+/** Events of one poll carry the unacknowledged answers of all slots of a worker. */
+const MAX_ENDPOINT_ANSWER_BYTES = 2 * MAX_JOB_ANSWER_BYTES
+
+/** HTTP client of one endpoint in one incarnation. */
+export class EndpointClient {
+  readonly #endpoint: EndpointInfo
+  readonly #timers: TimerService
+  readonly #pool: Agent = limitIdleTime(createPool())
+
+  constructor (endpoint: EndpointInfo, timers: TimerService) {
+    this.#endpoint = endpoint
+    this.#timers = timers
+  }
+
+  /** Never rejects: a call without a readable answer has the result `unknown`. */
+  async operate (taskId: TaskId, operation: EndpointOperation, body: object, timeoutMs: number): Promise<CallResult> {
+    try {
+      const path = `/v1/tasks/${encodeURIComponent(taskId)}/${operation}`
+      const answer = await this.#post(path, body, timeoutMs, OperationAnswerSchema)
+      const task = answer.task && { task: answer.task }
+      if (answer.status === 'ok') return { status: 'ok', ...task }
+      return { status: 'refused', reason: answer.reason ?? 'no reason given', ...task }
+    } catch (err) {
+      return EndpointClient.#toCallResult(err)
+    }
+  }
+
+  renewLeases (taskIds: readonly TaskId[], leaseMs: number, timeoutMs: number): Promise<LeasesAnswer> {
+    return this.#post('/v1/leases', { incarnation: this.#endpoint.incarnation, taskIds, leaseMs }, timeoutMs, LeasesAnswerSchema)
+  }
+
+  /** Long poll; a connection without an answer after `waitMs` and a grace time is silent. */
+  pollEvents (waitMs: number): Promise<EventsAnswer> {
+    return this.#post('/v1/events', { incarnation: this.#endpoint.incarnation, waitMs }, waitMs + LONG_POLL_GRACE_MS, EventsAnswerSchema)
+  }
+
+  listTasks (timeoutMs: number): Promise<TasksAnswer> {
+    return this.#send('GET', '/v1/tasks', undefined, timeoutMs, TasksAnswerSchema)
+  }
+
+  close (): void {
+    this.#pool.destroy()
+  }
+
+  // A connection that was refused never delivered the call, which is as certain as a refusal.
+  static #toCallResult (err: unknown): CallResult {
+    if (err instanceof IbisError && err.details?.reason === 'connect') return { status: 'refused', reason: 'connection refused' }
+    return { status: 'unknown' }
+  }
+
+  #post<S extends v.GenericSchema>(path: string, body: object, timeoutMs: number, schema: S): Promise<v.InferOutput<S>> {
+    return this.#send('POST', path, JSON.stringify(body), timeoutMs, schema)
+  }
+
+  async #send<S extends v.GenericSchema>(method: string, path: string, body: string | undefined, timeoutMs: number, schema: S): Promise<v.InferOutput<S>> {
+    const { address, port } = this.#endpoint
+    try {
+      const reply = await sendHttp({
+        address,
+        port,
+        method,
+        path,
+        timeoutMs,
+        maxBytes: MAX_ENDPOINT_ANSWER_BYTES,
+        agent: this.#pool,
+        ...(body !== undefined && { body })
+      }, this.#timers)
+      const what = `answer of endpoint ${this.#endpoint.id} to ${path}`
+      if (reply.status !== 200) throw new IbisError('unreachable', `${what}: HTTP status ${reply.status}`)
+      return checkValue(schema, parseJson(reply.body, what), what)
+    } catch (err) {
+      if (err instanceof IbisError && err.details?.reason === 'timeout') dropIdleConnections(this.#pool)
+      throw err
+    }
+  }
+}
--- a/packages/endpoint-client/src/index.ts
+++ b/packages/endpoint-client/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export * from './client.ts'
+export * from './types.ts'
--- /dev/null
+++ b/packages/gateway/src/constants.ts
@@ -0,0 +1,30 @@
+/** Extra attempts that first attempts earn: 10 %, and at least one a second. */
+export const RETRY_RATIO = 0.1
+export const RETRY_MIN_PER_SECOND = 1
+/** Largest number of saved extra attempts, so that a quiet hour does not pay for a retry storm. */
+export const RETRY_MAX_SAVED = 50
+
+export const FIRST_BACKOFF_MS = 50
+export const MAX_BACKOFF_MS = 1_000
+/**
+ * A domain that accepted idempotent work and then stays silent for this long, or for the usual run
+ * time if that is longer, is given up; longer than a lease (8 s) plus an election.
+ */
+export const MIN_SILENCE_MS = 12_000
+/** Time to start again for work that was lost with its leader. */
+export const RESTART_DEADLINE_MS = 10_000
+/** One long poll for an outcome. */
+export const WAIT_POLL_MS = 10_000
+/** A submit waits this long for the outcome, so that short work needs one call. */
+export const SUBMIT_WAIT_MS = 1_000
+export const CONTROL_CALL_MS = 2_000
+/** How long a caller's connection is held without an outcome before it gets status 202. */
+export const MAX_HELD_MS = 600_000
+/** Announcements are collected for this time; one that says `leaving` is sent at once. */
+export const ANNOUNCE_FLUSH_MS = 200
+export const MAX_ANNOUNCED_ENDPOINTS = 4_096
+export const MAX_ANNOUNCEMENTS_PER_CALL = 256
+/** A process that lost its configuration at restart asks again this often. */
+export const CONFIG_RETRY_MS = 500
+/** Connections of callers that may wait for an outcome at the same time. */
+export const DEFAULT_MAX_PENDING = 10_000
--- /dev/null
+++ b/packages/gateway/src/domains.ts
@@ -0,0 +1,76 @@
+import { IbisError, type DomainId, type NodeId } from '@ibisstair/common'
+import type { RpcClient, Target } from '@ibisstair/rpc'
+import type { TimerService } from '@ibisstair/timers'
+
+export interface ControlTarget extends Target {
+  readonly node: NodeId
+  readonly domain: DomainId
+}
+
+const MIN_CALL_MS = 100
+/** Calls to a node that last timed out go to the other node of the domain first for this time. */
+const AVOID_SILENT_MS = 2_000
+
+const isRefusedByFollower = (err: IbisError): boolean => err.kind === 'not-leader' || err.kind === 'no-leader'
+const isNotDelivered = (err: IbisError): boolean => err.details?.reason === 'connect'
+
+/** Calls the leader of a failure domain, remembering which control process led last. */
+export class DomainClient {
+  readonly #rpc: RpcClient
+  readonly #timers: TimerService
+  readonly #controls = new Map<DomainId, ControlTarget[]>()
+  readonly #leaders = new Map<DomainId, NodeId>()
+  readonly #silentUntilMs = new Map<NodeId, number>()
+
+  constructor (rpc: RpcClient, timers: TimerService, controls: readonly ControlTarget[]) {
+    this.#rpc = rpc
+    this.#timers = timers
+    for (const control of controls) this.#controls.set(control.domain, [...this.getControls(control.domain), control])
+  }
+
+  getControls (domain: DomainId): readonly ControlTarget[] {
+    return this.#controls.get(domain) ?? []
+  }
+
+  get domains (): DomainId[] {
+    return [...this.#controls.keys()]
+  }
+
+  /**
+   * Tries the control processes of the domain, the last leader first, until one accepts the call.
+   * Goes on to the next one only while the call was certainly not acted on; throws the last error.
+   */
+  async callLeader<T> (domain: DomainId, method: string, params: unknown, timeoutMs: number): Promise<T> {
+    const deadline = this.#timers.now() + timeoutMs
+    let last = new IbisError('no-leader', `failure domain ${domain} has no control process in the settings`)
+    for (const control of this.#getOrder(domain)) {
+      const remainingMs = deadline - this.#timers.now()
+      if (remainingMs < MIN_CALL_MS) break
+      try {
+        const result = await this.#rpc.call<T>(control, method, params, remainingMs)
+        this.#leaders.set(domain, control.node)
+        return result
+      } catch (err) {
+        last = IbisError.from(err)
+        this.#handleFailure(control, last)
+        if (!isRefusedByFollower(last) && !isNotDelivered(last)) throw last
+      }
+    }
+    throw last
+  }
+
+  #handleFailure (control: ControlTarget, err: IbisError): void {
+    if (err.kind === 'unreachable') this.#silentUntilMs.set(control.node, this.#timers.now() + AVOID_SILENT_MS)
+    if (this.#leaders.get(control.domain) === control.node && (err.kind === 'unreachable' || isRefusedByFollower(err))) this.#leaders.delete(control.domain)
+  }
+
+  #getOrder (domain: DomainId): ControlTarget[] {
+    const leader = this.#leaders.get(domain)
+    const now = this.#timers.now()
+    const rank = ({ node }: ControlTarget): number => {
+      if (node === leader) return 0
+      return (this.#silentUntilMs.get(node) ?? 0) > now ? 2 : 1
+    }
+    return [...this.getControls(domain)].sort((a, b) => rank(a) - rank(b))
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/route.ts
@@ -0,0 +1,259 @@
+import { assertNever, IbisError, invariant, rankByRendezvous, type DomainId, type ErrorKind } from '@ibisstair/common'
+import type { JobRequest, JobStatus } from '@ibisstair/model'
+import { FIRST_BACKOFF_MS, MAX_BACKOFF_MS, MIN_SILENCE_MS, RESTART_DEADLINE_MS } from './constants.ts'
+
+/** What the entry does next for a request. */
+export type RouteStep =
+  | { readonly type: 'submit', readonly domain: DomainId, readonly request: JobRequest }
+  | { readonly type: 'wait', readonly domain: DomainId }
+  | { readonly type: 'pause', readonly ms: number }
+  | { readonly type: 'answer', readonly status: JobStatus }
+  | { readonly type: 'fail', readonly error: IbisError }
+
+export type RouteResult =
+  | { readonly type: 'status', readonly status: JobStatus }
+  | { readonly type: 'error', readonly error: IbisError }
+
+type Reaction = 'final' | 'next-domain' | 'retry'
+
+/**
+ * What to do after an error of a control process. `retry` means later at the same domain;
+ * `next-domain` means elsewhere if the request may run elsewhere.
+ */
+const getReaction = (kind: ErrorKind): Reaction => {
+  switch (kind) {
+    case 'not-leader':
+    case 'no-leader':
+    case 'no-quorum':
+    case 'unreachable':
+    case 'shutting-down':
+    case 'stale-config':
+    case 'disk-full':
+    case 'not-found':
+      return 'retry'
+    case 'queue-full':
+    case 'deadline-unreachable':
+    case 'never-fits':
+    case 'overloaded':
+    case 'gang-not-started':
+      return 'next-domain'
+    case 'invalid-request':
+    case 'body-too-large':
+    case 'unauthorized':
+    case 'wrong-deployment':
+    case 'unknown-customer':
+    case 'unknown-kind':
+    case 'key-conflict':
+    case 'deadline-passed':
+    case 'cancelled':
+    case 'cancelled-running':
+    case 'task-failed':
+    case 'answer-too-large':
+    case 'job-suspect':
+    case 'preempted':
+    case 'outcome-unknown':
+    case 'timeout':
+    case 'version-conflict':
+    case 'config-infeasible':
+    case 'data-damaged':
+    case 'internal':
+      return 'final'
+    default:
+      return assertNever(kind)
+  }
+}
+
+/** Whether the call certainly never reached the other process. */
+const isUndelivered = (err: IbisError): boolean => err.kind === 'unreachable' && err.details?.reason === 'connect'
+
+export interface RouteOptions {
+  readonly request: JobRequest
+  readonly ownDomain: DomainId
+  readonly domains: readonly DomainId[]
+  readonly nowMs: number
+  /** Takes one extra attempt from the shared retry budget. */
+  readonly trySpend: (nowMs: number) => boolean
+}
+
+/** The one failure domain of a non-idempotent request. */
+export const getHomeDomain = (request: Pick<JobRequest, 'homeDomain' | 'customer' | 'key'>, domains: readonly DomainId[]): DomainId | undefined =>
+  request.homeDomain ?? rankByRendezvous(`${request.customer}/${request.key}`, domains)[0]
+
+/**
+ * Routes one request over the failure domains: which domain is tried next, when a retry is allowed,
+ * and what may be said about execution at the end. Pure: time and results come in, steps go out.
+ */
+export class RequestRoute {
+  readonly #request: JobRequest
+  readonly #candidates: readonly DomainId[]
+  readonly #startedMs: number
+  readonly #trySpend: (nowMs: number) => boolean
+  #position = 0
+  #backoffMs = FIRST_BACKOFF_MS
+  #attempts = 0
+  /** Domains that may have taken the request without our knowing. */
+  readonly #ambiguous = new Set<DomainId>()
+  readonly #refusals = new Map<DomainId, IbisError>()
+  /** Whether the present domain has accepted the request. */
+  #isAccepted = false
+  #wasAccepted = false
+  #silentSinceMs: number | null = null
+  #step: RouteStep
+
+  constructor (options: RouteOptions) {
+    const { request, domains } = options
+    this.#request = request
+    this.#startedMs = options.nowMs
+    this.#trySpend = options.trySpend
+    this.#candidates = RequestRoute.#getCandidates(options)
+    this.#step = domains.length === 0
+      ? { type: 'fail', error: new IbisError('no-leader', 'the configuration names no failure domain') }
+      : this.#submit(options.nowMs)
+  }
+
+  get step (): RouteStep {
+    return this.#step
+  }
+
+  get attempts (): number {
+    return this.#attempts
+  }
+
+  handle (result: RouteResult, nowMs: number): RouteStep {
+    this.#step = result.type === 'status' ? this.#handleStatus(result.status) : this.#handleError(result.error, nowMs)
+    return this.#step
+  }
+
+  /** After a `pause` step. */
+  handlePauseOver (nowMs: number): RouteStep {
+    this.#step = this.#isAccepted ? { type: 'wait', domain: this.#domain } : this.#submit(nowMs)
+    return this.#step
+  }
+
+  static #getCandidates ({ request, ownDomain, domains }: RouteOptions): readonly DomainId[] {
+    const home = getHomeDomain(request, domains)
+    if (!request.idempotent) return home === undefined ? [] : [home]
+    const ranked = rankByRendezvous(`${request.customer}/${request.key}`, domains)
+    const first = request.homeDomain ?? (domains.includes(ownDomain) ? ownDomain : ranked[0])
+    return first === undefined ? ranked : [first, ...ranked.filter((domain) => domain !== first)]
+  }
+
+  get #domain (): DomainId {
+    return this.#candidates[this.#position]!
+  }
+
+  #submit (nowMs: number): RouteStep {
+    const untilDeadlineMs = this.#request.deadlineMs - (nowMs - this.#startedMs)
+    // Work that was accepted once and lost with its leader is started again even after its deadline.
+    const remainingMs = this.#wasAccepted ? Math.max(untilDeadlineMs, RESTART_DEADLINE_MS) : untilDeadlineMs
+    if (remainingMs <= 0) return this.#fail(new IbisError('deadline-passed', `no failure domain accepted the request within ${this.#request.deadlineMs} ms`))
+    this.#attempts += 1
+    return { type: 'submit', domain: this.#domain, request: { ...this.#request, deadlineMs: Math.ceil(remainingMs) } }
+  }
+
+  #handleStatus (status: JobStatus): RouteStep {
+    if (status.state === 'done' || status.state === 'failed') return this.#answer(status)
+    this.#isAccepted = true
+    this.#wasAccepted = true
+    this.#silentSinceMs = null
+    this.#backoffMs = FIRST_BACKOFF_MS
+    return { type: 'wait', domain: this.#domain }
+  }
+
+  #answer (status: JobStatus): RouteStep {
+    if (!status.outcome || status.outcome.state === 'done') return { type: 'answer', status }
+    const error = IbisError.fromBody(status.outcome.error)
+    if (error.execution === 'not-run' && getReaction(error.kind) === 'next-domain' && this.#request.idempotent && this.#hasNextDomain()) {
+      this.#refusals.set(this.#domain, error)
+      return this.#moveOn()
+    }
+    return this.#fail(error)
+  }
+
+  #handleError (error: IbisError, nowMs: number): RouteStep {
+    if (this.#isAccepted) return this.#handleWaitError(error, nowMs)
+    if (this.#isAmbiguous(error)) this.#ambiguous.add(this.#domain)
+    const reaction = error.kind === 'not-found' ? 'final' : getReaction(error.kind)
+    if (reaction === 'final') return this.#fail(error)
+    return this.#retry(error, reaction, nowMs)
+  }
+
+  /**
+   * The domain has accepted the request, so the outcome is asked for there again: its next leader
+   * adopts what runs. Only a leader that does not know the request, or a long silence, leads to a
+   * second submission of idempotent work.
+   */
+  #handleWaitError (error: IbisError, nowMs: number): RouteStep {
+    if (getReaction(error.kind) !== 'retry') return this.#fail(error)
+    this.#silentSinceMs ??= nowMs
+    const isForgotten = error.kind === 'not-found'
+    const isSilent = nowMs - this.#silentSinceMs >= Math.max(MIN_SILENCE_MS, this.#request.expectedRunMs)
+    if (isForgotten || (isSilent && this.#request.idempotent)) {
+      this.#ambiguous.add(this.#domain)
+      this.#isAccepted = false
+      this.#silentSinceMs = null
+      return isForgotten ? { type: 'pause', ms: 0 } : this.#retry(error, 'retry', nowMs)
+    }
+    return this.#pause()
+  }
+
+  #isAmbiguous (error: IbisError): boolean {
+    return error.execution !== 'not-run' && !isUndelivered(error)
+  }
+
+  #retry (error: IbisError, reaction: 'retry' | 'next-domain', nowMs: number): RouteStep {
+    this.#refusals.set(this.#domain, error)
+    const goOn = this.#request.idempotent && this.#hasNextDomain()
+    if (reaction === 'next-domain' && !goOn) return this.#fail(this.#getBestRefusal(error))
+    if (!this.#trySpend(nowMs)) return this.#fail(error)
+    if (goOn) return this.#moveOn()
+    this.#position = 0
+    return this.#pause()
+  }
+
+  #moveOn (): RouteStep {
+    this.#position += 1
+    this.#isAccepted = false
+    return { type: 'pause', ms: 0 }
+  }
+
+  #pause (): RouteStep {
+    const ms = this.#backoffMs
+    this.#backoffMs = Math.min(MAX_BACKOFF_MS, this.#backoffMs * 2)
+    return { type: 'pause', ms }
+  }
+
+  #hasNextDomain (): boolean {
+    return this.#position + 1 < this.#candidates.length
+  }
+
+  /** A refusal for lack of room is more useful than one for a size that this domain can never hold. */
+  #getBestRefusal (last: IbisError): IbisError {
+    const refusals = [...this.#refusals.values()]
+    return refusals.find((err) => err.retryAfterMs !== undefined) ?? last
+  }
+
+  #fail (error: IbisError): RouteStep {
+    return { type: 'fail', error: this.#qualify(error) }
+  }
+
+  /**
+   * Keeps "not run" true. A non-idempotent request has one home domain whose replicated record knows
+   * of every start, so its refusal holds for earlier attempts too. An idempotent one may have been
+   * taken by a leader that did not answer, which no later refusal can rule out.
+   */
+  #qualify (error: IbisError): IbisError {
+    if (error.execution !== 'not-run' || this.#ambiguous.size === 0) return error
+    const isFromRecord = !this.#request.idempotent && error.kind !== 'deadline-passed' && !isLocalRefusal(error)
+    if (isFromRecord) return error
+    invariant(error.execution === 'not-run', 'only a claim of "not run" is qualified')
+    return new IbisError(error.kind, `${error.message}; an earlier attempt was not answered`, {
+      execution: 'unknown',
+      ...(error.retryAfterMs !== undefined && { retryAfterMs: error.retryAfterMs })
+    })
+  }
+}
+
+/** Refusals that a process gives without looking at the domain's record. */
+const isLocalRefusal = (error: IbisError): boolean =>
+  ['not-leader', 'no-leader', 'shutting-down', 'stale-config', 'unreachable', 'no-quorum', 'overloaded', 'unauthorized', 'wrong-deployment', 'body-too-large', 'invalid-request'].includes(error.kind)
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -167,5 +167,7 @@
   readonly key: RequestKey
   readonly customer: CustomerId
   readonly state: JobState
+  /** Milliseconds from arrival to the start of the gang, once it has started. */
+  readonly startedAfterMs?: number
   readonly outcome?: JobOutcome
 }
