--- /dev/null
+++ b/packages/model/src/config.ts
@@ -0,0 +1,54 @@
+import { checkValue, IbisError } from '@ibisstair/common'
+import { MAX_FLEET_WORKERS } from './constants.ts'
+import { compareText } from './order.ts'
+import { ConfigChangeSchema, ConfigDeltaSchema, ConfigSchema } from './schemas.ts'
+import type { Config, ConfigChange, ConfigDeltaBody } from './types.ts'
+
+/** In force before the first change. */
+export const EMPTY_CONFIG: Config = { version: 0, customers: [], kinds: [], fleet: { domains: [] }, drains: [] }
+
+/** Sorted lists make equal configurations equal as values, whatever order they were written in. */
+export const sortConfig = (config: Config): Config => ({
+  version: config.version,
+  customers: [...config.customers].sort((a, b) => compareText(a.id, b.id)),
+  kinds: [...config.kinds].sort((a, b) => compareText(a.kind, b.kind)),
+  fleet: { domains: [...config.fleet.domains].sort((a, b) => compareText(a.id, b.id)) },
+  drains: [...config.drains].sort(compareText)
+})
+
+const checkPinnedDomains = (config: Config, what: string): void => {
+  const domains = new Set(config.fleet.domains.map((domain) => domain.id))
+  for (const customer of config.customers) {
+    customer.guarantees.forEach(({ domain }, i) => {
+      if (domain === undefined || domains.has(domain)) return
+      throw new IbisError(
+        'invalid-request',
+        `${what}: field customers.${customer.id}.guarantees.${i}.domain: got "${domain}", accepted is a configured failure domain (${[...domains].join(', ') || 'none'})`
+      )
+    })
+  }
+}
+
+const checkFleetSize = (config: Config, what: string): void => {
+  const racks = config.fleet.domains.flatMap((domain) => domain.racks)
+  const workers = racks.reduce((sum, rack) => sum + rack.workers, 0)
+  if (workers <= MAX_FLEET_WORKERS) return
+  throw new IbisError(
+    'invalid-request',
+    `${what}: field fleet.domains: got ${workers} workers, accepted is at most ${MAX_FLEET_WORKERS}`
+  )
+}
+
+/** Checks fields, unique ids and references, and sorts the lists; `checkFeasible` is separate. */
+export const parseConfig = (input: unknown, what = 'configuration'): Config => {
+  const config: Config = checkValue(ConfigSchema, input, what)
+  checkPinnedDomains(config, what)
+  checkFleetSize(config, what)
+  return sortConfig(config)
+}
+
+export const parseConfigDelta = (input: unknown, what = 'configuration delta'): ConfigDeltaBody =>
+  checkValue(ConfigDeltaSchema, input, what)
+
+export const parseConfigChange = (input: unknown, what = 'configuration change'): ConfigChange =>
+  checkValue(ConfigChangeSchema, input, what)
--- a/packages/model/src/constants.ts
+++ b/packages/model/src/constants.ts
@@ -5,3 +5,24 @@
 export const MAX_TASK_ANSWER_BYTES = 64 * 1024
 export const MAX_JOB_ANSWER_BYTES = 2 * 1024 * 1024
 export const MAX_REQUEST_BYTES = 1024 * 1024
+
+export const MAX_ACCELERATORS_PER_WORKER = 64
+export const MAX_SLOTS_PER_WORKER = 1024
+export const MAX_RUN_MS = 30 * 24 * 3600 * 1000
+export const MAX_DEADLINE_MS = 7 * 24 * 3600 * 1000
+/** Deeper payloads overflow the stack of recursive encoders. */
+export const MAX_PAYLOAD_DEPTH = 64
+
+/** The limits below keep a configuration inside one message and `checkFeasible` inside one heartbeat. */
+export const MAX_CUSTOMERS = 1000
+export const MAX_GUARANTEES_PER_CUSTOMER = 100
+export const MAX_KINDS = 1000
+export const MAX_DOMAINS = 64
+export const MAX_RACKS_PER_DOMAIN = 1000
+export const MAX_WORKERS_PER_RACK = 1000
+export const MAX_FLEET_WORKERS = 10_000
+export const MAX_GUARANTEED_TASKS = 100_000
+export const MAX_DRAINS = 10_000
+export const MAX_DELTA_OPERATIONS = 1000
+export const MAX_PRIORITY = 1000
+export const MAX_QUEUED = 100_000
--- /dev/null
+++ b/packages/model/src/order.ts
@@ -0,0 +1,5 @@
+/** Orders by code units; locale rules differ between machines and would make replicas differ. */
+export const compareText = (a: string, b: string): number => {
+  if (a === b) return 0
+  return a < b ? -1 : 1
+}
--- /dev/null
+++ b/packages/model/src/request.ts
@@ -0,0 +1,111 @@
+import { checkValue, type CustomerId, type DomainId, IbisError, rankByRendezvous, type RequestKey } from '@ibisstair/common'
+import { createHash } from 'node:crypto'
+import { MAX_PAYLOAD_DEPTH, URGENCIES } from './constants.ts'
+import { encodeCanonical, exceedsDepth } from './canonical.ts'
+import { JobRequestSchema } from './schemas.ts'
+import { describeShape, largestGang } from './shape.ts'
+import type { Config, DomainConfig, JobMetadata, JobRequest, KindConfig, Shape, Urgency } from './types.ts'
+
+const rankOf = (urgency: Urgency): number => URGENCIES.indexOf(urgency)
+
+const refuseField = (field: string, got: unknown, accepted: string): never => {
+  throw new IbisError('invalid-request', `request: field ${field}: got ${JSON.stringify(got)}, accepted is ${accepted}`, {
+    info: { fields: [field] }
+  })
+}
+
+const checkUrgency = (urgency: Urgency, kind: KindConfig): void => {
+  if (rankOf(urgency) >= rankOf(kind.urgency)) return
+  const accepted = URGENCIES.slice(rankOf(kind.urgency)).map((name) => `"${name}"`).join(' or ')
+  refuseField('urgency', urgency, `${accepted} for kind ${kind.kind}`)
+}
+
+/** A caller may ask for more safety than the kind has, never for less. */
+const checkIdempotent = (idempotent: boolean, kind: KindConfig): void => {
+  if (!idempotent || kind.idempotent) return
+  refuseField('idempotent', idempotent, `false, because kind ${kind.kind} is configured as non-idempotent`)
+}
+
+/**
+ * The failure domain that records a non-idempotent request. Every process chooses the same one as
+ * long as the set of configured domains stays the same.
+ */
+export const getHomeDomain = (
+  config: Config,
+  request: { readonly customer: CustomerId, readonly key: RequestKey, readonly homeDomain?: DomainId }
+): DomainId | undefined => {
+  if (request.homeDomain !== undefined) return request.homeDomain
+  const domains = config.fleet.domains.map((domain) => domain.id)
+  return rankByRendezvous(`${request.customer}/${request.key}`, domains)[0]
+}
+
+const describePlace: Readonly<Record<Shape['adjacency'], string>> = {
+  worker: 'one worker',
+  rack: 'one rack',
+  any: 'one failure domain'
+}
+
+/** Throws `never-fits` when no worker, rack or domain (by adjacency) could hold the gang even if empty. */
+export const checkEverFits = (shape: Shape, domains: readonly DomainConfig[]): void => {
+  const largest = largestGang(domains, shape)
+  if (largest >= shape.tasks) return
+  const names = domains.map((domain) => domain.id).join(', ') || 'none configured'
+  throw new IbisError(
+    'never-fits',
+    `${describeShape(shape)}: ${describePlace[shape.adjacency]} can hold at most ${largest} of the ${shape.tasks} tasks (failure domains: ${names})`,
+    { info: { shape, needed: shape.tasks, largest } }
+  )
+}
+
+/** Non-idempotent work runs in its home domain only; other work runs wherever there is room. */
+const listUsableDomains = (config: Config, job: JobMetadata): readonly DomainConfig[] => {
+  if (job.idempotent) return config.fleet.domains
+  const home = getHomeDomain(config, job)
+  return config.fleet.domains.filter((domain) => domain.id === home)
+}
+
+const checkHomeDomain = (config: Config, homeDomain: DomainId | undefined): void => {
+  if (homeDomain === undefined) return
+  const ids = config.fleet.domains.map((domain) => domain.id)
+  if (!ids.includes(homeDomain)) refuseField('homeDomain', homeDomain, `one of ${ids.join(', ') || 'none configured'}`)
+}
+
+/** Checks a caller's request against the configuration and fills what the caller left out from its kind. */
+export const parseJobRequest = (input: unknown, config: Config): JobRequest => {
+  const fields = checkValue(JobRequestSchema, input, 'request')
+  if (exceedsDepth(fields.payload, MAX_PAYLOAD_DEPTH)) {
+    refuseField('payload', 'a deeply nested value', `at most ${MAX_PAYLOAD_DEPTH} levels`)
+  }
+  if (!config.customers.some((customer) => customer.id === fields.customer)) {
+    throw new IbisError('unknown-customer', `request: customer ${fields.customer} is not configured`)
+  }
+  const kind = config.kinds.find((item) => item.kind === fields.kind)
+  if (!kind) throw new IbisError('unknown-kind', `request: kind ${fields.kind} is not configured`)
+  const request: JobRequest = {
+    ...fields,
+    urgency: fields.urgency ?? kind.urgency,
+    idempotent: fields.idempotent ?? kind.idempotent,
+    expectedRunMs: fields.expectedRunMs ?? kind.expectedRunMs,
+    deadlineMs: fields.deadlineMs ?? kind.objective.startWithinMs
+  }
+  checkUrgency(request.urgency, kind)
+  checkIdempotent(request.idempotent, kind)
+  checkHomeDomain(config, request.homeDomain)
+  checkEverFits(request.shape, listUsableDomains(config, request))
+  return request
+}
+
+export const toMetadata = (request: JobRequest): JobMetadata => {
+  const { payload, ...metadata } = request
+  return metadata
+}
+
+/**
+ * Identifies what a request asks for. Urgency, deadline, run time and home domain are left out:
+ * a resend may state less time, and their defaults follow the configuration.
+ */
+export const fingerprintRequest = (request: JobRequest): string => {
+  const { key, customer, caller, kind, shape, idempotent, payload } = request
+  const text = encodeCanonical({ key, customer, caller, kind, shape, idempotent, payload })
+  return createHash('sha256').update(text).digest('hex')
+}
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -134,6 +134,17 @@
   readonly leaving: boolean
 }
 
+export interface EndpointUsage {
+  readonly acceleratorsBusy: number
+  /** Age of the measurement when it was sent. */
+  readonly lagMs: number
+}
+
+export interface Announcement {
+  readonly endpoint: EndpointInfo
+  readonly usage?: EndpointUsage
+}
+
 export interface Assignment {
   readonly index: number
   readonly taskId: TaskId
