registers: add the configuration and job registers

Change: ConfigRegister with recorded results by change id and import, JobRegister with start records, outcomes, acknowledgements and bounded retention. Errors of a command are results, since an exception would stop every replica at the same entry. Ruled out: ageing by the commands' absolute times, because a leader whose wall clock is ahead would expire all outcomes at once; the register sums the bounded differences between commands instead.

--- a/packages/model/src/schemas.ts
+++ b/packages/model/src/schemas.ts
@@ -25,8 +25,6 @@
 
 export const CustomerIdSchema = idOf<CustomerId>()
 export const CallerIdSchema = idOf<CallerId>()
-export const JobIdSchema = idOf<JobId>()
-export const TaskIdSchema = idOf<TaskId>()
 export const EndpointIdSchema = idOf<EndpointId>()
 export const RackIdSchema = idOf<RackId>()
 export const DomainIdSchema = idOf<DomainId>()
@@ -37,6 +35,10 @@
   v.regex(KEY_PATTERN, KEY_ACCEPTED),
   v.transform((text) => asId<RequestKey>(text))
 )
+/** Ids of our own making; only their size and alphabet are bounded. */
+const OpaqueIdSchema = v.pipe(v.string(), v.regex(/^[\x21-\x7e]{1,320}$/, '1 to 320 visible ASCII characters'))
+export const JobIdSchema = v.pipe(OpaqueIdSchema, v.transform((text) => asId<JobId>(text)))
+export const TaskIdSchema = v.pipe(OpaqueIdSchema, v.transform((text) => asId<TaskId>(text)))
 export const UrgencySchema = v.picklist(URGENCIES)
 /** Counters and times in milliseconds. */
 export const CounterSchema = intBetween(0, Number.MAX_SAFE_INTEGER)
@@ -97,7 +99,7 @@
 
 export const TaskAnswerSchema = v.strictObject({
   index: intBetween(0, MAX_GANG_TASKS - 1),
-  body: v.unknown()
+  body: v.optional(v.unknown(), null)
 })
 
 export const JobOutcomeSchema = v.variant('state', [
--- a/packages/registers/src/index.ts
+++ b/packages/registers/src/index.ts
@@ -1,1 +1,7 @@
-export {}
+export * from './config-register.ts'
+export * from './config-types.ts'
+export * from './constants.ts'
+export * from './job-register.ts'
+export * from './job-rules.ts'
+export * from './job-types.ts'
+export * from './schemas.ts'
--- /dev/null
+++ b/packages/registers/src/job-register.ts
@@ -0,0 +1,237 @@
+import { assertNever, checkValue, type CustomerId, IbisError, invariant, type RequestKey } from '@ibisstair/common'
+import type { StateMachine } from '@ibisstair/consensus'
+import type { JobOutcome } from '@ibisstair/model'
+import { isDeepStrictEqual } from 'node:util'
+import {
+  DEFAULT_RETRY_MS, MAX_ANSWER_BYTES, MAX_CLOCK_STEP_MS, MAX_JOB_RECORDS, OUTCOME_RETENTION_MS
+} from './constants.ts'
+import { checkAnswers, checkStart, isNotRun, isUnknown, measureOutcome } from './job-rules.ts'
+import type {
+  Acknowledge, JobCommand, JobRecord, JobRegisterStats, JobResult, RecordOutcome, RecordStart
+} from './job-types.ts'
+import { JobCommandSchema, JobSnapshotSchema } from './schemas.ts'
+
+export interface JobRegisterLimits {
+  readonly records: number
+  readonly retentionMs: number
+  readonly answerBytes: number
+}
+
+const DEFAULT_LIMITS: JobRegisterLimits = {
+  records: MAX_JOB_RECORDS,
+  retentionMs: OUTCOME_RETENTION_MS,
+  answerBytes: MAX_ANSWER_BYTES
+}
+
+/** A customer id contains no slash, so the joined text is unique. */
+const idOf = (command: { readonly customer: CustomerId, readonly key: RequestKey }): string =>
+  `${command.customer}/${command.key}`
+
+/**
+ * The record of non-idempotent work in one failure domain. All replicas must use the same limits.
+ * Errors of a command become its result, because an exception would stop every replica at the
+ * same entry.
+ */
+export class JobRegister implements StateMachine<JobCommand, JobResult> {
+  readonly #limits: JobRegisterLimits
+  /** Started and without outcome; never dropped. */
+  #open = new Map<string, JobRecord>()
+  /** With outcome, in the order in which the outcomes were recorded. */
+  #finished = new Map<string, JobRecord>()
+  #answerBytes = 0
+  #clockMs = 0
+  #lastAtMs: number | null = null
+
+  constructor (limits: JobRegisterLimits = DEFAULT_LIMITS) {
+    this.#limits = limits
+  }
+
+  apply (input: JobCommand): JobResult {
+    try {
+      const command: JobCommand = checkValue(JobCommandSchema, input, 'job command')
+      this.#advanceClock(command.atMs)
+      this.#dropExpired()
+      const before = this.#size
+      const result = this.#apply(command)
+      this.#releaseAnswers()
+      this.#checkRules(before)
+      return result
+    } catch (err) {
+      if (!(err instanceof IbisError)) throw err
+      return { status: 'refused', error: err.toBody() }
+    }
+  }
+
+  get (customer: CustomerId, key: RequestKey): JobRecord | undefined {
+    const id = idOf({ customer, key })
+    return this.#open.get(id) ?? this.#finished.get(id)
+  }
+
+  /** What a new leader has to resolve. */
+  listWithoutOutcome (): readonly JobRecord[] {
+    return [...this.#open.values()]
+  }
+
+  getStats (): JobRegisterStats {
+    return {
+      records: this.#size,
+      withoutOutcome: this.#open.size,
+      answerBytes: this.#answerBytes,
+      clockMs: this.#clockMs
+    }
+  }
+
+  toSnapshot (): unknown {
+    return {
+      clockMs: this.#clockMs,
+      lastAtMs: this.#lastAtMs,
+      records: [...this.#open.values(), ...this.#finished.values()]
+    }
+  }
+
+  restore (snapshot: unknown): void {
+    const state = checkValue(JobSnapshotSchema, snapshot, 'job snapshot')
+    this.#clockMs = state.clockMs
+    this.#lastAtMs = state.lastAtMs
+    this.#open = new Map()
+    this.#finished = new Map()
+    for (const record of state.records) (record.outcome ? this.#finished : this.#open).set(idOf(record), record)
+    this.#answerBytes = state.records.reduce((sum, record) => sum + record.answerBytes, 0)
+  }
+
+  get #size (): number {
+    return this.#open.size + this.#finished.size
+  }
+
+  #apply (command: JobCommand): JobResult {
+    switch (command.type) {
+      case 'record-start': return this.#recordStart(command)
+      case 'record-outcome': return this.#recordOutcome(command)
+      case 'acknowledge': return this.#acknowledge(command)
+      default: return assertNever(command)
+    }
+  }
+
+  #recordStart (command: RecordStart): JobResult {
+    checkStart(command)
+    const known = this.get(command.customer, command.key)
+    if (!known) {
+      this.#checkRoom()
+      return this.#begin(command)
+    }
+    if (known.fingerprint !== command.fingerprint) {
+      throw new IbisError('key-conflict', `key ${command.key} of customer ${command.customer} belongs to a different request, recorded as job ${known.jobId}`)
+    }
+    if (!isNotRun(known.outcome)) return { status: 'exists', record: known }
+    const isDelayedResend = known.jobId === command.jobId && command.attempt <= known.attempt
+    if (isDelayedResend) return { status: 'exists', record: known }
+    return this.#begin(command)
+  }
+
+  #begin (command: RecordStart): JobResult {
+    const id = idOf(command)
+    const previous = this.#finished.get(id)
+    invariant(!this.#open.has(id), 'a key has at most one start without outcome', { command })
+    invariant(!previous || isNotRun(previous.outcome), 'a second start needs the outcome "not run"', { command, previous })
+    const { type, atMs, ...start } = command
+    const record: JobRecord = { ...start, startedAtMs: this.#clockMs, acknowledged: false, answerBytes: 0 }
+    this.#finished.delete(id)
+    this.#open.set(id, record)
+    return { status: 'recorded', record }
+  }
+
+  #recordOutcome (command: RecordOutcome): JobResult {
+    const known = this.#find(command)
+    if (known.jobId !== command.jobId || known.attempt !== command.attempt) return { status: 'exists', record: known }
+    if (isDeepStrictEqual(known.outcome, command.outcome)) return { status: 'recorded', record: known }
+    const isLearntLater = isUnknown(known.outcome) && !isUnknown(command.outcome) && !isNotRun(command.outcome)
+    if (known.outcome && !isLearntLater) return { status: 'exists', record: known }
+    checkAnswers(known, command.outcome)
+    return this.#finish(known, command.outcome)
+  }
+
+  #finish (known: JobRecord, outcome: JobOutcome): JobResult {
+    const id = idOf(known)
+    invariant(!known.outcome || isUnknown(known.outcome), 'a recorded outcome changes only from "unknown"', { known, outcome })
+    const answerBytes = measureOutcome(outcome)
+    const record: JobRecord = { ...known, outcome, finishedAtMs: this.#clockMs, acknowledged: false, answerBytes }
+    this.#open.delete(id)
+    this.#finished.delete(id)
+    this.#finished.set(id, record)
+    this.#answerBytes += answerBytes - known.answerBytes
+    return { status: 'recorded', record }
+  }
+
+  #acknowledge (command: Acknowledge): JobResult {
+    const known = this.#find(command)
+    if (known.jobId !== command.jobId) return { status: 'exists', record: known }
+    if (!known.outcome) throw new IbisError('invalid-request', `job ${known.jobId} has no outcome to acknowledge`)
+    const record: JobRecord = { ...known, acknowledged: true }
+    this.#finished.set(idOf(known), record)
+    return { status: 'recorded', record }
+  }
+
+  #find (command: RecordOutcome | Acknowledge): JobRecord {
+    const known = this.get(command.customer, command.key)
+    if (known) return known
+    throw new IbisError('not-found', `key ${command.key} of customer ${command.customer} has no start record`)
+  }
+
+  #checkRoom (): void {
+    const records = this.#size
+    if (records >= this.#limits.records) {
+      throw new IbisError('overloaded', `the register holds ${records} of ${this.#limits.records} records, and none is older than the retention age`, {
+        retryAfterMs: this.#untilNextExpiryMs(),
+        info: { records, limit: this.#limits.records }
+      })
+    }
+    if (this.#answerBytes >= this.#limits.answerBytes) {
+      throw new IbisError('overloaded', `the register holds ${this.#answerBytes} of ${this.#limits.answerBytes} bytes of answers that are not acknowledged`, {
+        retryAfterMs: DEFAULT_RETRY_MS,
+        info: { answerBytes: this.#answerBytes, limit: this.#limits.answerBytes }
+      })
+    }
+  }
+
+  #untilNextExpiryMs (): number {
+    const oldest = this.#finished.values().next().value
+    if (oldest?.finishedAtMs === undefined) return DEFAULT_RETRY_MS
+    return Math.max(DEFAULT_RETRY_MS, oldest.finishedAtMs + this.#limits.retentionMs - this.#clockMs)
+  }
+
+  /** Adds the time since the previous command; leaders with different clocks add no jump. */
+  #advanceClock (atMs: number): void {
+    const elapsedMs = this.#lastAtMs === null ? 0 : atMs - this.#lastAtMs
+    this.#clockMs += Math.min(Math.max(elapsedMs, 0), MAX_CLOCK_STEP_MS)
+    this.#lastAtMs = atMs
+  }
+
+  #dropExpired (): void {
+    for (const [id, record] of this.#finished) {
+      invariant(record.outcome && record.finishedAtMs !== undefined, 'only records with an outcome expire', record)
+      if (this.#clockMs - record.finishedAtMs < this.#limits.retentionMs) return
+      this.#finished.delete(id)
+      this.#answerBytes -= record.answerBytes
+    }
+  }
+
+  /** Gives up acknowledged answers, oldest first, while the limit is exceeded. The keys stay. */
+  #releaseAnswers (): void {
+    if (this.#answerBytes < this.#limits.answerBytes) return
+    for (const [id, record] of this.#finished) {
+      if (!record.acknowledged || record.outcome?.state !== 'done') continue
+      this.#finished.set(id, { ...record, outcome: { state: 'released' }, answerBytes: 0 })
+      this.#answerBytes -= record.answerBytes
+      if (this.#answerBytes < this.#limits.answerBytes) return
+    }
+  }
+
+  #checkRules (before: number): void {
+    invariant(
+      this.#size <= Math.max(before, this.#limits.records),
+      'the register keeps its limit of records',
+      this.getStats()
+    )
+    invariant(this.#answerBytes >= 0, 'answer bytes are counted once', this.getStats())
+  }
+}
--- /dev/null
+++ b/packages/registers/src/job-rules.ts
@@ -0,0 +1,46 @@
+import { IbisError } from '@ibisstair/common'
+import type { JobOutcome } from '@ibisstair/model'
+import { MAX_OUTCOME_BYTES } from './constants.ts'
+import type { JobRecord, RecordedOutcome, RecordStart } from './job-types.ts'
+
+/** True only for an outcome that allows the work to be started again. */
+export const isNotRun = (outcome: RecordedOutcome | undefined): boolean =>
+  outcome?.state === 'failed' && outcome.error.execution === 'not-run'
+
+export const isUnknown = (outcome: RecordedOutcome | undefined): boolean =>
+  outcome?.state === 'failed' && outcome.error.execution === 'unknown'
+
+const coversAll = (indexes: readonly number[], tasks: number): boolean =>
+  indexes.length === tasks && new Set(indexes).size === tasks && indexes.every((index) => index < tasks)
+
+export const checkStart = ({ customer, key, metadata, assignments }: RecordStart): void => {
+  if (metadata.customer !== customer || metadata.key !== key) {
+    throw new IbisError('invalid-request', `job command: metadata belongs to ${metadata.customer}/${metadata.key}, accepted is ${customer}/${key}`)
+  }
+  if (coversAll(assignments.map(({ index }) => index), metadata.shape.tasks)) return
+  throw new IbisError('invalid-request', `job command: field assignments: got ${assignments.length}, accepted is one for each of the ${metadata.shape.tasks} tasks`)
+}
+
+/** A partial result is never a response, so it is not recorded as one. */
+export const checkAnswers = (record: JobRecord, outcome: JobOutcome): void => {
+  if (outcome.state !== 'done') return
+  const { tasks } = record.metadata.shape
+  if (coversAll(outcome.answers.map(({ index }) => index), tasks)) return
+  throw new IbisError('invalid-request', `job command: field outcome.answers: got ${outcome.answers.length}, accepted is one for each of the ${tasks} tasks`)
+}
+
+const encodedBytes = (value: unknown): number => {
+  try {
+    return Buffer.byteLength(JSON.stringify(value) ?? '')
+  } catch (err) {
+    throw new IbisError('invalid-request', 'job command: field outcome.answers: cannot be encoded as JSON', { cause: err as Error })
+  }
+}
+
+/** Bytes of the answers; refuses answers that no message could carry. */
+export const measureOutcome = (outcome: JobOutcome): number => {
+  if (outcome.state !== 'done') return 0
+  const bytes = outcome.answers.reduce((sum, { body }) => sum + encodedBytes(body), 0)
+  if (bytes <= MAX_OUTCOME_BYTES) return bytes
+  throw new IbisError('answer-too-large', `job command: the answers take ${bytes} bytes, accepted is at most ${MAX_OUTCOME_BYTES}`)
+}
