scheduler: place work first come, first served

This version has the whole life of a job (submit, start, adoption, failure, cancellation) and places in order of arrival by first fit. Slots and job states are checked with invariant.

--- /dev/null
+++ b/packages/scheduler/src/constants.ts
@@ -0,0 +1,12 @@
+/** Time between the checkpoint request and the stop of a preempted task. */
+export const CHECKPOINT_GRACE_MS = 2000
+/** An endpoint that does not answer a stop call within this time is unreachable. */
+export const STOP_CALL_TIMEOUT_MS = 1000
+/** Placements of one event; the rest follows with the next event, so that one event stays short. */
+export const MAX_PLACEMENTS_PER_EVENT = 64
+/** Ended jobs that `explain` still knows. */
+export const MAX_ENDED_JOBS = 2000
+/** Steps kept for each job; the first and the newest ones are the useful ones. */
+export const MAX_STEPS_PER_JOB = 16
+/** Attempts of a job whose gang could not be started or whose endpoint vanished. */
+export const MAX_START_ATTEMPTS = 20
--- /dev/null
+++ b/packages/scheduler/src/first-fit.ts
@@ -0,0 +1,33 @@
+import type { Shape } from '@ibisstair/model'
+import type { Fleet, Worker } from './fleet.ts'
+import type { Allocation } from './job.ts'
+
+const fill = (shape: Shape, workers: Iterable<Worker>): Allocation[] | undefined => {
+  const allocations: Allocation[] = []
+  let left = shape.tasks
+  for (const worker of workers) {
+    if (!worker.isUsable) continue
+    const tasks = Math.min(left, worker.countFitting(shape))
+    if (tasks === 0) continue
+    allocations.push({ worker, tasks })
+    left -= tasks
+    if (left === 0) return allocations
+  }
+  return undefined
+}
+
+/** The first set of workers that holds the shape, in the order in which the workers appeared. */
+export const findFirstFit = (fleet: Fleet, shape: Shape): readonly Allocation[] | undefined => {
+  if (shape.adjacency === 'any') return fill(shape, fleet.workers)
+  if (shape.adjacency === 'worker') {
+    for (const worker of fleet.workers) {
+      if (worker.isUsable && worker.countFitting(shape) >= shape.tasks) return [{ worker, tasks: shape.tasks }]
+    }
+    return undefined
+  }
+  for (const rack of fleet.racks) {
+    const found = fill(shape, rack.workers)
+    if (found) return found
+  }
+  return undefined
+}
--- /dev/null
+++ b/packages/scheduler/src/job.ts
@@ -0,0 +1,74 @@
+import type { EndpointId, JobId } from '@ibisstair/common'
+import { invariant } from '@ibisstair/common'
+import type { Assignment, JobMetadata, Shape, Urgency } from '@ibisstair/model'
+import { URGENCIES } from '@ibisstair/model'
+import { MAX_STEPS_PER_JOB } from './constants.ts'
+import type { Worker } from './fleet.ts'
+import type { QueueNode } from './linked-queue.ts'
+import type { ExplanationStep } from './types.ts'
+
+export type JobPhase = 'queued' | 'starting' | 'running' | 'finished'
+
+/** Capacity that a job holds, or is about to hold, on one worker. */
+export interface Allocation {
+  readonly worker: Worker
+  readonly tasks: number
+}
+
+const NEXT_PHASES: Record<JobPhase, readonly JobPhase[]> = {
+  queued: ['starting', 'running', 'finished'],
+  starting: ['queued', 'running', 'finished'],
+  running: ['queued', 'finished'],
+  finished: []
+}
+
+/** One job and everything the scheduler knows about it. */
+export class Job {
+  readonly urgencyIndex: number
+  readonly accelerators: number
+  readonly slots: number
+  #phase: JobPhase = 'queued'
+  attempt = 0
+  allocations: readonly Allocation[] = []
+  assignments: readonly Assignment[] = []
+  startedAtMs: number | undefined
+  /** Set while a preempt or stop decision is being carried out. */
+  stoppingSinceMs: number | undefined
+  readonly failedOn = new Set<EndpointId>()
+  readonly steps: ExplanationStep[] = []
+  fifoNode: QueueNode<Job> | undefined
+
+  constructor (readonly id: JobId, readonly meta: JobMetadata, readonly submittedAtMs: number) {
+    this.urgencyIndex = indexOfUrgency(meta.urgency)
+    this.accelerators = meta.shape.tasks * meta.shape.acceleratorsPerTask
+    this.slots = meta.shape.tasks * meta.shape.slotsPerTask
+  }
+
+  get shape (): Shape {
+    return this.meta.shape
+  }
+
+  get phase (): JobPhase {
+    return this.#phase
+  }
+
+  get holdsSlots (): boolean {
+    return this.#phase === 'starting' || this.#phase === 'running'
+  }
+
+  enter (phase: JobPhase): void {
+    invariant(NEXT_PHASES[this.#phase].includes(phase), `job ${this.id} moves from ${this.#phase} to ${phase}`)
+    this.#phase = phase
+  }
+
+  explain (atMs: number, rule: string, numbers: ExplanationStep['numbers']): void {
+    // The first half keeps the admission, the second half the newest decisions.
+    if (this.steps.length >= MAX_STEPS_PER_JOB) this.steps.splice(MAX_STEPS_PER_JOB / 2, 1)
+    this.steps.push({ atMs, rule, numbers })
+  }
+}
+
+export const indexOfUrgency = (urgency: Urgency): number => URGENCIES.indexOf(urgency)
+
+export const shapeKeyOf = (shape: Shape): string =>
+  `${shape.adjacency}:${shape.tasks}x${shape.acceleratorsPerTask}a${shape.slotsPerTask}s`
