--- a/packages/gateway/src/announcements.ts
+++ b/packages/gateway/src/announcements.ts
@@ -1,5 +1,6 @@
 import type { DomainId, EndpointId } from '@ibisstair/common'
-import type { EndpointInfo } from '@ibisstair/model'
+import { AnnouncementForwarder, type Forward } from '@ibisstair/membership'
+import type { Announcement } from '@ibisstair/model'
 import type { RpcClient } from '@ibisstair/rpc'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { ANNOUNCE_FLUSH_MS, CONTROL_CALL_MS, MAX_ANNOUNCED_ENDPOINTS, MAX_ANNOUNCEMENTS_PER_CALL } from './constants.ts'
@@ -7,34 +8,36 @@
 
 interface Lane {
   readonly control: ControlTarget
-  readonly pending: Map<EndpointId, EndpointInfo>
+  readonly forwarder: AnnouncementForwarder
+  /** The newest announcement of each endpoint that waits for the next batch. */
+  readonly waiting: Map<EndpointId, Announcement>
   isSending: boolean
 }
 
-const isNewer = (a: EndpointInfo, b: EndpointInfo | undefined): boolean =>
-  !b || a.incarnation > b.incarnation || (a.incarnation === b.incarnation && a.sequence > b.sequence)
+export interface AnnounceParams {
+  readonly announcements: readonly Announcement[]
+}
 
-/**
- * Forwards announcements to every control process of the endpoint's failure domain. The newest one
- * of each endpoint stays pending until that process has acknowledged it, so an announcement of
- * leaving that reached only this entry still arrives everywhere.
- */
-export class AnnouncementForwarder {
+/** Sends announcements in batches to the control processes of the endpoint's failure domain. */
+export class AnnouncementSender {
   readonly #rpc: RpcClient
+  readonly #timers: TimerService
   readonly #lanes = new Map<DomainId, Lane[]>()
+  readonly #forwarders = new Map<DomainId, AnnouncementForwarder>()
   #stop: Unsubscribe | null = null
   #dropped = 0
 
-  constructor (rpc: RpcClient, controls: readonly ControlTarget[]) {
+  constructor (rpc: RpcClient, timers: TimerService, controls: readonly ControlTarget[]) {
     this.#rpc = rpc
-    for (const control of controls) {
-      const lane: Lane = { control, pending: new Map(), isSending: false }
-      this.#lanes.set(control.domain, [...(this.#lanes.get(control.domain) ?? []), lane])
+    this.#timers = timers
+    for (const control of controls) this.#addControl(control)
+    for (const [domain, forwarder] of this.#forwarders) {
+      forwarder.handle({ type: 'targets', targets: this.#lanes.get(domain)!.map(({ control }) => control.node) }, timers.now())
     }
   }
 
-  start (timers: TimerService): void {
-    this.#stop = timers.every(ANNOUNCE_FLUSH_MS, () => this.flush())
+  start (): void {
+    this.#stop = this.#timers.every(ANNOUNCE_FLUSH_MS, () => this.#handleTick())
   }
 
   stop (): void {
@@ -45,45 +48,64 @@
     return this.#dropped
   }
 
-  /** Returns whether the endpoint's failure domain is known. */
-  add (info: EndpointInfo): boolean {
-    const lanes = this.#lanes.get(info.domain)
-    if (!lanes) return false
-    for (const lane of lanes) this.#addTo(lane, info)
-    if (info.leaving) this.flush()
+  /** Returns whether the endpoint's failure domain has control processes. */
+  add (announcement: Announcement): boolean {
+    const { endpoint } = announcement
+    const forwarder = this.#forwarders.get(endpoint.domain)
+    if (!forwarder) return false
+    this.#queue(endpoint.domain, forwarder.handle({ type: 'announce', info: endpoint }, this.#timers.now()), announcement)
+    // New work must stop within seconds of leaving, so that announcement does not wait for a batch.
+    if (endpoint.leaving) this.#flush()
     return true
   }
 
-  flush (): void {
-    for (const lanes of this.#lanes.values()) {
-      for (const lane of lanes) this.#send(lane)
+  #addControl (control: ControlTarget): void {
+    const forwarder = this.#forwarders.get(control.domain) ?? new AnnouncementForwarder()
+    this.#forwarders.set(control.domain, forwarder)
+    const lane: Lane = { control, forwarder, waiting: new Map(), isSending: false }
+    this.#lanes.set(control.domain, [...(this.#lanes.get(control.domain) ?? []), lane])
+  }
+
+  #queue (domain: DomainId, forwards: readonly Forward[], announcement?: Announcement): void {
+    for (const { target, info } of forwards) {
+      const lane = this.#lanes.get(domain)?.find(({ control }) => control.node === target)
+      if (!lane) continue
+      if (lane.waiting.size >= MAX_ANNOUNCED_ENDPOINTS && !lane.waiting.has(info.id)) {
+        this.#dropped += 1
+        continue
+      }
+      lane.waiting.set(info.id, announcement ?? { endpoint: info })
     }
   }
 
-  #addTo (lane: Lane, info: EndpointInfo): void {
-    if (!isNewer(info, lane.pending.get(info.id))) return
-    if (!lane.pending.has(info.id) && lane.pending.size >= MAX_ANNOUNCED_ENDPOINTS) {
-      this.#dropped += 1
-      return
+  #handleTick (): void {
+    for (const [domain, forwarder] of this.#forwarders) this.#queue(domain, forwarder.handle({ type: 'tick' }, this.#timers.now()))
+    this.#flush()
+  }
+
+  #flush (): void {
+    for (const lanes of this.#lanes.values()) {
+      for (const lane of lanes) this.#send(lane)
     }
-    lane.pending.set(info.id, info)
   }
 
   #send (lane: Lane): void {
-    if (lane.isSending || lane.pending.size === 0) return
-    const batch = [...lane.pending.values()].slice(0, MAX_ANNOUNCEMENTS_PER_CALL)
+    if (lane.isSending || lane.waiting.size === 0) return
+    const batch = [...lane.waiting.values()].slice(0, MAX_ANNOUNCEMENTS_PER_CALL)
+    for (const { endpoint } of batch) lane.waiting.delete(endpoint.id)
     lane.isSending = true
-    this.#rpc.call(lane.control, 'endpoint.announce', { endpoints: batch }, CONTROL_CALL_MS)
+    const params: AnnounceParams = { announcements: batch }
+    this.#rpc.call(lane.control, 'endpoint.announce', params, CONTROL_CALL_MS)
       .then(() => this.#handleAcknowledged(lane, batch))
       .catch(() => {
-        // The batch stays pending; the next flush sends it again.
+        // The next announcement follows within a second; one of leaving is repeated by the forwarder.
       })
       .finally(() => { lane.isSending = false })
   }
 
-  #handleAcknowledged (lane: Lane, batch: readonly EndpointInfo[]): void {
-    for (const info of batch) {
-      if (lane.pending.get(info.id) === info) lane.pending.delete(info.id)
+  #handleAcknowledged (lane: Lane, batch: readonly Announcement[]): void {
+    for (const { endpoint: { id, incarnation, sequence } } of batch) {
+      lane.forwarder.handle({ type: 'acknowledged', target: lane.control.node, endpointId: id, incarnation, sequence }, this.#timers.now())
     }
   }
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -28,3 +28,5 @@
 export const CONFIG_RETRY_MS = 500
 /** Connections of callers that may wait for an outcome at the same time. */
 export const DEFAULT_MAX_PENDING = 10_000
+/** A configuration change waits for a quorum at most this long at one control process. */
+export const CONFIG_CALL_MS = 3_000
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,1 +1,11 @@
-export {}
+export * from './announcements.ts'
+export * from './budget.ts'
+export * from './caller-api.ts'
+export * from './constants.ts'
+export * from './domains.ts'
+export * from './endpoint-api.ts'
+export * from './listener.ts'
+export * from './messages.ts'
+export * from './operator-api.ts'
+export * from './route.ts'
+export * from './runner.ts'
--- /dev/null
+++ b/packages/gateway/src/operator-api.ts
@@ -0,0 +1,112 @@
+import { IbisError, type NodeId } from '@ibisstair/common'
+import type { ConfigCache } from '@ibisstair/config-sync'
+import type { MetricsBody } from '@ibisstair/telemetry'
+import { checkBearer, parseJson, readBody, sendError, sendJson, type RpcClient } from '@ibisstair/rpc'
+import { asId, type CustomerId, type RequestKey } from '@ibisstair/common'
+import { CONFIG_CALL_MS, CONTROL_CALL_MS } from './constants.ts'
+import type { ControlTarget } from './domains.ts'
+import type { HttpCallContext } from './listener.ts'
+import type { RequestRunner } from './runner.ts'
+
+/** Imported configurations hold a whole fleet with its customers. */
+const MAX_OPERATOR_BODY_BYTES = 4 * 1024 * 1024
+
+export interface OperatorApiOptions {
+  readonly secret: string
+  readonly cache: ConfigCache
+  readonly runner: RequestRunner
+  readonly rpc: RpcClient
+  readonly controls: readonly ControlTarget[]
+  readonly readMetrics: () => MetricsBody
+  readonly readStatus: () => object
+}
+
+/** The operators' HTTP interface; every call needs the shared secret. */
+export class OperatorApi {
+  readonly #options: OperatorApiOptions
+  #configLeader: NodeId | null = null
+
+  constructor (options: OperatorApiOptions) {
+    this.#options = options
+  }
+
+  async handle (call: HttpCallContext): Promise<void> {
+    const { req, res, url, parts } = call
+    checkBearer(req, this.#options.secret)
+    if (parts[1] === 'requests' && parts.length === 5 && parts[4] === 'explain' && req.method === 'GET') {
+      const key = { customer: asId<CustomerId>(parts[2]!), key: asId<RequestKey>(parts[3]!) }
+      sendJson(res, 200, await this.#options.runner.explain(key, this.#options.cache.getConfig()))
+      return
+    }
+    switch (`${req.method} ${url.pathname}`) {
+      case 'GET /v1/config':
+        sendJson(res, 200, this.#options.cache.getConfig())
+        return
+      case 'POST /v1/config/changes':
+        await this.#propose(call, 'config.propose', 'change')
+        return
+      case 'POST /v1/config/import':
+        await this.#propose(call, 'config.import', 'import')
+        return
+      case 'GET /v1/status':
+        sendJson(res, 200, await this.#getStatus())
+        return
+      case 'GET /v1/metrics':
+        sendJson(res, 200, this.#options.readMetrics())
+        return
+      default:
+        throw new IbisError('invalid-request', `no such call: ${req.method} ${url.pathname}`)
+    }
+  }
+
+  async #propose (call: HttpCallContext, method: string, what: string): Promise<void> {
+    const body = parseJson(await readBody(call.req, MAX_OPERATOR_BODY_BYTES), what)
+    try {
+      sendJson(call.res, 200, await this.#callConfigLeader(method, body))
+    } catch (err) {
+      sendError(call.res, IbisError.from(err))
+    }
+  }
+
+  /**
+   * Asks the control processes for the config group's leader. An unanswered attempt leaves the
+   * outcome unknown; the operator resends under the same change id and gets the recorded result.
+   */
+  async #callConfigLeader (method: string, params: unknown): Promise<unknown> {
+    let last = new IbisError('no-leader', 'the settings name no control process')
+    let isAmbiguous = false
+    for (const control of this.#getOrder()) {
+      try {
+        const result = await this.#options.rpc.call(control, method, params, CONFIG_CALL_MS)
+        this.#configLeader = control.node
+        return result
+      } catch (err) {
+        const known = IbisError.from(err)
+        const isElsewhere = known.kind === 'not-leader' || known.kind === 'no-leader'
+        const isUndelivered = known.details?.reason === 'connect'
+        if (!isElsewhere && !isUndelivered && known.kind !== 'unreachable') throw known
+        if (!isElsewhere && !isUndelivered) isAmbiguous = true
+        last = known
+      }
+    }
+    if (!isAmbiguous) throw last
+    throw new IbisError('timeout', `no leader of the config group answered in time: ${last.message}`, { cause: last })
+  }
+
+  #getOrder (): ControlTarget[] {
+    const leader = this.#configLeader
+    return [...this.#options.controls].sort((a, b) => Number(b.node === leader) - Number(a.node === leader))
+  }
+
+  async #getStatus (): Promise<object> {
+    const { controls, rpc, cache, readStatus } = this.#options
+    const answers = await Promise.all(controls.map(async (control) => {
+      try {
+        return { node: control.node, domain: control.domain, reachable: true, ...await rpc.call<object>(control, 'control.status', {}, CONTROL_CALL_MS) }
+      } catch (err) {
+        return { node: control.node, domain: control.domain, reachable: false, detail: IbisError.from(err).message }
+      }
+    }))
+    return { configVersion: cache.version, entry: readStatus(), controls: answers }
+  }
+}
--- a/packages/gateway/src/route.ts
+++ b/packages/gateway/src/route.ts
@@ -70,15 +70,13 @@
   readonly request: JobRequest
   readonly ownDomain: DomainId
   readonly domains: readonly DomainId[]
+  /** The one domain of a non-idempotent request. */
+  readonly homeDomain: DomainId | undefined
   readonly nowMs: number
   /** Takes one extra attempt from the shared retry budget. */
   readonly trySpend: (nowMs: number) => boolean
 }
 
-/** The one failure domain of a non-idempotent request. */
-export const getHomeDomain = (request: Pick<JobRequest, 'homeDomain' | 'customer' | 'key'>, domains: readonly DomainId[]): DomainId | undefined =>
-  request.homeDomain ?? rankByRendezvous(`${request.customer}/${request.key}`, domains)[0]
-
 /**
  * Routes one request over the failure domains: which domain is tried next, when a retry is allowed,
  * and what may be said about execution at the end. Pure: time and results come in, steps go out.
@@ -130,9 +128,8 @@
     return this.#step
   }
 
-  static #getCandidates ({ request, ownDomain, domains }: RouteOptions): readonly DomainId[] {
-    const home = getHomeDomain(request, domains)
-    if (!request.idempotent) return home === undefined ? [] : [home]
+  static #getCandidates ({ request, ownDomain, domains, homeDomain }: RouteOptions): readonly DomainId[] {
+    if (!request.idempotent) return homeDomain === undefined ? [] : [homeDomain]
     const ranked = rankByRendezvous(`${request.customer}/${request.key}`, domains)
     const first = request.homeDomain ?? (domains.includes(ownDomain) ? ownDomain : ranked[0])
     return first === undefined ? ranked : [first, ...ranked.filter((domain) => domain !== first)]
--- a/packages/gateway/src/runner.ts
+++ b/packages/gateway/src/runner.ts
@@ -1,5 +1,5 @@
 import { assertNever, IbisError, type DomainId } from '@ibisstair/common'
-import type { Config, JobRequest, JobStatus } from '@ibisstair/model'
+import { getHomeDomain, type Config, type JobRequest, type JobStatus } from '@ibisstair/model'
 import { LONG_POLL_GRACE_MS } from '@ibisstair/rpc'
 import type { Explanation } from '@ibisstair/scheduler'
 import type { TimerService } from '@ibisstair/timers'
@@ -7,7 +7,7 @@
 import { CONTROL_CALL_MS, SUBMIT_WAIT_MS, WAIT_POLL_MS } from './constants.ts'
 import type { DomainClient } from './domains.ts'
 import type { KeyParams, SubmitParams, WaitParams } from './messages.ts'
-import { getHomeDomain, RequestRoute, type RouteResult } from './route.ts'
+import { RequestRoute, type RouteResult } from './route.ts'
 
 export interface RunnerOptions {
   readonly domains: DomainClient
@@ -40,6 +40,7 @@
       request,
       ownDomain: this.#ownDomain,
       domains: config.fleet.domains.map(({ id }) => id),
+      homeDomain: getHomeDomain(config, request),
       nowMs: timers.now(),
       trySpend: (nowMs) => this.budget.trySpend(nowMs)
     })
@@ -110,7 +111,7 @@
 
   #getSearchOrder (params: KeyParams, config: Config): DomainId[] {
     const all = config.fleet.domains.map(({ id }) => id)
-    const home = getHomeDomain(params, all)
+    const home = getHomeDomain(config, params)
     return [...new Set([this.#ownDomain, ...(home === undefined ? [] : [home]), ...all])].filter((domain) => all.includes(domain))
   }
 
