telemetry, settings: add logging, metrics, burn rate, settings and the command line

Cause: the daemons and tools share these parts and none existed. Change: createLogger on consola, Metrics with local values and periodic publishing over UDP, LatencyHistogram, invariant reporting, ObjectiveWindow with merge and burn report, the parser of the metrics body; loadSettings with the schemas EntrySettings and ControlSettings, loadSecret, parseCommandLine and runMain. Ruled out: one StatsD line for each event, because its traffic grows with the load while the control overhead of a node is limited to 3 KB/s; totals of each 10 s period are bounded by the number of names. The abstract class JsHistogram needs its own counter array, so the factory of the same JavaScript build is used.

--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,1 +1,7 @@
-export {}
+export * from './command-line.ts'
+export * from './constants.ts'
+export * from './errors.ts'
+export type { Listener, Member } from './fields.ts'
+export * from './load.ts'
+export * from './run-main.ts'
+export * from './schemas.ts'
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,1 +1,9 @@
-export {}
+export * from './body.ts'
+export * from './burn.ts'
+export * from './constants.ts'
+export * from './histogram.ts'
+export * from './invariants.ts'
+export { createLogger, type LoggerOptions } from './logger.ts'
+export * from './metrics.ts'
+export * from './objectives.ts'
+export * from './types.ts'
--- /dev/null
+++ b/packages/telemetry/src/types.ts
@@ -0,0 +1,82 @@
+import type { KindOfWork, NodeId } from '@ibisstair/common'
+import type { LOG_LEVELS } from './constants.ts'
+
+export type LogLevel = typeof LOG_LEVELS[number]
+
+export type LogFields = Readonly<Record<string, unknown>>
+
+export interface Logger {
+  error (message: string, fields?: LogFields): void
+  warn (message: string, fields?: LogFields): void
+  info (message: string, fields?: LogFields): void
+  debug (message: string, fields?: LogFields): void
+}
+
+/** Milliseconds; `max` and the quantiles are exact to two significant digits. */
+export interface LatencySummary {
+  readonly count: number
+  readonly mean: number
+  readonly p50: number
+  readonly p90: number
+  readonly p99: number
+  readonly max: number
+}
+
+/** The local values, as `metrics.read` answers them. */
+export interface MetricsSnapshot {
+  readonly counters: Readonly<Record<string, number>>
+  readonly gauges: Readonly<Record<string, number>>
+  readonly timings: Readonly<Record<string, LatencySummary>>
+}
+
+export interface KindObjective {
+  readonly kind: KindOfWork
+  /** A request is good when it starts within this time of its arrival. */
+  readonly startWithinMs: number
+  /** Fraction of requests that must be good. */
+  readonly target: number
+}
+
+/** Start in Unix milliseconds (a multiple of the bucket length), good requests, all requests. */
+export type ObjectiveBucket = readonly [startMs: number, good: number, total: number]
+
+export interface ObjectiveCounts extends KindObjective {
+  /** In ascending order of start. */
+  readonly buckets: readonly ObjectiveBucket[]
+}
+
+/** The body of `GET /v1/metrics` on the operators' listener. */
+export interface MetricsBody {
+  readonly node: NodeId
+  readonly atMs: number
+  readonly objectives: readonly ObjectiveCounts[]
+  readonly counters: Readonly<Record<string, number>>
+}
+
+export interface MergedObjective extends ObjectiveCounts {
+  /** True while the entries report different objectives of the kind; the newest report's is used. */
+  readonly mixed: boolean
+}
+
+export interface WindowBurn {
+  readonly windowMs: number
+  readonly good: number
+  readonly total: number
+  /** Fraction of bad requests divided by the fraction that the objective allows. */
+  readonly burnRate: number
+}
+
+/**
+ * `burning`: both windows spend the budget faster than allowed; `at-risk`: only the short one does;
+ * `recovering`: only the long one does.
+ */
+export type BurnVerdict = 'no-data' | 'ok' | 'at-risk' | 'recovering' | 'burning'
+
+export interface BurnReport extends KindObjective {
+  readonly mixed: boolean
+  readonly short: WindowBurn
+  readonly long: WindowBurn
+  /** Fraction of the long window's error budget that is left; negative when it is overspent. */
+  readonly budgetRemaining: number
+  readonly verdict: BurnVerdict
+}
