gang: add the gang state machine, the endpoint task table and the directories

Cause: control, the endpoint stand-in and the entry need the interfaces of gang starts and membership. Change: Gang (create, adopt, resolve), TaskTable in the new package endpoint-tasks below gang, EndpointDirectory, AnnouncementForwarder and PeerDirectory in membership. Ruled out: TaskTable inside gang, because the endpoint stand-in would then depend on the scheduler's side. Conclusion: first version; node scripts/test.mjs packages/gang/tests/gang.test.ts passes.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,6 +1,6 @@
 const ORDER = [
   'common', 'timers', 'telemetry', 'settings', 'model', 'storage', 'consensus', 'registers',
-  'membership', 'scheduler', 'gang', 'endpoint-client', 'rpc', 'gateway', 'control'
+  'membership', 'scheduler', 'endpoint-tasks', 'gang', 'endpoint-client', 'rpc', 'gateway', 'control'
 ]
 
 const layered = ORDER.map((name, i) => ({
--- /dev/null
+++ b/packages/endpoint-tasks/src/index.ts
@@ -0,0 +1,3 @@
+export * from './constants.ts'
+export * from './table.ts'
+export * from './types.ts'
--- /dev/null
+++ b/packages/gang/src/gang.ts
@@ -0,0 +1,606 @@
+import { assertNever, ERROR_TABLE, invariant, type EndpointId, type ErrorBody, type ErrorKind } from '@ibisstair/common'
+import type { CallResult, EndpointOperation, TaskView } from '@ibisstair/endpoint-tasks'
+import { MAX_JOB_ANSWER_BYTES } from '@ibisstair/model'
+import { MAX_ACK_ATTEMPTS, MAX_ADVICE_ATTEMPTS, RETRY_DIVISOR } from './constants.ts'
+import { Member } from './member.ts'
+import type { GangEffect, GangEvent, GangOptions, GangPhase, GangResult, GangSpec, LeaseRenewal } from './types.ts'
+
+/** Why the gang is being stopped; together with what the members confirm it decides the result. */
+type StopCause =
+  | { readonly type: 'refused', readonly error?: ErrorBody }
+  | { readonly type: 'lost' }
+  | { readonly type: 'failed' }
+  | { readonly type: 'cancelled' }
+  | { readonly type: 'preempted' }
+
+type Origin = 'create' | 'adopt' | 'resolve'
+
+const toError = (kind: ErrorKind, detail: string, info?: Readonly<Record<string, unknown>>): ErrorBody => ({
+  kind,
+  detail,
+  execution: ERROR_TABLE[kind].execution,
+  resendSafe: ERROR_TABLE[kind].resendSafe,
+  advice: ERROR_TABLE[kind].advice,
+  ...(info && { info })
+})
+
+/**
+ * One start of one gang: whole or not at all. Performs no I/O: the owner makes the calls, feeds the
+ * answers back, and renews the leases that `getRenewals` names. The first event begins the work.
+ */
+export class Gang {
+  readonly spec: GangSpec
+  readonly #origin: Origin
+  readonly #unsafe: NonNullable<GangOptions['unsafe']>
+  readonly #members: readonly Member[]
+  readonly #isSingle: boolean
+  #phase: GangPhase = 'new'
+  #nowMs = -Infinity
+  #beganMs = 0
+  #effects: GangEffect[] = []
+  #wakeMs = Infinity
+  #recorded = false
+  #startSentMs = 0
+  #phaseEndMs = Infinity
+  #cause: StopCause | undefined
+  #cancelled = false
+  #reported = false
+  #delivered = false
+  #throttle: number | undefined
+
+  private constructor (spec: GangSpec, origin: Origin, options: GangOptions) {
+    invariant(spec.assignments.length > 0, 'a gang has members', spec.jobId)
+    invariant(spec.assignments.length === spec.request.shape.tasks, 'a gang has one member for each task', spec.jobId)
+    this.spec = spec
+    this.#origin = origin
+    this.#unsafe = options.unsafe ?? {}
+    this.#members = spec.assignments.map((assignment) => new Member(assignment))
+    this.#isSingle = spec.assignments.length === 1
+  }
+
+  /** A new start under task ids that nobody used before. */
+  static create (spec: GangSpec, options: GangOptions = {}): Gang {
+    return new Gang(spec, 'create', options)
+  }
+
+  /**
+   * A gang that a previous leader started, with the members' states as the endpoints report them, in
+   * the order of the assignments. It continues if every member runs or is done; otherwise it is stopped.
+   */
+  static adopt (spec: GangSpec, views: readonly (TaskView | undefined)[], options: GangOptions = {}): Gang {
+    const gang = new Gang(spec, 'adopt', options)
+    gang.#members.forEach((member, i) => {
+      const view = views[i]
+      if (view) member.learn(view, -Infinity)
+    })
+    return gang
+  }
+
+  /** A recorded start of non-idempotent work without an outcome: continues a whole gang, fences any other. */
+  static resolve (spec: GangSpec, options: GangOptions = {}): Gang {
+    return new Gang(spec, 'resolve', options)
+  }
+
+  get phase (): GangPhase {
+    return this.#phase
+  }
+
+  /** The owner may drop the gang. */
+  get isClosed (): boolean {
+    return this.#phase === 'closed'
+  }
+
+  /** Bounds how long ago a task of this gang can have been started; a stop message carries it. */
+  getAgeMs (nowMs: number): number | undefined {
+    if (this.#origin === 'create') return this.#phase === 'new' ? 0 : nowMs - this.#beganMs
+    return this.spec.ageMs === undefined ? undefined : this.spec.ageMs + (nowMs - this.#beganMs)
+  }
+
+  /**
+   * The leases to renew now. The term is what remains of a lease since the longest-silent member was
+   * last seen, so that no member outlives a lost one by more than a lease. The owner therefore renews
+   * well before a third of the lease has passed since the members were last seen.
+   */
+  getRenewals (nowMs: number): LeaseRenewal[] {
+    if (this.#phase !== 'running' && this.#phase !== 'checkpointing') return []
+    const active = this.#members.filter(({ end }) => !end)
+    const oldestMs = Math.min(...active.map(({ seenMs }) => seenMs))
+    const termMs = this.#unsafe.noCoupledLeases ? this.spec.leaseMs : this.spec.leaseMs - (nowMs - oldestMs)
+    if (termMs <= 0) return []
+    return active.map((member) => {
+      const { index, taskId, endpointId, incarnation } = member.assignment
+      member.heldUntilMs = Math.max(member.heldUntilMs, nowMs + this.spec.callMs + termMs)
+      return { index, taskId, endpointId, incarnation, termMs }
+    })
+  }
+
+  handle (event: GangEvent, nowMs: number): readonly GangEffect[] {
+    if (this.#phase === 'closed') return []
+    this.#nowMs = Math.max(this.#nowMs, nowMs)
+    this.#effects = []
+    if (this.#wakeMs <= this.#nowMs) this.#wakeMs = Infinity
+    if (event.type === 'deposed' && !this.#unsafe.noDepose) {
+      this.#depose()
+      return this.#effects
+    }
+    if (this.#phase === 'new') this.#begin(event)
+    this.#applyDeadlines()
+    this.#apply(event)
+    this.#advance()
+    this.#requestWake()
+    return this.#effects
+  }
+
+  #begin (event: GangEvent): void {
+    this.#beganMs = this.#nowMs
+    for (const member of this.#members) member.seenMs = this.#nowMs
+    if (this.#origin === 'create') {
+      // A job that is already cancelled makes no call.
+      if (event.type === 'cancel' || event.type === 'preempt') return this.#stopAll({ type: event.type === 'cancel' ? 'cancelled' : 'preempted' })
+      if (this.#isSingle) return this.#recordOrStart()
+      this.#phase = 'reserving'
+      return this.#callAll('reserve')
+    }
+    // A previous leader may have renewed these leases until now.
+    for (const member of this.#members) {
+      member.contacted = true
+      member.heldUntilMs = this.#nowMs + this.spec.callMs + this.spec.leaseMs
+    }
+    this.#recorded = true
+    if (this.#origin === 'resolve') {
+      this.#phase = 'querying'
+      this.#phaseEndMs = this.#nowMs + 2 * this.spec.callMs
+      return this.#callAll('query')
+    }
+    if (this.#members.every((member) => member.isActive)) {
+      this.#phase = 'running'
+      return
+    }
+    this.#stopAll({ type: this.#members.some(({ end }) => end?.type === 'failed') ? 'failed' : 'lost' })
+  }
+
+  #apply (event: GangEvent): void {
+    switch (event.type) {
+      case 'reply': return this.#onReply(event.index, event.operation, event.result)
+      case 'recorded': return this.#onRecorded(event.ok, event.error)
+      case 'task': return this.#findMember(event.index)?.learn(event.task, this.#nowMs)
+      case 'endpoint-lost': return this.#onEndpointLost(event.endpointId)
+      case 'cancel': return this.#onCancel()
+      case 'preempt': return this.#onPreempt()
+      case 'throttle': return this.#onThrottle(event.fraction)
+      case 'delivered':
+        this.#delivered = true
+        return
+      case 'deposed':
+      case 'timer': return
+      default: return assertNever(event)
+    }
+  }
+
+  #findMember (index: number): Member | undefined {
+    return this.#members.find(({ assignment }) => assignment.index === index)
+  }
+
+  #onReply (index: number, operation: EndpointOperation, result: CallResult): void {
+    const member = this.#findMember(index)
+    if (!member) return
+    if (result.status === 'unknown') return this.#onUnanswered(member, operation)
+    if (member.call?.operation === operation) member.call = undefined
+    if (result.task) member.learn(result.task, this.#nowMs)
+    if (result.status === 'refused') member.learnRefusal(result.reason, operation)
+    switch (operation) {
+      case 'reserve':
+        if (result.status === 'ok') member.reserved = true
+        else if (!member.reserved) member.refused = true
+        return
+      case 'arm':
+        if (result.status === 'ok') member.armed = true
+        else if (!member.armed) member.refused = true
+        return
+      case 'start':
+      case 'run':
+        if (result.status === 'ok') member.started = true
+        else if (!member.started) member.refused = true
+        return
+      case 'stop':
+        if (result.status === 'ok') member.learnStop(result.task)
+        return
+      case 'ack':
+        member.acknowledged = true
+        return
+      case 'query':
+        member.queried = true
+        return
+      case 'checkpoint':
+      case 'throttle': return
+      default: return assertNever(operation)
+    }
+  }
+
+  /** No answer: the endpoint may or may not have acted. */
+  #onUnanswered (member: Member, operation: EndpointOperation): void {
+    const call = member.call
+    if (call?.operation !== operation || call.retryMs !== undefined) return
+    switch (operation) {
+      case 'reserve':
+      case 'arm':
+        // Nothing runs yet, so a new placement is quicker than asking again.
+        member.call = undefined
+        member.refused = true
+        return
+      case 'start':
+      case 'run':
+        if (this.#unsafe.noStartRetry) {
+          member.call = undefined
+          member.started = true
+          return
+        }
+        break
+      case 'stop':
+        member.stopAttempts += 1
+        break
+      case 'ack':
+        if (call.attempt >= MAX_ACK_ATTEMPTS) {
+          member.call = undefined
+          member.acknowledged = true
+          return
+        }
+        break
+      case 'checkpoint':
+      case 'throttle':
+        if (call.attempt >= MAX_ADVICE_ATTEMPTS) {
+          member.call = undefined
+          return
+        }
+        break
+      case 'query': break
+      default: return assertNever(operation)
+    }
+    call.retryMs = this.#nowMs + this.spec.callMs / RETRY_DIVISOR
+  }
+
+  #onRecorded (ok: boolean, error: ErrorBody | undefined): void {
+    if (this.#phase !== 'recording') return
+    if (!ok) return this.#stopAll({ type: 'refused', ...(error && { error }) })
+    this.#recorded = true
+    this.#startAll()
+  }
+
+  #onEndpointLost (endpointId: EndpointId): void {
+    for (const member of this.#members) {
+      if (member.assignment.endpointId === endpointId && !member.isDone) member.lost = true
+    }
+  }
+
+  #onCancel (): void {
+    if (this.#reported) return
+    this.#cancelled = true
+    if (this.#phase !== 'stopping') this.#stopAll({ type: 'cancelled' })
+  }
+
+  #onPreempt (): void {
+    switch (this.#phase) {
+      case 'running':
+        this.#phase = 'checkpointing'
+        this.#phaseEndMs = this.#nowMs + this.spec.checkpointGraceMs
+        for (const member of this.#members) {
+          member.checkpointed = false
+          if (!member.end) this.#call(member, 'checkpoint')
+        }
+        return
+      case 'reserving':
+      case 'arming':
+      case 'recording':
+      case 'starting':
+      case 'querying': return this.#stopAll({ type: 'preempted' })
+      default:
+    }
+  }
+
+  #onThrottle (fraction: number): void {
+    this.#throttle = fraction
+    if (this.#phase === 'running') this.#sendThrottle()
+  }
+
+  #sendThrottle (): void {
+    for (const member of this.#members) {
+      if (!member.end) this.#call(member, 'throttle')
+    }
+  }
+
+  /** Acts on everything that time alone decides; runs before each event, so that a frozen process notices first. */
+  #applyDeadlines (): void {
+    const now = this.#nowMs
+    for (const member of this.#members) {
+      const call = member.call
+      if (call && call.retryMs === undefined && call.dueMs <= now) this.#onUnanswered(member, call.operation)
+    }
+    if (this.#phase === 'running' || this.#phase === 'checkpointing') {
+      for (const member of this.#members) {
+        if (!member.end && member.seenMs + this.spec.leaseMs <= now) member.lost = true
+      }
+    }
+    if (this.#phaseEndMs > now) return
+    switch (this.#phase) {
+      case 'recording':
+        if (this.#unsafe.noRecordDeadline) return
+        return this.#stopAll({ type: 'refused' })
+      case 'starting':
+        for (const member of this.#members) {
+          if (!member.started) member.lost = true
+        }
+        return
+      case 'checkpointing': return this.#stopAll({ type: 'preempted' })
+      case 'querying': return this.#stopAll({ type: 'lost' })
+      default:
+    }
+  }
+
+  /** Takes every step that the known facts allow. */
+  #advance (): void {
+    switch (this.#phase) {
+      case 'reserving':
+        if (this.#hasObstacle()) this.#stopAll({ type: 'refused' })
+        else if (this.#members.every(({ reserved }) => reserved)) {
+          this.#phase = 'arming'
+          this.#callAll('arm')
+        }
+        break
+      case 'arming':
+        if (this.#hasObstacle()) this.#stopAll({ type: 'refused' })
+        else if (this.#unsafe.noArmBarrier || this.#members.every(({ armed }) => armed)) this.#recordOrStart()
+        break
+      case 'recording':
+        if (this.#hasObstacle()) this.#stopAll({ type: 'refused' })
+        break
+      case 'starting':
+      case 'running':
+      case 'checkpointing':
+      case 'querying':
+        this.#watch()
+        break
+      default:
+    }
+    if (this.#phase === 'stopping') this.#conclude()
+    this.#retryCalls()
+    if (this.#phase === 'reported') this.#close()
+    if (this.#phase === 'acknowledging') this.#acknowledge()
+  }
+
+  #hasObstacle (): boolean {
+    return this.#members.some(({ refused, lost, end }) => refused || lost || end)
+  }
+
+  /** Everything has been started, or may have been: one failed or lost member stops all others. */
+  #watch (): void {
+    const members = this.#members
+    if (members.every(({ isDone }) => isDone)) return this.#finishDone()
+    if (members.some(({ end }) => end?.type === 'failed')) return this.#stopAll({ type: 'failed' })
+    const isBroken = members.some(({ lost, refused, end, isDone }) => !isDone && (lost || refused || end))
+    if (isBroken && !this.#unsafe.noStopOnLoss) return this.#stopAll({ type: 'lost' })
+    if (this.#phase === 'starting' && members.every(({ started }) => started)) return this.#enterRunning()
+    if (this.#phase === 'querying' && members.every(({ queried }) => queried)) {
+      if (members.every(({ isActive }) => isActive)) this.#enterRunning()
+      else this.#stopAll({ type: 'lost' })
+    }
+    if (this.#phase === 'checkpointing' && members.every(({ checkpointed, end }) => checkpointed || end)) this.#stopAll({ type: 'preempted' })
+  }
+
+  #enterRunning (): void {
+    this.#phase = 'running'
+    this.#phaseEndMs = Infinity
+    this.#effects.push({ type: 'started' })
+    if (this.#throttle !== undefined && this.#throttle !== 1) this.#sendThrottle()
+  }
+
+  #recordOrStart (): void {
+    if (this.spec.request.idempotent || this.#unsafe.noRecord) return this.#startAll()
+    this.#phase = 'recording'
+    this.#phaseEndMs = this.#getLatestStartMs()
+    this.#effects.push({ type: 'record-start' })
+  }
+
+  /** A start sent later than this could arrive after the end of the first reservation, when others still accept it. */
+  #getLatestStartMs (): number {
+    if (this.#isSingle) return this.#beganMs + this.spec.reservationMs
+    const armedMs = Math.min(...this.#members.map(({ armSentMs }) => armSentMs))
+    return armedMs + this.spec.reservationMs - this.spec.callMs / 2
+  }
+
+  #startAll (): void {
+    const { idempotent } = this.spec.request
+    if (!this.#isSingle && this.#nowMs >= this.#getLatestStartMs() && !this.#unsafe.noRecordDeadline) return this.#stopAll({ type: 'refused' })
+    invariant(this.#isSingle || this.#unsafe.noArmBarrier || this.#members.every(({ armed }) => armed), 'no start before all members are armed', this.spec.jobId)
+    invariant(idempotent || this.#recorded || this.#unsafe.noRecord, 'no start of non-idempotent work before its record', this.spec.jobId)
+    this.#phase = 'starting'
+    this.#startSentMs = this.#nowMs
+    this.#phaseEndMs = this.#startSentMs + this.spec.reservationMs
+    this.#callAll(this.#isSingle ? 'run' : 'start')
+  }
+
+  #callAll (operation: EndpointOperation): void {
+    for (const member of this.#members) this.#call(member, operation)
+  }
+
+  #call (member: Member, operation: EndpointOperation, attempt = 1): void {
+    const { callMs, leaseMs, reservationMs } = this.spec
+    const now = this.#nowMs
+    member.call = { operation, dueMs: now + callMs, retryMs: undefined, attempt }
+    member.contacted = true
+    if (operation === 'reserve' || operation === 'arm') member.heldUntilMs = now + callMs + reservationMs
+    if (operation === 'arm') member.armSentMs = now
+    if (operation === 'start' || operation === 'run') {
+      member.startSent = true
+      member.heldUntilMs = now + callMs + leaseMs
+    }
+    const { index } = member.assignment
+    if (operation === 'throttle') this.#effects.push({ type: 'call', index, operation, fraction: this.#throttle ?? 1 })
+    else this.#effects.push({ type: 'call', index, operation })
+  }
+
+  #retryCalls (): void {
+    for (const member of this.#members) {
+      const call = member.call
+      if (call?.retryMs === undefined || call.retryMs > this.#nowMs) continue
+      const isStart = call.operation === 'start' || call.operation === 'run'
+      if (call.operation === 'stop' ? this.#isReleased(member) : isStart && member.started) member.call = undefined
+      else this.#call(member, call.operation, call.attempt + 1)
+    }
+  }
+
+  #stopAll (cause: StopCause): void {
+    invariant(!this.#reported, 'a gang that reported its result is not stopped again', this.spec.jobId)
+    this.#phase = 'stopping'
+    this.#phaseEndMs = Infinity
+    this.#cause = cause
+    for (const member of this.#members) {
+      if (this.#isReleased(member)) member.call = undefined
+      else this.#call(member, 'stop')
+    }
+  }
+
+  /** The member holds nothing, and nothing more can be learnt from stopping it. */
+  #isReleased (member: Member): boolean {
+    return !member.contacted || member.isSettled || member.heldUntilMs <= this.#nowMs
+  }
+
+  #isProvenNotRun (member: Member): boolean {
+    if (member.started) return false
+    if (member.neverStarted || this.#unsafe.noStopProof) return true
+    // Nobody but this gang uses the task ids of a new start.
+    return this.#origin === 'create' && !member.startSent
+  }
+
+  /** Reports once every member is released, or earlier when the silent members cannot change the result. */
+  #conclude (): void {
+    const waiting = this.#members.filter((member) => !this.#isReleased(member))
+    const isDecided = this.spec.request.idempotent ||
+      this.#members.some(({ started }) => started) ||
+      this.#members.every((member) => this.#isProvenNotRun(member))
+    const isEarly = isDecided && waiting.every(({ stopAttempts }) => stopAttempts > 0)
+    if (waiting.length > 0 && !isEarly) return
+    if (this.#members.every(({ isDone }) => isDone)) return this.#finishDone()
+    this.#reportStopped()
+  }
+
+  #reportStopped (): void {
+    const cause = this.#cause
+    invariant(cause, 'a stopped gang has a cause', this.spec.jobId)
+    if (this.#members.some(({ end }) => end?.type === 'failed')) return this.#finishFailed()
+    const isNotRun = this.#members.every((member) => this.#isProvenNotRun(member))
+    if (this.#cancelled || cause.type === 'cancelled') return this.#finish({ state: 'cancelled', everStarted: !isNotRun })
+    if (isNotRun) return this.#reportNotStarted(cause.type === 'refused' ? cause.error : undefined)
+    if (cause.type === 'preempted') return this.#finish({ state: 'preempted' })
+    const lostEndpoints = this.#getFaultyEndpoints()
+    if (this.spec.request.idempotent) return this.#finish({ state: 'lost', lostEndpoints })
+    const error = toError('outcome-unknown', 'a member was lost after the start was recorded', { lostEndpoints })
+    this.#finish({ state: 'unknown', lostEndpoints, error })
+  }
+
+  #reportNotStarted (error: ErrorBody | undefined): void {
+    this.#assertNotRun()
+    this.#markReported()
+    // There is no result to deliver.
+    this.#delivered = true
+    this.#effects.push({ type: 'not-started', refusedBy: this.#getFaultyEndpoints(), ...(error && { error }) })
+  }
+
+  #getFaultyEndpoints (): EndpointId[] {
+    const faulty = this.#members.filter((member) => {
+      if (member.isDone) return false
+      return member.refused || member.lost || !this.#isReleased(member) || (member.contacted && !member.isSettled)
+    })
+    return [...new Set(faulty.map(({ assignment }) => assignment.endpointId))]
+  }
+
+  #finishDone (): void {
+    const answers = this.#members.map(({ assignment, end }) => {
+      invariant(end?.type === 'done', 'a result holds the answer of every member', this.spec.jobId)
+      return { index: assignment.index, body: end.answer, bytes: end.bytes, runMs: end.runMs }
+    }).sort((a, b) => a.index - b.index)
+    const bytes = answers.reduce((sum, answer) => sum + answer.bytes, 0)
+    if (bytes > MAX_JOB_ANSWER_BYTES) {
+      const error = toError('answer-too-large', `the answers have ${bytes} bytes together, the limit is ${MAX_JOB_ANSWER_BYTES}`)
+      return this.#finish({ state: 'failed', failedBy: [], error })
+    }
+    this.#finish({
+      state: 'done',
+      answers: answers.map(({ index, body }) => ({ index, body })),
+      runMs: Math.max(...answers.map(({ runMs }) => runMs))
+    })
+  }
+
+  #finishFailed (): void {
+    const failed = this.#members.flatMap(({ assignment, end }) => end?.type === 'failed' ? [{ assignment, error: end.error }] : [])
+    const isTooLarge = failed.some(({ error }) => error === 'answer-too-large')
+    const detail = failed.map(({ assignment, error }) => `task ${assignment.index} on ${assignment.endpointId}: ${error}`).join('; ')
+    this.#finish({
+      state: 'failed',
+      failedBy: [...new Set(failed.map(({ assignment }) => assignment.endpointId))],
+      error: toError(isTooLarge ? 'answer-too-large' : 'task-failed', detail)
+    })
+  }
+
+  #finish (result: GangResult): void {
+    if (result.state === 'cancelled' && !result.everStarted) this.#assertNotRun()
+    this.#markReported()
+    this.#effects.push({ type: 'finished', result })
+  }
+
+  #assertNotRun (): void {
+    if (this.#unsafe.noStopProof) return
+    const isProven = this.#members.every((member) => !member.started && !member.end?.everStarted &&
+      (member.neverStarted || (this.#origin === 'create' && !member.startSent)))
+    invariant(isProven, '"not run" is claimed only when every member is known never to have started', this.spec.jobId)
+  }
+
+  #markReported (): void {
+    invariant(!this.#reported, 'a gang has one result', this.spec.jobId)
+    this.#reported = true
+    this.#phase = 'reported'
+    this.#phaseEndMs = Infinity
+  }
+
+  #depose (): void {
+    if (!this.#reported) this.#finish({ state: 'deposed' })
+    this.#phase = 'closed'
+  }
+
+  /** After the result is kept elsewhere the endpoints may discard their answers. */
+  #close (): void {
+    if (!this.#delivered) return
+    this.#phase = 'acknowledging'
+  }
+
+  #acknowledge (): void {
+    let isOpen = false
+    for (const member of this.#members) {
+      if (!this.#isReleased(member)) isOpen = true
+      if (!member.needsAcknowledgement) continue
+      isOpen = true
+      if (member.call?.operation !== 'ack') this.#call(member, 'ack')
+    }
+    if (!isOpen) this.#phase = 'closed'
+  }
+
+  #requestWake (): void {
+    const atMs = Math.max(this.#getNextDeadlineMs(), this.#nowMs + 1)
+    if (atMs === this.#wakeMs || atMs === Infinity) return
+    this.#wakeMs = atMs
+    this.#effects.push({ type: 'wake', atMs })
+  }
+
+  #getNextDeadlineMs (): number {
+    if (this.#phase === 'closed') return Infinity
+    let next = this.#phaseEndMs
+    const isLeased = this.#phase === 'running' || this.#phase === 'checkpointing'
+    const isReleasing = this.#phase === 'stopping' || this.#phase === 'reported' || this.#phase === 'acknowledging'
+    for (const member of this.#members) {
+      const { call } = member
+      if (call) next = Math.min(next, call.retryMs ?? call.dueMs)
+      if (isLeased && !member.end) next = Math.min(next, member.seenMs + this.spec.leaseMs)
+      if (isReleasing && !this.#isReleased(member)) next = Math.min(next, member.heldUntilMs)
+    }
+    return next
+  }
+}
--- a/packages/gang/src/index.ts
+++ b/packages/gang/src/index.ts
@@ -1,1 +1,4 @@
+export * from './constants.ts'
+export * from './gang.ts'
+export * from './request.ts'
 export * from './types.ts'
--- a/packages/gang/src/types.ts
+++ b/packages/gang/src/types.ts
@@ -1,6 +1,9 @@
-import type { EndpointId, ErrorBody, JobId } from '@ibisstair/common'
+import type { EndpointId, ErrorBody, JobId, TaskId } from '@ibisstair/common'
+import type { CallResult, EndpointOperation, TaskView } from '@ibisstair/endpoint-tasks'
 import type { Assignment, JobRequest, TaskAnswer } from '@ibisstair/model'
 
+export type { CallResult, EndpointOperation, TaskPhase, TaskView } from '@ibisstair/endpoint-tasks'
+
 export interface GangSpec {
   readonly jobId: JobId
   readonly attempt: number
@@ -11,26 +14,8 @@
   readonly checkpointGraceMs: number
   /** Deadline of one call to an endpoint. */
   readonly callMs: number
-}
-
-export type EndpointOperation = 'reserve' | 'arm' | 'start' | 'run' | 'checkpoint' | 'throttle' | 'stop' | 'ack'
-
-/** `unknown`: no answer, so the endpoint may or may not have acted. */
-export type CallResult =
-  | { readonly status: 'ok', readonly task?: TaskView }
-  | { readonly status: 'refused', readonly reason: string, readonly task?: TaskView }
-  | { readonly status: 'unknown' }
-
-export type TaskPhase = 'reserved' | 'armed' | 'running' | 'done' | 'failed' | 'stopped' | 'expired' | 'absent'
-
-/** A task as its endpoint reports it. */
-export interface TaskView {
-  readonly phase: TaskPhase
-  /** Whether the task ever ran on this endpoint; decides between "not run" and "ran". */
-  readonly everStarted: boolean
-  readonly answer?: unknown
-  readonly error?: string
-  readonly runMs?: number
+  /** How long ago a recorded gang can have been started at most; absent means unknown. */
+  readonly ageMs?: number
 }
 
 export type GangEvent =
@@ -46,23 +31,72 @@
   | { readonly type: 'cancel' }
   | { readonly type: 'preempt' }
   | { readonly type: 'throttle', readonly fraction: number }
+  /** The result is kept elsewhere, so the endpoints may discard their answers. */
+  | { readonly type: 'delivered' }
+  /** Also the first event of a new gang. */
   | { readonly type: 'timer' }
 
 export type GangEffect =
   | { readonly type: 'call', readonly index: number, readonly operation: EndpointOperation, readonly fraction?: number }
   /** Commit the start record of a non-idempotent job before any start. */
   | { readonly type: 'record-start' }
+  /** Replaces the previous wake. */
   | { readonly type: 'wake', readonly atMs: number }
   | { readonly type: 'started' }
-  /** Nothing ran and nothing holds slots any more; the job may be queued again. */
-  | { readonly type: 'not-started', readonly refusedBy: readonly EndpointId[] }
+  /**
+   * Nothing ran, and nothing holds slots any more except, until their reservation ends, endpoints of
+   * `refusedBy` that do not answer; the job may be queued again.
+   */
+  | { readonly type: 'not-started', readonly refusedBy: readonly EndpointId[], readonly error?: ErrorBody }
   | { readonly type: 'finished', readonly result: GangResult }
 
 export type GangResult =
   | { readonly state: 'done', readonly answers: readonly TaskAnswer[], readonly runMs: number }
   | { readonly state: 'failed', readonly failedBy: readonly EndpointId[], readonly error: ErrorBody }
-  /** Idempotent jobs may be queued again; for others the outcome is `unknown`. */
+  /** Idempotent work that may be queued again. */
   | { readonly state: 'lost', readonly lostEndpoints: readonly EndpointId[] }
+  /** Non-idempotent work that may have run, wholly or in part. */
+  | { readonly state: 'unknown', readonly lostEndpoints: readonly EndpointId[], readonly error: ErrorBody }
+  /** `everStarted` is false only when every member is known never to have started. */
   | { readonly state: 'cancelled', readonly everStarted: boolean }
   | { readonly state: 'preempted' }
   | { readonly state: 'deposed' }
+
+export type GangPhase =
+  | 'new'
+  | 'reserving'
+  | 'arming'
+  | 'recording'
+  | 'starting'
+  | 'querying'
+  | 'running'
+  | 'checkpointing'
+  | 'stopping'
+  /** The result is out and waits for `delivered`. */
+  | 'reported'
+  | 'acknowledging'
+  | 'closed'
+
+/** One running member whose lease the owner has to renew, and the term to grant. */
+export interface LeaseRenewal {
+  readonly index: number
+  readonly taskId: TaskId
+  readonly endpointId: EndpointId
+  readonly incarnation: number
+  readonly termMs: number
+}
+
+export type GangProtection =
+  | 'noArmBarrier'
+  | 'noRecord'
+  | 'noStartRetry'
+  | 'noStopOnLoss'
+  | 'noCoupledLeases'
+  | 'noStopProof'
+  | 'noDepose'
+  | 'noRecordDeadline'
+
+export interface GangOptions {
+  /** Switches a protection off, so that a test can show what it prevents. */
+  readonly unsafe?: Partial<Record<GangProtection, boolean>>
+}
--- /dev/null
+++ b/packages/membership/src/endpoints.ts
@@ -0,0 +1,198 @@
+import { assertNever, invariant, type EndpointId } from '@ibisstair/common'
+import type { EndpointInfo } from '@ibisstair/model'
+import {
+  ANNOUNCEMENT_EXPIRY_MS, ANNOUNCEMENT_OVERDUE_MS, MASS_EXPIRY_FRACTION, MASS_EXPIRY_MIN_ENDPOINTS, MAX_ENDPOINTS,
+  PROBE_MAX_DELAY_MS, PROBE_MIN_DELAY_MS, UNREACHABLE_AFTER_FAILURES
+} from './constants.ts'
+import type {
+  EndpointChange, EndpointDirectoryOptions, EndpointDirectoryStats, EndpointDownReason, EndpointEvent
+} from './types.ts'
+
+interface Entry {
+  info: EndpointInfo
+  heardMs: number
+  /** Kept after the expiry so that an old announcement cannot bring the endpoint back. */
+  isExpired: boolean
+  failures: number
+  isUnreachable: boolean
+  probeAtMs: number
+  probeDelayMs: number
+}
+
+const isNewer = (a: EndpointInfo, b: EndpointInfo): boolean =>
+  a.incarnation > b.incarnation || (a.incarnation === b.incarnation && a.sequence > b.sequence)
+
+/** Everything but the sequence: a change of these is passed on. */
+const isSame = (a: EndpointInfo, b: EndpointInfo): boolean =>
+  a.incarnation === b.incarnation && a.address === b.address && a.port === b.port && a.domain === b.domain &&
+  a.rack === b.rack && a.slots === b.slots && a.connections === b.connections &&
+  a.accelerators === b.accelerators && a.leaving === b.leaving
+
+/** The endpoints of one failure domain as their announcements and the results of calls show them. */
+export class EndpointDirectory {
+  readonly #entries = new Map<EndpointId, Entry>()
+  readonly #expiryMs: number
+  readonly #overdueMs: number
+  readonly #maxEndpoints: number
+  #nowMs = -Infinity
+  #stale = 0
+  #expired = 0
+  #restarted = 0
+  #rejected = 0
+
+  constructor (options: EndpointDirectoryOptions = {}) {
+    this.#expiryMs = options.expiryMs ?? ANNOUNCEMENT_EXPIRY_MS
+    this.#overdueMs = options.overdueMs ?? Math.min(ANNOUNCEMENT_OVERDUE_MS, this.#expiryMs)
+    this.#maxEndpoints = options.maxEndpoints ?? MAX_ENDPOINTS
+  }
+
+  handle (event: EndpointEvent, nowMs: number): EndpointChange[] {
+    this.#nowMs = Math.max(this.#nowMs, nowMs)
+    const changes = this.#dispatch(event)
+    invariant(this.#entries.size <= this.#maxEndpoints, 'the number of endpoints is bounded', this.#entries.size)
+    return changes
+  }
+
+  get (endpointId: EndpointId): EndpointInfo | undefined {
+    const entry = this.#entries.get(endpointId)
+    return entry && !entry.isExpired ? entry.info : undefined
+  }
+
+  /** Every announced endpoint, including leaving and unreachable ones, whose tasks still matter. */
+  list (): EndpointInfo[] {
+    return [...this.#entries.values()].filter(({ isExpired }) => !isExpired).map(({ info }) => info)
+  }
+
+  /** Endpoints that may receive new work. */
+  listUsable (): EndpointInfo[] {
+    return [...this.#entries.values()]
+      .filter(({ isExpired, isUnreachable, info }) => !isExpired && !isUnreachable && !info.leaving)
+      .map(({ info }) => info)
+  }
+
+  getStats (): EndpointDirectoryStats {
+    let up = 0
+    let leaving = 0
+    let unreachable = 0
+    for (const { info, isExpired, isUnreachable } of this.#entries.values()) {
+      if (isExpired) continue
+      up += 1
+      if (info.leaving) leaving += 1
+      if (isUnreachable) unreachable += 1
+    }
+    return { up, leaving, unreachable, stale: this.#stale, expired: this.#expired, restarted: this.#restarted, rejected: this.#rejected }
+  }
+
+  #dispatch (event: EndpointEvent): EndpointChange[] {
+    switch (event.type) {
+      case 'announce': return this.#onAnnounce(event.info)
+      case 'call-ok': return this.#onCallOk(event.endpointId)
+      case 'call-failed': return this.#onCallFailed(event.endpointId)
+      case 'tick': return [...this.#expire(), ...this.#probe()]
+      default: return assertNever(event)
+    }
+  }
+
+  #onAnnounce (info: EndpointInfo): EndpointChange[] {
+    const entry = this.#entries.get(info.id)
+    if (!entry) return this.#add(info)
+    if (!isNewer(info, entry.info)) {
+      this.#stale += 1
+      return []
+    }
+    const previous = entry.info
+    const wasExpired = entry.isExpired
+    entry.info = info
+    entry.heardMs = this.#nowMs
+    entry.isExpired = false
+    if (info.incarnation > previous.incarnation) return this.#onRestart(entry, previous, wasExpired)
+    return wasExpired || !isSame(info, previous) ? [{ type: 'up', info }] : []
+  }
+
+  #onRestart (entry: Entry, previous: EndpointInfo, wasExpired: boolean): EndpointChange[] {
+    this.#restarted += 1
+    entry.failures = 0
+    entry.isUnreachable = false
+    const up: EndpointChange = { type: 'up', info: entry.info }
+    return wasExpired ? [up] : [this.#toDown(previous, 'restarted', false), up]
+  }
+
+  #add (info: EndpointInfo): EndpointChange[] {
+    if (this.#entries.size >= this.#maxEndpoints && !this.#dropOldestExpired()) {
+      this.#rejected += 1
+      return []
+    }
+    this.#entries.set(info.id, {
+      info,
+      heardMs: this.#nowMs,
+      isExpired: false,
+      failures: 0,
+      isUnreachable: false,
+      probeAtMs: 0,
+      probeDelayMs: PROBE_MIN_DELAY_MS
+    })
+    return [{ type: 'up', info }]
+  }
+
+  #dropOldestExpired (): boolean {
+    let oldest: Entry | undefined
+    for (const entry of this.#entries.values()) {
+      if (entry.isExpired && (!oldest || entry.heardMs < oldest.heardMs)) oldest = entry
+    }
+    if (!oldest) return false
+    return this.#entries.delete(oldest.info.id)
+  }
+
+  #expire (): EndpointChange[] {
+    const live = [...this.#entries.values()].filter(({ isExpired }) => !isExpired)
+    const silent = live.filter(({ heardMs }) => this.#nowMs - heardMs >= this.#expiryMs)
+    if (silent.length === 0) return []
+    // Announcements are spread over a period, so the others of a mass are overdue before they expire.
+    const overdue = live.filter(({ heardMs, info }) => !info.leaving && this.#nowMs - heardMs >= this.#overdueMs)
+    const inMass = overdue.length >= MASS_EXPIRY_MIN_ENDPOINTS && overdue.length >= live.length * MASS_EXPIRY_FRACTION
+    const changes: EndpointChange[] = []
+    if (inMass) changes.push({ type: 'mass-expiry', overdue: overdue.map(({ info }) => info.id), known: live.length })
+    for (const entry of silent) {
+      entry.isExpired = true
+      this.#expired += 1
+      changes.push(this.#toDown(entry.info, entry.info.leaving ? 'left' : 'expired', inMass && !entry.info.leaving))
+    }
+    return changes
+  }
+
+  #onCallOk (endpointId: EndpointId): EndpointChange[] {
+    const entry = this.#entries.get(endpointId)
+    if (!entry) return []
+    entry.failures = 0
+    if (!entry.isUnreachable) return []
+    entry.isUnreachable = false
+    return entry.isExpired ? [] : [{ type: 'up', info: entry.info }]
+  }
+
+  #onCallFailed (endpointId: EndpointId): EndpointChange[] {
+    const entry = this.#entries.get(endpointId)
+    if (!entry) return []
+    entry.failures += 1
+    if (entry.isUnreachable) {
+      entry.probeDelayMs = Math.min(entry.probeDelayMs * 2, PROBE_MAX_DELAY_MS)
+      entry.probeAtMs = this.#nowMs + entry.probeDelayMs
+      return []
+    }
+    if (entry.failures < UNREACHABLE_AFTER_FAILURES) return []
+    entry.isUnreachable = true
+    entry.probeDelayMs = PROBE_MIN_DELAY_MS
+    entry.probeAtMs = this.#nowMs + entry.probeDelayMs
+    return entry.isExpired ? [] : [this.#toDown(entry.info, 'unreachable', false)]
+  }
+
+  #probe (): EndpointChange[] {
+    const due = [...this.#entries.values()].filter((entry) =>
+      entry.isUnreachable && !entry.isExpired && entry.probeAtMs <= this.#nowMs)
+    for (const entry of due) entry.probeAtMs = this.#nowMs + entry.probeDelayMs
+    return due.map(({ info }) => ({ type: 'probe', endpointId: info.id }))
+  }
+
+  #toDown (info: EndpointInfo, reason: EndpointDownReason, inMass: boolean): EndpointChange {
+    return { type: 'down', endpointId: info.id, incarnation: info.incarnation, reason, inMass }
+  }
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,5 @@
-export {}
+export * from './constants.ts'
+export * from './endpoints.ts'
+export * from './forwarder.ts'
+export * from './peers.ts'
+export * from './types.ts'
