--- /dev/null
+++ b/packages/storage/src/data-folder.ts
@@ -0,0 +1,94 @@
+import { posix } from 'node:path'
+import * as v from 'valibot'
+import { IbisError } from '@ibisstair/common'
+import type { RandomSource } from '@ibisstair/timers'
+import { createDamagedError } from './errors.ts'
+import type { FileSystem } from './types.ts'
+import { ValueFile } from './value-file.ts'
+
+const IDENTITY_FILE = 'incarnation'
+const FIRST_INCARNATION = '1'
+const GROUP_NAME = /^[a-z0-9][a-z0-9.-]{0,63}$/
+
+const identitySchema = v.object({
+  incarnation: v.pipe(v.string(), v.nonEmpty()),
+  /** Groups whose state was created here; a missing one was lost and must not start empty. */
+  groups: v.array(v.string())
+})
+
+type Identity = v.InferOutput<typeof identitySchema>
+
+/** The folder with all durable state of a process, and the incarnation of its node. */
+export class DataFolder {
+  readonly fs: FileSystem
+  readonly #file: ValueFile<typeof identitySchema>
+  #identity: Identity
+
+  private constructor (fs: FileSystem, readonly path: string, identity: Identity, readonly isNew: boolean) {
+    this.fs = fs
+    this.#file = DataFolder.#identityFile(fs, path)
+    this.#identity = identity
+  }
+
+  /** Creates the folder with incarnation "1" at installation; fails when the folder exists. */
+  static async init (fs: FileSystem, path: string): Promise<DataFolder> {
+    if (!await fs.makeFolder(path)) {
+      throw new IbisError('invalid-request', `data folder ${path} already exists`, { info: { folder: path } })
+    }
+    const identity = await DataFolder.#create(fs, path, FIRST_INCARNATION)
+    return new DataFolder(fs, path, identity, false)
+  }
+
+  /** Draws a new incarnation when the folder is missing or empty, and then says that it is new. */
+  static async open (fs: FileSystem, path: string, random: RandomSource): Promise<DataFolder> {
+    const identity = await DataFolder.#identityFile(fs, path).read()
+    if (identity) return new DataFolder(fs, path, identity, false)
+    const names = await fs.list(path) ?? []
+    if (names.some((name) => name !== `${IDENTITY_FILE}.tmp`)) {
+      throw createDamagedError(posix.join(path, IDENTITY_FILE), 0, 'the file is missing, but the folder is not empty')
+    }
+    await fs.makeFolder(path)
+    return new DataFolder(fs, path, await DataFolder.#create(fs, path, random.token()), true)
+  }
+
+  get incarnation (): string {
+    return this.#identity.incarnation
+  }
+
+  /** Whether the node was installed with this folder, and so is a first member of its groups. */
+  get isFirstIncarnation (): boolean {
+    return this.incarnation === FIRST_INCARNATION
+  }
+
+  hasGroup (group: string): boolean {
+    return this.#identity.groups.includes(group)
+  }
+
+  /** Records that the state of the group is on the disk. */
+  async addGroup (group: string): Promise<void> {
+    if (this.hasGroup(group)) return
+    const identity = { ...this.#identity, groups: [...this.#identity.groups, group] }
+    await this.#file.write(identity)
+    this.#identity = identity
+  }
+
+  /** Creates the folder of a group when it is missing, and returns its path. */
+  async makeGroupFolder (group: string): Promise<string> {
+    if (!GROUP_NAME.test(group)) throw new IbisError('invalid-request', `group name ${group} is not accepted; use lower-case letters, digits, dots and hyphens`)
+    const folder = posix.join(this.path, `group-${group}`)
+    await this.fs.makeFolder(folder)
+    await this.fs.syncFolder(this.path)
+    return folder
+  }
+
+  static #identityFile (fs: FileSystem, path: string): ValueFile<typeof identitySchema> {
+    return new ValueFile(fs, posix.join(path, IDENTITY_FILE), identitySchema)
+  }
+
+  static async #create (fs: FileSystem, path: string, incarnation: string): Promise<Identity> {
+    const identity = { incarnation, groups: [] }
+    await fs.syncFolder(posix.dirname(path))
+    await DataFolder.#identityFile(fs, path).write(identity)
+    return identity
+  }
+}
--- /dev/null
+++ b/packages/storage/src/errors.ts
@@ -0,0 +1,25 @@
+import { IbisError } from '@ibisstair/common'
+
+const codeOf = (err: unknown): unknown =>
+  typeof err === 'object' && err !== null && 'code' in err ? err.code : undefined
+
+/** Whether the disk or the quota has no room left. */
+export const isNoSpace = (err: unknown): boolean =>
+  codeOf(err) === 'ENOSPC' || codeOf(err) === 'EDQUOT'
+
+export const isMissing = (err: unknown): boolean => codeOf(err) === 'ENOENT'
+
+export const isDiskFull = (err: unknown): boolean =>
+  err instanceof IbisError && err.kind === 'disk-full'
+
+const causeOf = (err: unknown): { cause?: Error } => err instanceof Error ? { cause: err } : {}
+
+/** Maps an error of the file system to the closed list of kinds. */
+export const toStorageError = (err: unknown, file: string): IbisError => {
+  if (err instanceof IbisError) return err
+  if (isNoSpace(err)) return new IbisError('disk-full', `${file}: no space left`, { ...causeOf(err), info: { file } })
+  return new IbisError('internal', `${file}: ${err instanceof Error ? err.message : String(err)}`, { ...causeOf(err), info: { file } })
+}
+
+export const createDamagedError = (file: string, offset: number, detail: string): IbisError =>
+  new IbisError('data-damaged', `${file} is damaged at offset ${offset}: ${detail}`, { info: { file, offset } })
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -1,1 +1,8 @@
-export {}
+export * from './append-log.ts'
+export * from './data-folder.ts'
+export { isDiskFull } from './errors.ts'
+export * from './memory-file-system.ts'
+export * from './node-file-system.ts'
+export * from './snapshot-store.ts'
+export * from './types.ts'
+export * from './value-file.ts'
--- /dev/null
+++ b/packages/storage/src/snapshot-store.ts
@@ -0,0 +1,78 @@
+import { posix } from 'node:path'
+import { IbisError } from '@ibisstair/common'
+import { readChecked, writeAtomically } from './atomic-file.ts'
+import { SNAPSHOTS_KEPT } from './constants.ts'
+import type { FileSystem } from './types.ts'
+
+const FILE_NAME = /^snapshot-(\d{16})$/
+const TEMPORARY_NAME = /^snapshot-\d{16}\.tmp$/
+
+export interface StoredSnapshot {
+  readonly index: number
+  readonly value: unknown
+}
+
+export interface LoadedSnapshots {
+  readonly newest: StoredSnapshot | null
+  /** Index of the next older valid one; the log must reach back to it to make it useful. */
+  readonly previousIndex: number | null
+  /** Indexes of damaged snapshots that are newer than the one returned. */
+  readonly damaged: readonly number[]
+}
+
+/** Snapshots in one folder, named after the log index they cover. */
+export class SnapshotStore {
+  readonly #fs: FileSystem
+
+  constructor (fs: FileSystem, readonly folder: string) {
+    this.#fs = fs
+  }
+
+  /** Rejects with `disk-full`, after which the older snapshots are still there. */
+  async save (index: number, value: unknown): Promise<void> {
+    await writeAtomically(this.#fs, this.#pathOf(index), value)
+    await this.#removeOld()
+  }
+
+  async load (): Promise<LoadedSnapshots> {
+    const damaged: number[] = []
+    const indexes = await this.#listIndexes()
+    for (const [position, index] of indexes.entries()) {
+      const value = await this.#readValid(index)
+      if (value !== undefined) return { newest: { index, value }, previousIndex: indexes[position + 1] ?? null, damaged }
+      damaged.push(index)
+    }
+    return { newest: null, previousIndex: null, damaged }
+  }
+
+  async #readValid (index: number): Promise<unknown> {
+    try {
+      return await readChecked(this.#fs, this.#pathOf(index))
+    } catch (err) {
+      if (err instanceof IbisError && err.kind === 'data-damaged') return undefined
+      throw err
+    }
+  }
+
+  /** Newest first. */
+  async #listIndexes (): Promise<number[]> {
+    const names = await this.#fs.list(this.folder) ?? []
+    return names
+      .map((name) => FILE_NAME.exec(name)?.[1])
+      .filter((digits) => digits !== undefined)
+      .map(Number)
+      .sort((a, b) => b - a)
+  }
+
+  /** Also removes temporary files that a crash left behind. */
+  async #removeOld (): Promise<void> {
+    const names = await this.#fs.list(this.folder) ?? []
+    for (const name of names.filter((name) => TEMPORARY_NAME.test(name))) await this.#fs.remove(posix.join(this.folder, name))
+    const indexes = await this.#listIndexes()
+    for (const index of indexes.slice(SNAPSHOTS_KEPT)) await this.#fs.remove(this.#pathOf(index))
+  }
+
+  #pathOf (index: number): string {
+    return posix.join(this.folder, `snapshot-${String(index).padStart(16, '0')}`)
+  }
+}
