--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/entities.ts
@@ -1,9 +1,8 @@
-import type { EndpointId, JobId } from '@ibisstair/common'
+import type { EndpointId, JobId, RackId } from '@ibisstair/common'
 import { invariant } from '@ibisstair/common'
-import type { Assignment, JobMetadata, Shape, Urgency } from '@ibisstair/model'
+import type { Assignment, EndpointInfo, JobMetadata, Shape, Urgency } from '@ibisstair/model'
 import { URGENCIES } from '@ibisstair/model'
 import { MAX_STEPS_PER_JOB } from './constants.ts'
-import type { Worker } from './fleet.ts'
 import type { QueueNode } from './linked-queue.ts'
 import type { ExplanationStep } from './types.ts'
 
@@ -22,6 +21,50 @@
   finished: []
 }
 
+/** One incarnation of an endpoint with the capacity that is still free on it. */
+export class Worker {
+  info: EndpointInfo
+  up = true
+  drained = false
+  freeAccelerators: number
+  freeSlots: number
+  readonly jobs = new Set<Job>()
+  /** Position in the index of `Fleet`; undefined while the worker takes no work. */
+  bucket: number | undefined
+  bucketPosition = 0
+
+  constructor (info: EndpointInfo, readonly rack: Rack) {
+    this.info = info
+    this.freeAccelerators = info.accelerators
+    this.freeSlots = info.slots
+  }
+
+  get id (): EndpointId {
+    return this.info.id
+  }
+
+  get isUsable (): boolean {
+    return this.up && !this.drained && !this.info.leaving
+  }
+
+  /** Tasks of the shape that fit into the free capacity. */
+  countFitting (shape: Shape): number {
+    return countTasks(this.freeAccelerators, this.freeSlots, shape)
+  }
+}
+
+export class Rack {
+  readonly workers = new Set<Worker>()
+
+  constructor (readonly id: RackId) {}
+}
+
+export const countTasks = (accelerators: number, slots: number, shape: Shape): number => {
+  const byAccelerators = shape.acceleratorsPerTask > 0 ? Math.floor(accelerators / shape.acceleratorsPerTask) : Infinity
+  const bySlots = shape.slotsPerTask > 0 ? Math.floor(slots / shape.slotsPerTask) : Infinity
+  return Math.max(0, Math.min(shape.tasks, byAccelerators, bySlots))
+}
+
 /** One job and everything the scheduler knows about it. */
 export class Job {
   readonly urgencyIndex: number
--- a/packages/scheduler/src/first-fit.ts
+++ b/packages/scheduler/src/first-fit.ts
@@ -1,6 +1,6 @@
 import type { Shape } from '@ibisstair/model'
-import type { Fleet, Worker } from './fleet.ts'
-import type { Allocation } from './job.ts'
+import type { Allocation, Worker } from './entities.ts'
+import type { Fleet } from './fleet.ts'
 
 const fill = (shape: Shape, workers: Iterable<Worker>): Allocation[] | undefined => {
   const allocations: Allocation[] = []
