--- a/packages/common/src/check.ts
+++ b/packages/common/src/check.ts
@@ -4,13 +4,24 @@
 const MAX_SHOWN_ISSUES = 5
 const MAX_SHOWN_VALUE = 80
 
+const encode = (value: unknown): string => {
+  try {
+    return JSON.stringify(value) ?? String(value)
+  } catch {
+    // Too deep, cyclic or a BigInt; the message must still name the field.
+    return `a ${typeof value} that cannot be shown`
+  }
+}
+
 const showValue = (value: unknown): string => {
-  const text = JSON.stringify(value) ?? String(value)
+  const text = encode(value)
   return text.length > MAX_SHOWN_VALUE ? `${text.slice(0, MAX_SHOWN_VALUE)}…` : text
 }
 
 const describeIssue = (issue: v.BaseIssue<unknown>): string => {
   const field = v.getDotPath(issue) ?? '(whole value)'
+  if (issue.type === 'strict_object' && issue.expected === 'never') return `field ${field}: unknown field`
+  if (issue.type.endsWith('object') && issue.received === 'undefined') return `field ${field}: missing`
   const accepted = issue.expected ?? issue.message
   const detail = issue.expected && !issue.message.startsWith('Invalid') ? ` (${issue.message})` : ''
   return `field ${field}: got ${showValue(issue.input)}, accepted is ${accepted}${detail}`
--- a/packages/common/tests/check.test.ts
+++ b/packages/common/tests/check.test.ts
@@ -22,3 +22,17 @@
   const err = t.throws(() => checkValue(Schema, { name: 'a', size: 'x'.repeat(10_000) }, 'request')) as unknown as IbisError
   t.ok(err.message.length < 300)
 })
+
+t.test('a missing field is called missing, not given a wrong value', async (t) => {
+  const err = t.throws(() => checkValue(Schema, { name: 'a' }, 'request')) as unknown as IbisError
+  t.equal(err.message, 'request: field size: missing')
+})
+
+t.test('a value that cannot be encoded is still refused with its field', async (t) => {
+  const deep = JSON.parse('['.repeat(50_000) + ']'.repeat(50_000))
+  for (const size of [deep, 1n]) {
+    const err = t.throws(() => checkValue(Schema, { name: 'a', size }, 'request')) as unknown as IbisError
+    t.equal(err.kind, 'invalid-request')
+    t.match(err.message, /field size: got a \w+ that cannot be shown/)
+  }
+})
--- a/packages/model/src/feasibility.ts
+++ b/packages/model/src/feasibility.ts
@@ -1,7 +1,7 @@
 import { type CustomerId, type DomainId, IbisError, invariant, type RackId } from '@ibisstair/common'
 import { MAX_GUARANTEED_TASKS } from './constants.ts'
 import { compareText } from './order.ts'
-import { DomainPool } from './pool.ts'
+import { DomainPool, type PoolCursor } from './pool.ts'
 import { countFitting, describeShape } from './shape.ts'
 import type { Config, CustomerConfig, DomainShare, GuaranteedShape, Shape } from './types.ts'
 
@@ -59,6 +59,12 @@
   { adjacencyRank: WORKER_FIRST, spread: false }
 ]
 
+/** Rounds of one strategy; a few suffice, because each one lets the demands that failed choose first. */
+const MAX_ROUNDS = 6
+
+/** Ends the search on huge configurations, because a longer one would delay heartbeats of the leader. */
+const MAX_PLANNED_GANGS = 100_000
+
 const listDemands = (customers: readonly CustomerConfig[]): Demand[] =>
   customers.flatMap((customer) =>
     customer.guarantees.map((config, guarantee) => ({ customer: customer.id, guarantee, config })))
@@ -75,24 +81,34 @@
     a.guarantee - b.guarantee
 }
 
+interface Candidate {
+  readonly pool: DomainPool
+  readonly cursor: PoolCursor
+  /** How many of the shape the empty domain holds. */
+  readonly weight: number
+  placed: number
+}
+
+const compareBySpread = (a: Candidate, b: Candidate): number =>
+  (a.placed + 1) * b.weight - (b.placed + 1) * a.weight ||
+  b.pool.freeAccelerators - a.pool.freeAccelerators ||
+  compareText(a.pool.id, b.pool.id)
+
+/** Small domains are filled first, so that the room of the large ones stays whole. */
+const compareBySize = (a: Candidate, b: Candidate): number =>
+  a.weight - b.weight || compareText(a.pool.id, b.pool.id)
+
 /** Places one demand gang by gang; a domain that refused one gang refuses all later ones of the shape. */
 const placeDemand = (demand: Demand, pools: readonly DomainPool[], spread: boolean): PlannedGang[] => {
   const { shape, count, domain } = demand.config
   const allowed = pools.filter((pool) => domain === undefined || pool.id === domain)
-  const open = allowed.map((pool) => ({
-    pool,
-    cursor: pool.startCursor(),
-    weight: countFitting(pool.config, shape),
-    placed: 0
-  })).filter((candidate) => candidate.weight > 0)
+  const open: Candidate[] = allowed
+    .map((pool) => ({ pool, cursor: pool.startCursor(), weight: countFitting(pool.config, shape), placed: 0 }))
+    .filter((candidate) => candidate.weight > 0)
+    .sort(compareBySize)
   const gangs: PlannedGang[] = []
   while (gangs.length < count && open.length > 0) {
-    if (spread) {
-      open.sort((a, b) =>
-        (a.placed + 1) * b.weight - (b.placed + 1) * a.weight ||
-        b.pool.freeAccelerators - a.pool.freeAccelerators ||
-        compareText(a.pool.id, b.pool.id))
-    }
+    if (spread) open.sort(compareBySpread)
     const candidate = open[0]!
     const parts = candidate.pool.place(shape, candidate.cursor)
     if (!parts) {
@@ -111,7 +127,7 @@
     .map((domain) => new DomainPool(domain))
   const gangs: PlannedGang[] = []
   const misfits: Misfit[] = []
-  for (const demand of [...demands].sort(compareDemands(strategy.adjacencyRank))) {
+  for (const demand of demands) {
     const placed = placeDemand(demand, pools, strategy.spread)
     gangs.push(...placed)
     if (placed.length < demand.config.count) {
@@ -121,17 +137,45 @@
   return { gangs, misfits }
 }
 
+/** Demands that found no room go first in the next round; the others keep their order. */
+const promoteMisfits = (demands: readonly Demand[], misfits: readonly Misfit[]): Demand[] => {
+  const isMisfit = ({ customer, guarantee }: Demand): boolean =>
+    misfits.some((misfit) => misfit.customer === customer && misfit.guarantee === guarantee)
+  return [...demands.filter(isMisfit), ...demands.filter((demand) => !isMisfit(demand))]
+}
+
+/** More than the whole fleet has: no order of placement can help. */
+const exceedsFleet = (config: Config, demands: readonly Demand[]): boolean => {
+  const racks = config.fleet.domains.flatMap((domain) => domain.racks)
+  const sumOf = <T>(items: readonly T[], sizeOf: (item: T) => number): number =>
+    items.reduce((sum, item) => sum + sizeOf(item), 0)
+  const tasksOf = ({ config: { shape, count } }: Demand): number => shape.tasks * count
+  return sumOf(demands, (demand) => tasksOf(demand) * demand.config.shape.acceleratorsPerTask) >
+    sumOf(racks, (rack) => rack.workers * rack.acceleratorsPerWorker) ||
+    sumOf(demands, (demand) => tasksOf(demand) * demand.config.shape.slotsPerTask) >
+    sumOf(racks, (rack) => rack.workers * rack.slotsPerWorker)
+}
+
 /**
  * Places all guaranteed shapes at once. The plan is a proof: a configuration without misfits can be
  * met. The search is greedy, so a very tight configuration can be refused although it would fit.
  */
 export const planGuarantees = (config: Config): GuaranteePlan => {
   const demands = listDemands(config.customers)
+  const rounds = exceedsFleet(config, demands) ? 1 : MAX_ROUNDS
   let first: GuaranteePlan | undefined
+  let tried = 0
   for (const strategy of STRATEGIES) {
-    const plan = runStrategy(config, demands, strategy)
-    if (plan.misfits.length === 0) return plan
-    first ??= plan
+    let order = [...demands].sort(compareDemands(strategy.adjacencyRank))
+    for (let round = 0; round < rounds; round++) {
+      const plan = runStrategy(config, order, strategy)
+      if (plan.misfits.length === 0) return plan
+      first ??= plan
+      tried += plan.gangs.length
+      if (tried > MAX_PLANNED_GANGS) return first
+      order = promoteMisfits(order, plan.misfits)
+    }
+    if (rounds === 1) break
   }
   invariant(first, 'at least one placement strategy exists')
   return first
--- a/packages/model/src/pool.ts
+++ b/packages/model/src/pool.ts
@@ -1,6 +1,7 @@
 import { type DomainId, invariant, type RackId } from '@ibisstair/common'
+import { compareText } from './order.ts'
 import { tasksInRoom } from './shape.ts'
-import type { DomainConfig, Shape } from './types.ts'
+import type { DomainConfig, RackConfig, Shape } from './types.ts'
 
 interface FreeWorker {
   readonly rack: RackId
@@ -24,6 +25,13 @@
   worker: number
 }
 
+/** Small workers are filled first, so that the large ones stay free for large shapes. */
+const compareRacks = (a: RackConfig, b: RackConfig): number =>
+  a.acceleratorsPerWorker - b.acceleratorsPerWorker ||
+  a.slotsPerWorker - b.slotsPerWorker ||
+  a.workers - b.workers ||
+  compareText(a.id, b.id)
+
 /** Free capacity of one failure domain while guarantees are planned. */
 export class DomainPool {
   readonly id: DomainId
@@ -33,7 +41,7 @@
 
   constructor (readonly config: DomainConfig) {
     this.id = config.id
-    this.#racks = config.racks.map((rack) => Array.from({ length: rack.workers }, (_, worker) => ({
+    this.#racks = [...config.racks].sort(compareRacks).map((rack) => Array.from({ length: rack.workers }, (_, worker) => ({
       rack: rack.id,
       worker,
       accelerators: rack.acceleratorsPerWorker,
