control: add the scheduling session, adoption by a new leader and the control node

Cause: a failure domain needs one process that schedules it, and running gangs must survive a change of leader. Change: a session lives for one leadership; it adopts whole gangs that the endpoints list, resolves recorded starts without an outcome, and forgets adopted work whose payload is lost so that the entry submits again.

--- /dev/null
+++ b/packages/control/src/constants.ts
@@ -0,0 +1,29 @@
+/** Longer than detection plus election, so that running gangs survive a change of leader. */
+export const LEASE_TTL_MS = 8_000
+/** Well before a third of the lease, as the coupled leases of a gang require. */
+export const RENEW_PERIOD_MS = 1_500
+export const RESERVATION_TTL_MS = 2_000
+export const CHECKPOINT_GRACE_MS = 2_000
+/** Deadline of one call to an endpoint. */
+export const ENDPOINT_CALL_MS = 1_000
+/** One event poll; also how often the connection to an endpoint proves that it is alive. */
+export const EVENT_POLL_MS = 5_000
+export const EVENT_RETRY_MS = 300
+export const SCHEDULER_TICK_MS = 100
+export const DIRECTORY_TICK_MS = 250
+/** A new leader waits at most this long for the endpoints' lists of tasks before it places work. */
+export const ADOPTION_MS = 1_500
+/** Without a leader and without a majority for this long, a process schedules idempotent work alone. */
+export const DEGRADED_AFTER_MS = 5_000
+export const PROPOSE_MS = 1_500
+/** How often records without an outcome are looked through. */
+export const RESOLVE_PERIOD_MS = 1_000
+/** Finished jobs that are kept for callers who ask by key. */
+export const MAX_FINISHED_JOBS = 10_000
+export const MAX_FINISHED_BYTES = 16 * 1024 * 1024
+/** Jobs of one failure domain that are queued or running. */
+export const MAX_ACTIVE_JOBS = 50_000
+export const MAX_WAITERS_PER_JOB = 64
+/** Answers above this size are acknowledged to the record, so that it may release them. */
+export const ACKNOWLEDGE_BYTES = 1_024
+export const MESSAGE_TIMEOUT_MS = 1_000
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,1 +1,4 @@
-export {}
+export * from './constants.ts'
+export * from './jobs.ts'
+export * from './node.ts'
+export * from './session.ts'
--- /dev/null
+++ b/packages/control/src/jobs.ts
@@ -0,0 +1,167 @@
+import { ERROR_TABLE, IbisError, invariant, type CustomerId, type ErrorBody, type JobId, type RequestKey } from '@ibisstair/common'
+import type { JobOutcome, JobRequest, JobState, JobStatus } from '@ibisstair/model'
+import type { TimerService } from '@ibisstair/timers'
+import { MAX_ACTIVE_JOBS, MAX_FINISHED_BYTES, MAX_FINISHED_JOBS, MAX_WAITERS_PER_JOB } from './constants.ts'
+
+/** One request in the failure domain, from its arrival until its outcome is dropped from memory. */
+export class JobEntry {
+  state: JobState = 'queued'
+  outcome: JobOutcome | null = null
+  startedAfterMs: number | null = null
+  /** A task of some attempt may have run; after that no refusal may say "not run". */
+  everStarted = false
+  /** The last failure of an attempt, which says more than the decision to give up. */
+  lastError: ErrorBody | null = null
+  outcomeBytes = 0
+  isAcknowledged = false
+  isForgotten = false
+  readonly waiters = new Set<() => void>()
+
+  constructor (
+    readonly jobId: JobId,
+    readonly request: JobRequest,
+    /** Null for adopted jobs, whose payload is not known here. */
+    readonly fingerprint: string | null,
+    readonly arrivedMs: number
+  ) {}
+
+  /** Started by a previous leader; its payload is not known here, so it can't be started again. */
+  get isAdopted (): boolean {
+    return this.fingerprint === null
+  }
+
+  get isFinished (): boolean {
+    return this.outcome !== null
+  }
+
+  getStatus (): JobStatus {
+    return {
+      jobId: this.jobId,
+      key: this.request.key,
+      customer: this.request.customer,
+      state: this.state,
+      ...(this.startedAfterMs !== null && { startedAfterMs: this.startedAfterMs }),
+      ...(this.outcome && { outcome: this.outcome })
+    }
+  }
+}
+
+export const toKeyText = (customer: CustomerId, key: RequestKey): string => `${customer}/${key}`
+
+/** The jobs that one leader knows, by id and by key, with bounds on what is kept. */
+export class JobTable {
+  readonly #timers: TimerService
+  readonly #byId = new Map<JobId, JobEntry>()
+  readonly #byKey = new Map<string, JobEntry>()
+  /** In the order in which they finished. */
+  readonly #finished = new Set<JobEntry>()
+  #finishedBytes = 0
+  #active = 0
+
+  constructor (timers: TimerService) {
+    this.#timers = timers
+  }
+
+  get activeCount (): number {
+    return this.#active
+  }
+
+  get finishedCount (): number {
+    return this.#finished.size
+  }
+
+  get (jobId: JobId): JobEntry | undefined {
+    return this.#byId.get(jobId)
+  }
+
+  find (customer: CustomerId, key: RequestKey): JobEntry | undefined {
+    return this.#byKey.get(toKeyText(customer, key))
+  }
+
+  /** Throws `overloaded` when the bound on active jobs is reached. */
+  add (entry: JobEntry): void {
+    if (this.#active >= MAX_ACTIVE_JOBS) {
+      throw new IbisError('overloaded', `${this.#active} jobs are queued or running in this failure domain, the limit is ${MAX_ACTIVE_JOBS}`, { retryAfterMs: 1_000 })
+    }
+    const id = toKeyText(entry.request.customer, entry.request.key)
+    const previous = this.#byKey.get(id)
+    invariant(!previous || previous.isFinished, 'a key has at most one active job', { jobId: entry.jobId, previous: previous?.jobId })
+    if (previous) this.#drop(previous)
+    this.#byId.set(entry.jobId, entry)
+    this.#byKey.set(id, entry)
+    this.#active += 1
+  }
+
+  finish (entry: JobEntry, outcome: JobOutcome): void {
+    invariant(!entry.isFinished, 'a job has one outcome', { jobId: entry.jobId })
+    entry.outcome = outcome
+    entry.state = outcome.state
+    entry.outcomeBytes = Buffer.byteLength(JSON.stringify(outcome))
+    this.#active -= 1
+    this.#finished.add(entry)
+    this.#finishedBytes += entry.outcomeBytes
+    for (const wake of [...entry.waiters]) wake()
+    this.#dropOld()
+  }
+
+  /** Drops an active job without an outcome. */
+  forget (entry: JobEntry): void {
+    invariant(!entry.isFinished, 'only an active job is forgotten', { jobId: entry.jobId })
+    entry.isForgotten = true
+    this.#active -= 1
+    this.#byId.delete(entry.jobId)
+    this.#byKey.delete(toKeyText(entry.request.customer, entry.request.key))
+    for (const wake of [...entry.waiters]) wake()
+  }
+
+  /** Resolves when the job has an outcome or after `waitMs`; rejects when the table is closed. */
+  wait (entry: JobEntry, waitMs: number): Promise<void> {
+    if (entry.isFinished || waitMs <= 0) return Promise.resolve()
+    if (entry.waiters.size >= MAX_WAITERS_PER_JOB) {
+      throw new IbisError('overloaded', `${entry.waiters.size} calls wait for job ${entry.jobId} already`, { execution: 'unknown' })
+    }
+    return new Promise((resolve) => {
+      const done = (): void => {
+        stop()
+        entry.waiters.delete(done)
+        resolve()
+      }
+      const stop = this.#timers.subscribe(waitMs, done)
+      entry.waiters.add(done)
+    })
+  }
+
+  /** Wakes every waiter, so that it learns of the change of leader. */
+  wakeAll (): void {
+    for (const entry of this.#byId.values()) {
+      for (const wake of [...entry.waiters]) wake()
+    }
+  }
+
+  #dropOld (): void {
+    for (const entry of this.#finished) {
+      if (this.#finished.size <= MAX_FINISHED_JOBS && this.#finishedBytes <= MAX_FINISHED_BYTES) return
+      this.#drop(entry)
+    }
+  }
+
+  #drop (entry: JobEntry): void {
+    this.#finished.delete(entry)
+    this.#finishedBytes -= entry.outcomeBytes
+    this.#byId.delete(entry.jobId)
+    const id = toKeyText(entry.request.customer, entry.request.key)
+    if (this.#byKey.get(id) === entry) this.#byKey.delete(id)
+  }
+}
+
+/** An outcome for an error; `everStarted` keeps "not run" from being claimed for work that ran. */
+export const toFailure = (err: IbisError, everStarted: boolean): JobOutcome => {
+  const body = err.toBody()
+  const execution = everStarted && body.execution === 'not-run' ? 'ran' : body.execution
+  return { state: 'failed', error: { ...body, execution } }
+}
+
+export const isNotRun = (outcome: JobOutcome): boolean =>
+  outcome.state === 'failed' && outcome.error.execution === 'not-run'
+
+export const toErrorBody = (kind: keyof typeof ERROR_TABLE, detail: string): ErrorBody => new IbisError(kind, detail).toBody()
--- /dev/null
+++ b/packages/control/src/session.ts
@@ -0,0 +1,588 @@
+import { asId, assertNever, IbisError, type CustomerId, type DomainId, type EndpointId, type ErrorBody, type JobId, type RequestKey, type TaskId } from '@ibisstair/common'
+import type { FinishedTask } from '@ibisstair/endpoint-client'
+import type { TaskView } from '@ibisstair/endpoint-tasks'
+import { Gang, type GangEffect, type GangResult, type GangSpec } from '@ibisstair/gang'
+import type { EndpointChange, EndpointDirectory } from '@ibisstair/membership'
+import { fingerprintRequest, getDomainShare, toMetadata, type Assignment, type Config, type EndpointInfo, type JobOutcome, type JobRequest, type JobStatus } from '@ibisstair/model'
+import type { JobCommand, JobRecord, JobRegister, JobResult } from '@ibisstair/registers'
+import type { Decision, DomainScheduler, Explanation, FinishResult, TaskReport } from '@ibisstair/scheduler'
+import type { Logger, Metrics } from '@ibisstair/telemetry'
+import type { TimerService, Unsubscribe } from '@ibisstair/timers'
+import { groupIntoGangs, type FoundGang, type FoundTask } from './adoption.ts'
+import {
+  ACKNOWLEDGE_BYTES, ADOPTION_MS, CHECKPOINT_GRACE_MS, ENDPOINT_CALL_MS, LEASE_TTL_MS, RENEW_PERIOD_MS, RESERVATION_TTL_MS,
+  RESOLVE_PERIOD_MS, SCHEDULER_TICK_MS
+} from './constants.ts'
+import { GangRunner } from './gang-runner.ts'
+import { isNotRun, JobEntry, JobTable, toErrorBody, toFailure } from './jobs.ts'
+import { EndpointLink } from './link.ts'
+
+export interface SessionOptions {
+  readonly domain: DomainId
+  /** Unique to this leadership; begins the ids of its jobs. */
+  readonly sessionId: string
+  readonly timers: TimerService
+  readonly metrics: Metrics
+  readonly logger: Logger
+  readonly scheduler: DomainScheduler
+  readonly directory: EndpointDirectory
+  readonly register: JobRegister
+  /** Null in degraded mode: without a quorum no non-idempotent work is started. */
+  readonly propose: ((command: JobCommand) => Promise<JobResult>) | null
+}
+
+/**
+ * One term of scheduling a failure domain: adopts what runs, admits requests, places gangs, renews
+ * their leases and keeps their outcomes. Dropped whole when this process leads no more.
+ */
+export class DomainSession {
+  readonly #options: SessionOptions
+  readonly #timers: TimerService
+  readonly #jobs: JobTable
+  readonly #gangs: GangRunner
+  readonly #links = new Map<EndpointId, EndpointLink>()
+  readonly #stops: Unsubscribe[] = []
+  readonly #resolving = new Set<JobId>()
+  #recovered: Promise<void> = Promise.resolve()
+  #isRecovering = true
+  #found: FoundTask[] = []
+  #isClosed = false
+  #nextJob = 1
+
+  constructor (options: SessionOptions) {
+    this.#options = options
+    this.#timers = options.timers
+    this.#jobs = new JobTable(options.timers)
+    this.#gangs = new GangRunner(options.timers, {
+      getLink: (endpointId) => this.#links.get(endpointId),
+      recordStart: (gang) => { this.#recordStart(gang).catch((err: Error) => this.#logUnexpected(err)) },
+      handleStarted: (gang) => this.#handleStarted(gang),
+      handleNotStarted: (gang, effect) => { this.#handleNotStarted(gang, effect).catch((err: Error) => this.#logUnexpected(err)) },
+      handleResult: (gang, result) => { this.#handleResult(gang, result).catch((err: Error) => this.#logUnexpected(err)) }
+    })
+  }
+
+  /** Begins with adoption: new work is placed once the known endpoints have listed their tasks. */
+  start (config: Config): void {
+    this.setConfig(config)
+    const listed = this.#options.directory.list().map((info) => this.#connect(info))
+    this.#recovered = Promise.race([Promise.allSettled(listed), this.#timers.delay(ADOPTION_MS)]).then(() => this.#finishRecovery())
+    this.#stops.push(this.#timers.every(SCHEDULER_TICK_MS, () => this.#schedule({ type: 'tick' })))
+    this.#stops.push(this.#timers.every(RENEW_PERIOD_MS, () => this.#renewLeases()))
+    this.#stops.push(this.#timers.every(RESOLVE_PERIOD_MS, () => this.#resolveOpenRecords()))
+  }
+
+  close (): void {
+    this.#isClosed = true
+    for (const stop of this.#stops) stop()
+    this.#gangs.depose()
+    for (const link of this.#links.values()) link.close()
+    this.#links.clear()
+    this.#jobs.wakeAll()
+  }
+
+  get isDegraded (): boolean {
+    return this.#options.propose === null
+  }
+
+  getStats (): object {
+    return {
+      ...this.#options.scheduler.getStats(),
+      active: this.#jobs.activeCount,
+      finished: this.#jobs.finishedCount,
+      gangs: this.#gangs.size,
+      endpoints: this.#links.size,
+      recovering: this.#isRecovering
+    }
+  }
+
+  setConfig (config: Config): void {
+    this.#schedule({ type: 'config', share: getDomainShare(config, this.#options.domain) })
+  }
+
+  handleEndpointChange (change: EndpointChange): void {
+    switch (change.type) {
+      case 'up':
+        this.#connect(change.info).catch(() => {})
+        return
+      case 'down': return this.#handleEndpointDown(change)
+      case 'probe':
+        this.#links.get(change.endpointId)?.listTasks().catch(() => {})
+        return
+      case 'mass-expiry':
+        this.#options.logger.warn('many endpoints are overdue at once; their tasks keep their leases', { overdue: change.overdue.length, known: change.known })
+        return
+      default: assertNever(change)
+    }
+  }
+
+  async submit (request: JobRequest, waitMs: number): Promise<JobStatus> {
+    await this.#recovered
+    this.#checkOpen()
+    const entry = this.#findOrCreate(request)
+    return await this.#waitFor(entry, waitMs)
+  }
+
+  async wait (customer: CustomerId, key: RequestKey, waitMs: number): Promise<JobStatus> {
+    await this.#recovered
+    this.#checkOpen()
+    const entry = this.#jobs.find(customer, key)
+    if (entry) return await this.#waitFor(entry, waitMs)
+    const record = this.#options.register.get(customer, key)
+    if (record) return toRecordStatus(record)
+    throw new IbisError('not-found', `failure domain ${this.#options.domain} knows no request ${key} of customer ${customer}`)
+  }
+
+  async cancel (customer: CustomerId, key: RequestKey): Promise<JobStatus> {
+    await this.#recovered
+    this.#checkOpen()
+    const entry = this.#jobs.find(customer, key)
+    if (!entry) return await this.wait(customer, key, 0)
+    if (!entry.isFinished) this.#schedule({ type: 'cancel', jobId: entry.jobId })
+    return await this.#waitFor(entry, ENDPOINT_CALL_MS)
+  }
+
+  explain (customer: CustomerId, key: RequestKey): Explanation {
+    const entry = this.#jobs.find(customer, key)
+    if (!entry) throw new IbisError('not-found', `failure domain ${this.#options.domain} knows no request ${key} of customer ${customer}`)
+    return this.#options.scheduler.explain(entry.jobId)
+  }
+
+  // Requests
+
+  #checkOpen (): void {
+    if (this.#isClosed) throw new IbisError('not-leader', `this process no longer schedules failure domain ${this.#options.domain}`)
+  }
+
+  async #waitFor (entry: JobEntry, waitMs: number): Promise<JobStatus> {
+    await this.#jobs.wait(entry, waitMs)
+    if (!entry.isFinished) this.#checkOpen()
+    if (entry.isForgotten) throw new IbisError('not-found', `job ${entry.jobId} was lost and its payload is not known here`)
+    if (entry.outcome && !entry.request.idempotent) this.#acknowledge(entry)
+    return entry.getStatus()
+  }
+
+  #findOrCreate (request: JobRequest): JobEntry {
+    const fingerprint = fingerprintRequest(request)
+    const known = this.#jobs.find(request.customer, request.key)
+    if (known) {
+      this.#checkFingerprint(known.fingerprint, fingerprint, request)
+      const mayRepeat = known.outcome !== null && isNotRun(known.outcome)
+      if (!mayRepeat) return known
+    }
+    if (!request.idempotent) {
+      const recorded = this.#findRecorded(request, fingerprint)
+      if (recorded) return recorded
+    }
+    return this.#create(request, fingerprint)
+  }
+
+  #checkFingerprint (known: string | null, given: string, { key, customer }: JobRequest): void {
+    if (known === null || known === given) return
+    throw new IbisError('key-conflict', `key ${key} of customer ${customer} belongs to a different request`)
+  }
+
+  /** A request whose start is in the domain's record is joined or answered from it, never started again. */
+  #findRecorded (request: JobRequest, fingerprint: string): JobEntry | null {
+    const record = this.#options.register.get(request.customer, request.key)
+    if (!record) {
+      if (this.isDegraded) throw new IbisError('no-quorum', `failure domain ${this.#options.domain} has no majority, so the start of non-idempotent work cannot be recorded`, { retryAfterMs: 1_000 })
+      return null
+    }
+    this.#checkFingerprint(record.fingerprint, fingerprint, request)
+    if (record.outcome && record.outcome.state !== 'released' && isNotRun(record.outcome)) return null
+    return this.#adoptRecord(record)
+  }
+
+  #adoptRecord (record: JobRecord): JobEntry {
+    const known = this.#jobs.get(record.jobId)
+    if (known) return known
+    const entry = new JobEntry(record.jobId, { ...record.metadata, payload: null }, record.fingerprint, this.#timers.now())
+    entry.state = 'running'
+    entry.everStarted = true
+    this.#jobs.add(entry)
+    const { outcome } = toRecordStatus(record)
+    if (outcome) this.#jobs.finish(entry, outcome)
+    else this.#resolve(record)
+    return entry
+  }
+
+  #create (request: JobRequest, fingerprint: string): JobEntry {
+    const entry = new JobEntry(asId<JobId>(`${this.#options.sessionId}-${this.#nextJob++}`), request, fingerprint, this.#timers.now())
+    this.#jobs.add(entry)
+    this.#options.metrics.increment('jobs.submitted')
+    this.#schedule({ type: 'submit', jobId: entry.jobId, job: toMetadata(request) })
+    return entry
+  }
+
+  #finish (entry: JobEntry, outcome: JobOutcome): void {
+    if (entry.isFinished) return
+    this.#jobs.finish(entry, outcome)
+    this.#options.metrics.increment(outcome.state === 'done' ? 'jobs.done' : `jobs.failed.${outcome.error.kind}`)
+  }
+
+  #acknowledge (entry: JobEntry): void {
+    const { propose } = this.#options
+    if (!propose || entry.isAcknowledged || entry.outcomeBytes < ACKNOWLEDGE_BYTES) return
+    entry.isAcknowledged = true
+    const { customer, key } = entry.request
+    propose({ type: 'acknowledge', customer, key, jobId: entry.jobId, atMs: this.#timers.wallClock() }).catch(() => {})
+  }
+
+  // Decisions
+
+  #schedule (event: Parameters<DomainScheduler['handle']>[0]): void {
+    if (this.#isClosed) return
+    // While tasks of the previous leader may still be unknown, the scheduler would see their slots as free.
+    if (this.#isRecovering && event.type === 'tick') return
+    const decisions = this.#options.scheduler.handle(event, this.#timers.now())
+    for (const decision of decisions) this.#carryOut(decision)
+  }
+
+  #carryOut (decision: Decision): void {
+    const entry = this.#jobs.get(decision.jobId)
+    if (!entry) return
+    const gang = this.#gangs.get(decision.jobId)
+    switch (decision.type) {
+      case 'place': return this.#place(entry, decision.attempt, decision.assignments)
+      case 'refuse': return this.#refuse(entry, decision)
+      case 'preempt':
+        this.#options.metrics.increment('gangs.preempted')
+        if (gang) this.#gangs.handle(gang, { type: 'preempt' })
+        return
+      case 'throttle':
+        if (gang) this.#gangs.handle(gang, { type: 'throttle', fraction: decision.fraction })
+        return
+      case 'stop':
+        if (gang) this.#gangs.handle(gang, { type: 'cancel' })
+        return
+      default: assertNever(decision)
+    }
+  }
+
+  #place (entry: JobEntry, attempt: number, assignments: readonly Assignment[]): void {
+    entry.state = 'starting'
+    this.#gangs.add(Gang.create(this.#toSpec(entry.jobId, attempt, entry.request, assignments)))
+  }
+
+  #refuse (entry: JobEntry, { kind, detail, retryAfterMs }: Decision & { type: 'refuse' }): void {
+    if (entry.isFinished) return
+    const { lastError } = entry
+    const isSameFailure = lastError !== null && (kind === 'task-failed' || kind === lastError.kind)
+    if (isSameFailure) return this.#finish(entry, { state: 'failed', error: lastError })
+    const isCancelledLate = kind === 'cancelled' && entry.everStarted
+    const err = new IbisError(isCancelledLate ? 'cancelled-running' : kind, detail, { ...(retryAfterMs !== undefined && { retryAfterMs }) })
+    this.#finish(entry, toFailure(err, entry.everStarted))
+  }
+
+  #toSpec (jobId: JobId, attempt: number, request: JobRequest, assignments: readonly Assignment[], ageMs?: number): GangSpec {
+    return {
+      jobId,
+      attempt,
+      request,
+      assignments,
+      leaseMs: LEASE_TTL_MS,
+      reservationMs: RESERVATION_TTL_MS,
+      checkpointGraceMs: CHECKPOINT_GRACE_MS,
+      callMs: ENDPOINT_CALL_MS,
+      ...(ageMs !== undefined && { ageMs })
+    }
+  }
+
+  // Gangs
+
+  async #recordStart (gang: Gang): Promise<void> {
+    const { jobId, attempt, assignments, request } = gang.spec
+    const entry = this.#jobs.get(jobId)
+    const { propose } = this.#options
+    if (!entry?.fingerprint || !propose) {
+      return this.#gangs.handle(gang, { type: 'recorded', ok: false, error: toErrorBody('no-quorum', 'the start cannot be recorded without a majority') })
+    }
+    try {
+      const result = await propose({
+        type: 'record-start',
+        customer: request.customer,
+        key: request.key,
+        jobId,
+        attempt,
+        fingerprint: entry.fingerprint,
+        metadata: toMetadata(request),
+        assignments,
+        atMs: this.#timers.wallClock()
+      })
+      this.#handleRecorded(gang, result)
+    } catch (err) {
+      // The gang has not been started and its members get fenced, so "not run" is true in any case.
+      const { message } = IbisError.from(err)
+      this.#gangs.handle(gang, { type: 'recorded', ok: false, error: toErrorBody('no-quorum', `the start was not recorded: ${message}`) })
+    }
+  }
+
+  #handleRecorded (gang: Gang, result: JobResult): void {
+    if (result.status === 'recorded') return this.#gangs.handle(gang, { type: 'recorded', ok: true })
+    const error = result.status === 'refused' ? result.error : toErrorBody('key-conflict', `key ${gang.spec.request.key} was started before as job ${result.record.jobId}`)
+    this.#gangs.handle(gang, { type: 'recorded', ok: false, error })
+  }
+
+  #handleStarted (gang: Gang): void {
+    const entry = this.#jobs.get(gang.spec.jobId)
+    if (!entry) return
+    entry.state = 'running'
+    entry.everStarted = true
+    entry.startedAfterMs ??= Math.round(this.#timers.now() - entry.arrivedMs)
+    this.#options.metrics.timing('jobs.start-wait', entry.startedAfterMs)
+    this.#schedule({ type: 'started', jobId: entry.jobId })
+  }
+
+  async #handleNotStarted (gang: Gang, { refusedBy, error }: GangEffect & { type: 'not-started' }): Promise<void> {
+    const { jobId, attempt } = gang.spec
+    const entry = this.#jobs.get(jobId)
+    if (!entry) return
+    this.#options.metrics.increment('gangs.not-started')
+    const wasResolving = this.#resolving.delete(jobId)
+    const outcome: JobOutcome = { state: 'failed', error: error ?? toErrorBody('gang-not-started', 'a member refused or did not answer') }
+    if (this.#hasOpenRecord(entry, attempt)) await this.#recordOutcome(entry, attempt, outcome)
+    if (this.#isClosed) return
+    if (!error && !wasResolving) {
+      entry.state = 'queued'
+      return this.#schedule({ type: 'start-failed', jobId, refusedBy })
+    }
+    // A start that could not be recorded, or whose payload was lost with the previous leader, is not
+    // tried again here: the caller gets a true refusal at once.
+    this.#finish(entry, outcome)
+    this.#schedule({ type: 'finished', jobId, result: 'cancelled', tasks: [] })
+  }
+
+  async #handleResult (gang: Gang, result: GangResult): Promise<void> {
+    if (result.state === 'deposed') return
+    const { jobId, attempt, request } = gang.spec
+    const entry = this.#jobs.get(jobId)
+    this.#resolving.delete(jobId)
+    if (!entry) return
+    if (result.state !== 'cancelled' || result.everStarted) entry.everStarted = true
+    const outcome = toOutcome(result, request.idempotent)
+    if (outcome && this.#hasOpenRecord(entry, attempt)) await this.#recordOutcome(entry, attempt, outcome)
+    if (this.#isClosed) return
+    this.#gangs.handle(gang, { type: 'delivered' })
+    if (result.state === 'failed') entry.lastError = result.error
+    const isRepeatable = mayRunAgain(result, request.idempotent)
+    if (isRepeatable && entry.isAdopted) return this.#forget(entry)
+    if (isRepeatable) entry.state = 'queued'
+    else if (outcome) this.#finish(entry, outcome)
+    this.#schedule({ type: 'finished', jobId, result: toFinishResult(result), tasks: toReports(gang, result) })
+  }
+
+  /** The payload is known to the caller's entry only, which submits again when it finds the job unknown. */
+  #forget (entry: JobEntry): void {
+    this.#schedule({ type: 'finished', jobId: entry.jobId, result: 'cancelled', tasks: [] })
+    this.#jobs.forget(entry)
+  }
+
+  #hasOpenRecord ({ request }: JobEntry, attempt: number): boolean {
+    if (request.idempotent) return false
+    const record = this.#options.register.get(request.customer, request.key)
+    return record !== undefined && record.attempt === attempt && !record.outcome
+  }
+
+  /** Repeats until the outcome is committed or this process leads no more. */
+  async #recordOutcome (entry: JobEntry, attempt: number, outcome: JobOutcome): Promise<void> {
+    const { customer, key } = entry.request
+    while (!this.#isClosed && this.#options.propose) {
+      try {
+        await this.#options.propose({ type: 'record-outcome', customer, key, jobId: entry.jobId, attempt, outcome, atMs: this.#timers.wallClock() })
+        return
+      } catch {
+        this.#options.metrics.increment('records.outcome-retries')
+        await this.#timers.delay(SCHEDULER_TICK_MS)
+      }
+    }
+  }
+
+  // Records without an outcome
+
+  #resolveOpenRecords (): void {
+    if (this.#isRecovering || this.isDegraded) return
+    for (const record of this.#options.register.listWithoutOutcome()) {
+      if (this.#gangs.get(record.jobId) || this.#resolving.has(record.jobId)) continue
+      const entry = this.#jobs.get(record.jobId)
+      if (entry && entry.state !== 'running' && !entry.isFinished) continue
+      if (entry?.isFinished) this.#resolve(record)
+      else this.#adoptRecord(record)
+    }
+  }
+
+  /** Learns the outcome of a recorded start from the endpoints, or fences what has not started. */
+  #resolve (record: JobRecord): void {
+    if (this.#resolving.has(record.jobId)) return
+    this.#resolving.add(record.jobId)
+    this.#options.metrics.increment('records.resolved')
+    const { jobId, attempt, metadata, assignments } = record
+    const spec = this.#toSpec(jobId, attempt, { ...metadata, payload: null }, assignments)
+    this.#schedule({ type: 'adopt', jobId, job: metadata, assignments })
+    this.#gangs.add(Gang.resolve(spec))
+  }
+
+  // Endpoints
+
+  async #connect (info: EndpointInfo): Promise<void> {
+    const known = this.#links.get(info.id)
+    if (known && known.info.incarnation === info.incarnation && known.info.port === info.port && known.info.address === info.address) {
+      this.#schedule({ type: 'endpoint-up', endpoint: info })
+      return
+    }
+    known?.close()
+    const link = new EndpointLink(info, this.#timers, {
+      handleFinished: (_id, finished) => this.#handleFinishedTasks(finished),
+      handleViews: (views) => this.#gangs.handleViews(views),
+      handleUsage: (endpointId, acceleratorsBusy, lagMs) => this.#schedule({ type: 'usage', endpointId, acceleratorsBusy, lagMs }),
+      handleContact: (endpointId, isOk) => this.#handleContact(endpointId, isOk)
+    })
+    this.#links.set(info.id, link)
+    link.start()
+    await this.#learnTasks(link)
+    if (this.#links.get(info.id) !== link) return
+    this.#schedule({ type: 'endpoint-up', endpoint: info })
+  }
+
+  /** An endpoint that does not answer is used all the same; its reservations decide. */
+  async #learnTasks (link: EndpointLink): Promise<void> {
+    try {
+      const { id, incarnation } = link.info
+      const found = (await link.listTasks()).map((listing) => ({ endpointId: id, incarnation, listing }))
+      if (this.#isRecovering) this.#found.push(...found)
+      else this.#adoptAll(found)
+    } catch {
+      this.#options.metrics.increment('endpoints.list-failed')
+    }
+  }
+
+  #handleEndpointDown ({ endpointId, incarnation, reason, inMass }: EndpointChange & { type: 'down' }): void {
+    const link = this.#links.get(endpointId)
+    if (!link || link.info.incarnation !== incarnation) return
+    this.#schedule({ type: 'endpoint-down', endpointId })
+    // An endpoint that only stopped announcing may still run its tasks; their leases decide.
+    if (reason === 'unreachable' || inMass) return
+    if (reason === 'restarted') this.#gangs.handleEndpointLost(endpointId)
+    if (reason === 'expired' || reason === 'left') return
+    link.close()
+    this.#links.delete(endpointId)
+  }
+
+  #handleContact (endpointId: EndpointId, isOk: boolean): void {
+    const type = isOk ? 'call-ok' as const : 'call-failed' as const
+    for (const change of this.#options.directory.handle({ type, endpointId }, this.#timers.now())) this.handleEndpointChange(change)
+  }
+
+  #handleFinishedTasks (finished: readonly FinishedTask[]): void {
+    this.#gangs.handleViews(new Map<TaskId, TaskView>(finished.map(({ taskId, view }) => [taskId, view])))
+  }
+
+  #renewLeases (): void {
+    for (const [endpointId, renewals] of this.#gangs.collectRenewals()) {
+      this.#links.get(endpointId)?.renew(renewals).catch((err: Error) => this.#logUnexpected(err))
+    }
+  }
+
+  // Adoption
+
+  #finishRecovery (): void {
+    if (this.#isClosed) return
+    this.#isRecovering = false
+    const found = this.#found
+    this.#found = []
+    this.#adoptAll(found)
+    this.#resolveOpenRecords()
+    this.#options.logger.info('scheduling the failure domain', { domain: this.#options.domain, endpoints: this.#links.size, gangs: this.#gangs.size, degraded: this.isDegraded })
+    this.#schedule({ type: 'tick' })
+  }
+
+  #adoptAll (found: readonly FoundTask[]): void {
+    for (const gang of groupIntoGangs(found)) {
+      if (this.#jobs.get(gang.jobId) || this.#gangs.get(gang.jobId)) continue
+      if (!gang.job.idempotent) this.#stopUnlessRecorded(gang)
+      else if (gang.isWhole && !this.#jobs.find(gang.job.customer, gang.job.key)) this.#adopt(gang)
+      else this.#stopFound(gang)
+    }
+  }
+
+  #adopt ({ jobId, attempt, job, assignments, views }: FoundGang): void {
+    const request: JobRequest = { ...job, payload: null }
+    const entry = new JobEntry(jobId, request, null, this.#timers.now())
+    entry.state = 'running'
+    entry.everStarted = true
+    entry.startedAfterMs = 0
+    this.#jobs.add(entry)
+    this.#options.metrics.increment('gangs.adopted')
+    this.#gangs.add(Gang.adopt(this.#toSpec(jobId, attempt, request, assignments), views))
+    this.#schedule({ type: 'adopt', jobId, job, assignments })
+  }
+
+  /** Recorded work is resolved from its record, which names all members. */
+  #stopUnlessRecorded (gang: FoundGang): void {
+    const record = this.#options.register.get(gang.job.customer, gang.job.key)
+    const isOpen = record !== undefined && record.jobId === gang.jobId && !record.outcome
+    if (isOpen) return
+    this.#stopFound(gang)
+  }
+
+  #stopFound (gang: FoundGang): void {
+    this.#options.metrics.increment('gangs.orphans-stopped')
+    for (const { endpointId, incarnation, listing } of gang.found) {
+      const link = this.#links.get(endpointId)
+      link?.operate({ taskId: listing.taskId, incarnation, operation: 'stop' }).catch(() => {})
+      link?.operate({ taskId: listing.taskId, incarnation, operation: 'ack' }).catch(() => {})
+    }
+  }
+
+  #logUnexpected (err: Error): void {
+    this.#options.metrics.increment('errors.unexpected')
+    this.#options.logger.error('unexpected error in the scheduling session', { detail: err.message, stack: err.stack ?? '' })
+  }
+}
+
+const toRecordStatus = ({ jobId, key, customer, outcome }: JobRecord): JobStatus => {
+  const common = { jobId, key, customer }
+  if (!outcome) return { ...common, state: 'running' }
+  if (outcome.state !== 'released') return { ...common, state: outcome.state, outcome }
+  const err = new IbisError('not-found', 'the work ran to its end; its answer was released after it had been delivered', { execution: 'ran' })
+  return { ...common, state: 'failed', outcome: { state: 'failed', error: err.toBody() } }
+}
+
+const mayRunAgain = (result: GangResult, isIdempotent: boolean): boolean =>
+  isIdempotent && (result.state === 'failed' || result.state === 'lost' || result.state === 'preempted')
+
+const toOutcome = (result: GangResult, isIdempotent: boolean): JobOutcome | null => {
+  const fail = (error: ErrorBody): JobOutcome => ({ state: 'failed', error })
+  switch (result.state) {
+    case 'done': return { state: 'done', answers: result.answers }
+    case 'failed':
+    case 'unknown': return fail(result.error)
+    case 'cancelled': return fail(result.everStarted
+      ? toErrorBody('cancelled-running', 'cancelled while it ran')
+      : toErrorBody('cancelled', 'cancelled before it ran'))
+    case 'preempted': return fail(toErrorBody('preempted', 'stopped to give a guaranteed shape back to its customer'))
+    case 'lost': return isIdempotent ? null : fail(toErrorBody('outcome-unknown', 'a member was lost'))
+    case 'deposed': return null
+    default: return assertNever(result)
+  }
+}
+
+const toFinishResult = (result: GangResult): FinishResult => {
+  switch (result.state) {
+    case 'done': return 'ok'
+    case 'failed': return 'failed'
+    case 'lost':
+    case 'unknown': return 'lost'
+    case 'cancelled': return 'cancelled'
+    case 'preempted': return 'preempted'
+    case 'deposed': return 'lost'
+    default: return assertNever(result)
+  }
+}
+
+const toReports = (gang: Gang, result: GangResult): TaskReport[] => {
+  if (result.state !== 'done' && result.state !== 'failed') return []
+  const failedBy = new Set(result.state === 'failed' ? result.failedBy : [])
+  const runMs = result.state === 'done' ? result.runMs : 0
+  return gang.spec.assignments.map(({ index, endpointId }) => ({ index, endpointId, ok: !failedBy.has(endpointId), runMs }))
+}
--- a/packages/endpoint-client/src/client.ts
+++ b/packages/endpoint-client/src/client.ts
@@ -1,11 +1,11 @@
 import type { Agent } from 'node:http'
-import { checkValue, IbisError, type TaskId } from '@ibisstair/common'
-import type { CallResult, EndpointOperation } from '@ibisstair/gang'
+import { checkValue, IbisError } from '@ibisstair/common'
+import type { CallResult, TaskRenewal, TaskRequest } from '@ibisstair/endpoint-tasks'
 import { MAX_JOB_ANSWER_BYTES, type EndpointInfo } from '@ibisstair/model'
 import { createPool, dropIdleConnections, limitIdleTime, LONG_POLL_GRACE_MS, parseJson, sendHttp } from '@ibisstair/rpc'
 import type { TimerService } from '@ibisstair/timers'
 import type * as v from 'valibot'
-import { EventsAnswerSchema, LeasesAnswerSchema, OperationAnswerSchema, TasksAnswerSchema } from './schemas.ts'
+import { CallResultSchema, EventsAnswerSchema, LeasesAnswerSchema, TasksAnswerSchema } from './schemas.ts'
 import type { EventsAnswer, LeasesAnswer, TasksAnswer } from './types.ts'
 
 /** Events of one poll carry the unacknowledged answers of all slots of a worker. */
@@ -23,25 +23,23 @@
   }
 
   /** Never rejects: a call without a readable answer has the result `unknown`. */
-  async operate (taskId: TaskId, operation: EndpointOperation, body: object, timeoutMs: number): Promise<CallResult> {
+  async operate (request: TaskRequest, timeoutMs: number): Promise<CallResult> {
+    const { taskId, operation, ...body } = request
     try {
       const path = `/v1/tasks/${encodeURIComponent(taskId)}/${operation}`
-      const answer = await this.#post(path, body, timeoutMs, OperationAnswerSchema)
-      const task = answer.task && { task: answer.task }
-      if (answer.status === 'ok') return { status: 'ok', ...task }
-      return { status: 'refused', reason: answer.reason ?? 'no reason given', ...task }
+      return await this.#post(path, body, timeoutMs, CallResultSchema)
     } catch (err) {
-      return EndpointClient.#toCallResult(err)
+      return EndpointClient.#toCallResult(request, err)
     }
   }
 
-  renewLeases (taskIds: readonly TaskId[], leaseMs: number, timeoutMs: number): Promise<LeasesAnswer> {
-    return this.#post('/v1/leases', { incarnation: this.#endpoint.incarnation, taskIds, leaseMs }, timeoutMs, LeasesAnswerSchema)
+  renewLeases (renewals: readonly TaskRenewal[], timeoutMs: number): Promise<LeasesAnswer> {
+    return this.#post('/v1/leases', { renewals }, timeoutMs, LeasesAnswerSchema)
   }
 
   /** Long poll; a connection without an answer after `waitMs` and a grace time is silent. */
-  pollEvents (waitMs: number): Promise<EventsAnswer> {
-    return this.#post('/v1/events', { incarnation: this.#endpoint.incarnation, waitMs }, waitMs + LONG_POLL_GRACE_MS, EventsAnswerSchema)
+  pollEvents (after: number, waitMs: number): Promise<EventsAnswer> {
+    return this.#post('/v1/events', { after, waitMs }, waitMs + LONG_POLL_GRACE_MS, EventsAnswerSchema)
   }
 
   listTasks (timeoutMs: number): Promise<TasksAnswer> {
@@ -52,9 +50,10 @@
     this.#pool.destroy()
   }
 
-  // A connection that was refused never delivered the call, which is as certain as a refusal.
-  static #toCallResult (err: unknown): CallResult {
-    if (err instanceof IbisError && err.details?.reason === 'connect') return { status: 'refused', reason: 'connection refused' }
+  /** A refused connection never delivered the request, but it says nothing about earlier ones. */
+  static #toCallResult ({ operation }: TaskRequest, err: unknown): CallResult {
+    const isUndelivered = err instanceof IbisError && err.details?.reason === 'connect'
+    if (isUndelivered && operation === 'reserve') return { status: 'refused', reason: 'connection refused' }
     return { status: 'unknown' }
   }
 
--- a/packages/endpoint-client/src/schemas.ts
+++ b/packages/endpoint-client/src/schemas.ts
@@ -9,42 +9,43 @@
   everStarted: v.boolean(),
   answer: v.optional(v.unknown()),
   error: v.exactOptional(v.string()),
-  runMs: v.exactOptional(v.pipe(v.number(), v.minValue(0)))
+  runMs: v.exactOptional(v.pipe(v.number(), v.minValue(0))),
+  checkpointed: v.exactOptional(v.boolean())
 })
 
-const IncarnationSchema = v.pipe(v.number(), v.integer(), v.minValue(0))
 const CountSchema = v.pipe(v.number(), v.integer(), v.minValue(0))
 const TaskIdSchema = v.custom<TaskId>((value) => typeof value === 'string', 'a task id')
 const JobIdSchema = v.custom<JobId>((value) => typeof value === 'string', 'a job id')
 // The metadata was written by this deployment's own leader and is only echoed by the endpoint.
-const JobSchema = v.custom<JobMetadata>((value) => typeof value === 'object' && value !== null, 'the metadata of a job')
+const RequestSchema = v.custom<JobMetadata>((value) => typeof value === 'object' && value !== null, 'the metadata of a job')
 
-export const OperationAnswerSchema = v.object({
-  status: v.picklist(['ok', 'refused']),
-  reason: v.exactOptional(v.string()),
-  task: v.exactOptional(TaskViewSchema)
+const GrantSchema = v.object({
+  jobId: JobIdSchema,
+  attempt: CountSchema,
+  index: CountSchema,
+  reservationMs: v.number(),
+  leaseMs: v.number(),
+  request: RequestSchema
 })
 
+export const CallResultSchema = v.variant('status', [
+  v.object({ status: v.literal('ok'), task: v.exactOptional(TaskViewSchema) }),
+  v.object({ status: v.literal('refused'), reason: v.string(), task: v.exactOptional(TaskViewSchema) })
+])
+
 export const LeasesAnswerSchema = v.object({
-  incarnation: IncarnationSchema,
-  tasks: v.record(v.string(), TaskViewSchema),
+  incarnation: CountSchema,
+  views: v.array(TaskViewSchema),
   usage: v.object({ acceleratorsBusy: v.pipe(v.number(), v.minValue(0)), lagMs: v.pipe(v.number(), v.minValue(0)) })
 })
 
 export const EventsAnswerSchema = v.object({
-  incarnation: IncarnationSchema,
-  finished: v.array(v.object({ taskId: TaskIdSchema, task: TaskViewSchema }))
+  incarnation: CountSchema,
+  cursor: CountSchema,
+  finished: v.array(v.object({ taskId: TaskIdSchema, view: TaskViewSchema }))
 })
 
 export const TasksAnswerSchema = v.object({
-  incarnation: IncarnationSchema,
-  tasks: v.array(v.object({
-    taskId: TaskIdSchema,
-    jobId: JobIdSchema,
-    attempt: CountSchema,
-    index: CountSchema,
-    tasks: CountSchema,
-    job: JobSchema,
-    task: TaskViewSchema
-  }))
+  incarnation: CountSchema,
+  tasks: v.array(v.object({ taskId: TaskIdSchema, grant: GrantSchema, view: TaskViewSchema }))
 })
--- /dev/null
+++ b/scripts/stand-in-endpoint.ts
@@ -0,0 +1,278 @@
+// A small endpoint for the demo and the tests. It serves the protocol of docs/design.md section 6.2
+// over the TaskTable, "runs" tasks by waiting, and can be told to misbehave through POST /control.
+import { createServer, request as httpRequest, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { asId, type EndpointId, type TaskId } from '@ibisstair/common'
+import { TaskTable, type TaskEffect, type TaskRenewal, type TaskRequest } from '@ibisstair/endpoint-tasks'
+import { parseJson, readBody, sendJson } from '@ibisstair/rpc'
+import { SystemTimerService, type Unsubscribe } from '@ibisstair/timers'
+
+export interface StandInOptions {
+  readonly id: string
+  readonly domain: string
+  readonly rack: string
+  readonly slots?: number
+  readonly accelerators?: number
+  readonly connections?: number
+  readonly incarnation?: number
+  /** Endpoint listeners of the entries to announce to. */
+  readonly entries: ReadonlyArray<{ readonly address: string, readonly port: number }>
+  readonly announceMs?: number
+}
+
+/** Faults that the stand-in shows until the next setting. */
+export interface Faults {
+  /** Every task fails as soon as it starts. */
+  fail?: boolean
+  /** Tasks never finish. */
+  hang?: boolean
+  /** No request gets an answer, and no announcement is sent. */
+  silent?: boolean
+  /** Requests are carried out, and the answers are never sent. */
+  loseAnswers?: boolean
+  /** Answers come this much later. */
+  delayMs?: number
+  /** Each finished task is reported twice. */
+  answerTwice?: boolean
+  /** Reported accelerator usage instead of the true one. */
+  lieOnUsage?: number
+  /** Checkpoint requests are never completed. */
+  ignoreCheckpoint?: boolean
+}
+
+/** One start of one task, as the endpoint's own record for the checks of the tests. */
+export interface StartRecord {
+  readonly taskId: string
+  readonly customer: string
+  readonly key: string
+  readonly kind: string
+  readonly index: number
+  readonly tasks: number
+  readonly atMs: number
+  endMs?: number
+  end?: 'done' | 'failed' | 'killed'
+}
+
+interface RunningTask {
+  readonly stop: Unsubscribe
+  readonly record: StartRecord
+}
+
+interface Payload {
+  readonly runMs?: number
+  readonly fail?: boolean
+  readonly answer?: unknown
+}
+
+const MAX_BODY_BYTES = 4 * 1024 * 1024
+const MAX_RECORDS = 100_000
+
+export class StandInEndpoint {
+  readonly #options: StandInOptions
+  readonly #timers = new SystemTimerService()
+  readonly #server: Server
+  readonly #running = new Map<TaskId, RunningTask>()
+  readonly #finished: TaskId[] = []
+  readonly #waiting = new Set<() => void>()
+  readonly #stops: Unsubscribe[] = []
+  #table: TaskTable
+  #incarnation: number
+  #sequence = 0
+  #leaving = false
+  faults: Faults = {}
+  readonly records: StartRecord[] = []
+
+  constructor (options: StandInOptions) {
+    this.#options = options
+    this.#incarnation = options.incarnation ?? this.#timers.wallClock()
+    this.#table = this.#createTable()
+    this.#server = createServer((req, res) => {
+      this.#handle(req.method ?? '', new URL(req.url ?? '/', 'http://endpoint.invalid').pathname, readBody(req, MAX_BODY_BYTES), res)
+        .catch((err: Error) => sendJson(res, 400, { error: err.message }))
+    })
+  }
+
+  get id (): EndpointId {
+    return asId<EndpointId>(this.#options.id)
+  }
+
+  async start (): Promise<void> {
+    await new Promise<void>((resolve) => { this.#server.listen(0, '127.0.0.1', resolve) })
+    this.#stops.push(this.#timers.every(this.#options.announceMs ?? 1000, () => this.announce()))
+    this.#stops.push(this.#timers.every(100, () => this.#apply(this.#table.advance(this.#timers.now()))))
+    this.announce()
+  }
+
+  /** Ends without a word, as a VM does that loses power. */
+  kill (): void {
+    for (const stop of this.#stops) stop()
+    for (const taskId of [...this.#running.keys()]) this.#kill(taskId)
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
+  /** Loses all tasks and comes back under a new incarnation. */
+  restart (): void {
+    for (const taskId of [...this.#running.keys()]) this.#kill(taskId)
+    this.#finished.length = 0
+    this.#incarnation = Math.max(this.#incarnation + 1, this.#timers.wallClock())
+    this.#sequence = 0
+    this.#table = this.#createTable()
+    this.announce()
+  }
+
+  /** Announces that it leaves; `only` limits the announcement to one entry. */
+  leave (only?: number): void {
+    this.#leaving = true
+    this.#table.leave()
+    this.announce(only)
+  }
+
+  announce (only?: number): void {
+    if (this.faults.silent) return
+    const { id, domain, rack, entries } = this.#options
+    const body = JSON.stringify({
+      endpointId: id,
+      incarnation: this.#incarnation,
+      sequence: ++this.#sequence,
+      address: '127.0.0.1',
+      port: (this.#server.address() as AddressInfo).port,
+      failureDomain: domain,
+      rack,
+      slots: this.#slots,
+      connections: this.#options.connections ?? 64,
+      accelerators: this.#accelerators,
+      leaving: this.#leaving
+    })
+    // As through a load balancer: one entry each time, in turn.
+    const target = entries[only ?? this.#sequence % entries.length]
+    if (target) this.#post(target, body)
+  }
+
+  get #slots (): number {
+    return this.#options.slots ?? 8
+  }
+
+  get #accelerators (): number {
+    return this.#options.accelerators ?? 8
+  }
+
+  #createTable (): TaskTable {
+    return new TaskTable({ endpointId: this.id, incarnation: this.#incarnation, slots: this.#slots, accelerators: this.#accelerators })
+  }
+
+  #post ({ address, port }: { readonly address: string, readonly port: number }, body: string): void {
+    const req = httpRequest({ host: address, port, method: 'POST', path: '/v1/announce', timeout: 1000, headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) } })
+    req.on('response', (res) => res.resume())
+    req.on('timeout', () => req.destroy())
+    req.on('error', () => {})
+    req.end(body)
+  }
+
+  async #handle (method: string, path: string, bodyRead: Promise<Buffer>, res: ServerResponse): Promise<void> {
+    const raw = await bodyRead
+    const body = raw.length > 0 ? parseJson(raw, path) as Record<string, unknown> : {}
+    if (path === '/control') return sendJson(res, 200, this.#control(body))
+    if (path === '/records') return sendJson(res, 200, { records: this.records })
+    if (this.faults.silent) return
+    const answer = await this.#answer(method, path, body)
+    if (this.faults.loseAnswers) return
+    if (this.faults.delayMs) await this.#timers.delay(this.faults.delayMs)
+    sendJson(res, answer === undefined ? 404 : 200, answer ?? {})
+  }
+
+  #control (body: Record<string, unknown>): object {
+    const { leave, restart, ...faults } = body
+    this.faults = faults as Faults
+    if (restart) this.restart()
+    if (leave !== undefined) this.leave(typeof leave === 'number' ? leave : undefined)
+    return { ok: true }
+  }
+
+  async #answer (method: string, path: string, body: Record<string, unknown>): Promise<object | undefined> {
+    const [, , first, taskId, operation] = path.split('/')
+    const now = this.#timers.now()
+    if (first === 'tasks' && method === 'GET' && taskId === undefined) return { incarnation: this.#incarnation, tasks: this.#table.list() }
+    if (first === 'tasks' && method === 'GET') return this.#table.getView(asId<TaskId>(decodeURIComponent(taskId!)))
+    if (first === 'tasks' && operation !== undefined) {
+      const request = { ...body, taskId: decodeURIComponent(taskId!), operation } as unknown as TaskRequest
+      const { result, effects } = this.#table.handle(request, now)
+      this.#apply(effects)
+      return result
+    }
+    if (path === '/v1/leases') {
+      const { views, effects } = this.#table.renew(body.renewals as TaskRenewal[], now)
+      this.#apply(effects)
+      return { incarnation: this.#incarnation, views, usage: { acceleratorsBusy: this.faults.lieOnUsage ?? this.#getBusy(), lagMs: 1000 } }
+    }
+    if (path === '/v1/events') return await this.#getEvents(body.after as number, body.waitMs as number)
+    return undefined
+  }
+
+  #getBusy (): number {
+    return this.#accelerators - this.#table.getStats().freeAccelerators
+  }
+
+  async #getEvents (after: number, waitMs: number): Promise<object> {
+    if (this.#finished.length <= after) {
+      await new Promise<void>((resolve) => {
+        const done = (): void => {
+          stop()
+          this.#waiting.delete(done)
+          resolve()
+        }
+        const stop = this.#timers.subscribe(waitMs, done)
+        this.#waiting.add(done)
+      })
+    }
+    const unacknowledged = new Set(this.#table.getUnacknowledged().map(({ taskId }) => taskId))
+    const finished = this.#finished.slice(after)
+      .filter((taskId) => unacknowledged.has(taskId))
+      .map((taskId) => ({ taskId, view: this.#table.getView(taskId) }))
+    return { incarnation: this.#incarnation, cursor: this.#finished.length, finished: this.faults.answerTwice ? [...finished, ...finished] : finished }
+  }
+
+  #apply (effects: readonly TaskEffect[]): void {
+    for (const effect of effects) {
+      switch (effect.type) {
+        case 'execute': this.#execute(effect)
+          break
+        case 'kill': this.#kill(effect.taskId)
+          break
+        case 'checkpoint':
+          if (!this.faults.ignoreCheckpoint) this.#timers.subscribe(20, () => this.#table.markCheckpointed(effect.taskId))
+          break
+        case 'throttle':
+      }
+    }
+  }
+
+  #execute ({ taskId, grant, payload }: TaskEffect & { type: 'execute' }): void {
+    const { runMs = 20, fail = false, answer } = (payload ?? {}) as Payload
+    const { customer, key, kind, shape } = grant.request
+    const record: StartRecord = { taskId, customer, key, kind, index: grant.index, tasks: shape.tasks, atMs: this.#timers.wallClock() }
+    if (this.records.length < MAX_RECORDS) this.records.push(record)
+    const isFailing = this.faults.fail === true || fail
+    const stop = this.faults.hang
+      ? () => {}
+      : this.#timers.subscribe(isFailing ? 1 : runMs, () => {
+        this.#running.delete(taskId)
+        Object.assign(record, { endMs: this.#timers.wallClock(), end: isFailing ? 'failed' : 'done' })
+        const outcome = isFailing
+          ? { state: 'failed', error: 'told to fail' } as const
+          : { state: 'done', answer: answer ?? { key, index: grant.index } } as const
+        this.#apply(this.#table.complete(taskId, outcome, this.#timers.now()))
+        this.#finished.push(taskId)
+        for (const wake of [...this.#waiting]) wake()
+      })
+    this.#running.set(taskId, { stop, record })
+  }
+
+  #kill (taskId: TaskId): void {
+    const task = this.#running.get(taskId)
+    if (!task) return
+    task.stop()
+    Object.assign(task.record, { endMs: this.#timers.wallClock(), end: 'killed' })
+    this.#running.delete(taskId)
+  }
+}
