scheduler: order by customer, urgency and caller, and place by best fit

Strict arrival order lets one flood and one blocked gang hold everybody. Queues are now indexed by customer, urgency, shape and caller; the customer with the least weighted dominant share is next, inside it the most urgent work, inside that the caller with the least use. A less urgent queue that had no start for its ageing time (2 s normal, 10 s bulk) goes first once. Searches use an index by available accelerators and keep whole workers free. Each rule can be switched off.

Ruled out: ageing by promotion of each old job, because a flood ages as a whole and then outranks urgent work.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -10,3 +10,10 @@
 export const MAX_STEPS_PER_JOB = 16
 /** Attempts of a job whose gang could not be started or whose endpoint vanished. */
 export const MAX_START_ATTEMPTS = 20
+/** Distinct shapes of one customer and urgency that are searched separately. */
+export const MAX_SHAPE_CLASSES = 32
+/**
+ * Longest time in which a customer's less urgent work gets no start while more urgent work of the
+ * same customer waits, by urgency.
+ */
+export const AGEING_MS: readonly number[] = [Infinity, 2000, 10_000]
--- a/packages/scheduler/src/entities.ts
+++ b/packages/scheduler/src/entities.ts
@@ -32,6 +32,9 @@
   /** Position in the index of `Fleet`; undefined while the worker takes no work. */
   bucket: number | undefined
   bucketPosition = 0
+  /** What the sums of the rack contain of this worker. */
+  countedAccelerators = 0
+  countedWhole = 0
 
   constructor (info: EndpointInfo, readonly rack: Rack) {
     this.info = info
@@ -47,18 +50,25 @@
     return this.up && !this.drained && !this.info.leaving
   }
 
-  /** Tasks of the shape that fit into the free capacity. */
-  countFitting (shape: Shape): number {
-    return countTasks(this.freeAccelerators, this.freeSlots, shape)
+  get availableAccelerators (): number {
+    return Math.max(0, this.freeAccelerators)
+  }
+
+  get availableSlots (): number {
+    return Math.max(0, this.freeSlots)
   }
 }
 
 export class Rack {
   readonly workers = new Set<Worker>()
+  availableAccelerators = 0
+  /** Workers with all accelerators available. */
+  wholeWorkers = 0
 
   constructor (readonly id: RackId) {}
 }
 
+/** Tasks of the shape, at most the whole gang, that fit into a capacity. */
 export const countTasks = (accelerators: number, slots: number, shape: Shape): number => {
   const byAccelerators = shape.acceleratorsPerTask > 0 ? Math.floor(accelerators / shape.acceleratorsPerTask) : Infinity
   const bySlots = shape.slotsPerTask > 0 ? Math.floor(slots / shape.slotsPerTask) : Infinity
@@ -70,6 +80,7 @@
   readonly urgencyIndex: number
   readonly accelerators: number
   readonly slots: number
+  readonly shapeKey: string
   #phase: JobPhase = 'queued'
   attempt = 0
   allocations: readonly Allocation[] = []
@@ -79,12 +90,16 @@
   stoppingSinceMs: number | undefined
   readonly failedOn = new Set<EndpointId>()
   readonly steps: ExplanationStep[] = []
-  fifoNode: QueueNode<Job> | undefined
+  /** Memberships in queues, by level; `JobQueues` owns them. */
+  queueNodes: readonly QueueNode<Job>[] = []
+  /** Estimated accelerator milliseconds that the queue sums contain for this job. */
+  queuedWork = 0
 
   constructor (readonly id: JobId, readonly meta: JobMetadata, readonly submittedAtMs: number) {
     this.urgencyIndex = indexOfUrgency(meta.urgency)
     this.accelerators = meta.shape.tasks * meta.shape.acceleratorsPerTask
     this.slots = meta.shape.tasks * meta.shape.slotsPerTask
+    this.shapeKey = shapeKeyOf(meta.shape)
   }
 
   get shape (): Shape {
--- a/packages/scheduler/src/fleet.ts
+++ b/packages/scheduler/src/fleet.ts
@@ -4,13 +4,22 @@
 import type { Allocation, Job } from './entities.ts'
 import { Rack, Worker } from './entities.ts'
 
-/** The workers of one failure domain and what is free on them. */
+/** Workers with at least this many available accelerators share the last bucket of the index. */
+export const LAST_BUCKET = 64
+
+/** The workers of one failure domain, indexed by what is available on them. */
 export class Fleet {
   readonly #workers = new Map<EndpointId, Worker>()
   readonly #racks = new Map<RackId, Rack>()
+  readonly #buckets: Worker[][] = Array.from({ length: LAST_BUCKET + 1 }, () => [])
   #drains: ReadonlySet<EndpointId> = new Set()
   /** Changes whenever capacity may have become available, so that a failed search is not repeated before. */
   epoch = 0
+  /** Changes whenever the set of usable workers or their capacity changes. */
+  layoutVersion = 0
+  availableAccelerators = 0
+  totalAccelerators = 0
+  totalSlots = 0
 
   get workers (): IterableIterator<Worker> {
     return this.#workers.values()
@@ -28,21 +37,33 @@
     return this.#workers.get(id)
   }
 
+  /** Usable workers whose available accelerators equal `bucket` (or more, in the last bucket). */
+  getBucket (bucket: number): readonly Worker[] {
+    return this.#buckets[Math.min(bucket, LAST_BUCKET)]!
+  }
+
   setDrains (drains: readonly EndpointId[]): void {
     this.#drains = new Set(drains)
-    for (const worker of this.#workers.values()) worker.drained = this.#drains.has(worker.id)
-    this.epoch += 1
+    for (const worker of this.#workers.values()) {
+      worker.drained = this.#drains.has(worker.id)
+      this.reindex(worker)
+    }
+    this.#noteLayout()
   }
 
   /** Adds or updates a worker. A new incarnation starts empty; the old one's jobs keep their old object. */
   put (info: EndpointInfo): Worker {
     const known = this.#workers.get(info.id)
-    this.epoch += 1
+    if (known && info.incarnation < known.info.incarnation) return known
     if (known && known.info.incarnation === info.incarnation && known.rack.id === info.rack) {
+      const wasUsable = known.isUsable
+      const changed = info.accelerators !== known.info.accelerators || info.slots !== known.info.slots
       known.freeAccelerators += info.accelerators - known.info.accelerators
       known.freeSlots += info.slots - known.info.slots
       known.info = info
       known.up = true
+      this.reindex(known)
+      if (changed || wasUsable !== known.isUsable) this.#noteLayout()
       return known
     }
     if (known) this.#detach(known)
@@ -50,6 +71,8 @@
     worker.drained = this.#drains.has(info.id)
     worker.rack.workers.add(worker)
     this.#workers.set(info.id, worker)
+    this.reindex(worker)
+    this.#noteLayout()
     return worker
   }
 
@@ -57,7 +80,9 @@
     const worker = this.#workers.get(id)
     if (!worker) return
     worker.up = false
+    this.reindex(worker)
     if (worker.jobs.size === 0) this.#detach(worker)
+    this.#noteLayout()
   }
 
   allocate (job: Job, allocations: readonly Allocation[]): void {
@@ -66,6 +91,7 @@
       worker.freeSlots -= tasks * job.shape.slotsPerTask
       worker.jobs.add(job)
       invariant(worker.freeAccelerators >= 0 && worker.freeSlots >= 0, `worker ${worker.id} is over-committed by job ${job.id}`)
+      this.reindex(worker)
     }
     job.allocations = allocations
   }
@@ -75,12 +101,42 @@
       worker.freeAccelerators += tasks * job.shape.acceleratorsPerTask
       worker.freeSlots += tasks * job.shape.slotsPerTask
       worker.jobs.delete(job)
+      this.reindex(worker)
       if (!worker.up && worker.jobs.size === 0 && this.#workers.get(worker.id) === worker) this.#detach(worker)
     }
     job.allocations = []
     this.epoch += 1
   }
 
+  /** Brings the index and the sums up to date after a change of one worker. */
+  reindex (worker: Worker): void {
+    const usable = worker.isUsable && this.#workers.get(worker.id) === worker
+    const accelerators = usable ? worker.availableAccelerators : 0
+    const whole = usable && accelerators === worker.info.accelerators ? 1 : 0
+    const { rack } = worker
+    rack.availableAccelerators += accelerators - worker.countedAccelerators
+    rack.wholeWorkers += whole - worker.countedWhole
+    this.availableAccelerators += accelerators - worker.countedAccelerators
+    worker.countedAccelerators = accelerators
+    worker.countedWhole = whole
+    this.#moveToBucket(worker, usable ? Math.min(accelerators, LAST_BUCKET) : undefined)
+  }
+
+  #moveToBucket (worker: Worker, bucket: number | undefined): void {
+    if (worker.bucket === bucket) return
+    if (worker.bucket !== undefined) {
+      const members = this.#buckets[worker.bucket]!
+      const last = members.pop()!
+      if (last !== worker) {
+        members[worker.bucketPosition] = last
+        last.bucketPosition = worker.bucketPosition
+      }
+    }
+    worker.bucket = bucket
+    if (bucket === undefined) return
+    worker.bucketPosition = this.#buckets[bucket]!.push(worker) - 1
+  }
+
   #rackOf (id: RackId): Rack {
     const known = this.#racks.get(id)
     if (known) return known
@@ -91,8 +147,21 @@
 
   #detach (worker: Worker): void {
     worker.up = false
+    if (this.#workers.get(worker.id) === worker) this.#workers.delete(worker.id)
+    this.reindex(worker)
     worker.rack.workers.delete(worker)
     if (worker.rack.workers.size === 0) this.#racks.delete(worker.rack.id)
-    if (this.#workers.get(worker.id) === worker) this.#workers.delete(worker.id)
+  }
+
+  #noteLayout (): void {
+    this.epoch += 1
+    this.layoutVersion += 1
+    this.totalAccelerators = 0
+    this.totalSlots = 0
+    for (const worker of this.#workers.values()) {
+      if (!worker.isUsable) continue
+      this.totalAccelerators += worker.info.accelerators
+      this.totalSlots += worker.info.slots
+    }
   }
 }
--- /dev/null
+++ b/packages/scheduler/src/policy.ts
@@ -0,0 +1,18 @@
+/** Rules that can be switched off one by one, so that the bench can compare with and without each. */
+export const RULES = [
+  'customer-fairness', 'caller-fairness', 'urgency', 'ageing', 'best-fit'
+] as const
+export type Rule = typeof RULES[number]
+
+export interface Policy {
+  /** `arrival` is strict first come, first served; `indexed` orders by the rules. */
+  readonly order: 'arrival' | 'indexed'
+  readonly rules: ReadonlySet<Rule>
+}
+
+export const FCFS_POLICY: Policy = { order: 'arrival', rules: new Set() }
+
+export const PRESENT_POLICY: Policy = { order: 'indexed', rules: new Set(RULES) }
+
+export const withoutRules = (...without: readonly Rule[]): Policy =>
+  ({ order: 'indexed', rules: new Set(RULES.filter((rule) => !without.includes(rule))) })
--- /dev/null
+++ b/packages/scheduler/src/queues.ts
@@ -0,0 +1,259 @@
+import type { CallerId, CustomerId } from '@ibisstair/common'
+import type { CustomerShare } from '@ibisstair/model'
+import { URGENCIES } from '@ibisstair/model'
+import { MAX_SHAPE_CLASSES } from './constants.ts'
+import type { Job } from './entities.ts'
+import { IndexedHeap } from './indexed-heap.ts'
+import { LinkedQueue } from './linked-queue.ts'
+
+const MIXED_SHAPES = 'mixed'
+
+/** What one caller of a customer uses and waits for in this domain. */
+export class CallerAccount {
+  accelerators = 0
+  slots = 0
+  /** Order of the newest start; among equal users the one served longest ago is next. */
+  lastServed = 0
+  queued = 0
+  readonly queuedByUrgency: number[] = URGENCIES.map(() => 0)
+  readonly workByUrgency: number[] = URGENCIES.map(() => 0)
+  readonly lanes = new Set<Lane>()
+
+  constructor (readonly id: CallerId) {}
+
+  get isIdle (): boolean {
+    return this.queued === 0 && this.accelerators === 0 && this.slots === 0
+  }
+}
+
+/** Queued jobs of one caller with one shape. */
+export class Lane {
+  readonly jobs = new LinkedQueue<Job>()
+
+  constructor (readonly caller: CallerAccount, readonly shapeClass: ShapeClass) {}
+}
+
+const isServedBefore = (a: CallerAccount, b: CallerAccount): boolean => {
+  const useOfA = Math.max(a.accelerators, a.slots)
+  const useOfB = Math.max(b.accelerators, b.slots)
+  return useOfA === useOfB ? a.lastServed < b.lastServed : useOfA < useOfB
+}
+
+/** Queued jobs of one customer, urgency and shape. */
+export class ShapeClass {
+  readonly arrivals = new LinkedQueue<Job>()
+  readonly #lanes = new Map<CallerId, Lane>()
+  readonly #order = new IndexedHeap<Lane>((a, b) => isServedBefore(a.caller, b.caller))
+  /** Fleet epoch at which a search for this shape failed. */
+  blockedEpoch = -1
+
+  constructor (readonly key: string, readonly account: CustomerAccount) {}
+
+  laneOf (caller: CallerAccount): Lane {
+    const known = this.#lanes.get(caller.id)
+    if (known) return known
+    const lane = new Lane(caller, this)
+    this.#lanes.set(caller.id, lane)
+    caller.lanes.add(lane)
+    this.#order.push(lane)
+    return lane
+  }
+
+  drop (lane: Lane): void {
+    this.#lanes.delete(lane.caller.id)
+    lane.caller.lanes.delete(lane)
+    this.#order.remove(lane)
+  }
+
+  reorder (lane: Lane): void {
+    this.#order.update(lane)
+  }
+
+  next (fairCallers: boolean): Job | undefined {
+    if (!fairCallers) return this.arrivals.head?.value
+    return this.#order.peek()?.jobs.head?.value
+  }
+}
+
+/** Queued jobs of one customer and urgency. */
+export class UrgencyQueue {
+  readonly arrivals = new LinkedQueue<Job>()
+  readonly classes = new Map<string, ShapeClass>()
+  /** Estimated accelerator milliseconds that wait here. */
+  work = 0
+  lastStartMs = -Infinity
+
+  constructor (readonly account: CustomerAccount) {}
+
+  get size (): number {
+    return this.arrivals.size
+  }
+
+  classOf (job: Job): ShapeClass {
+    const known = this.classes.get(job.shapeKey)
+    if (known) return known
+    // Callers choose shapes freely; beyond the limit they share one class and wait in its order.
+    const key = this.classes.size < MAX_SHAPE_CLASSES ? job.shapeKey : MIXED_SHAPES
+    const shared = this.classes.get(key)
+    if (shared) return shared
+    const shapeClass = new ShapeClass(key, this.account)
+    this.classes.set(key, shapeClass)
+    return shapeClass
+  }
+}
+
+/** One customer's queue, use and configuration in this domain. */
+export class CustomerAccount {
+  readonly urgencies: readonly UrgencyQueue[] = URGENCIES.map(() => new UrgencyQueue(this))
+  readonly callers = new Map<CallerId, CallerAccount>()
+  priority = 1
+  maxQueued = Infinity
+  isConfigured = false
+  /** Use above the guarantees. */
+  borrowedAccelerators = 0
+  borrowedSlots = 0
+  running = 0
+  /** Fleet epoch at which nothing of this customer could be placed. */
+  blockedEpoch = -1
+
+  constructor (readonly id: CustomerId) {}
+
+  get queued (): number {
+    return this.urgencies.reduce((sum, queue) => sum + queue.size, 0)
+  }
+
+  configure (share: CustomerShare | undefined): void {
+    this.isConfigured = share !== undefined
+    this.priority = Math.max(share?.priority ?? 1, Number.EPSILON)
+    this.maxQueued = share?.maxQueued ?? 0
+  }
+
+  callerOf (id: CallerId): CallerAccount {
+    const known = this.callers.get(id)
+    if (known) return known
+    const caller = new CallerAccount(id)
+    this.callers.set(id, caller)
+    return caller
+  }
+}
+
+/** All queued jobs, indexed so that adding, removing and choosing do not depend on their number. */
+export class JobQueues {
+  readonly #customers = new Map<CustomerId, CustomerAccount>()
+  readonly #active = new Set<CustomerAccount>()
+  readonly #arrivals = new LinkedQueue<Job>()
+  readonly #memberships = new Map<Job, { readonly account: CustomerAccount, readonly queue: UrgencyQueue, readonly lane: Lane }>()
+  readonly #shapes = new Map<string, Set<ShapeClass>>()
+  #served = 0
+
+  get size (): number {
+    return this.#memberships.size
+  }
+
+  get oldest (): Job | undefined {
+    return this.#arrivals.head?.value
+  }
+
+  /** Customers with queued jobs. */
+  get active (): ReadonlySet<CustomerAccount> {
+    return this.#active
+  }
+
+  /** Classes with queued jobs by shape, so that a shape that fits nowhere is skipped for all customers at once. */
+  get shapes (): ReadonlyMap<string, ReadonlySet<ShapeClass>> {
+    return this.#shapes
+  }
+
+  get customers (): IterableIterator<CustomerAccount> {
+    return this.#customers.values()
+  }
+
+  customerOf (id: CustomerId): CustomerAccount {
+    const known = this.#customers.get(id)
+    if (known) return known
+    const account = new CustomerAccount(id)
+    this.#customers.set(id, account)
+    return account
+  }
+
+  find (id: CustomerId): CustomerAccount | undefined {
+    return this.#customers.get(id)
+  }
+
+  has (job: Job): boolean {
+    return this.#memberships.has(job)
+  }
+
+  /** Adds a job; one that returns from a start goes before those that never had one. */
+  add (job: Job, atFront: boolean, work: number): void {
+    const account = this.customerOf(job.meta.customer)
+    const queue = account.urgencies[job.urgencyIndex]!
+    const shapeClass = queue.classOf(job)
+    const caller = account.callerOf(job.meta.caller)
+    const lane = shapeClass.laneOf(caller)
+    const lists = [this.#arrivals, queue.arrivals, shapeClass.arrivals, lane.jobs]
+    job.queueNodes = lists.map((list) => atFront ? list.pushFront(job) : list.push(job))
+    job.queuedWork = work
+    this.#memberships.set(job, { account, queue, lane })
+    this.#active.add(account)
+    this.#noteShape(shapeClass)
+    caller.queued += 1
+    caller.queuedByUrgency[job.urgencyIndex]! += 1
+    caller.workByUrgency[job.urgencyIndex]! += work
+    queue.work += work
+    shapeClass.blockedEpoch = -1
+    account.blockedEpoch = -1
+  }
+
+  remove (job: Job): void {
+    const membership = this.#memberships.get(job)
+    if (!membership) return
+    const { account, queue, lane } = membership
+    this.#memberships.delete(job)
+    for (const node of job.queueNodes) node.queue?.remove(node)
+    job.queueNodes = []
+    const { caller, shapeClass } = lane
+    caller.queued -= 1
+    caller.queuedByUrgency[job.urgencyIndex]! -= 1
+    caller.workByUrgency[job.urgencyIndex]! -= job.queuedWork
+    queue.work = queue.size === 0 ? 0 : queue.work - job.queuedWork
+    if (lane.jobs.size === 0) shapeClass.drop(lane)
+    if (shapeClass.arrivals.size === 0) this.#dropClass(queue, shapeClass)
+    if (account.queued === 0) this.#active.delete(account)
+    this.#forgetIdle(account, caller)
+  }
+
+  /** Counts what a job holds for its caller; `sign` is -1 when it leaves its slots. */
+  countUse (job: Job, sign: 1 | -1): void {
+    const account = this.customerOf(job.meta.customer)
+    const caller = account.callerOf(job.meta.caller)
+    account.running += sign
+    caller.accelerators += sign * job.accelerators
+    caller.slots += sign * job.slots
+    if (sign === 1) caller.lastServed = ++this.#served
+    for (const lane of caller.lanes) lane.shapeClass.reorder(lane)
+    this.#forgetIdle(account, caller)
+  }
+
+  /** Removes accounts of customers that left the configuration and hold nothing. */
+  forgetCustomer (account: CustomerAccount): void {
+    if (!account.isConfigured && account.queued === 0 && account.running === 0) this.#customers.delete(account.id)
+  }
+
+  #noteShape (shapeClass: ShapeClass): void {
+    const known = this.#shapes.get(shapeClass.key)
+    if (known) known.add(shapeClass)
+    else this.#shapes.set(shapeClass.key, new Set([shapeClass]))
+  }
+
+  #dropClass (queue: UrgencyQueue, shapeClass: ShapeClass): void {
+    queue.classes.delete(shapeClass.key)
+    const classes = this.#shapes.get(shapeClass.key)
+    classes?.delete(shapeClass)
+    if (classes?.size === 0) this.#shapes.delete(shapeClass.key)
+  }
+
+  #forgetIdle (account: CustomerAccount, caller: CallerAccount): void {
+    if (caller.isIdle) account.callers.delete(caller.id)
+  }
+}
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -1,12 +1,16 @@
 import type { EndpointId, ErrorKind, JobId, TaskId } from '@ibisstair/common'
 import { asId, assertNever, invariant } from '@ibisstair/common'
 import type { Assignment, DomainShare, JobMetadata } from '@ibisstair/model'
-import { MAX_ENDED_JOBS, MAX_PLACEMENTS_PER_EVENT, MAX_START_ATTEMPTS } from './constants.ts'
-import { findFirstFit } from './first-fit.ts'
-import { Fleet } from './fleet.ts'
+import { findBestFit } from './best-fit.ts'
+import { AGEING_MS, MAX_ENDED_JOBS, MAX_PLACEMENTS_PER_EVENT, MAX_START_ATTEMPTS } from './constants.ts'
 import type { Allocation } from './entities.ts'
 import { Job } from './entities.ts'
-import { LinkedQueue } from './linked-queue.ts'
+import { findFirstFit } from './first-fit.ts'
+import { Fleet } from './fleet.ts'
+import type { Policy, Rule } from './policy.ts'
+import { PRESENT_POLICY } from './policy.ts'
+import type { CustomerAccount, ShapeClass, UrgencyQueue } from './queues.ts'
+import { JobQueues } from './queues.ts'
 import type { Decision, DomainScheduler, Explanation, FinishResult, SchedulerEvent, SchedulerStats, TaskReport } from './types.ts'
 
 /**
@@ -17,12 +21,19 @@
   readonly #fleet = new Fleet()
   readonly #jobs = new Map<JobId, Job>()
   readonly #ended = new Map<JobId, Job>()
-  readonly #fifo = new LinkedQueue<Job>()
+  readonly #queues = new JobQueues()
+  readonly #policy: Policy
+  /** Shapes for which a search at this fleet epoch failed, whoever asked. */
+  readonly #failedSearches = new Map<string, number>()
   #share: DomainShare | undefined
   #running = 0
   #decisions: Decision[] = []
   #nowMs = 0
 
+  constructor (policy: Policy = PRESENT_POLICY) {
+    this.#policy = policy
+  }
+
   handle (event: SchedulerEvent, nowMs: number): Decision[] {
     this.#nowMs = Math.max(this.#nowMs, nowMs)
     this.#decisions = []
@@ -47,7 +58,7 @@
       freeSlots += worker.freeSlots
       totalAccelerators += worker.info.accelerators
     }
-    return { queued: this.#fifo.size, running: this.#running, freeAccelerators, totalAccelerators, freeSlots, quarantined: 0 }
+    return { queued: this.#queues.size, running: this.#running, freeAccelerators, totalAccelerators, freeSlots, quarantined: 0 }
   }
 
   #apply (event: SchedulerEvent): void {
@@ -70,16 +81,23 @@
   #setShare (share: DomainShare): void {
     this.#share = share
     this.#fleet.setDrains(share.drains)
+    const configured = new Set(share.customers.map((customer) => customer.id))
+    for (const customer of share.customers) this.#queues.customerOf(customer.id).configure(customer)
+    for (const account of this.#queues.customers) {
+      if (configured.has(account.id)) continue
+      account.configure(undefined)
+      this.#queues.forgetCustomer(account)
+    }
   }
 
   #submit (jobId: JobId, meta: JobMetadata): void {
     if (this.#jobs.has(jobId)) return
     const job = new Job(jobId, meta, this.#nowMs)
     this.#jobs.set(jobId, job)
-    const known = !this.#share || this.#share.customers.some((customer) => customer.id === meta.customer)
+    const known = !this.#share || this.#queues.find(meta.customer)?.isConfigured
     if (!known) return this.#refuse(job, 'unknown-customer', `customer ${meta.customer} is not configured`)
-    job.explain(this.#nowMs, 'admitted', { queued: this.#fifo.size })
-    job.fifoNode = this.#fifo.push(job)
+    job.explain(this.#nowMs, 'admitted', { queued: this.#queues.size, urgency: meta.urgency })
+    this.#queues.add(job, false, this.#workOf(job))
   }
 
   #cancel (jobId: JobId): void {
@@ -99,6 +117,7 @@
     job.attempt = 1
     job.assignments = assignments
     const allocations = this.#allocationsOf(assignments)
+    this.#countUse(job, 1)
     const fits = allocations.every(({ worker, tasks }) => worker.freeAccelerators >= tasks * meta.shape.acceleratorsPerTask && worker.freeSlots >= tasks * meta.shape.slotsPerTask)
     if (fits) this.#fleet.allocate(job, allocations)
     job.enter('running')
@@ -151,13 +170,14 @@
   #leaveSlots (job: Job): void {
     this.#fleet.release(job)
     this.#running -= 1
+    this.#countUse(job, -1)
     job.startedAtMs = undefined
   }
 
   #requeue (job: Job): void {
     job.enter('queued')
     job.stoppingSinceMs = undefined
-    job.fifoNode = this.#fifo.pushFront(job)
+    this.#queues.add(job, true, this.#workOf(job))
   }
 
   #refuse (job: Job, kind: ErrorKind, detail: string): void {
@@ -167,7 +187,7 @@
   }
 
   #end (job: Job): void {
-    if (job.fifoNode) this.#fifo.remove(job.fifoNode)
+    this.#queues.remove(job)
     job.enter('finished')
     this.#jobs.delete(job.id)
     this.#ended.set(job.id, job)
@@ -176,9 +196,32 @@
     this.#ended.delete(oldest!)
   }
 
+  #uses (rule: Rule): boolean {
+    return this.#policy.rules.has(rule)
+  }
+
+  /** Estimated accelerator milliseconds of a job; slot-only work counts by its slots. */
+  #workOf (job: Job): number {
+    return Math.max(1, job.accelerators, job.slots) * job.meta.expectedRunMs
+  }
+
+  #countUse (job: Job, sign: 1 | -1): void {
+    const account = this.#queues.customerOf(job.meta.customer)
+    account.borrowedAccelerators += sign * job.accelerators
+    account.borrowedSlots += sign * job.slots
+    this.#queues.countUse(job, sign)
+  }
+
   #dispatch (): void {
+    if (this.#policy.order === 'arrival') return this.#dispatchInOrder()
     for (let i = 0; i < MAX_PLACEMENTS_PER_EVENT; i++) {
-      const job = this.#fifo.head?.value
+      if (!this.#placeNext()) return
+    }
+  }
+
+  #dispatchInOrder (): void {
+    for (let i = 0; i < MAX_PLACEMENTS_PER_EVENT; i++) {
+      const job = this.#queues.oldest
       if (!job) return
       const allocations = findFirstFit(this.#fleet, job.shape)
       if (!allocations) return
@@ -186,18 +229,139 @@
     }
   }
 
+  #placeNext (): boolean {
+    const open = this.#listOpenCustomers()
+    const shares = new Map(open.map((account) => [account, this.#uses('customer-fairness') ? this.#dominantShareOf(account) : 0]))
+    const isBefore = (a: CustomerAccount, b: CustomerAccount): boolean =>
+      shares.get(a) === shares.get(b) ? oldestArrivalOf(a) < oldestArrivalOf(b) : shares.get(a)! < shares.get(b)!
+    while (open.length > 0) {
+      // A search usually succeeds for the first customer, so one pass for the least share is cheaper than a sort.
+      let at = 0
+      for (let i = 1; i < open.length; i++) if (isBefore(open[i]!, open[at]!)) at = i
+      const account = open[at]!
+      open[at] = open.at(-1)!
+      open.pop()
+      if (this.#placeOf(account)) return true
+      account.blockedEpoch = this.#fleet.epoch
+    }
+    return false
+  }
+
+  /** Customers with a queued shape that may fit. */
+  #listOpenCustomers (): CustomerAccount[] {
+    const open = new Set<CustomerAccount>()
+    for (const [key, classes] of this.#queues.shapes) {
+      if (this.#hasFailed(key)) continue
+      for (const { account } of classes) if (account.blockedEpoch !== this.#fleet.epoch) open.add(account)
+    }
+    return [...open]
+  }
+
+  #hasFailed (shapeKey: string): boolean {
+    return this.#failedSearches.get(shapeKey) === this.#fleet.epoch
+  }
+
+  /** Dominant share of what a customer uses above its guarantees, divided by its priority. */
+  #dominantShareOf (account: CustomerAccount): number {
+    const byAccelerators = account.borrowedAccelerators / Math.max(1, this.#fleet.totalAccelerators)
+    const bySlots = account.borrowedSlots / Math.max(1, this.#fleet.totalSlots)
+    return Math.max(byAccelerators, bySlots) / account.priority
+  }
+
+  #placeOf (account: CustomerAccount): boolean {
+    for (const queue of this.#listByUrgency(account)) {
+      if (this.#placeFrom(account, queue)) return true
+    }
+    return false
+  }
+
+  /** The most urgent queue first, unless a less urgent one has had no start for its ageing time. */
+  #listByUrgency (account: CustomerAccount): UrgencyQueue[] {
+    const waiting = account.urgencies.filter((queue) => queue.size > 0)
+    if (waiting.length < 2) return waiting
+    if (!this.#uses('urgency')) return waiting.sort((a, b) => a.arrivals.head!.value.submittedAtMs - b.arrivals.head!.value.submittedAtMs)
+    if (!this.#uses('ageing')) return waiting
+    const aged = waiting.filter((queue) => this.#isAged(queue, account.urgencies.indexOf(queue)))
+    return [...aged, ...waiting.filter((queue) => !aged.includes(queue))]
+  }
+
+  #isAged (queue: UrgencyQueue, urgencyIndex: number): boolean {
+    const waitingSinceMs = Math.max(queue.arrivals.head!.value.submittedAtMs, queue.lastStartMs)
+    return this.#nowMs - waitingSinceMs >= AGEING_MS[urgencyIndex]!
+  }
+
+  #placeFrom (account: CustomerAccount, queue: UrgencyQueue): boolean {
+    for (let i = 0; i < queue.classes.size; i++) {
+      const shapeClass = this.#pickClass(queue)
+      if (!shapeClass) return false
+      const job = shapeClass.next(this.#uses('caller-fairness'))!
+      const allocations = this.#search(job)
+      if (allocations) {
+        this.#place(job, allocations, this.#uses('customer-fairness') ? 'dominant-resource-fairness' : 'arrival-order')
+        return true
+      }
+      shapeClass.blockedEpoch = this.#fleet.epoch
+    }
+    return false
+  }
+
+  /** Among the shapes that may fit, the one whose next caller has the least. */
+  #pickClass (queue: UrgencyQueue): ShapeClass | undefined {
+    const fair = this.#uses('caller-fairness')
+    let best: ShapeClass | undefined
+    let bestJob: Job | undefined
+    for (const shapeClass of queue.classes.values()) {
+      if (shapeClass.blockedEpoch === this.#fleet.epoch || this.#hasFailed(shapeClass.key)) continue
+      const job = shapeClass.next(fair)!
+      if (bestJob && !this.#isBefore(job, bestJob, fair)) continue
+      best = shapeClass
+      bestJob = job
+    }
+    return best
+  }
+
+  #isBefore (a: Job, b: Job, fair: boolean): boolean {
+    if (!fair) return a.submittedAtMs < b.submittedAtMs
+    const account = this.#queues.customerOf(a.meta.customer)
+    const useOfA = account.callerOf(a.meta.caller).accelerators
+    const useOfB = account.callerOf(b.meta.caller).accelerators
+    return useOfA === useOfB ? a.submittedAtMs < b.submittedAtMs : useOfA < useOfB
+  }
+
+  #search (job: Job): readonly Allocation[] | undefined {
+    if (this.#hasFailed(job.shapeKey)) return undefined
+    const found = this.#uses('best-fit') ? findBestFit(this.#fleet, job.shape) : findFirstFit(this.#fleet, job.shape)
+    if (!found) this.#noteFailedSearch(job.shapeKey)
+    return found
+  }
+
+  #noteFailedSearch (shapeKey: string): void {
+    if (this.#failedSearches.size >= MAX_REMEMBERED_SHAPES) this.#failedSearches.clear()
+    this.#failedSearches.set(shapeKey, this.#fleet.epoch)
+  }
+
   #place (job: Job, allocations: readonly Allocation[], rule: string): void {
-    if (job.fifoNode) this.#fifo.remove(job.fifoNode)
+    this.#queues.remove(job)
     this.#fleet.allocate(job, allocations)
     job.enter('starting')
+    this.#queues.customerOf(job.meta.customer).urgencies[job.urgencyIndex]!.lastStartMs = this.#nowMs
     job.attempt += 1
     this.#running += 1
+    this.#countUse(job, 1)
     job.assignments = assignTasks(job, allocations)
     job.explain(this.#nowMs, rule, { waitMs: this.#nowMs - job.submittedAtMs, attempt: job.attempt })
     this.#decisions.push({ type: 'place', jobId: job.id, attempt: job.attempt, assignments: job.assignments, rule })
   }
 }
 
+const MAX_REMEMBERED_SHAPES = 1000
+
+const oldestArrivalOf = (account: CustomerAccount): number => {
+  let oldest = Infinity
+  for (const queue of account.urgencies) oldest = Math.min(oldest, queue.arrivals.head?.value.submittedAtMs ?? Infinity)
+  return oldest
+}
+
 const kindOfEnd = (result: FinishResult): ErrorKind => {
   if (result === 'lost') return 'outcome-unknown'
   return result === 'preempted' ? 'preempted' : 'task-failed'
