scheduler: search each waiting shape once and keep customers in a heap

An event looked at every customer and class that waited: 97 us with 10,000 queued jobs at 1,700 workers against 16 us with 100. A search for borrowed capacity does not depend on the customer, so each shape is searched once after a change, and each shape keeps its customers in a heap by share.

--- a/packages/scheduler/src/queues.ts
+++ b/packages/scheduler/src/queues.ts
@@ -39,6 +39,9 @@
   return useOfA === useOfB ? a.lastServed < b.lastServed : useOfA < useOfB
 }
 
+const isCustomerBefore = (a: CustomerAccount, b: CustomerAccount): boolean =>
+  a.shareKey === b.shareKey ? a.lastServed < b.lastServed : a.shareKey < b.shareKey
+
 /** Queued jobs of one customer, urgency and shape. */
 export class ShapeClass {
   readonly arrivals = new LinkedQueue<Job>()
@@ -93,7 +96,7 @@
     const known = this.classes.get(job.shapeKey)
     if (known) return known
     // Callers choose shapes freely; beyond the limit they share one class and wait in its order.
-    const key = this.classes.size < MAX_SHAPE_CLASSES ? job.shapeKey : MIXED_SHAPES
+    const key = this.classes.size < MAX_SHAPE_CLASSES ? job.shapeKey : `${MIXED_SHAPES}:${this.account.id}`
     const shared = this.classes.get(key)
     if (shared) return shared
     const shapeClass = new ShapeClass(key, this.account)
@@ -113,8 +116,9 @@
   borrowedAccelerators = 0
   borrowedSlots = 0
   running = 0
-  /** Fleet epoch at which nothing of this customer could be placed. */
-  blockedEpoch = -1
+  /** Order among customers: weighted dominant share of the use above the guarantees. */
+  shareKey = 0
+  lastServed = 0
 
   constructor (readonly id: CustomerId) {}
 
@@ -140,10 +144,9 @@
 /** All queued jobs, indexed so that adding, removing and choosing do not depend on their number. */
 export class JobQueues {
   readonly #customers = new Map<CustomerId, CustomerAccount>()
-  readonly #active = new Set<CustomerAccount>()
   readonly #arrivals = new LinkedQueue<Job>()
   readonly #memberships = new Map<Job, { readonly account: CustomerAccount, readonly queue: UrgencyQueue, readonly lane: Lane }>()
-  readonly #shapes = new Map<string, Set<ShapeClass>>()
+  readonly #shapes = new Map<string, IndexedHeap<ShapeClass>>()
   #served = 0
 
   get size (): number {
@@ -154,13 +157,8 @@
     return this.#arrivals.head?.value
   }
 
-  /** Customers with queued jobs. */
-  get active (): ReadonlySet<CustomerAccount> {
-    return this.#active
-  }
-
-  /** Classes with queued jobs by shape, so that a shape that fits nowhere is skipped for all customers at once. */
-  get shapes (): ReadonlyMap<string, ReadonlySet<ShapeClass>> {
+  /** Classes with queued jobs by shape, the customer that is next first: a shape that fits nowhere is skipped for all. */
+  get shapes (): ReadonlyMap<string, IndexedHeap<ShapeClass>> {
     return this.#shapes
   }
 
@@ -195,14 +193,12 @@
     job.queueNodes = lists.map((list) => atFront ? list.pushFront(job) : list.push(job))
     job.queuedWork = work
     this.#memberships.set(job, { account, queue, lane })
-    this.#active.add(account)
     this.#noteShape(shapeClass)
     caller.queued += 1
     caller.queuedByUrgency[job.urgencyIndex]! += 1
     caller.workByUrgency[job.urgencyIndex]! += work
     queue.work += work
     shapeClass.blockedEpoch = -1
-    account.blockedEpoch = -1
   }
 
   remove (job: Job): void {
@@ -219,7 +215,6 @@
     queue.work = queue.size === 0 ? 0 : queue.work - job.queuedWork
     if (lane.jobs.size === 0) shapeClass.drop(lane)
     if (shapeClass.arrivals.size === 0) this.#dropClass(queue, shapeClass)
-    if (account.queued === 0) this.#active.delete(account)
     this.#forgetIdle(account, caller)
   }
 
@@ -230,7 +225,7 @@
     account.running += sign
     caller.accelerators += sign * job.accelerators
     caller.slots += sign * job.slots
-    if (sign === 1) caller.lastServed = ++this.#served
+    if (sign === 1) caller.lastServed = account.lastServed = ++this.#served
     for (const lane of caller.lanes) lane.shapeClass.reorder(lane)
     this.#forgetIdle(account, caller)
   }
@@ -240,17 +235,28 @@
     if (!account.isConfigured && account.queued === 0 && account.running === 0) this.#customers.delete(account.id)
   }
 
+  /** Moves a customer in the order after its share changed. */
+  setShareKey (account: CustomerAccount, key: number): void {
+    account.shareKey = key
+    for (const queue of account.urgencies) {
+      for (const shapeClass of queue.classes.values()) this.#shapes.get(shapeClass.key)!.update(shapeClass)
+    }
+  }
+
   #noteShape (shapeClass: ShapeClass): void {
+    if (shapeClass.arrivals.size > 1) return
     const known = this.#shapes.get(shapeClass.key)
-    if (known) known.add(shapeClass)
-    else this.#shapes.set(shapeClass.key, new Set([shapeClass]))
+    if (known) return known.push(shapeClass)
+    const heap = new IndexedHeap<ShapeClass>((a, b) => isCustomerBefore(a.account, b.account))
+    this.#shapes.set(shapeClass.key, heap)
+    heap.push(shapeClass)
   }
 
   #dropClass (queue: UrgencyQueue, shapeClass: ShapeClass): void {
     queue.classes.delete(shapeClass.key)
-    const classes = this.#shapes.get(shapeClass.key)
-    classes?.delete(shapeClass)
-    if (classes?.size === 0) this.#shapes.delete(shapeClass.key)
+    const heap = this.#shapes.get(shapeClass.key)!
+    heap.remove(shapeClass)
+    if (heap.size === 0) this.#shapes.delete(shapeClass.key)
   }
 
   #forgetIdle (account: CustomerAccount, caller: CallerAccount): void {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -25,7 +25,10 @@
   readonly #policy: Policy
   /** Shapes for which a search at this fleet epoch failed, whoever asked. */
   readonly #failedSearches = new Map<string, number>()
+  /** Searches that succeeded since the last placement. */
+  readonly #foundSearches = new Map<string, readonly Allocation[]>()
   #share: DomainShare | undefined
+  #layoutVersion = -1
   #running = 0
   #decisions: Decision[] = []
   #nowMs = 0
@@ -210,15 +213,28 @@
     account.borrowedAccelerators += sign * job.accelerators
     account.borrowedSlots += sign * job.slots
     this.#queues.countUse(job, sign)
+    this.#updateShare(account)
+  }
+
+  #updateShare (account: CustomerAccount): void {
+    this.#queues.setShareKey(account, this.#uses('customer-fairness') ? this.#dominantShareOf(account) : 0)
   }
 
   #dispatch (): void {
     if (this.#policy.order === 'arrival') return this.#dispatchInOrder()
+    this.#followLayout()
     for (let i = 0; i < MAX_PLACEMENTS_PER_EVENT; i++) {
       if (!this.#placeNext()) return
     }
   }
 
+  /** Shares are relative to the capacity, so that all of them change with it. */
+  #followLayout (): void {
+    if (this.#layoutVersion === this.#fleet.layoutVersion) return
+    this.#layoutVersion = this.#fleet.layoutVersion
+    for (const account of this.#queues.customers) this.#updateShare(account)
+  }
+
   #dispatchInOrder (): void {
     for (let i = 0; i < MAX_PLACEMENTS_PER_EVENT; i++) {
       const job = this.#queues.oldest
@@ -230,31 +246,27 @@
   }
 
   #placeNext (): boolean {
-    const open = this.#listOpenCustomers()
-    const shares = new Map(open.map((account) => [account, this.#uses('customer-fairness') ? this.#dominantShareOf(account) : 0]))
-    const isBefore = (a: CustomerAccount, b: CustomerAccount): boolean =>
-      shares.get(a) === shares.get(b) ? oldestArrivalOf(a) < oldestArrivalOf(b) : shares.get(a)! < shares.get(b)!
-    while (open.length > 0) {
-      // A search usually succeeds for the first customer, so one pass for the least share is cheaper than a sort.
-      let at = 0
-      for (let i = 1; i < open.length; i++) if (isBefore(open[i]!, open[at]!)) at = i
-      const account = open[at]!
-      open[at] = open.at(-1)!
-      open.pop()
-      if (this.#placeOf(account)) return true
-      account.blockedEpoch = this.#fleet.epoch
+    this.#foundSearches.clear()
+    let next: CustomerAccount | undefined
+    for (const heap of this.#queues.shapes.values()) {
+      const shapeClass = heap.peek()!
+      if (!this.#mayFit(shapeClass)) continue
+      if (!this.#search(shapeClass.next(this.#uses('caller-fairness'))!)) {
+        shapeClass.blockedEpoch = this.#fleet.epoch
+        continue
+      }
+      if (!next || this.#isNext(shapeClass.account, next)) next = shapeClass.account
     }
-    return false
+    return next !== undefined && this.#placeOf(next)
   }
 
-  /** Customers with a queued shape that may fit. */
-  #listOpenCustomers (): CustomerAccount[] {
-    const open = new Set<CustomerAccount>()
-    for (const [key, classes] of this.#queues.shapes) {
-      if (this.#hasFailed(key)) continue
-      for (const { account } of classes) if (account.blockedEpoch !== this.#fleet.epoch) open.add(account)
-    }
-    return [...open]
+  #isNext (a: CustomerAccount, b: CustomerAccount): boolean {
+    if (a === b) return false
+    return a.shareKey === b.shareKey ? a.lastServed < b.lastServed : a.shareKey < b.shareKey
+  }
+
+  #mayFit (shapeClass: ShapeClass): boolean {
+    return shapeClass.blockedEpoch !== this.#fleet.epoch && !this.#hasFailed(shapeClass.key)
   }
 
   #hasFailed (shapeKey: string): boolean {
@@ -311,7 +323,7 @@
     let best: ShapeClass | undefined
     let bestJob: Job | undefined
     for (const shapeClass of queue.classes.values()) {
-      if (shapeClass.blockedEpoch === this.#fleet.epoch || this.#hasFailed(shapeClass.key)) continue
+      if (!this.#mayFit(shapeClass)) continue
       const job = shapeClass.next(fair)!
       if (bestJob && !this.#isBefore(job, bestJob, fair)) continue
       best = shapeClass
@@ -330,8 +342,11 @@
 
   #search (job: Job): readonly Allocation[] | undefined {
     if (this.#hasFailed(job.shapeKey)) return undefined
+    const known = this.#foundSearches.get(job.shapeKey)
+    if (known) return known
     const found = this.#uses('best-fit') ? findBestFit(this.#fleet, job.shape) : findFirstFit(this.#fleet, job.shape)
-    if (!found) this.#noteFailedSearch(job.shapeKey)
+    if (found) this.#foundSearches.set(job.shapeKey, found)
+    else this.#noteFailedSearch(job.shapeKey)
     return found
   }
 
@@ -356,12 +371,6 @@
 
 const MAX_REMEMBERED_SHAPES = 1000
 
-const oldestArrivalOf = (account: CustomerAccount): number => {
-  let oldest = Infinity
-  for (const queue of account.urgencies) oldest = Math.min(oldest, queue.arrivals.head?.value.submittedAtMs ?? Infinity)
-  return oldest
-}
-
 const kindOfEnd = (result: FinishResult): ErrorKind => {
   if (result === 'lost') return 'outcome-unknown'
   return result === 'preempted' ? 'preempted' : 'task-failed'
