operator-client: add the client of the operators' interface and the configuration edits

Cause: the command-line tools need one implementation of resends, truthful outcomes and the changes that operators make. Change: OperatorClient tries the entries in turn, twice, with identical bytes; an error says "not run" only when no attempt can have had its effect or the register has answered for the change id. Edits compute a ConfigDelta from the configuration in force. The package is placed after rpc, whose sendHttp it uses. Ruled out: an automatic retry after a version conflict, because a change that was computed from an older version may no longer be what the operator wants. Removing what an applied file does not list by default, because a file generated for one new team lists that team only; pruning is a separate choice.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,6 +1,6 @@
 const ORDER = [
   'common', 'timers', 'telemetry', 'settings', 'model', 'storage', 'consensus', 'registers',
-  'membership', 'scheduler', 'gang', 'rpc', 'endpoint-client', 'config-sync', 'gateway', 'control'
+  'membership', 'scheduler', 'gang', 'rpc', 'operator-client', 'endpoint-client', 'config-sync', 'gateway', 'control'
 ]
 
 const layered = ORDER.map((name, i) => ({
--- /dev/null
+++ b/packages/operator-client/src/index.ts
@@ -0,0 +1,7 @@
+export * from './client.ts'
+export * from './constants.ts'
+export * from './edits.ts'
+export * from './files.ts'
+export * from './submit.ts'
+export * from './targets.ts'
+export * from './types.ts'
