--- a/packages/settings/src/command-line.ts
+++ b/packages/settings/src/command-line.ts
@@ -71,11 +71,21 @@
     return text === undefined ? undefined : parseInteger(text, `--${name}`, min, max)
   }
 
+  getNumber (name: string, min: number, max: number): number | undefined {
+    const text = this.getString(name)
+    return text === undefined ? undefined : parseNumber(text, `--${name}`, min, max)
+  }
+
   getChoice<T extends string>(name: string, choices: readonly T[], fallback: T): T {
     const value = this.getString(name)
     return value === undefined ? fallback : parseChoice(value, `--${name}`, choices)
   }
 
+  /** Names of the options that are given. */
+  get optionNames (): readonly string[] {
+    return Object.keys(this.#values)
+  }
+
   /** Path of the settings file of a daemon. */
   get settingsFile (): string {
     return this.getRequired('settings')
@@ -93,6 +103,13 @@
   throw new UsageError(`${what}: got ${text}, accepted is a whole number from ${min} to ${max}`)
 }
 
+/** A decimal number; the limits are accepted values. */
+export const parseNumber = (text: string, what: string, min: number, max: number): number => {
+  const value = /^-?\d{1,15}(\.\d{1,15})?$/.test(text) ? Number(text) : NaN
+  if (value >= min && value <= max) return value
+  throw new UsageError(`${what}: got ${text}, accepted is a number from ${min} to ${max}`)
+}
+
 export const parseChoice = <T extends string>(text: string, what: string, choices: readonly T[]): T => {
   const choice = choices.find((item) => item === text)
   if (choice !== undefined) return choice
--- a/packages/settings/src/run-main.ts
+++ b/packages/settings/src/run-main.ts
@@ -1,4 +1,4 @@
-import { IbisError } from '@ibisstair/common'
+import { ERROR_TABLE, IbisError } from '@ibisstair/common'
 import { parseCommandLine, type CommandLine, type CommandSpec } from './command-line.ts'
 import { EXIT_OK } from './constants.ts'
 import { exitCodeOf, SettingsError, UsageError } from './errors.ts'
@@ -23,7 +23,7 @@
 
 const describe = (err: unknown): string => {
   if (err instanceof UsageError || err instanceof SettingsError) return err.message
-  if (err instanceof IbisError) return `${err.kind}: ${err.message}`
+  if (err instanceof IbisError) return `${err.kind}: ${err.message}\n${ERROR_TABLE[err.kind].advice}`
   return err instanceof Error ? (err.stack ?? err.message) : String(err)
 }
 
--- a/packages/settings/tests/command-line.test.ts
+++ b/packages/settings/tests/command-line.test.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs'
 import t from 'tap'
 import { IbisError } from '@ibisstair/common'
-import { parseCommandLine, runMain, SettingsError, UsageError, VERSION, type CommandSpec, type MainProcess } from '../src/index.ts'
+import { formatTable, parseCommandLine, runMain, SettingsError, UsageError, VERSION, type CommandSpec, type MainProcess } from '../src/index.ts'
 
 const SPEC: CommandSpec = {
   name: 'ibisstair-sample',
@@ -38,6 +38,8 @@
   t.same(command.getStrings('entry'), ['a', 'b'])
   t.same(command.positionals, ['file'])
   t.equal(command.getInteger('limit', 1, 9), 5)
+  t.equal(command.getNumber('limit', 0, 9), 5)
+  t.same([...command.optionNames].sort(), ['entry', 'limit'])
   t.equal(command.getChoice('format', ['text', 'json'], 'text'), 'text')
   const daemon = parse(DAEMON, '--settings', 'f.yaml', '--check')
   t.equal(daemon.settingsFile, 'f.yaml')
@@ -50,6 +52,8 @@
   t.throws(() => parse(SPEC, 'a', 'b'), { message: 'unexpected argument b' })
   t.throws(() => parse(SPEC, '--format', 'text', '--format', 'json'), { message: '--format is given more than once' })
   t.throws(() => parse(SPEC, '--limit', '1e1').getInteger('limit', 1, 9), { message: '--limit: got 1e1, accepted is a whole number from 1 to 9' })
+  t.throws(() => parse(SPEC, '--limit', '0x5').getNumber('limit', 0, 9), { message: '--limit: got 0x5, accepted is a number from 0 to 9' })
+  t.throws(() => parse(SPEC, '--limit', '9.5').getNumber('limit', 0, 9), { message: '--limit: got 9.5, accepted is a number from 0 to 9' })
   t.throws(() => parse(SPEC, '--format', 'xml').getChoice('format', ['text', 'json'], 'text'), { message: '--format: got xml, accepted is text, json' })
   t.throws(() => parse(DAEMON), { message: '--settings is required' })
 })
@@ -74,9 +78,13 @@
   t.equal(await codeOf(() => { throw new IbisError('data-damaged', 'log-1 at offset 9') }), 4)
 })
 
-t.test('an error goes to the standard error output with the name of the binary', async (t) => {
+t.test('an error goes to the standard error output with the name of the binary and the advice', async (t) => {
   const result = await runWith(SPEC, [], () => { throw new IbisError('data-damaged', 'log-1 at offset 9') })
-  t.equal(result.err, 'ibisstair-sample: data-damaged: log-1 at offset 9\n')
+  t.equal(result.err, 'ibisstair-sample: data-damaged: log-1 at offset 9\nRemove the data folder of this voter and let it rejoin from the others.\n')
   t.equal(result.out, '')
   t.ok(result.now)
 })
+
+t.test('columns of a table are aligned without trailing spaces', async (t) => {
+  t.equal(formatTable(['name', 'size'], [['a', '10'], ['longer', '1']]), 'name    size\na       10\nlonger  1\n')
+})
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,43 @@
+// Bundles every binary into dist/ibisstair-<name>.mjs, or those named on the command line.
+import { build } from 'esbuild'
+import { chmodSync, existsSync, readdirSync } from 'node:fs'
+import { fileURLToPath } from 'node:url'
+
+const root = fileURLToPath(new URL('..', import.meta.url))
+
+// io_uring has to be disabled before Node.js starts. Bundled CommonJS packages call `require`,
+// which an ES module does not have.
+const BANNER = [
+  '#!/usr/bin/env -S UV_USE_IO_URING=0 node',
+  "import { createRequire as createRequireOfBundle } from 'node:module'",
+  'const require = createRequireOfBundle(import.meta.url)'
+].join('\n')
+
+const findApps = () => readdirSync(`${root}apps`).filter((name) => existsSync(`${root}apps/${name}/src/main.ts`))
+
+/** Returns the path of the bundle. */
+export const buildApp = async (name, outDir = `${root}dist`) => {
+  const outfile = `${outDir}/ibisstair-${name}.mjs`
+  await build({
+    absWorkingDir: root,
+    entryPoints: [`apps/${name}/src/main.ts`],
+    outfile,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'esm',
+    minify: true,
+    // Names of error classes appear in messages and logs.
+    keepNames: true,
+    sourcemap: true,
+    banner: { js: BANNER },
+    logLevel: 'warning'
+  })
+  chmodSync(outfile, 0o755)
+  return outfile
+}
+
+if (process.argv[1] === fileURLToPath(import.meta.url)) {
+  const wanted = process.argv.slice(2)
+  for (const name of wanted.length > 0 ? wanted : findApps()) console.log(await buildApp(name))
+}
