--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,6 +1,7 @@
 const ORDER = [
-  'common', 'timers', 'telemetry', 'settings', 'model', 'storage', 'consensus', 'registers',
-  'membership', 'scheduler', 'endpoint-tasks', 'gang', 'rpc', 'endpoint-client', 'config-sync', 'gateway', 'control'
+  'common', 'timers', 'telemetry', 'settings', 'model', 'questionnaire', 'operator-client', 'storage', 'consensus',
+  'registers', 'membership', 'scheduler', 'endpoint-tasks', 'gang', 'rpc', 'endpoint-client', 'config-sync', 'gateway',
+  'control'
 ]
 
 const layered = ORDER.map((name, i) => ({
