gang: add randomised runs of gangs against task tables

Cause: the promises on gang starts need runs under lost, doubled, delayed and reordered messages and under dead, frozen and doubled leaders.

--- a/packages/endpoint-tasks/src/constants.ts
+++ b/packages/endpoint-tasks/src/constants.ts
@@ -9,3 +9,5 @@
 export const UNACKNOWLEDGED_TTL_MS = 10 * 60 * 1000
 /** Longest delay of a stop message that the comparison of its age with forgotten tasks allows for. */
 export const STOP_DELAY_MARGIN_MS = 60 * 1000
+/** Reason of a refusal that the client itself reports: the connection was refused, so nothing was delivered. */
+export const CONNECTION_REFUSED = 'connection refused'
--- a/packages/gang/src/gang.ts
+++ b/packages/gang/src/gang.ts
@@ -34,6 +34,8 @@
   readonly #unsafe: NonNullable<GangOptions['unsafe']>
   readonly #members: readonly Member[]
   readonly #isSingle: boolean
+  /** False for an adopted gang of which some endpoints have not reported; it cannot continue. */
+  readonly #isComplete: boolean
   #phase: GangPhase = 'new'
   #nowMs = -Infinity
   #beganMs = 0
@@ -50,7 +52,8 @@
 
   private constructor (spec: GangSpec, origin: Origin, options: GangOptions) {
     invariant(spec.assignments.length > 0, 'a gang has members', spec.jobId)
-    invariant(spec.assignments.length === spec.request.shape.tasks, 'a gang has one member for each task', spec.jobId)
+    this.#isComplete = spec.assignments.length === spec.request.shape.tasks
+    invariant(origin === 'adopt' || this.#isComplete, 'a gang has one member for each task', spec.jobId)
     this.spec = spec
     this.#origin = origin
     this.#unsafe = options.unsafe ?? {}
@@ -65,7 +68,8 @@
 
   /**
    * A gang that a previous leader started, with the members' states as the endpoints report them, in
-   * the order of the assignments. It continues if every member runs or is done; otherwise it is stopped.
+   * the order of the assignments. It continues if every member runs or is done; otherwise, also when
+   * members are missing from the assignments, it is stopped.
    */
   static adopt (spec: GangSpec, views: readonly (TaskView | undefined)[], options: GangOptions = {}): Gang {
     const gang = new Gang(spec, 'adopt', options)
@@ -152,7 +156,7 @@
       this.#phaseEndMs = this.#nowMs + 2 * this.spec.callMs
       return this.#callAll('query')
     }
-    if (this.#members.every((member) => member.isActive)) {
+    if (this.#isComplete && this.#members.every((member) => member.isActive)) {
       this.#phase = 'running'
       return
     }
@@ -185,6 +189,7 @@
     const member = this.#findMember(index)
     if (!member) return
     if (result.status === 'unknown') return this.#onUnanswered(member, operation)
+    const call = member.call
     if (member.call?.operation === operation) member.call = undefined
     if (result.task) member.learn(result.task, this.#nowMs)
     if (result.status === 'refused') member.learnRefusal(result.reason, operation)
@@ -204,6 +209,11 @@
         return
       case 'stop':
         if (result.status === 'ok') member.learnStop(result.task)
+        // The endpoint could not fence the task, or the call did not reach it.
+        else if (!member.fenced && call?.operation === 'stop') {
+          member.call = call
+          this.#onUnanswered(member, 'stop')
+        }
         return
       case 'ack':
         member.acknowledged = true
@@ -430,7 +440,7 @@
     if (operation === 'reserve' || operation === 'arm') member.heldUntilMs = now + callMs + reservationMs
     if (operation === 'arm') member.armSentMs = now
     if (operation === 'start' || operation === 'run') {
-      member.startSent = true
+      member.startsSent += 1
       member.heldUntilMs = now + callMs + leaseMs
     }
     const { index } = member.assignment
@@ -479,7 +489,7 @@
       this.#members.every((member) => this.#isProvenNotRun(member))
     const isEarly = isDecided && waiting.every(({ stopAttempts }) => stopAttempts > 0)
     if (waiting.length > 0 && !isEarly) return
-    if (this.#members.every(({ isDone }) => isDone)) return this.#finishDone()
+    if (this.#isComplete && this.#members.every(({ isDone }) => isDone)) return this.#finishDone()
     this.#reportStopped()
   }
 
@@ -487,7 +497,7 @@
     const cause = this.#cause
     invariant(cause, 'a stopped gang has a cause', this.spec.jobId)
     if (this.#members.some(({ end }) => end?.type === 'failed')) return this.#finishFailed()
-    const isNotRun = this.#members.every((member) => this.#isProvenNotRun(member))
+    const isNotRun = this.#isComplete && this.#members.every((member) => this.#isProvenNotRun(member))
     if (this.#cancelled || cause.type === 'cancelled') return this.#finish({ state: 'cancelled', everStarted: !isNotRun })
     if (isNotRun) return this.#reportNotStarted(cause.type === 'refused' ? cause.error : undefined)
     if (cause.type === 'preempted') return this.#finish({ state: 'preempted' })
@@ -514,6 +524,7 @@
   }
 
   #finishDone (): void {
+    invariant(this.#isComplete, 'no partial result', this.spec.jobId)
     const answers = this.#members.map(({ assignment, end }) => {
       invariant(end?.type === 'done', 'a result holds the answer of every member', this.spec.jobId)
       return { index: assignment.index, body: end.answer, bytes: end.bytes, runMs: end.runMs }
@@ -549,7 +560,7 @@
 
   #assertNotRun (): void {
     if (this.#unsafe.noStopProof) return
-    const isProven = this.#members.every((member) => !member.started && !member.end?.everStarted &&
+    const isProven = this.#isComplete && this.#members.every((member) => !member.started && !member.end?.everStarted &&
       (member.neverStarted || (this.#origin === 'create' && !member.startSent)))
     invariant(isProven, '"not run" is claimed only when every member is known never to have started', this.spec.jobId)
   }
--- a/packages/gang/src/member.ts
+++ b/packages/gang/src/member.ts
@@ -1,4 +1,4 @@
-import type { EndpointOperation, TaskView } from '@ibisstair/endpoint-tasks'
+import { CONNECTION_REFUSED, type EndpointOperation, type TaskView } from '@ibisstair/endpoint-tasks'
 import { MAX_TASK_ANSWER_BYTES, type Assignment } from '@ibisstair/model'
 
 export interface PendingCall {
@@ -24,7 +24,9 @@
   reserved = false
   armed = false
   armSentMs = 0
-  startSent = false
+  startsSent = 0
+  /** Starts that the client could not deliver, because the connection was refused. */
+  startsUndelivered = 0
   /** The task is known to have started at some time. */
   started = false
   /** A fence or a terminal state confirmed that the task never ran and never will. */
@@ -46,6 +48,11 @@
     this.assignment = assignment
   }
 
+  /** A start may have reached the endpoint. */
+  get startSent (): boolean {
+    return this.startsSent > this.startsUndelivered
+  }
+
   get isDone (): boolean {
     return this.end?.type === 'done'
   }
@@ -97,6 +104,7 @@
   }
 
   learnRefusal (reason: string, operation: EndpointOperation): void {
+    if (reason === CONNECTION_REFUSED && (operation === 'start' || operation === 'run')) this.startsUndelivered += 1
     // A task of an earlier incarnation ended with it; a forgotten one is fenced by the same answer.
     if (reason !== 'wrong-incarnation' && !(reason === 'forgotten' && operation === 'stop')) return
     this.fenced = true
--- /dev/null
+++ b/packages/gang/tests/support/endpoint.ts
@@ -0,0 +1,138 @@
+import { asId, type EndpointId, type TaskId } from '@ibisstair/common'
+import { TaskTable, type TaskEffect, type TaskGrant, type TaskTableProtection } from '@ibisstair/endpoint-tasks'
+import type { ManualTimerService, RandomSource, Unsubscribe } from '@ibisstair/timers'
+
+/** One execution of a task, as the endpoint's own record shows it. */
+export interface Execution {
+  readonly jobId: string
+  readonly attempt: number
+  readonly index: number
+  readonly taskId: TaskId
+  readonly startMs: number
+  endMs: number | undefined
+  how: 'done' | 'failed' | 'stopped' | 'killed' | undefined
+}
+
+/** What the payload tells the executor to do. */
+export interface Work {
+  readonly runMs: number
+  readonly fails: boolean
+  readonly ignoresCheckpoint: boolean
+  readonly answerBytes: number
+}
+
+export const toAnswer = (grant: TaskGrant, work: Work): unknown =>
+  ({ from: `${grant.jobId}/${grant.index}`, fill: 'x'.repeat(work.answerBytes) })
+
+/** Runs the effects of a TaskTable on virtual time and keeps a record of what ran. */
+export class FakeEndpoint {
+  readonly id: EndpointId
+  readonly slots: number
+  table: TaskTable
+  isUp = true
+  hungUntilMs = 0
+  readonly executions: Execution[]
+  readonly #timers: ManualTimerService
+  readonly #random: RandomSource
+  readonly #clockOffsetMs: number
+  readonly #unsafe: Partial<Record<TaskTableProtection, boolean>>
+  readonly #running = new Map<TaskId, { execution: Execution, cancel: Unsubscribe, work: Work }>()
+  #incarnation = 1
+  #deadline: Unsubscribe = () => {}
+
+  constructor (name: string, slots: number, executions: Execution[], timers: ManualTimerService, random: RandomSource, unsafe: Partial<Record<TaskTableProtection, boolean>>) {
+    this.id = asId(name)
+    this.slots = slots
+    this.executions = executions
+    this.#timers = timers
+    this.#random = random
+    this.#clockOffsetMs = random.int(0, 1_000_000)
+    this.#unsafe = unsafe
+    this.table = this.#createTable()
+  }
+
+  get incarnation (): number {
+    return this.#incarnation
+  }
+
+  /** The endpoint's own clock. */
+  now (): number {
+    return this.#timers.now() + this.#clockOffsetMs
+  }
+
+  kill (): void {
+    this.isUp = false
+    this.#deadline()
+    for (const taskId of [...this.#running.keys()]) this.#stopExecution(taskId, 'killed')
+  }
+
+  restart (): void {
+    if (this.isUp) return
+    this.#incarnation += 1
+    this.table = this.#createTable()
+    this.isUp = true
+  }
+
+  apply (effects: readonly TaskEffect[]): void {
+    for (const effect of effects) {
+      switch (effect.type) {
+        case 'execute':
+          this.#execute(effect.taskId, effect.grant, effect.payload as Work)
+          break
+        case 'kill':
+          this.#stopExecution(effect.taskId, 'stopped')
+          break
+        case 'checkpoint': {
+          const running = this.#running.get(effect.taskId)
+          if (running && !running.work.ignoresCheckpoint) this.#timers.subscribe(this.#random.int(10, 1_500), () => this.table.markCheckpointed(effect.taskId))
+          break
+        }
+        default:
+      }
+    }
+    this.#scheduleDeadline()
+  }
+
+  #createTable (): TaskTable {
+    return new TaskTable({
+      endpointId: this.id,
+      incarnation: this.#incarnation,
+      slots: this.slots,
+      accelerators: this.slots,
+      unsafe: this.#unsafe
+    })
+  }
+
+  #execute (taskId: TaskId, grant: TaskGrant, work: Work): void {
+    const execution: Execution = {
+      jobId: grant.jobId, attempt: grant.attempt, index: grant.index, taskId, startMs: this.#timers.now(), endMs: undefined, how: undefined
+    }
+    this.executions.push(execution)
+    const runMs = work.runMs + this.#random.int(0, 300)
+    const cancel = this.#timers.subscribe(runMs, () => {
+      execution.endMs = this.#timers.now()
+      execution.how = work.fails ? 'failed' : 'done'
+      this.#running.delete(taskId)
+      this.apply(this.table.complete(taskId, work.fails ? { state: 'failed', error: 'boom' } : { state: 'done', answer: toAnswer(grant, work) }, this.now()))
+    })
+    this.#running.set(taskId, { execution, cancel, work })
+  }
+
+  #stopExecution (taskId: TaskId, how: 'stopped' | 'killed'): void {
+    const running = this.#running.get(taskId)
+    if (!running) return
+    running.cancel()
+    running.execution.endMs = this.#timers.now()
+    running.execution.how = how
+    this.#running.delete(taskId)
+  }
+
+  #scheduleDeadline (): void {
+    this.#deadline()
+    const next = this.table.getNextDeadlineMs()
+    if (next === undefined) return
+    this.#deadline = this.#timers.subscribe(next - this.now(), () => {
+      if (this.isUp) this.apply(this.table.advance(this.now()))
+    })
+  }
+}
--- /dev/null
+++ b/packages/gang/tests/support/scenario.ts
@@ -0,0 +1,74 @@
+import fc from 'fast-check'
+import { World, type Fault, type JobPlan, type Scenario, type Unsafe } from './world.ts'
+
+const time = (max: number): fc.Arbitrary<number> => fc.integer({ min: 0, max })
+
+const job: fc.Arbitrary<JobPlan> = fc.record({
+  atMs: time(10_000),
+  tasks: fc.integer({ min: 1, max: 3 }),
+  idempotent: fc.boolean(),
+  work: fc.record({
+    runMs: fc.oneof(time(500), time(20_000)),
+    fails: fc.integer({ min: 0, max: 9 }).map((n) => n === 0),
+    ignoresCheckpoint: fc.boolean(),
+    answerBytes: fc.oneof({ weight: 9, arbitrary: time(100) }, { weight: 1, arbitrary: fc.constant(70_000) })
+  })
+})
+
+const step = fc.integer({ min: 1, max: 60 })
+const electionMs = time(4_000)
+const deposedAfterMs = time(30_000)
+const endpoint = fc.integer({ min: 0, max: 4 })
+
+const fault: fc.Arbitrary<Fault> = fc.oneof(
+  fc.record({ type: fc.constant('kill-leader' as const), atStep: step, electionMs }),
+  fc.record({ type: fc.constant('freeze-leader' as const), atStep: step, freezeMs: time(20_000), electionMs, deposedAfterMs }),
+  fc.record({ type: fc.constant('second-leader' as const), atStep: step, electionMs, deposedAfterMs }),
+  fc.record({ type: fc.constant('kill-endpoint' as const), atMs: time(30_000), endpoint, downMs: time(10_000) }),
+  fc.record({ type: fc.constant('hang-endpoint' as const), atMs: time(30_000), endpoint, hangMs: time(6_000) }),
+  fc.record({ type: fc.constant('cut' as const), atMs: time(30_000), endpoint, cutMs: time(15_000) }),
+  fc.record({ type: fc.constantFrom('cancel' as const, 'preempt' as const, 'throttle' as const), atMs: time(30_000), job: fc.integer({ min: 0, max: 4 }) })
+)
+
+/** Jobs, a fleet, a network and faults, all of bounded size. */
+export const scenarioArbitrary: fc.Arbitrary<Scenario> = fc.record({
+  seed: fc.integer({ min: 1, max: 0x7fffffff }),
+  endpoints: fc.integer({ min: 1, max: 5 }),
+  slots: fc.integer({ min: 1, max: 4 }),
+  leaseMs: fc.constant(8_000),
+  network: fc.record({
+    loss: fc.constantFrom(0, 0.02, 0.2),
+    duplication: fc.constantFrom(0, 0.1, 0.5),
+    maxDelayMs: fc.constantFrom(50, 900, 3_000)
+  }),
+  jobs: fc.array(job, { minLength: 1, maxLength: 5 }),
+  faults: fc.array(fault, { maxLength: 6 })
+})
+
+export interface SearchResult {
+  readonly runs: number
+  readonly scenario: Scenario | undefined
+  readonly findings: readonly string[]
+}
+
+const runScenario = (scenario: Scenario, unsafe: Unsafe): string[] => {
+  try {
+    return new World(scenario, unsafe).run()
+  } catch (err) {
+    return [err instanceof Error ? err.message : String(err)]
+  }
+}
+
+/** Runs `runs` generated scenarios and returns the first that breaks a promise, shrunk. */
+export const search = (seed: number, runs: number, unsafe: Unsafe = {}, maxShrinks = 300): SearchResult => {
+  let shrinks = 0
+  let last: { scenario: Scenario, findings: string[] } | undefined
+  const property = fc.property(scenarioArbitrary, (scenario) => {
+    if (last && ++shrinks > maxShrinks) return true
+    const findings = runScenario(scenario, unsafe)
+    if (findings.length > 0) last = { scenario, findings }
+    return findings.length === 0
+  })
+  const { numRuns } = fc.check(property, { seed, numRuns: runs })
+  return { runs: numRuns, scenario: last?.scenario, findings: last?.findings ?? [] }
+}
