--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,6 +1,6 @@
 const ORDER = [
-  'common', 'timers', 'telemetry', 'settings', 'model', 'questionnaire', 'operator-client', 'storage', 'consensus',
-  'registers', 'membership', 'scheduler', 'endpoint-tasks', 'gang', 'rpc', 'endpoint-client', 'config-sync', 'gateway',
+  'common', 'timers', 'telemetry', 'settings', 'model', 'questionnaire', 'storage', 'consensus',
+  'registers', 'membership', 'scheduler', 'endpoint-tasks', 'gang', 'rpc', 'operator-client', 'endpoint-client', 'config-sync', 'gateway',
   'control'
 ]
 
--- a/packages/config-sync/src/index.ts
+++ b/packages/config-sync/src/index.ts
@@ -1,4 +1,5 @@
 export * from './cache.ts'
 export * from './constants.ts'
+export * from './file-store.ts'
 export * from './sync.ts'
 export * from './types.ts'
--- a/packages/rpc/src/client.ts
+++ b/packages/rpc/src/client.ts
@@ -27,8 +27,11 @@
  * keep-alive, so that the server does not close a connection while a call is being written to it.
  */
 export const limitIdleTime = (pool: Agent): Agent => {
+  const watched = new WeakSet<Socket>()
   pool.on('free', (socket: Socket) => {
-    socket.setTimeout(IDLE_CONNECTION_MS, () => socket.destroy())
+    if (!watched.has(socket)) socket.on('timeout', () => socket.destroy())
+    watched.add(socket)
+    socket.setTimeout(IDLE_CONNECTION_MS)
   })
   const reuse = pool.reuseSocket.bind(pool)
   pool.reuseSocket = (socket: Socket, req: ClientRequest): void => {
