ctl: manage the configuration from the command line

Cause: operators create customers, guaranteed shapes and priorities, and need a safe resend after a lost answer. Change: ibisstair-ctl with its subcommands; the change id and the expected version are printed before a change is sent, and an unknown outcome is never reported as not run. Ruled out: a local check of the expected version before sending, because the register alone can tell a resend of an accepted change from a conflict. Conclusion: tested against a fake HTTP entry; not yet against ibisstair-entry.

--- /dev/null
+++ b/apps/ctl/tests/ctl.test.ts
@@ -0,0 +1,294 @@
+import { once } from 'node:events'
+import { createServer, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { join } from 'node:path'
+import { chmodSync } from 'node:fs'
+import t, { type Test } from 'tap'
+import { IbisError } from '@ibisstair/common'
+import { type Config, type ConfigChange, ConfigDelta, EMPTY_CONFIG, encodeCanonical, parseConfig, parseConfigChange } from '@ibisstair/model'
+import { runMain, type MainProcess } from '@ibisstair/settings'
+import { RandomSource, SystemTimerService } from '@ibisstair/timers'
+import { parse, stringify } from 'yaml'
+import { SUBCOMMAND_USAGE } from '../src/commands.ts'
+import { runCtl } from '../src/run.ts'
+import { createCtlSpec } from '../src/spec.ts'
+
+const SECRET = '0123456789abcdef'
+const SEED = 20_260_103
+
+/** What the fake does with an accepted change before it would answer. */
+type Fault = 'none' | 'lose-answer'
+
+/** One config register behind any number of listeners, with the rules of section 5.6. */
+class FakeDeployment {
+  config: Config = EMPTY_CONFIG
+  fault: Fault = 'none'
+  readonly changes: ConfigChange[] = []
+  readonly paths: string[] = []
+  readonly #recorded = new Map<string, { fingerprint: string, version: number }>()
+
+  async listen (t: Test): Promise<string> {
+    const server = createServer((req, res) => {
+      let body = ''
+      req.on('data', (chunk: Buffer) => { body += chunk.toString() })
+      req.on('end', () => {
+        this.paths.push(`${req.method} ${req.url}`)
+        try {
+          if (req.headers.authorization !== `Bearer ${SECRET}`) throw new IbisError('unauthorized', 'the shared secret is missing or wrong')
+          this.#answer(`${req.method} ${req.url}`, body, res)
+        } catch (err) {
+          const error = IbisError.from(err)
+          res.writeHead(error.status).end(JSON.stringify({ error: error.toBody() }))
+        }
+      })
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    t.teardown(() => {
+      server.closeAllConnections()
+      server.close()
+    })
+    return `http://127.0.0.1:${(server.address() as AddressInfo).port}`
+  }
+
+  #answer (call: string, body: string, res: ServerResponse): void {
+    const reply = (value: unknown): void => { res.end(JSON.stringify(value)) }
+    switch (call) {
+      case 'GET /v1/config': return reply(this.config)
+      case 'GET /v1/status': return reply({ configVersion: this.config.version, controls: [] })
+      case 'GET /v1/requests/diver/key%2F1/explain': return reply({ state: 'queued', reason: 'no free rack' })
+      case 'POST /v1/config/import': return reply(this.#import(JSON.parse(body) as { config: unknown }))
+      case 'POST /v1/config/changes': {
+        const change = parseConfigChange(JSON.parse(body))
+        this.changes.push(change)
+        const version = this.#apply(change)
+        if (this.fault === 'none') return reply({ version, changeId: change.changeId })
+        this.fault = 'none'
+        res.destroy()
+        return
+      }
+      default: throw new IbisError('invalid-request', `no such call: ${call}`)
+    }
+  }
+
+  #import ({ config }: { config: unknown }): { version: number } {
+    this.config = parseConfig(config)
+    return { version: this.config.version }
+  }
+
+  #apply (change: ConfigChange): number {
+    const fingerprint = encodeCanonical(change)
+    const known = this.#recorded.get(change.changeId)
+    if (known?.fingerprint === fingerprint) return known.version
+    if (known) throw new IbisError('key-conflict', `changeId ${change.changeId} belongs to a different change`)
+    const { version } = this.config
+    if (change.expectedVersion !== version) {
+      throw new IbisError('version-conflict', `the version in force is ${version}`, { info: { version } })
+    }
+    this.config = { ...ConfigDelta.create(change.delta).apply(this.config), version: version + 1 }
+    this.#recorded.set(change.changeId, { fingerprint, version: version + 1 })
+    return version + 1
+  }
+}
+
+const setUp = async (t: Test, files: Readonly<Record<string, string>> = {}) => {
+  const folder = t.testdir({ secret: SECRET, ...files })
+  const secretFile = join(folder, 'secret')
+  chmodSync(secretFile, 0o600)
+  const deployment = new FakeDeployment()
+  const entry = await deployment.listen(t)
+  const random = new RandomSource(SEED)
+  const run = async (...argv: string[]) => {
+    const result = { out: '', err: '', code: -1 }
+    const write = (text: string): void => { result.out += text }
+    const note = (text: string): void => { result.err += text }
+    const io: MainProcess = { argv, stdout: { write }, stderr: { write: note }, finish: (code) => { result.code = code } }
+    await runMain(createCtlSpec(SUBCOMMAND_USAGE), (command) => runCtl(command, { timers: new SystemTimerService(), random, write, note }), io)
+    return result
+  }
+  const connection = ['--entry', entry, '--secret-file', secretFile]
+  return {
+    deployment,
+    entry,
+    folder,
+    connection,
+    run,
+    runConnected: (...argv: string[]) => run(...argv, ...connection)
+  }
+}
+
+const SHAPE_OPTIONS = ['--tasks', '4', '--accelerators', '2', '--adjacency', 'rack']
+const KIND_OPTIONS = ['--urgency', 'urgent', '--idempotent', 'yes', '--expected-run-ms', '500', '--start-within-ms', '100', '--target', '0.99']
+
+t.test('each subcommand that changes the configuration has its effect', async (t) => {
+  const { deployment, runConnected } = await setUp(t)
+  const steps: ReadonlyArray<readonly string[]> = [
+    ['domain', 'put', 'portland-bench', '--region', 'cascadia', '--rack', 'rack-1:6:8:8', '--rack', 'rack-2:5:8:8'],
+    ['customer', 'create', 'diver', '--priority', '2.5'],
+    ['customer', 'create', 'shop'],
+    ['customer', 'change', 'diver', '--max-queued', '50'],
+    ['guarantee', 'add', 'diver', ...SHAPE_OPTIONS, '--count', '3', '--domain', 'portland-bench'],
+    ['guarantee', 'remove', 'diver', ...SHAPE_OPTIONS, '--count', '1', '--domain', 'portland-bench'],
+    ['guarantee', 'add', 'diver', '--tasks', '1', '--accelerators', '1'],
+    ['customer', 'remove', 'shop'],
+    ['kind', 'put', 'preview', ...KIND_OPTIONS],
+    ['kind', 'put', 'archive', '--urgency', 'bulk', ...KIND_OPTIONS.slice(2)],
+    ['kind', 'remove', 'archive'],
+    ['drain', 'endpoint-1'],
+    ['drain', 'endpoint-2'],
+    ['undrain', 'endpoint-1']
+  ]
+  for (const [i, step] of steps.entries()) {
+    const { code, out, err } = await runConnected(...step)
+    t.equal(code, 0, `${step.join(' ')}: ${err}`)
+    t.match(out, new RegExp(`^accepted: version ${i + 1}, change id \\S+\\n$`))
+  }
+  t.match(deployment.config, {
+    version: steps.length,
+    customers: [{
+      id: 'diver',
+      priority: 2.5,
+      maxQueued: 50,
+      guarantees: [
+        { shape: { tasks: 4, acceleratorsPerTask: 2, slotsPerTask: 1, adjacency: 'rack' }, count: 2, domain: 'portland-bench' },
+        { shape: { tasks: 1, acceleratorsPerTask: 1, slotsPerTask: 1, adjacency: 'any' }, count: 1 }
+      ]
+    }],
+    kinds: [{ kind: 'preview', urgency: 'urgent', idempotent: true, expectedRunMs: 500, objective: { startWithinMs: 100, target: 0.99 } }],
+    fleet: { domains: [{ id: 'portland-bench', region: 'cascadia', racks: [{ id: 'rack-1', workers: 6 }, { id: 'rack-2', workers: 5 }] }] },
+    drains: ['endpoint-2']
+  })
+  t.equal(deployment.config.customers.length + deployment.config.kinds.length + deployment.config.drains.length, 3)
+  t.equal(new Set(deployment.changes.map(({ changeId }) => changeId)).size, steps.length, 'each call draws its own change id')
+})
+
+t.test('reading subcommands print text and JSON', async (t) => {
+  const { runConnected } = await setUp(t)
+  await runConnected('customer', 'create', 'diver')
+  await runConnected('guarantee', 'add', 'diver', ...SHAPE_OPTIONS)
+  t.match((await runConnected('customer', 'list')).out, /diver +1 +1000 +1 x \(4 tasks, 2 accelerators, 1 slots, rack\)/)
+  t.match(JSON.parse((await runConnected('customer', 'list', '--format', 'json')).out), [{ id: 'diver', priority: 1 }])
+  t.match(parse((await runConnected('config', 'show')).out), { version: 2, customers: [{ id: 'diver' }] })
+  t.match(JSON.parse((await runConnected('status', '--format', 'json')).out), { configVersion: 2 })
+  t.match((await runConnected('explain', 'diver', 'key/1')).out, 'reason: no free rack')
+})
+
+t.test('an answer that is lost after the change was accepted is fetched again without applying it twice', async (t) => {
+  const { deployment, runConnected } = await setUp(t)
+  await runConnected('customer', 'create', 'diver')
+  deployment.fault = 'lose-answer'
+  const { code, out, err } = await runConnected('guarantee', 'add', 'diver', ...SHAPE_OPTIONS)
+  t.equal(code, 0)
+  t.match(out, 'accepted: version 2')
+  t.equal(deployment.config.customers[0]!.guarantees[0]!.count, 1)
+  const [, first, second] = deployment.changes
+  t.same(first, second)
+  t.match(err, `--change-id ${first!.changeId} --expect-version 1`)
+})
+
+t.test('an operator resends with the printed id and version and gets the recorded outcome', async (t) => {
+  const { deployment, runConnected } = await setUp(t)
+  const resend = ['--change-id', 'change-7', '--expect-version', '0']
+  const first = await runConnected('customer', 'create', 'diver', ...resend)
+  await runConnected('customer', 'create', 'shop')
+  const second = await runConnected('customer', 'create', 'diver', ...resend)
+  t.equal(second.out, first.out)
+  t.equal(deployment.config.version, 2)
+  const other = await runConnected('customer', 'create', 'other', ...resend)
+  t.equal(other.code, 1)
+  t.match(other.err, /key-conflict: changeId change-7 belongs to a different change/)
+})
+
+t.test('of two operators with the same expected version one is refused and told why', async (t) => {
+  const { deployment, runConnected } = await setUp(t)
+  const results = await Promise.all([
+    runConnected('customer', 'create', 'diver', '--expect-version', '0', '--format', 'json'),
+    runConnected('customer', 'create', 'shop', '--expect-version', '0', '--format', 'json')
+  ])
+  t.same(results.map(({ code }) => code).sort(), [0, 1])
+  const refused = results.find(({ code }) => code === 1)!
+  t.match(JSON.parse(refused.out), { error: { kind: 'version-conflict', execution: 'not-run', info: { version: 1 } } })
+  t.equal(deployment.config.version, 1)
+  const late = await runConnected('customer', 'create', 'late', '--expect-version', '0')
+  t.match(late.err, /version-conflict: .*\noutcome of the change: not-run\n/)
+})
+
+t.test('an entry that does not answer is passed over; without any, nothing is claimed to have run', async (t) => {
+  const { connection, run } = await setUp(t)
+  const [, , ...secret] = connection
+  const closed = ['--entry', 'http://127.0.0.1:1']
+  t.equal((await run('customer', 'create', 'diver', ...closed, ...connection)).code, 0)
+  const { code, err } = await run('customer', 'list', ...closed, ...secret)
+  t.equal(code, 1)
+  t.match(err, /unreachable: http:\/\/127\.0\.0\.1:1: /)
+})
+
+t.test('applying a file keeps what it does not list unless --prune is given', async (t) => {
+  const customer = { id: 'shop', priority: 2, guarantees: [], maxQueued: 5 }
+  const { deployment, folder, runConnected } = await setUp(t, { 'team.yaml': stringify({ customers: [customer] }), 'wrong.yaml': stringify({ customers: [{ ...customer, priority: 0 }] }) })
+  await runConnected('customer', 'create', 'diver')
+  t.equal((await runConnected('config', 'apply', join(folder, 'team.yaml'))).code, 0)
+  t.same(deployment.config.customers.map(({ id }) => id), ['diver', 'shop'])
+  t.match((await runConnected('config', 'apply', join(folder, 'team.yaml'))).out, 'no change')
+  t.equal((await runConnected('config', 'apply', '--prune', join(folder, 'team.yaml'))).code, 0)
+  t.same(deployment.config.customers.map(({ id }) => id), ['shop'])
+  const { code, err } = await runConnected('config', 'apply', join(folder, 'wrong.yaml'))
+  t.equal(code, 1)
+  t.match(err, /wrong\.yaml: field customers\.0\.priority: got 0/)
+})
+
+t.test('a shown configuration can be imported and keeps its version', async (t) => {
+  const { deployment, folder, runConnected } = await setUp(t, { 'copy.yaml': stringify({ ...EMPTY_CONFIG, version: 812 }), 'part.yaml': stringify({ version: 900 }) })
+  const { code, out } = await runConnected('config', 'import', join(folder, 'copy.yaml'))
+  t.equal(code, 0)
+  t.match(out, 'version 812 is in force')
+  t.equal(deployment.config.version, 812)
+  t.equal((await runConnected('config', 'import', join(folder, 'part.yaml'))).code, 1, 'an import is a complete configuration')
+  t.equal(deployment.config.version, 812)
+})
+
+t.test('a wrong command line gives exit code 2 and sends nothing', async (t) => {
+  const { connection, deployment, folder, run, runConnected } = await setUp(t)
+  const wrong: ReadonlyArray<readonly string[]> = [
+    [],
+    ['customer'],
+    ['customer', 'paint', 'diver'],
+    ['customer', 'create'],
+    ['customer', 'create', 'a', 'b'],
+    ['customer', 'create', 'diver', '--tasks', '4'],
+    ['customer', 'list', '--change-id', 'x'],
+    ['customer', 'create', 'diver', '--priority', 'high'],
+    ['customer', 'create', 'diver', '--change-id', 'a b'],
+    ['customer', 'create', 'diver', '--expect-version', '-1'],
+    ['guarantee', 'add', 'diver', '--tasks', '4'],
+    ['kind', 'put', 'preview', '--urgency', 'soon'],
+    ['domain', 'put', 'd', '--region', 'r', '--rack', 'rack-1:6:8'],
+    ['domain', 'put', 'd', '--region', 'r', '--rack', 'rack-1:6:8:none'],
+    ['status', '--format', 'xml']
+  ]
+  for (const argv of wrong) t.equal((await runConnected(...argv)).code, 2, argv.join(' '))
+  t.equal((await run('status', '--secret-file', join(folder, 'secret'))).code, 2)
+  t.equal((await run('status', ...connection.slice(0, 2))).code, 2)
+  t.equal((await run('status', '--entry', 'entry.example:7003', ...connection.slice(2))).code, 2)
+  t.same(deployment.changes, [])
+})
+
+t.test('an unreadable secret gives exit code 3, a wrong one is refused by the entry', async (t) => {
+  const { connection, folder, run } = await setUp(t, { other: 'another-secret-of-this-size' })
+  const entry = connection.slice(0, 2)
+  t.equal((await run('status', ...entry, '--secret-file', join(folder, 'none'))).code, 3)
+  chmodSync(join(folder, 'other'), 0o600)
+  const { code, err } = await run('status', ...entry, '--secret-file', join(folder, 'other'))
+  t.equal(code, 1)
+  t.match(err, /unauthorized: /)
+  t.notMatch(err, 'another-secret')
+})
+
+t.test('help lists every subcommand', async (t) => {
+  const { run } = await setUp(t)
+  const { out, code } = await run('--help')
+  t.equal(code, 0)
+  for (const words of ['customer create CUSTOMER', 'guarantee remove CUSTOMER', 'domain put DOMAIN', 'undrain ENDPOINT', 'config import FILE', 'explain CUSTOMER KEY']) {
+    t.match(out, `ibisstair-ctl ${words}`)
+  }
+})
--- /dev/null
+++ b/scripts/build.d.mts
@@ -0,0 +1,1 @@
+export declare const buildApp: (name: string, outDir?: string) => Promise<string>
