consensus: add the pure replica and a fake cluster for randomised runs

The replica is a state machine without I/O, clock or random source. Members are addressed by node and incarnation, so a node that lost its state neither votes nor acknowledges as the member it was.

--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -1,1 +1,3 @@
 export * from './types.ts'
+export { Replica } from './replica.ts'
+export type * from './replica-types.ts'
--- /dev/null
+++ b/packages/consensus/src/replica.ts
@@ -0,0 +1,863 @@
+import { assertNever, invariant } from '@ibisstair/common'
+import type { NodeId } from '@ibisstair/common'
+import { ElapsedClock } from './clock.ts'
+import {
+  ELECTION_TIMEOUT_MAX_MS, ELECTION_TIMEOUT_MIN_MS, HEARTBEAT_MS, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_LOG_ENTRIES,
+  MAX_SNAPSHOT_CHARS, MAX_UNCOMMITTED_BYTES, MAX_UNCOMMITTED_ENTRIES, SNAPSHOT_CHUNK_CHARS,
+  TRAILING_ENTRIES, WITNESS_TIMEOUT_FACTOR
+} from './constants.ts'
+import { ReplicaLog } from './log.ts'
+import { countVoterChanges, findMember, isMajority, isSameMember, listVoters, majorityValue, withLearner, withoutNode, withVoter } from './members.ts'
+import type { Message, MessageOf } from './messages.ts'
+import { Progress } from './progress.ts'
+import type { Effect, Mechanism, MemberChange, RefusalReason, ReplicaCounters, ReplicaEvent, ReplicaOptions, ReplicaState } from './replica-types.ts'
+import type { EncodedSnapshot, LogEntry, Member, ReplicaStatus, Role } from './types.ts'
+
+interface IncomingSnapshot {
+  readonly index: number
+  readonly lastTerm: number
+  readonly leader: NodeId
+  data: string
+  saving: boolean
+}
+
+interface PendingAppend {
+  readonly sequence: number
+  lastIndex: number
+}
+
+type BodyOf<T extends Message> = Omit<T, 'term' | 'fromIncarnation' | 'toIncarnation'>
+type MessageBody = Message extends infer M ? M extends Message ? BodyOf<M> : never : never
+
+/**
+ * One replica of a Raft group as a state machine: events and the time come in, effects go out.
+ * It follows Ongaro's dissertation (2014), with pre-vote, a lease check before votes and
+ * single-server changes. Members are identified by node and incarnation: a node that lost its
+ * state cannot vote or acknowledge as the member that it was.
+ */
+export class Replica {
+  readonly counters: ReplicaCounters = {
+    elections: 0,
+    preVotes: 0,
+    elected: 0,
+    steppedDown: 0,
+    staleMessages: 0,
+    wrongIncarnation: 0,
+    ignoredVotes: 0,
+    rejectedAppends: 0,
+    lostBatches: 0,
+    snapshotsSent: 0,
+    snapshotsInstalled: 0,
+    memberChanges: 0,
+    refusedProposals: 0,
+    refusedJoins: 0,
+    droppedEntries: 0,
+    transfers: 0
+  }
+
+  readonly #options: ReplicaOptions
+  readonly #disabled: ReadonlySet<Mechanism>
+  readonly #clock = new ElapsedClock()
+  #effects: Effect[] = []
+
+  #term: number
+  #votedFor: NodeId | null
+  #votedIncarnation: string | null
+  #log: ReplicaLog
+  #snapshot: EncodedSnapshot
+  #commitIndex: number
+  /** Entries up to here are known to be committed, and possibly not persisted here. */
+  #knownCommitIndex: number
+  #persistedIndex: number
+  #pendingAppends: PendingAppend[] = []
+  #sequence = 0
+  #diskFull = false
+
+  #role: Role = 'follower'
+  #leader: NodeId | null = null
+  /** The leader this replica has seen in its current term, to assert that there is one at most. */
+  #leaderOfTerm: NodeId | null = null
+  #leaderContactAt = -Infinity
+  #electionAt: number
+  #votes = new Map<NodeId, boolean>()
+  #campaignAt = 0
+  #incoming: IncomingSnapshot | null = null
+
+  #progress = new Map<NodeId, Progress>()
+  #heartbeatAt = 0
+  #electedAt = 0
+  /** While leadership is handed over, proposals are refused until this time. */
+  #transferUntil = -Infinity
+
+  constructor (options: ReplicaOptions, state: ReplicaState, nowMs: number) {
+    this.#options = options
+    this.#disabled = new Set(options.disabled)
+    this.#term = state.hardState.term
+    this.#votedFor = state.hardState.votedFor
+    this.#votedIncarnation = state.hardState.votedIncarnation ?? null
+    this.#snapshot = state.snapshot
+    this.#log = new ReplicaLog(state.snapshot, state.entries)
+    this.#commitIndex = state.snapshot.index
+    this.#knownCommitIndex = state.snapshot.index
+    this.#persistedIndex = this.#log.lastIndex
+    invariant(this.#term >= this.#log.lastTerm, 'the stored term is not behind the log', { term: this.#term, lastTerm: this.#log.lastTerm })
+    this.#clock.advance(nowMs)
+    this.#electionAt = this.#now + this.#drawTimeout()
+  }
+
+  step (event: ReplicaEvent, nowMs: number): Effect[] {
+    this.#advanceClock(nowMs)
+    this.#handle(event)
+    const effects = this.#effects
+    this.#effects = []
+    return effects
+  }
+
+  getStatus (nowMs: number): ReplicaStatus {
+    return {
+      group: this.#options.group,
+      node: this.#options.node,
+      incarnation: this.#options.incarnation,
+      role: this.#role,
+      term: this.#term,
+      leader: this.#leader,
+      commitIndex: this.#commitIndex,
+      lastIndex: this.#log.lastIndex,
+      members: this.#members,
+      hasQuorum: this.#role === 'leader' && this.#hasQuorum(this.#clock.at(nowMs), ELECTION_TIMEOUT_MIN_MS)
+    }
+  }
+
+  get isDiskFull (): boolean {
+    return this.#diskFull
+  }
+
+  get snapshotIndex (): number {
+    return this.#snapshot.index
+  }
+
+  /** Estimated bytes of the log that no snapshot covers. */
+  getBytesAfterSnapshot (): number {
+    return this.#log.bytesAfter(this.#snapshot.index)
+  }
+
+  getEntry (index: number): LogEntry | undefined {
+    return this.#log.get(index)
+  }
+
+  /** Adds index, term and configuration to a state machine's state at a committed index. */
+  createSnapshot (index: number, data: string): EncodedSnapshot {
+    const term = this.#log.termAt(index)
+    invariant(term !== null && index <= this.#commitIndex, 'a snapshot covers committed entries in the log', { index, commit: this.#commitIndex })
+    return { index, term, members: this.#log.membersAt(index), data }
+  }
+
+  get #now (): number {
+    return this.#clock.now()
+  }
+
+  get #members (): readonly Member[] {
+    return this.#log.configuration.members
+  }
+
+  get #self (): Member | undefined {
+    return this.#members.find((member) => isSameMember(member, this.#options))
+  }
+
+  #isOn (mechanism: Mechanism): boolean {
+    return !this.#disabled.has(mechanism)
+  }
+
+  #advanceClock (nowMs: number): void {
+    const gap = this.#clock.advance(nowMs)
+    // After a freeze the messages of a live leader may still be waiting to be read.
+    if (gap >= ELECTION_TIMEOUT_MIN_MS && this.#isOn('freeze-check')) this.#electionAt = Math.max(this.#electionAt, this.#now + this.#drawTimeout())
+  }
+
+  #handle (event: ReplicaEvent): void {
+    switch (event.type) {
+      case 'tick': return this.#tick()
+      case 'message': return this.#handleMessage(event.from, event.message)
+      case 'propose': return this.#propose(event.id, { type: 'command', command: event.command })
+      case 'change': return this.#change(event.id, event.change)
+      case 'transfer': return this.#transfer()
+      case 'persisted': return this.#handlePersisted(event.sequence)
+      case 'append-failed': return this.#dropUnpersisted()
+      case 'disk-writable': return this.#handleDiskWritable()
+      case 'snapshot-saved': return this.#handleSnapshotSaved(event.snapshot)
+      case 'snapshot-failed': {
+        this.#incoming = null
+        return
+      }
+      default: return assertNever(event)
+    }
+  }
+
+  // ---- time ----
+
+  #tick (): void {
+    if (this.#role === 'leader') this.#tickLeader()
+    else if (this.#now >= this.#electionAt) this.#handleElectionTimeout()
+  }
+
+  #tickLeader (): void {
+    if (this.#isOn('quorum-check') && this.#now - this.#electedAt >= ELECTION_TIMEOUT_MAX_MS && !this.#hasQuorum(this.#now, ELECTION_TIMEOUT_MAX_MS)) {
+      this.#becomeFollower(this.#term, null)
+      return
+    }
+    if (this.#self?.witness || this.#diskFull) this.#transfer()
+    this.#promoteLearners()
+    if (this.#now < this.#heartbeatAt) return
+    this.#heartbeatAt = this.#now + HEARTBEAT_MS
+    for (const progress of this.#progress.values()) this.#sendHeartbeat(progress)
+  }
+
+  #handleElectionTimeout (): void {
+    this.#electionAt = this.#now + this.#drawTimeout()
+    this.#leader = null
+    this.#incoming = null
+    // A learner asks again, because the change that admitted it may have been lost with its leader.
+    if (this.#self?.role !== 'voter') this.#askToJoin()
+    // A vote for itself could not be stored, so a candidacy would fail.
+    if (!this.#isEligible() || this.#diskFull) {
+      this.#role = 'follower'
+      return
+    }
+    if (this.#isOn('pre-vote')) this.#startPreVote()
+    else this.#startElection(false)
+  }
+
+  /**
+   * A voter whose removal is not known to be committed still campaigns: it may be the only one with
+   * the entries that the remaining voters need.
+   */
+  #isEligible (): boolean {
+    const committed = this.#log.membersAt(this.#commitIndex)
+    return [this.#members, committed].some((members) => listVoters(members).some((member) => isSameMember(member, this.#options)))
+  }
+
+  #drawTimeout (): number {
+    const factor = this.#self?.witness ? WITNESS_TIMEOUT_FACTOR : 1
+    return factor * this.#options.random.int(ELECTION_TIMEOUT_MIN_MS, ELECTION_TIMEOUT_MAX_MS)
+  }
+
+  #askToJoin (): void {
+    for (const peer of this.#options.peers) {
+      if (peer !== this.#options.node) this.#send(peer, '', { type: 'join' })
+    }
+  }
+
+  // ---- elections ----
+
+  #startPreVote (): void {
+    this.counters.preVotes += 1
+    this.#role = 'pre-candidate'
+    this.#votes = new Map([[this.#options.node, true]])
+    if (this.#countVotes()) {
+      this.#startElection(false)
+      return
+    }
+    for (const voter of this.#otherVoters()) {
+      this.#sendTerm(voter.node, voter.incarnation, this.#term + 1, { type: 'pre-vote', lastIndex: this.#log.lastIndex, lastTerm: this.#log.lastTerm })
+    }
+  }
+
+  #startElection (transfer: boolean): void {
+    this.counters.elections += 1
+    this.#enterTerm(this.#term + 1)
+    this.#role = 'candidate'
+    this.#campaignAt = this.#now
+    this.#vote(this.#options.node, this.#options.incarnation)
+    this.#votes = new Map([[this.#options.node, true]])
+    this.#electionAt = this.#now + this.#drawTimeout()
+    if (this.#countVotes()) {
+      this.#becomeLeader()
+      return
+    }
+    for (const voter of this.#otherVoters()) {
+      this.#send(voter.node, voter.incarnation, { type: 'vote', lastIndex: this.#log.lastIndex, lastTerm: this.#log.lastTerm, transfer })
+    }
+  }
+
+  #otherVoters (): Member[] {
+    return listVoters(this.#members).filter((member) => member.node !== this.#options.node)
+  }
+
+  #countVotes (): boolean {
+    const granted = listVoters(this.#members).filter((member) => this.#votes.get(member.node))
+    return isMajority(granted.length, this.#members)
+  }
+
+  #handlePreVote (from: NodeId, message: MessageOf<'pre-vote'>): void {
+    const granted = message.term > this.#term && !this.#hasLiveLeader() && this.#isUpToDate(message.lastIndex, message.lastTerm)
+    this.#sendTerm(from, message.fromIncarnation, granted ? message.term : this.#term, { type: 'pre-vote-reply', granted })
+  }
+
+  #handleVote (from: NodeId, message: MessageOf<'vote'>): void {
+    // A candidate that is not asked by the leader must not depose a leader that works.
+    if (this.#isOn('lease-check') && !message.transfer && this.#hasLiveLeader()) {
+      this.counters.ignoredVotes += 1
+      return
+    }
+    if (message.term > this.#term) this.#becomeFollower(message.term, null)
+    const isFree = this.#votedFor === null || (this.#votedFor === from && this.#votedIncarnation === message.fromIncarnation)
+    const granted = message.term === this.#term && (isFree || !this.#isOn('single-vote')) && this.#isUpToDate(message.lastIndex, message.lastTerm)
+    if (granted) {
+      this.#vote(from, message.fromIncarnation)
+      this.#electionAt = this.#now + this.#drawTimeout()
+    }
+    this.#send(from, message.fromIncarnation, { type: 'vote-reply', granted })
+  }
+
+  #handleVoteReply (from: NodeId, message: MessageOf<'pre-vote-reply'> | MessageOf<'vote-reply'>): void {
+    const voter = findMember(this.#members, from)
+    if (voter?.role !== 'voter' || (voter.incarnation !== message.fromIncarnation && this.#isOn('incarnation-check'))) {
+      this.counters.wrongIncarnation += 1
+      return
+    }
+    const expectedRole = message.type === 'vote-reply' ? 'candidate' : 'pre-candidate'
+    const expectedTerm = message.type === 'vote-reply' ? this.#term : this.#term + 1
+    if (this.#role !== expectedRole || !message.granted || message.term !== expectedTerm) return
+    this.#votes.set(from, true)
+    if (!this.#countVotes()) return
+    if (this.#role === 'candidate') this.#becomeLeader()
+    else this.#startElection(false)
+  }
+
+  #isUpToDate (lastIndex: number, lastTerm: number): boolean {
+    if (!this.#isOn('log-check')) return true
+    return lastTerm > this.#log.lastTerm || (lastTerm === this.#log.lastTerm && lastIndex >= this.#log.lastIndex)
+  }
+
+  #hasLiveLeader (): boolean {
+    if (this.#role === 'leader') return this.#hasQuorum(this.#now, ELECTION_TIMEOUT_MIN_MS)
+    return this.#leader !== null && this.#now - this.#leaderContactAt < ELECTION_TIMEOUT_MIN_MS
+  }
+
+  #vote (node: NodeId, incarnation: string): void {
+    const isFirst = this.#votedFor === null || (this.#votedFor === node && this.#votedIncarnation === incarnation)
+    invariant(isFirst || !this.#isOn('single-vote'), 'a replica votes once in a term', { term: this.#term, votedFor: this.#votedFor, node })
+    this.#votedFor = node
+    this.#votedIncarnation = incarnation
+    this.#saveHardState()
+  }
+
+  // ---- roles ----
+
+  #enterTerm (term: number): void {
+    invariant(term > this.#term, 'the term increases', { from: this.#term, to: term })
+    this.#term = term
+    this.#votedFor = null
+    this.#votedIncarnation = null
+    this.#leader = null
+    this.#leaderOfTerm = null
+    this.#incoming = null
+  }
+
+  #becomeFollower (term: number, leader: NodeId | null): void {
+    if (term > this.#term) {
+      this.#enterTerm(term)
+      this.#saveHardState()
+    }
+    if (this.#role === 'leader') this.counters.steppedDown += 1
+    if (this.#role !== 'follower') this.#electionAt = this.#now + this.#drawTimeout()
+    this.#role = 'follower'
+    this.#leader = leader
+    this.#progress.clear()
+    this.#transferUntil = -Infinity
+  }
+
+  #becomeLeader (): void {
+    this.#setLeaderOfTerm(this.#options.node)
+    this.counters.elected += 1
+    this.#role = 'leader'
+    this.#leader = this.#options.node
+    this.#electedAt = this.#now
+    this.#heartbeatAt = this.#now + HEARTBEAT_MS
+    this.#transferUntil = -Infinity
+    this.#progress.clear()
+    this.#updateProgress()
+    for (const node of this.#votes.keys()) {
+      const progress = this.#progress.get(node)
+      if (progress) progress.contactAt = this.#campaignAt
+    }
+    // Entries of earlier terms are committed only together with one of this term.
+    if (!this.#diskFull) this.#appendOwn({ type: 'noop' })
+    for (const progress of this.#progress.values()) this.#sendHeartbeat(progress)
+  }
+
+  #setLeaderOfTerm (node: NodeId): void {
+    invariant(this.#leaderOfTerm === null || this.#leaderOfTerm === node, 'a term has one leader', { term: this.#term, first: this.#leaderOfTerm, second: node })
+    this.#leaderOfTerm = node
+  }
+
+  #hasQuorum (now: number, withinMs: number): boolean {
+    const contactAt = majorityValue(this.#members, (member) => {
+      if (isSameMember(member, this.#options)) return now
+      return this.#progress.get(member.node)?.contactAt ?? -Infinity
+    })
+    return now - contactAt <= withinMs
+  }
+
+  // ---- messages ----
+
+  #handleMessage (from: NodeId, message: Message): void {
+    if (message.type === 'join') {
+      this.#handleJoin(from, message.fromIncarnation)
+      return
+    }
+    if (message.toIncarnation !== this.#options.incarnation && this.#isOn('incarnation-check')) {
+      this.counters.wrongIncarnation += 1
+      return
+    }
+    switch (message.type) {
+      case 'pre-vote': return this.#handlePreVote(from, message)
+      case 'vote': return this.#handleVote(from, message)
+      case 'pre-vote-reply': {
+        if (!message.granted && message.term > this.#term) this.#becomeFollower(message.term, null)
+        return this.#handleVoteReply(from, message)
+      }
+      default: return this.#handleTermMessage(from, message)
+    }
+  }
+
+  #handleTermMessage (from: NodeId, message: Exclude<Message, MessageOf<'pre-vote' | 'vote' | 'pre-vote-reply' | 'join'>>): void {
+    if (message.term > this.#term) this.#becomeFollower(message.term, null)
+    if (message.term < this.#term) {
+      this.counters.staleMessages += 1
+      this.#informStaleLeader(from, message)
+      return
+    }
+    switch (message.type) {
+      case 'vote-reply': return this.#handleVoteReply(from, message)
+      case 'append': {
+        this.#followLeader(from)
+        return this.#handleAppend(from, message)
+      }
+      case 'snapshot': {
+        this.#followLeader(from)
+        return this.#handleSnapshotPart(from, message)
+      }
+      case 'append-reply': return this.#handleAppendReply(from, message)
+      case 'snapshot-reply': return this.#handleSnapshotReply(from, message)
+      case 'timeout-now': return this.#handleTimeoutNow(from)
+      default: return assertNever(message)
+    }
+  }
+
+  /** The reply carries the newer term, which makes a deposed leader step down. */
+  #informStaleLeader (from: NodeId, message: Message): void {
+    if (message.type === 'append') {
+      this.#send(from, message.fromIncarnation, { type: 'append-reply', ok: false, prevIndex: message.prevIndex, matchIndex: 0, diskFull: this.#diskFull, sentAt: message.sentAt })
+    } else if (message.type === 'snapshot') {
+      this.#send(from, message.fromIncarnation, { type: 'snapshot-reply', index: message.index, offset: 0, sentAt: message.sentAt })
+    }
+  }
+
+  #followLeader (from: NodeId): void {
+    this.#setLeaderOfTerm(from)
+    if (this.#role !== 'follower' || this.#leader !== from) this.#becomeFollower(this.#term, from)
+    this.#leaderContactAt = this.#now
+    this.#electionAt = this.#now + this.#drawTimeout()
+  }
+
+  #handleTimeoutNow (from: NodeId): void {
+    if (this.#leader !== from || this.#self?.role !== 'voter' || this.#diskFull) return
+    this.#startElection(true)
+  }
+
+  #send (to: NodeId, toIncarnation: string, body: MessageBody): void {
+    this.#sendTerm(to, toIncarnation, this.#term, body)
+  }
+
+  #sendTerm (to: NodeId, toIncarnation: string, term: number, body: MessageBody): void {
+    const message = { ...body, term, fromIncarnation: this.#options.incarnation, toIncarnation } as Message
+    this.#effects.push({ type: 'send', to, message })
+  }
+
+  #saveHardState (): void {
+    const state = { term: this.#term, votedFor: this.#votedFor, votedIncarnation: this.#votedIncarnation }
+    this.#effects.push({ type: 'save-hard-state', state })
+  }
+
+  // ---- replication, follower ----
+
+  #handleAppend (from: NodeId, message: MessageOf<'append'>): void {
+    const reply = (ok: boolean, matchIndex: number): void => {
+      this.#send(from, message.fromIncarnation, { type: 'append-reply', ok, prevIndex: message.prevIndex, matchIndex, diskFull: this.#diskFull, sentAt: message.sentAt })
+    }
+    if (message.prevIndex >= this.#log.baseIndex && this.#log.termAt(message.prevIndex) !== message.prevTerm) {
+      this.counters.rejectedAppends += 1
+      reply(false, this.#findAgreementHint(message.prevIndex))
+      return
+    }
+    const matchIndex = this.#appendFromLeader(message.entries, message.prevIndex)
+    this.#knownCommitIndex = Math.max(this.#knownCommitIndex, Math.min(message.commitIndex, matchIndex))
+    this.#advanceCommit(this.#knownCommitIndex)
+    reply(true, Math.max(matchIndex, this.#commitIndex))
+  }
+
+  /** Skips the whole conflicting term, so that a long divergence takes few messages. */
+  #findAgreementHint (prevIndex: number): number {
+    if (prevIndex > this.#log.lastIndex) return this.#log.lastIndex
+    const term = this.#log.termAt(prevIndex)
+    let index = prevIndex
+    while (index > this.#knownCommitIndex && this.#log.termAt(index) === term) index -= 1
+    return index
+  }
+
+  /** Returns the last index at which this log is known to agree with the leader's. */
+  #appendFromLeader (entries: readonly LogEntry[], prevIndex: number): number {
+    const firstNew = entries.findIndex((entry) => entry.index > this.#log.baseIndex && this.#log.termAt(entry.index) !== entry.term)
+    const fresh = firstNew < 0 ? [] : entries.slice(firstNew)
+    const first = fresh[0]
+    if (!first) return prevIndex + entries.length
+    if (first.index <= this.#log.lastIndex) this.#truncateFrom(first.index)
+    if (this.#diskFull) return first.index - 1
+    this.#appendAll(fresh)
+    return this.#log.lastIndex
+  }
+
+  #truncateFrom (index: number): void {
+    invariant(index > this.#knownCommitIndex, 'a committed entry is never overwritten', { index, commit: this.#knownCommitIndex, node: this.#options.node })
+    this.#log.truncateFrom(index)
+    this.#persistedIndex = Math.min(this.#persistedIndex, index - 1)
+    for (const pending of this.#pendingAppends) pending.lastIndex = Math.min(pending.lastIndex, index - 1)
+  }
+
+  #appendAll (entries: readonly LogEntry[]): void {
+    for (const entry of entries) this.#log.append(entry)
+    this.#sequence += 1
+    this.#pendingAppends.push({ sequence: this.#sequence, lastIndex: this.#log.lastIndex })
+    this.#effects.push({ type: 'append', entries, sequence: this.#sequence })
+  }
+
+  #handlePersisted (sequence: number): void {
+    while (this.#pendingAppends[0] && this.#pendingAppends[0].sequence <= sequence) {
+      this.#persistedIndex = Math.max(this.#persistedIndex, this.#pendingAppends.shift()!.lastIndex)
+    }
+    if (this.#role !== 'leader') {
+      this.#advanceCommit(this.#knownCommitIndex)
+      return
+    }
+    this.#advanceLeaderCommit()
+    for (const progress of this.#progress.values()) this.#sendEntries(progress)
+  }
+
+  #advanceCommit (index: number): void {
+    const next = this.#isOn('persisted-commit') ? Math.min(index, this.#persistedIndex) : index
+    if (next <= this.#commitIndex) return
+    this.#commitIndex = next
+    this.#knownCommitIndex = Math.max(this.#knownCommitIndex, next)
+    this.#effects.push({ type: 'commit', index: next })
+  }
+
+  /** What was not persisted was not sent or acknowledged either, so nobody can rely on it. */
+  #dropUnpersisted (): void {
+    this.#diskFull = true
+    this.#pendingAppends = []
+    if (this.#log.lastIndex === this.#persistedIndex) return
+    this.counters.droppedEntries += this.#log.lastIndex - this.#persistedIndex
+    this.#log.truncateFrom(this.#persistedIndex + 1)
+    this.#knownCommitIndex = Math.min(this.#knownCommitIndex, this.#persistedIndex)
+    this.#effects.push({ type: 'dropped', fromIndex: this.#persistedIndex + 1 })
+    if (this.#role === 'leader') this.#updateProgress()
+  }
+
+  #handleDiskWritable (): void {
+    this.#diskFull = false
+    if (this.#role === 'leader' && this.#log.lastTerm !== this.#term) this.#appendOwn({ type: 'noop' })
+  }
+
+  // ---- replication, leader ----
+
+  #propose (id: number, body: LogEntry['body']): void {
+    const reason = this.#findRefusal()
+    if (reason) {
+      this.#refuse(id, reason)
+      return
+    }
+    const entry = this.#appendOwn(body)
+    this.#effects.push({ type: 'accepted', id, index: entry.index, term: entry.term })
+  }
+
+  #refuse (id: number, reason: RefusalReason): void {
+    this.counters.refusedProposals += 1
+    this.#effects.push({ type: 'refused', id, reason })
+  }
+
+  #findRefusal (): RefusalReason | null {
+    if (this.#role !== 'leader') return 'not-leader'
+    if (this.#diskFull) return 'disk-full'
+    if (this.#now < this.#transferUntil) return 'not-leader'
+    if (!this.#hasQuorum(this.#now, ELECTION_TIMEOUT_MIN_MS)) return 'no-quorum'
+    const uncommitted = this.#log.lastIndex - this.#commitIndex
+    const isFull = uncommitted >= MAX_UNCOMMITTED_ENTRIES || this.#log.lastIndex - this.#log.baseIndex >= MAX_LOG_ENTRIES
+    return isFull || this.#log.bytesAfter(this.#commitIndex) >= MAX_UNCOMMITTED_BYTES ? 'overloaded' : null
+  }
+
+  #appendOwn (body: LogEntry['body']): LogEntry {
+    const entry = { index: this.#log.lastIndex + 1, term: this.#term, body }
+    this.#appendAll([entry])
+    if (body.type === 'members') this.#updateProgress()
+    return entry
+  }
+
+  /** Keeps one progress for each member but this one, and a new one for a new incarnation. */
+  #updateProgress (): void {
+    for (const [node, progress] of this.#progress) {
+      if (!this.#members.some((member) => isSameMember(member, progress.member))) this.#progress.delete(node)
+    }
+    for (const member of this.#members) {
+      const known = this.#progress.get(member.node)
+      if (known) known.member = member
+      if (known || member.node === this.#options.node) continue
+      this.#progress.set(member.node, new Progress(member, this.#persistedIndex + 1, this.#log.lastIndex, this.#now))
+    }
+  }
+
+  #sendHeartbeat (progress: Progress): void {
+    if (progress.isOverdue(this.#now)) {
+      this.counters.lostBatches += 1
+      if (progress.mode === 'snapshot') progress.clearInflight()
+      else progress.probeFrom(progress.matchIndex + 1)
+    }
+    const sent = this.#sendEntries(progress)
+    if (!sent) this.#sendAppend(progress, [])
+  }
+
+  /** Sends persisted entries as far as the window allows; returns whether a message was sent. */
+  #sendEntries (progress: Progress): boolean {
+    if (progress.nextIndex <= this.#log.baseIndex && progress.mode !== 'snapshot') progress.startSnapshot(this.#snapshot.index)
+    if (progress.mode === 'snapshot') return this.#sendSnapshotPart(progress)
+    let sent = false
+    while (!progress.isWindowFull && progress.nextIndex <= this.#persistedIndex) {
+      const entries = this.#log.slice(progress.nextIndex, this.#persistedIndex, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES)
+      const lastIndex = progress.nextIndex + entries.length - 1
+      this.#sendAppend(progress, entries)
+      progress.recordSent(lastIndex, this.#now)
+      sent = true
+      if (progress.mode === 'probe') break
+      progress.nextIndex = lastIndex + 1
+    }
+    return sent
+  }
+
+  #sendAppend (progress: Progress, entries: readonly LogEntry[]): void {
+    const prevIndex = Math.max(this.#log.baseIndex, progress.nextIndex - 1)
+    const prevTerm = this.#log.termAt(prevIndex)
+    invariant(prevTerm !== null, 'a leader sends entries that follow one it has', { prevIndex, last: this.#log.lastIndex })
+    this.#send(progress.member.node, progress.member.incarnation, {
+      type: 'append', prevIndex, prevTerm, commitIndex: this.#commitIndex, entries: [...entries], sentAt: this.#now
+    } as BodyOf<MessageOf<'append'>>)
+  }
+
+  #findProgress (from: NodeId, incarnation: string): Progress | null {
+    const progress = this.#role === 'leader' ? this.#progress.get(from) : undefined
+    if (!progress) return null
+    if (progress.member.incarnation === incarnation || !this.#isOn('incarnation-check')) return progress
+    this.counters.wrongIncarnation += 1
+    return null
+  }
+
+  #handleAppendReply (from: NodeId, message: MessageOf<'append-reply'>): void {
+    const progress = this.#findProgress(from, message.fromIncarnation)
+    if (!progress) return
+    progress.contactAt = Math.max(progress.contactAt, message.sentAt)
+    progress.diskFull = message.diskFull
+    if (!message.ok) {
+      this.#handleRejection(progress, message)
+      return
+    }
+    invariant(message.matchIndex <= this.#log.lastIndex, 'a follower acknowledges only what the leader has', { match: message.matchIndex, last: this.#log.lastIndex })
+    if (progress.mode === 'snapshot' && message.matchIndex < this.#log.baseIndex) return
+    progress.acknowledge(message.matchIndex, this.#now)
+    progress.updateRound(this.#log.lastIndex, this.#now)
+    this.#advanceLeaderCommit()
+    this.#sendEntries(progress)
+  }
+
+  #handleRejection (progress: Progress, message: MessageOf<'append-reply'>): void {
+    const isStale = message.prevIndex <= progress.matchIndex || (progress.mode === 'probe' && message.prevIndex !== progress.nextIndex - 1)
+    if (isStale || progress.mode === 'snapshot') return
+    progress.probeFrom(Math.min(message.prevIndex, message.matchIndex + 1))
+    this.#sendHeartbeat(progress)
+  }
+
+  #advanceLeaderCommit (): void {
+    if (this.#role !== 'leader') return
+    const index = majorityValue(this.#members, (member) => {
+      if (isSameMember(member, this.#options)) return this.#isOn('persisted-commit') ? this.#persistedIndex : this.#log.lastIndex
+      return this.#progress.get(member.node)?.matchIndex ?? 0
+    })
+    if (index <= this.#commitIndex) return
+    if (this.#isOn('current-term-commit') && this.#log.termAt(index) !== this.#term) return
+    this.#advanceCommit(index)
+    this.#leaveWhenRemoved()
+  }
+
+  #leaveWhenRemoved (): void {
+    const { index } = this.#log.configuration
+    if (this.#self?.role !== 'voter' && index <= this.#commitIndex) this.#becomeFollower(this.#term, null)
+  }
+
+  // ---- membership ----
+
+  #canChangeMembers (): boolean {
+    if (!this.#isOn('single-change')) return true
+    // An entry of this term must be committed first, or two leaders' changes could overlap.
+    return this.#log.configuration.index <= this.#commitIndex && this.#log.termAt(this.#commitIndex) === this.#term
+  }
+
+  /** A configuration whose majority is not heard from could not be committed, nor left again. */
+  #hasActiveMajority (members: readonly Member[]): boolean {
+    const active = listVoters(members).filter((member) => {
+      if (isSameMember(member, this.#options)) return true
+      return this.#now - (this.#progress.get(member.node)?.contactAt ?? -Infinity) < ELECTION_TIMEOUT_MIN_MS
+    })
+    return isMajority(active.length, members)
+  }
+
+  #appendMembers (members: readonly Member[]): LogEntry {
+    invariant(countVoterChanges(this.#members, members) <= 1, 'a change adds or removes one voter', { from: this.#members, to: members })
+    this.counters.memberChanges += 1
+    return this.#appendOwn({ type: 'members', members })
+  }
+
+  #change (id: number, change: MemberChange): void {
+    const reason = this.#findRefusal() ?? (this.#canChangeMembers() ? null : 'change-in-flight')
+    if (reason) return this.#refuse(id, reason)
+    const known = findMember(this.#members, change.node)
+    const isValid = change.type === 'add' ? !known : known && withoutNode(this.#members, change.node).some((member) => member.role === 'voter')
+    if (!isValid) return this.#refuse(id, 'invalid-change')
+    const members = change.type === 'add' ? withLearner(this.#members, change) : withoutNode(this.#members, change.node)
+    if (!this.#hasActiveMajority(members)) return this.#refuse(id, 'no-quorum')
+    const entry = this.#appendMembers(members)
+    this.#effects.push({ type: 'accepted', id, index: entry.index, term: entry.term })
+  }
+
+  /** A node whose state was lost returns as a learner and is promoted when it has caught up. */
+  #handleJoin (from: NodeId, incarnation: string): void {
+    const old = findMember(this.#members, from)
+    if (this.#role !== 'leader' || !old || old.incarnation === incarnation) return
+    const isAlive = this.#now - (this.#progress.get(from)?.contactAt ?? -Infinity) < ELECTION_TIMEOUT_MAX_MS
+    const rest = withoutNode(this.#members, from)
+    if (from === this.#options.node || isAlive || this.#findRefusal() || !this.#canChangeMembers() || !this.#hasActiveMajority(rest)) {
+      this.counters.refusedJoins += 1
+      return
+    }
+    this.#appendMembers(withLearner(this.#members, { node: from, incarnation, witness: old.witness }))
+  }
+
+  #promoteLearners (): void {
+    if (this.#diskFull || this.#now < this.#transferUntil || !this.#canChangeMembers()) return
+    for (const progress of this.#progress.values()) {
+      if (progress.member.role !== 'learner' || progress.mode !== 'replicate') continue
+      if (!progress.isCaughtUp || this.#now - progress.contactAt >= ELECTION_TIMEOUT_MIN_MS) continue
+      this.#appendMembers(withVoter(this.#members, progress.member.node))
+      return
+    }
+  }
+
+  #transfer (): void {
+    if (this.#role !== 'leader' || this.#now < this.#transferUntil) return
+    const target = [...this.#progress.values()].find((progress) => this.#canLead(progress))
+    if (!target) return
+    this.counters.transfers += 1
+    this.#transferUntil = this.#now + ELECTION_TIMEOUT_MIN_MS
+    this.#send(target.member.node, target.member.incarnation, { type: 'timeout-now' })
+  }
+
+  #canLead (progress: Progress): boolean {
+    const { member } = progress
+    if (member.role !== 'voter' || member.witness || progress.diskFull) return false
+    return progress.matchIndex === this.#log.lastIndex && this.#now - progress.contactAt < ELECTION_TIMEOUT_MIN_MS
+  }
+
+  // ---- snapshots ----
+
+  #sendSnapshotPart (progress: Progress): boolean {
+    if (progress.isWindowFull) return false
+    const snapshot = this.#snapshot
+    if (progress.snapshotIndex !== snapshot.index) progress.startSnapshot(snapshot.index)
+    const chars = this.#options.snapshotChunkChars ?? SNAPSHOT_CHUNK_CHARS
+    const data = snapshot.data.slice(progress.snapshotOffset, progress.snapshotOffset + chars)
+    this.#send(progress.member.node, progress.member.incarnation, {
+      type: 'snapshot',
+      index: snapshot.index,
+      lastTerm: snapshot.term,
+      members: [...snapshot.members],
+      offset: progress.snapshotOffset,
+      total: snapshot.data.length,
+      data,
+      sentAt: this.#now
+    } as BodyOf<MessageOf<'snapshot'>>)
+    if (progress.snapshotOffset === 0) this.counters.snapshotsSent += 1
+    progress.recordSent(snapshot.index, this.#now)
+    return true
+  }
+
+  #handleSnapshotReply (from: NodeId, message: MessageOf<'snapshot-reply'>): void {
+    const progress = this.#findProgress(from, message.fromIncarnation)
+    if (!progress) return
+    progress.contactAt = Math.max(progress.contactAt, message.sentAt)
+    if (progress.mode !== 'snapshot' || message.index !== progress.snapshotIndex || message.offset > this.#snapshot.data.length) return
+    // The last part is acknowledged by an append reply once it is stored.
+    if (message.offset === progress.snapshotOffset) return
+    progress.clearInflight()
+    progress.snapshotOffset = message.offset
+    if (message.offset < this.#snapshot.data.length) this.#sendSnapshotPart(progress)
+  }
+
+  #handleSnapshotPart (from: NodeId, message: MessageOf<'snapshot'>): void {
+    if (message.index <= this.#commitIndex) {
+      this.#acknowledgeCommitted(from, message.fromIncarnation, message.sentAt)
+      return
+    }
+    const incoming = this.#takeIncoming(from, message)
+    if (!incoming.saving && message.offset === incoming.data.length && message.total <= MAX_SNAPSHOT_CHARS) incoming.data += message.data
+    this.#send(from, message.fromIncarnation, { type: 'snapshot-reply', index: message.index, offset: incoming.data.length, sentAt: message.sentAt })
+    if (incoming.saving || incoming.data.length < message.total) return
+    incoming.saving = true
+    this.#effects.push({ type: 'save-snapshot', snapshot: { index: message.index, term: message.lastTerm, members: message.members, data: incoming.data } })
+  }
+
+  #takeIncoming (from: NodeId, message: MessageOf<'snapshot'>): IncomingSnapshot {
+    const current = this.#incoming
+    if (current && current.index === message.index && current.lastTerm === message.lastTerm && current.leader === from) return current
+    this.#incoming = { index: message.index, lastTerm: message.lastTerm, leader: from, data: '', saving: false }
+    return this.#incoming
+  }
+
+  #acknowledgeCommitted (to: NodeId, incarnation: string, sentAt: number): void {
+    this.#send(to, incarnation, { type: 'append-reply', ok: true, prevIndex: this.#commitIndex, matchIndex: this.#commitIndex, diskFull: this.#diskFull, sentAt })
+  }
+
+  #handleSnapshotSaved (snapshot: EncodedSnapshot): void {
+    this.#incoming = null
+    if (snapshot.index <= this.#snapshot.index) return
+    if (snapshot.index > this.#commitIndex) {
+      this.#install(snapshot)
+      return
+    }
+    this.#snapshot = snapshot
+    this.#log.compact(Math.max(this.#log.baseIndex, Math.min(snapshot.index, this.#commitIndex - (this.#options.trailingEntries ?? TRAILING_ENTRIES))))
+  }
+
+  #install (snapshot: EncodedSnapshot): void {
+    this.counters.snapshotsInstalled += 1
+    this.#snapshot = snapshot
+    // The entries stay in memory until they are applied.
+    if (this.#log.termAt(snapshot.index) === snapshot.term && this.#persistedIndex >= snapshot.index) {
+      this.#advanceCommit(snapshot.index)
+      return
+    }
+    if (this.#role === 'leader') this.#becomeFollower(this.#term, null)
+    this.#log = new ReplicaLog(snapshot)
+    this.#persistedIndex = snapshot.index
+    this.#pendingAppends = []
+    this.#commitIndex = snapshot.index
+    this.#knownCommitIndex = snapshot.index
+    this.#effects.push({ type: 'reset-log', index: snapshot.index }, { type: 'restore', snapshot })
+  }
+}
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -21,6 +21,8 @@
 export interface HardState {
   readonly term: number
   readonly votedFor: NodeId | null
+  /** Incarnation of the candidate; absent in files that do not have it. */
+  readonly votedIncarnation?: string | null
 }
 
 export interface Snapshot {
@@ -30,6 +32,14 @@
   readonly state: unknown
 }
 
+/** A snapshot whose state is base64 text, as it is stored and sent in parts. */
+export interface EncodedSnapshot {
+  readonly index: number
+  readonly term: number
+  readonly members: readonly Member[]
+  readonly data: string
+}
+
 export type Role = 'follower' | 'pre-candidate' | 'candidate' | 'leader'
 
 export interface ReplicaStatus {
@@ -55,7 +65,11 @@
 
 /** What the processes use of one group. */
 export interface Group<Command, Result> {
-  /** Resolves after the command was committed and applied here; rejects with `not-leader`, `no-quorum` or `disk-full`. */
+  /**
+   * Resolves after the command was committed and applied here. Rejects with `not-leader`,
+   * `no-quorum`, `disk-full`, `overloaded` or `body-too-large` when the command was not and will
+   * not be committed, and with `outcome-unknown` otherwise.
+   */
   propose (command: Command, timeoutMs: number): Promise<Result>
   getStatus (): ReplicaStatus
   /** Called when role, leader or quorum changes. */
--- /dev/null
+++ b/packages/consensus/tests/support/replica-cluster.ts
@@ -0,0 +1,389 @@
+import { asId } from '@ibisstair/common'
+import type { NodeId } from '@ibisstair/common'
+import { RandomSource } from '@ibisstair/timers'
+import { Replica } from '../../src/index.ts'
+import type { Effect, EncodedSnapshot, HardState, LogEntry, Mechanism, Member, ReplicaEvent, ReplicaStatus } from '../../src/index.ts'
+import { EventQueue } from './event-queue.ts'
+import { History, SafetyError } from './history.ts'
+
+const TICK_MS = 50
+const MAX_HELD_MESSAGES = 500
+
+interface Disk {
+  hardState: HardState
+  snapshot: EncodedSnapshot
+  entries: LogEntry[]
+  firstIndex: number
+}
+
+interface Node {
+  readonly id: NodeId
+  incarnation: string
+  disk: Disk
+  replica: Replica | null
+  /** Identifies the process, so that events of an earlier one are ignored. */
+  life: number
+  pending: Effect[]
+  isFlushing: boolean
+  isFull: boolean
+  applied: number
+  frozenUntil: number
+  clockOffset: number
+  held: (() => void)[]
+}
+
+export interface ClusterOptions {
+  readonly voters: number
+  readonly witnesses: number
+  readonly seed: number
+  readonly snapshotEvery?: number
+  readonly disabled?: readonly Mechanism[]
+  /** Test option: a node that lost its disk returns as the member that it was. */
+  readonly keepIncarnation?: boolean
+}
+
+export interface Faults {
+  readonly drop: number
+  readonly duplicate: number
+  readonly delayMs: number
+}
+
+const NO_FAULTS: Faults = { drop: 0, duplicate: 0, delayMs: 2 }
+
+/** A cluster of pure replicas with fakes for network, disk and time, all driven by one seed. */
+export class ReplicaCluster {
+  readonly queue = new EventQueue()
+  readonly history: History
+  readonly nodes: Node[]
+  readonly refused = new Set<unknown>()
+  readonly #random: RandomSource
+  readonly #options: ClusterOptions
+  readonly #initialMembers: readonly Member[]
+  readonly #waiting = new Map<number, { readonly command: unknown, index: number, term: number, readonly node: Node }>()
+  #faults = NO_FAULTS
+  /** Nodes in different parts cannot reach each other. */
+  #parts = new Map<NodeId, number>()
+  #nextId = 0
+  /** Highest term seen while the network was healthy, to detect disturbance by rejoining nodes. */
+  maxTerm = 0
+
+  constructor (options: ClusterOptions) {
+    this.#options = options
+    this.#random = new RandomSource(options.seed)
+    const total = options.voters + options.witnesses
+    this.#initialMembers = Array.from({ length: total }, (_, i) => ({ node: asId<NodeId>(`n${i}`), incarnation: '1', role: 'voter', witness: i >= options.voters }))
+    this.history = new History(this.#initialMembers)
+    this.nodes = this.#initialMembers.map(({ node }) => this.#createNode(node))
+    for (const node of this.nodes) this.start(node)
+  }
+
+  run (ms: number): void {
+    this.queue.run(ms)
+  }
+
+  node (i: number): Node {
+    return this.nodes[i % this.nodes.length]!
+  }
+
+  get leaders (): Node[] {
+    return this.nodes.filter((node) => this.statusOf(node)?.role === 'leader')
+  }
+
+  statusOf (node: Node): ReplicaStatus | null {
+    return node.replica?.getStatus(this.#timeOf(node)) ?? null
+  }
+
+  propose (node: Node, command: unknown): void {
+    const id = this.#nextId++
+    this.#waiting.set(id, { command, index: 0, term: 0, node })
+    this.#step(node, { type: 'propose', id, command })
+  }
+
+  change (node: Node, event: Extract<ReplicaEvent, { type: 'change' }>['change']): void {
+    this.#step(node, { type: 'change', id: -1, change: event })
+  }
+
+  transfer (node: Node): void {
+    this.#step(node, { type: 'transfer' })
+  }
+
+  /** The process and the VM die: what was not synced is lost, or kept in part. */
+  crash (node: Node): void {
+    if (!node.replica) return
+    const kept = this.#random.int(0, node.pending.length)
+    for (const effect of node.pending.slice(0, kept)) this.#storeTorn(node, effect)
+    node.replica = null
+    node.pending = []
+    node.isFlushing = false
+    node.held = []
+    node.life += 1
+    for (const [id, waiting] of this.#waiting) if (waiting.node === node) this.#waiting.delete(id)
+  }
+
+  start (node: Node): void {
+    if (node.replica) return
+    const { disk } = node
+    const entries = disk.entries.filter((entry) => entry.index > disk.snapshot.index)
+    const random = new RandomSource(this.#random.int(1, 0x7fffffff))
+    node.replica = new Replica({
+      group: 'g',
+      node: node.id,
+      incarnation: node.incarnation,
+      peers: this.#initialMembers.map((member) => member.node),
+      random,
+      trailingEntries: 5,
+      snapshotChunkChars: 10,
+      disabled: this.#options.disabled ?? []
+    }, { hardState: disk.hardState, snapshot: disk.snapshot, entries }, this.#timeOf(node))
+    node.applied = disk.snapshot.index
+    const { life } = node
+    const tick = (): void => {
+      if (node.life !== life) return
+      this.#deliver(node, () => this.#step(node, { type: 'tick' }))
+      this.queue.schedule(TICK_MS, tick)
+    }
+    this.queue.schedule(this.#random.int(0, TICK_MS), tick)
+  }
+
+  /** Whether every configuration that may be in force keeps an intact majority without the node. */
+  canLose (node: Node): boolean {
+    const lists = [this.history.members, ...this.nodes.map((other) => this.statusOf(other)?.members ?? []), ...this.nodes.map((other) => this.#configurationOnDisk(other))]
+    return lists.filter((list) => list.length > 0).every((members) => {
+      const voters = members.filter((member) => member.role === 'voter')
+      const intact = voters.filter((member) => this.nodes.some((other) => other !== node && other.id === member.node && other.incarnation === member.incarnation))
+      return intact.length * 2 > voters.length
+    })
+  }
+
+  /** Whether a removal leaves an intact majority; an operator must not remove more than that. */
+  canRemove (node: Node): boolean {
+    const voters = this.history.members.filter((member) => member.role === 'voter' && member.node !== node.id)
+    const intact = voters.filter((member) => this.nodes.some((other) => other.id === member.node && other.incarnation === member.incarnation && other.replica))
+    return intact.length * 2 > voters.length
+  }
+
+  /** The disk is gone; the process draws a new incarnation, as `DataFolder.open` does. */
+  loseDisk (node: Node): void {
+    this.crash(node)
+    if (!this.#options.keepIncarnation) node.incarnation = new RandomSource(this.#random.int(1, 0x7fffffff)).token()
+    node.disk = this.#createDisk(this.#options.keepIncarnation ? this.#initialMembers : [])
+  }
+
+  setFull (node: Node, isFull: boolean): void {
+    node.isFull = isFull
+    if (!isFull && node.replica?.isDiskFull) this.#step(node, { type: 'disk-writable' })
+  }
+
+  /** The process stands still; messages wait in its sockets. */
+  freeze (node: Node, ms: number): void {
+    node.frozenUntil = Math.max(node.frozenUntil, this.queue.now + ms)
+    this.queue.schedule(ms, () => this.#thaw(node))
+  }
+
+  jumpClock (node: Node, ms: number): void {
+    node.clockOffset += ms
+  }
+
+  partition (parts: readonly number[]): void {
+    this.#parts = new Map(this.nodes.map((node, i) => [node.id, parts[i % parts.length] ?? 0]))
+  }
+
+  setFaults (faults: Faults): void {
+    this.#faults = faults
+  }
+
+  healNetwork (): void {
+    this.#parts.clear()
+    this.#faults = NO_FAULTS
+  }
+
+  heal (): void {
+    this.healNetwork()
+    for (const node of this.nodes) {
+      node.frozenUntil = 0
+      this.#thaw(node)
+      this.setFull(node, false)
+      this.start(node)
+    }
+  }
+
+  // ---- internals ----
+
+  #createNode (id: NodeId): Node {
+    return {
+      id, incarnation: '1', disk: this.#createDisk(this.#initialMembers), replica: null, life: 0, pending: [], isFlushing: false, isFull: false, applied: 0, frozenUntil: 0, clockOffset: 0, held: []
+    }
+  }
+
+  #createDisk (members: readonly Member[]): Disk {
+    return { hardState: { term: 0, votedFor: null }, snapshot: { index: 0, term: 0, members, data: '' }, entries: [], firstIndex: 1 }
+  }
+
+  #configurationOnDisk (node: Node): readonly Member[] {
+    const body = node.disk.entries.findLast((entry) => entry.body.type === 'members')?.body
+    return body?.type === 'members' ? body.members : node.disk.snapshot.members
+  }
+
+  #timeOf (node: Node): number {
+    return this.queue.now + node.clockOffset
+  }
+
+  #deliver (node: Node, fn: () => void): void {
+    if (!node.replica) return
+    if (this.queue.now >= node.frozenUntil) fn()
+    else if (node.held.length < MAX_HELD_MESSAGES) node.held.push(fn)
+  }
+
+  #thaw (node: Node): void {
+    if (this.queue.now < node.frozenUntil) return
+    for (const fn of node.held.splice(0)) fn()
+  }
+
+  #step (node: Node, event: ReplicaEvent): void {
+    if (!node.replica) return
+    const before = node.replica.getStatus(this.#timeOf(node))
+    const effects = node.replica.step(event, this.#timeOf(node))
+    const after = node.replica.getStatus(this.#timeOf(node))
+    if (after.commitIndex < before.commitIndex) throw new SafetyError(`${node.id} went back from commit index ${before.commitIndex} to ${after.commitIndex}`)
+    if (after.role === 'leader') this.history.recordLeader(`${node.id}/${node.incarnation}`, after.term)
+    this.maxTerm = Math.max(this.maxTerm, after.term)
+    for (const effect of effects) this.#take(node, effect)
+    if (node.pending.length > 0 && !node.isFlushing) this.#scheduleFlush(node)
+  }
+
+  /** Storage effects and messages wait for the disk; the rest happens at once. */
+  #take (node: Node, effect: Effect): void {
+    switch (effect.type) {
+      case 'commit': return this.#apply(node, effect.index)
+      case 'restore': {
+        node.applied = effect.snapshot.index
+        return
+      }
+      case 'accepted': {
+        const waiting = this.#waiting.get(effect.id)
+        if (waiting) Object.assign(waiting, { index: effect.index, term: effect.term })
+        return
+      }
+      case 'refused': {
+        const waiting = this.#waiting.get(effect.id)
+        if (waiting) this.refused.add(waiting.command)
+        this.#waiting.delete(effect.id)
+        return
+      }
+      case 'dropped': {
+        for (const [id, waiting] of this.#waiting) {
+          if (waiting.node !== node || waiting.index < effect.fromIndex) continue
+          this.refused.add(waiting.command)
+          this.#waiting.delete(id)
+        }
+        return
+      }
+      case 'send': {
+        if (this.#options.disabled?.includes('sync-first')) return this.#transmit(node, effect)
+        node.pending.push(effect)
+        return
+      }
+      default: node.pending.push(effect)
+    }
+  }
+
+  #apply (node: Node, index: number): void {
+    while (node.applied < index) {
+      const entry = node.replica?.getEntry(node.applied + 1)
+      if (!entry) throw new SafetyError(`${node.id} has no entry ${node.applied + 1} to apply`)
+      node.applied += 1
+      this.history.recordCommit(node.id, entry)
+      this.#resolve(node, entry)
+    }
+    this.#takeSnapshot(node)
+  }
+
+  #resolve (node: Node, entry: LogEntry): void {
+    for (const [id, waiting] of this.#waiting) {
+      if (waiting.node !== node || waiting.index !== entry.index) continue
+      if (waiting.term === entry.term) this.history.recordAcknowledged(waiting.command, entry.index)
+      else this.refused.add(waiting.command)
+      this.#waiting.delete(id)
+    }
+  }
+
+  #takeSnapshot (node: Node): void {
+    const every = this.#options.snapshotEvery ?? 20
+    if (!node.replica || node.applied - node.replica.snapshotIndex < every) return
+    if (node.pending.some((effect) => effect.type === 'save-snapshot')) return
+    node.pending.push({ type: 'save-snapshot', snapshot: node.replica.createSnapshot(node.applied, `state at ${node.applied}`.padEnd(25)) })
+  }
+
+  #scheduleFlush (node: Node): void {
+    node.isFlushing = true
+    const { life } = node
+    this.queue.schedule(this.#random.int(0, 5), () => {
+      if (node.life !== life) return
+      this.#deliver(node, () => this.#flush(node))
+      if (this.queue.now < node.frozenUntil && node.held.length >= MAX_HELD_MESSAGES) node.isFlushing = false
+    })
+  }
+
+  #flush (node: Node): void {
+    const batch = node.pending
+    node.pending = []
+    node.isFlushing = false
+    const events: ReplicaEvent[] = []
+    for (const [i, effect] of batch.entries()) {
+      if (node.isFull && (effect.type === 'append' || effect.type === 'save-hard-state')) {
+        this.#failFlush(node, [...batch.slice(i), ...node.pending])
+        break
+      }
+      if (effect.type === 'save-snapshot' && node.isFull) {
+        events.push({ type: 'snapshot-failed' })
+        continue
+      }
+      if (effect.type === 'send') this.#transmit(node, effect)
+      else this.#store(node, effect)
+      if (effect.type === 'append') events.push({ type: 'persisted', sequence: effect.sequence })
+      if (effect.type === 'save-snapshot') events.push({ type: 'snapshot-saved', snapshot: effect.snapshot })
+    }
+    for (const event of events) this.#step(node, event)
+  }
+
+  /** Messages and appends that did not reach the disk are dropped; a new term or vote is kept for a retry. */
+  #failFlush (node: Node, rest: readonly Effect[]): void {
+    const hardState = rest.findLast((effect) => effect.type === 'save-hard-state')
+    node.pending = [...rest.filter((effect) => effect.type === 'reset-log'), ...(hardState ? [hardState] : [])]
+    this.#step(node, { type: 'append-failed' })
+    if (rest.some((effect) => effect.type === 'save-snapshot')) this.#step(node, { type: 'snapshot-failed' })
+  }
+
+  #store (node: Node, effect: Effect): void {
+    const { disk } = node
+    if (effect.type === 'save-hard-state') disk.hardState = effect.state
+    if (effect.type === 'save-snapshot' && effect.snapshot.index > disk.snapshot.index) disk.snapshot = effect.snapshot
+    if (effect.type === 'reset-log') disk.entries = []
+    if (effect.type === 'append') {
+      const first = effect.entries[0]!.index
+      disk.entries = [...disk.entries.filter((entry) => entry.index < first && entry.index > disk.snapshot.index - 50), ...effect.entries]
+    }
+  }
+
+  #storeTorn (node: Node, effect: Effect): void {
+    if (effect.type !== 'append') return this.#store(node, effect)
+    const entries = effect.entries.slice(0, this.#random.int(1, effect.entries.length))
+    this.#store(node, { ...effect, entries })
+  }
+
+  #transmit (node: Node, effect: Extract<Effect, { type: 'send' }>): void {
+    const { message, to } = effect
+    if (message.type === 'vote-reply' && message.granted) this.history.recordVote(`${node.id}/${node.incarnation}`, message.term, `${to}/${message.toIncarnation}`)
+    const target = this.nodes.find((other) => other.id === to)
+    if (!target || this.#parts.get(node.id) !== this.#parts.get(to)) return
+    const copies = this.#random.float() < this.#faults.duplicate ? 2 : 1
+    for (let i = 0; i < copies; i++) {
+      if (this.#random.float() < this.#faults.drop) continue
+      const text = JSON.stringify(message)
+      this.queue.schedule(this.#random.int(0, this.#faults.delayMs), () => {
+        if (this.#parts.get(node.id) !== this.#parts.get(to)) return
+        this.#deliver(target, () => this.#step(target, { type: 'message', from: node.id, message: JSON.parse(text) }))
+      })
+    }
+  }
+}
