gateway: prove the routing of requests with randomised runs; add the demo

Cause: after an unanswered attempt a later refusal must not claim "not run". Ruled out: a fault of the fake domains: with the qualification of refusals removed, the same run fails.

--- a/packages/config-sync/src/index.ts
+++ b/packages/config-sync/src/index.ts
@@ -1,5 +1,6 @@
 export * from './cache.ts'
 export * from './constants.ts'
 export * from './file-store.ts'
+export * from './open.ts'
 export * from './sync.ts'
 export * from './types.ts'
--- /dev/null
+++ b/packages/config-sync/src/open.ts
@@ -0,0 +1,21 @@
+import { IbisError } from '@ibisstair/common'
+import type { FileSystem } from '@ibisstair/storage'
+import { ConfigCache } from './cache.ts'
+import { ConfigFileStore } from './file-store.ts'
+
+/**
+ * Opens the cache over a data folder, or without one on a VM that has no disk. A damaged copy is
+ * reported and ignored: it is only a cache, and the process asks the others before it serves.
+ */
+export const openConfigCache = async (fs: FileSystem, folder: string | undefined, onDamaged: (detail: string) => void): Promise<ConfigCache> => {
+  if (folder === undefined) return new ConfigCache(null)
+  await fs.makeFolder(folder)
+  const cache = new ConfigCache(new ConfigFileStore(fs, folder))
+  try {
+    await cache.load()
+  } catch (err) {
+    if (!(err instanceof IbisError) || err.kind !== 'data-damaged') throw err
+    onDamaged(err.message)
+  }
+  return cache
+}
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -4,7 +4,7 @@
 import { EndpointDirectory } from '@ibisstair/membership'
 import { parseConfig, type Announcement, type Config, type JobRequest } from '@ibisstair/model'
 import { ConfigRegister, JobRegister, type ConfigCommand, type ConfigResult, type JobCommand, type JobResult } from '@ibisstair/registers'
-import type { MessageBatch, MessageSender, RpcClient, RpcServer } from '@ibisstair/rpc'
+import type { MessageBatch, RpcClient, RpcServer } from '@ibisstair/rpc'
 import type { DomainScheduler } from '@ibisstair/scheduler'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { RandomSource, TimerService, Unsubscribe } from '@ibisstair/timers'
@@ -45,7 +45,6 @@
   readonly cache: ConfigCache
   readonly rpc: RpcClient
   readonly server: RpcServer
-  readonly sender: MessageSender
   readonly timers: TimerService
   readonly random: RandomSource
   readonly metrics: Metrics
--- /dev/null
+++ b/packages/gateway/tests/route.test.ts
@@ -0,0 +1,169 @@
+import fc from 'fast-check'
+import t from 'tap'
+import { asId, IbisError, type CallerId, type CustomerId, type DomainId, type ErrorKind, type JobId, type KindOfWork, type RequestKey } from '@ibisstair/common'
+import type { JobRequest, JobStatus } from '@ibisstair/model'
+import { RequestRoute, RetryBudget, MIN_SILENCE_MS, type RouteResult } from '../src/index.ts'
+
+const SEED = Number(process.env.SEED ?? 20261204)
+const RUNS = Number(process.env.RUNS ?? 2000)
+const domains = ['d1', 'd2', 'd3', 'd4'].map((name) => asId<DomainId>(name))
+
+const createRequest = (idempotent: boolean): JobRequest => ({
+  key: asId<RequestKey>('key'),
+  customer: asId<CustomerId>('customer'),
+  caller: asId<CallerId>('caller'),
+  kind: asId<KindOfWork>('kind'),
+  urgency: 'normal',
+  shape: { tasks: 1, acceleratorsPerTask: 1, slotsPerTask: 1, adjacency: 'any' },
+  deadlineMs: 10_000,
+  expectedRunMs: 100,
+  idempotent,
+  payload: null
+})
+
+const createRoute = (idempotent: boolean, trySpend = (): boolean => true): RequestRoute => new RequestRoute({
+  request: createRequest(idempotent), ownDomain: domains[0]!, domains, homeDomain: domains[2], nowMs: 0, trySpend
+})
+
+const toStatus = (state: JobStatus['state'], outcome?: JobStatus['outcome']): RouteResult => ({
+  type: 'status',
+  status: { jobId: asId<JobId>('j'), key: asId<RequestKey>('key'), customer: asId<CustomerId>('customer'), state, ...(outcome && { outcome }) }
+})
+const toError = (kind: ErrorKind, info?: Record<string, unknown>): RouteResult => ({ type: 'error', error: new IbisError(kind, kind, { ...(info && { info }) }) })
+
+/** What one call to a domain does, as the fake world plays it. */
+type Play = 'accept' | 'accept-silently' | 'lose' | 'refuse-connection' | 'no-leader' | 'queue-full' | 'no-quorum' | 'finish' | 'forget'
+const play = fc.constantFrom<Play>('accept', 'accept-silently', 'lose', 'refuse-connection', 'no-leader', 'queue-full', 'no-quorum', 'finish', 'forget')
+
+/**
+ * A domain that may take the request without answering. With a record (non-idempotent work) it
+ * never refuses what it has started; without one a new leader may have forgotten it.
+ */
+class FakeDomain {
+  started = false
+  #known = false
+
+  constructor (readonly hasRecord: boolean) {}
+
+  submit (play: Play): RouteResult {
+    if (play === 'forget' && !this.hasRecord) this.#known = false
+    if (this.#known && play !== 'refuse-connection' && play !== 'lose' && play !== 'no-leader') return play === 'finish' ? this.#finish() : toStatus('running')
+    switch (play) {
+      case 'accept':
+      case 'finish':
+        this.#start()
+        return play === 'finish' ? this.#finish() : toStatus('running')
+      case 'accept-silently':
+        this.#start()
+        return toError('unreachable', { reason: 'timeout' })
+      case 'lose': return toError('unreachable', { reason: 'timeout' })
+      case 'refuse-connection': return toError('unreachable', { reason: 'connect' })
+      case 'no-leader': return toError('no-leader')
+      case 'no-quorum': return toError('no-quorum')
+      default: return toError('queue-full')
+    }
+  }
+
+  wait (play: Play): RouteResult {
+    if (play === 'forget' && !this.hasRecord) this.#known = false
+    if (play === 'lose' || play === 'accept-silently') return toError('unreachable', { reason: 'timeout' })
+    if (play === 'refuse-connection') return toError('unreachable', { reason: 'connect' })
+    if (play === 'no-leader') return toError('no-leader')
+    if (!this.#known) return toError('not-found')
+    return play === 'finish' ? this.#finish() : toStatus('running')
+  }
+
+  #start (): void {
+    this.started = true
+    this.#known = true
+  }
+
+  #finish (): RouteResult {
+    return toStatus('done', { state: 'done', answers: [] })
+  }
+}
+
+const runRoute = (route: RequestRoute, plays: readonly Play[], world: ReadonlyMap<DomainId, FakeDomain>): { readonly visited: DomainId[] } => {
+  const visited: DomainId[] = []
+  let now = 0
+  for (const next of [...plays, ...Array.from({ length: 200 }, () => 'queue-full' as const)]) {
+    now += 500
+    const { step } = route
+    if (step.type === 'answer' || step.type === 'fail') return { visited }
+    if (step.type === 'pause') route.handlePauseOver(now)
+    else {
+      const domain = world.get(step.domain)!
+      if (step.type === 'submit') visited.push(step.domain)
+      route.handle(step.type === 'submit' ? domain.submit(next) : domain.wait(next), now)
+    }
+  }
+  return { visited }
+}
+
+t.test('a failure that says "not run" is true, whatever answers were lost on the way', async (t) => {
+  t.comment(`seed ${SEED}`)
+  fc.assert(fc.property(fc.array(play, { maxLength: 40 }), fc.boolean(), (plays, idempotent) => {
+    const route = createRoute(idempotent)
+    const world = new Map(domains.map((domain) => [domain, new FakeDomain(!idempotent)]))
+    runRoute(route, plays, world)
+    const { step } = route
+    if (step.type !== 'fail' || step.error.execution !== 'not-run') return true
+    return ![...world.values()].some(({ started }) => started)
+  }), { seed: SEED, numRuns: RUNS })
+})
+
+t.test('a non-idempotent request is submitted to its home domain only', async () => {
+  fc.assert(fc.property(fc.array(play, { maxLength: 40 }), (plays) => {
+    const { visited } = runRoute(createRoute(false), plays, new Map(domains.map((domain) => [domain, new FakeDomain(true)])))
+    return visited.every((domain) => domain === domains[2])
+  }), { seed: SEED, numRuns: RUNS })
+})
+
+t.test('a route ends: every request gets an answer or a failure', async () => {
+  fc.assert(fc.property(fc.array(play, { maxLength: 40 }), fc.boolean(), (plays, idempotent) => {
+    const route = createRoute(idempotent)
+    runRoute(route, [...plays, ...Array.from({ length: 60 }, () => 'finish' as const)], new Map(domains.map((domain) => [domain, new FakeDomain(!idempotent)])))
+    return route.step.type === 'answer' || route.step.type === 'fail'
+  }), { seed: SEED, numRuns: RUNS })
+})
+
+t.test('an accepted request is asked for again and not submitted twice while its domain is silent for a short time', async (t) => {
+  const route = createRoute(true)
+  route.handle(toStatus('running'), 0)
+  for (let now = 500; now < MIN_SILENCE_MS; now += 500) {
+    route.handle(toError('unreachable', { reason: 'timeout' }), now)
+    t.equal(route.step.type, 'pause')
+    t.equal(route.handlePauseOver(now).type, 'wait')
+  }
+  route.handle(toError('unreachable', { reason: 'timeout' }), MIN_SILENCE_MS + 500)
+  const next = route.handlePauseOver(MIN_SILENCE_MS + 500)
+  t.equal(next.type, 'submit')
+  t.not(next.type === 'submit' && next.domain, domains[0])
+})
+
+t.test('a full domain sends idempotent work to the next one, and the refusal at the end has a retry time', async (t) => {
+  const route = createRoute(true)
+  const seen: unknown[] = []
+  while (route.step.type === 'submit') {
+    seen.push(route.step.domain)
+    const error = new IbisError('queue-full', 'full', { retryAfterMs: 700 })
+    if (route.handle({ type: 'error', error }, 10).type === 'pause') route.handlePauseOver(10)
+  }
+  t.equal(new Set(seen).size, 4)
+  t.equal(route.step.type === 'fail' && route.step.error.retryAfterMs, 700)
+  t.equal(route.step.type === 'fail' && route.step.error.execution, 'not-run')
+})
+
+t.test('retries stop when the shared budget is spent', async (t) => {
+  const budget = new RetryBudget()
+  let attempts = 0
+  for (let request = 0; request < 1000; request++) {
+    budget.handleFirstAttempt()
+    const route = createRoute(true, (nowMs) => budget.trySpend(nowMs))
+    while (route.step.type === 'submit') {
+      attempts += 1
+      if (route.handle(toError('no-leader'), 0).type === 'pause') route.handlePauseOver(0)
+    }
+  }
+  t.ok(attempts <= 1000 * 1.1 + 50, `${attempts} attempts for 1000 requests`)
+})
--- /dev/null
+++ b/scripts/deployment.ts
@@ -0,0 +1,189 @@
+// Starts the processes of one deployment on loopback for the demo and the end-to-end tests. Only
+// this development script starts processes; the shipped binaries start none.
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdirSync, openSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { fileURLToPath } from 'node:url'
+import { stringify } from 'yaml'
+
+const ROOT = fileURLToPath(new URL('..', import.meta.url))
+const BINARIES = { entry: `${ROOT}dist/ibisstair-entry.mjs`, control: `${ROOT}dist/ibisstair-control.mjs` } as const
+const STOP_TIMEOUT_MS = 20_000
+
+export interface Address {
+  readonly address: string
+  readonly port: number
+}
+
+export interface EntryAddress {
+  readonly node: string
+  readonly domain: string
+  readonly callers: Address
+  readonly endpoints: Address
+  readonly operators: Address
+  readonly internal: Address
+}
+
+export interface ControlAddress extends Address {
+  readonly node: string
+  readonly domain: string
+}
+
+export interface DeploymentOptions {
+  readonly folder: string
+  readonly name: string
+  readonly domains: readonly string[]
+  readonly entriesPerDomain?: number
+  readonly drainMs?: number
+}
+
+type Role = keyof typeof BINARIES
+
+interface Managed {
+  readonly role: Role
+  readonly settings: string
+  child: ChildProcess | null
+}
+
+const findFreePorts = async (count: number): Promise<number[]> => {
+  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
+    const server = createServer()
+    server.listen(0, '127.0.0.1', () => resolve(server))
+  })))
+  const ports = servers.map((server) => (server.address() as { port: number }).port)
+  await Promise.all(servers.map((server) => new Promise((resolve) => { server.close(resolve) })))
+  return ports
+}
+
+export class Deployment {
+  readonly entries: readonly EntryAddress[]
+  readonly controls: readonly ControlAddress[]
+  readonly secret: string
+  readonly secretFile: string
+  readonly #options: DeploymentOptions
+  readonly #processes = new Map<string, Managed>()
+
+  private constructor (options: DeploymentOptions, entries: readonly EntryAddress[], controls: readonly ControlAddress[]) {
+    this.#options = options
+    this.entries = entries
+    this.controls = controls
+    this.secret = `secret-of-${options.name}-deployment`
+    this.secretFile = `${options.folder}/secret`
+  }
+
+  /** Writes the settings of every process; two control processes and two entries in each domain. */
+  static async create (options: DeploymentOptions): Promise<Deployment> {
+    rmSync(options.folder, { recursive: true, force: true })
+    mkdirSync(options.folder, { recursive: true })
+    const perDomain = options.entriesPerDomain ?? 2
+    const ports = await findFreePorts(options.domains.length * (perDomain * 4 + 2))
+    const next = (): Address => ({ address: '127.0.0.1', port: ports.pop()! })
+    const entries = options.domains.flatMap((domain) => Array.from({ length: perDomain }, (_, i): EntryAddress => ({
+      node: `${domain}-entry-${i + 1}`, domain, callers: next(), endpoints: next(), operators: next(), internal: next()
+    })))
+    const controls = options.domains.flatMap((domain) => [1, 2].map((i): ControlAddress => ({ node: `${domain}-control-${i}`, domain, ...next() })))
+    const deployment = new Deployment(options, entries, controls)
+    deployment.#writeSettings()
+    return deployment
+  }
+
+  async start (): Promise<void> {
+    await Promise.all(this.controls.map(({ node }) => this.#initData(node)))
+    for (const { node } of [...this.controls, ...this.entries]) this.startProcess(node)
+  }
+
+  startProcess (node: string): void {
+    const managed = this.#get(node)
+    const log = openSync(`${this.#options.folder}/${node}.log`, 'a')
+    managed.child = spawn(process.execPath, [BINARIES[managed.role], '--settings', managed.settings], {
+      stdio: ['ignore', log, log],
+      env: { ...process.env, UV_USE_IO_URING: '0' }
+    })
+  }
+
+  getPid (node: string): number | undefined {
+    return this.#get(node).child?.pid
+  }
+
+  signal (node: string, signal: NodeJS.Signals): void {
+    this.#get(node).child?.kill(signal)
+  }
+
+  /** Kills without warning and waits until the process is gone. */
+  async kill (node: string): Promise<void> {
+    await this.#end(node, 'SIGKILL')
+  }
+
+  /** Asks the process to shut down; resolves with its exit code. */
+  async terminate (node: string): Promise<number | null> {
+    return await this.#end(node, 'SIGTERM')
+  }
+
+  /** What happens to a VM whose disk is replaced. */
+  loseData (node: string): void {
+    rmSync(this.getDataFolder(node), { recursive: true, force: true })
+  }
+
+  getDataFolder (node: string): string {
+    return `${this.#options.folder}/${node}`
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all([...this.#processes.keys()].map((node) => this.#end(node, 'SIGKILL')))
+  }
+
+  #get (node: string): Managed {
+    const managed = this.#processes.get(node)
+    if (!managed) throw new Error(`no process ${node}`)
+    return managed
+  }
+
+  async #end (node: string, signal: NodeJS.Signals): Promise<number | null> {
+    const managed = this.#get(node)
+    const { child } = managed
+    if (!child || child.exitCode !== null || child.signalCode !== null) return child?.exitCode ?? null
+    const ended = new Promise<number | null>((resolve) => { child.once('exit', (code) => resolve(code)) })
+    child.kill(signal)
+    const timeout = setTimeout(() => child.kill('SIGKILL'), STOP_TIMEOUT_MS)
+    const code = await ended
+    clearTimeout(timeout)
+    managed.child = null
+    return code
+  }
+
+  async #initData (node: string): Promise<void> {
+    const { settings, role } = this.#get(node)
+    const child = spawn(process.execPath, [BINARIES[role], '--init', '--settings', settings], { stdio: ['ignore', 'inherit', 'inherit'] })
+    const code = await new Promise((resolve) => { child.once('exit', resolve) })
+    if (code !== 0) throw new Error(`${node}: initialisation ended with exit code ${code}`)
+  }
+
+  #writeSettings (): void {
+    const { folder, name, domains, drainMs } = this.#options
+    writeFileSync(this.secretFile, `${this.secret}\n`, { mode: 0o600 })
+    const entries = this.entries.map(({ node, domain, internal }) => ({ node, domain, ...internal }))
+    const common = { deployment: name, secretFile: this.secretFile, controls: this.controls, entries, log: { level: 'info' } }
+    const groups = {
+      // One voter in each domain, and a fifth so that the group survives two losses.
+      config: { voters: this.controls.filter(({ node }, i) => node.endsWith('-1') || i === 1).map(({ node }) => node).slice(0, domains.length < 4 ? domains.length | 1 : 5) },
+      domains: domains.map((domain, i) => ({
+        domain,
+        voters: this.controls.filter((control) => control.domain === domain).map(({ node }) => node),
+        witness: `${domains[(i + 1) % domains.length]}-control-${(i % 2) + 1}`
+      }))
+    }
+    for (const { node, domain, address, port } of this.controls) {
+      this.#addProcess('control', node, { ...common, node, domain, listen: { internal: { address, port } }, dataFolder: this.getDataFolder(node), groups })
+    }
+    for (const { node, domain, callers, endpoints, operators, internal } of this.entries) {
+      this.#addProcess('entry', node, { ...common, node, domain, listen: { callers, endpoints, operators, internal }, dataFolder: this.getDataFolder(node), shutdown: { drainMs: drainMs ?? 500 } })
+    }
+    mkdirSync(folder, { recursive: true })
+  }
+
+  #addProcess (role: Role, node: string, settings: object): void {
+    const file = `${this.#options.folder}/${node}.yaml`
+    writeFileSync(file, stringify(settings))
+    this.#processes.set(node, { role, settings: file, child: null })
+  }
+}
--- a/tests/support/in-process.ts
+++ b/tests/support/in-process.ts
@@ -3,7 +3,7 @@
 import { ConfigCache } from '@ibisstair/config-sync'
 import { ControlNode } from '@ibisstair/control'
 import { Entry, type EntryAddresses } from '@ibisstair/gateway'
-import { MessageSender, RpcClient, RpcServer, type Identity } from '@ibisstair/rpc'
+import { RpcClient, RpcServer, type Identity } from '@ibisstair/rpc'
 import { Scheduler } from '@ibisstair/scheduler'
 import { createLogger, Metrics } from '@ibisstair/telemetry'
 import { RandomSource, SystemTimerService } from '@ibisstair/timers'
@@ -38,7 +38,6 @@
     cache: new ConfigCache(null),
     rpc,
     server,
-    sender: new MessageSender(rpc, new Map(), 1000),
     timers,
     random,
     metrics: new Metrics({ node: 'control-1' }),
