consensus: add the replica driver with durable state and truthful proposals

The driver stores and syncs effects in batches and sends the messages of a batch after its sync. A proposal ends as not run only if its entry was never stored or sent, or if another entry was committed in its place; in all other cases it ends as outcome-unknown. On a full disk the replica drops what was not stored, refuses proposals, answers heartbeats and tries the disk again every second.

--- a/packages/consensus/src/constants.ts
+++ b/packages/consensus/src/constants.ts
@@ -36,8 +36,15 @@
 export const SNAPSHOT_EVERY_ENTRIES = 1000
 export const SNAPSHOT_EVERY_BYTES = 8 * 1024 * 1024
 
-/** Entries kept in memory behind a snapshot for followers that lag a little. */
+/** Entries and bytes kept in memory behind a snapshot for followers that lag a little. */
 export const TRAILING_ENTRIES = 200
+export const TRAILING_BYTES = 2 * 1024 * 1024
 
 /** Period at which a full disk is tried again. */
 export const DISK_RETRY_MS = 1000
+
+/** Commands of one process that wait for their outcome. */
+export const MAX_PENDING_PROPOSALS = 4096
+
+/** Effects that wait for the disk; messages beyond it are dropped, as the network may do. */
+export const MAX_QUEUED_EFFECTS = 10_000
--- /dev/null
+++ b/packages/consensus/src/driver.ts
@@ -0,0 +1,414 @@
+import * as v from 'valibot'
+import { assertNever, IbisError, invariant } from '@ibisstair/common'
+import type { NodeId } from '@ibisstair/common'
+import { isDiskFull, packValue, unpackValue } from '@ibisstair/storage'
+import type { DataFolder } from '@ibisstair/storage'
+import type { RandomSource, TimerService, Unsubscribe } from '@ibisstair/timers'
+import {
+  DISK_RETRY_MS, MAX_COMMAND_BYTES, MAX_PENDING_PROPOSALS, MAX_QUEUED_EFFECTS, SNAPSHOT_EVERY_BYTES, SNAPSHOT_EVERY_ENTRIES, TICK_MS
+} from './constants.ts'
+import { GroupStorage } from './group-storage.ts'
+import type { OpenedGroup } from './group-storage.ts'
+import { messageSchema } from './messages.ts'
+import { Proposals } from './proposals.ts'
+import { Replica } from './replica.ts'
+import type { Effect, Mechanism, MemberChange, ReplicaEvent } from './replica-types.ts'
+import type { EncodedSnapshot, Group, GroupTransport, HardState, LogEntry, Member, ReplicaStatus, StateMachine } from './types.ts'
+
+export interface DriverOptions<Command, Result> {
+  readonly group: string
+  readonly node: NodeId
+  readonly folder: DataFolder
+  readonly timers: TimerService
+  readonly random: RandomSource
+  readonly transport: GroupTransport
+  readonly machine: StateMachine<Command, Result>
+  /** The members at installation, all with incarnation "1". */
+  readonly initialMembers: readonly Member[]
+  /** Called for changes of state that an operator should see. */
+  readonly log?: (level: 'info' | 'warn' | 'error', message: string, info: Readonly<Record<string, unknown>>) => void
+  /** The replica has stopped for good, for example because its files failed. */
+  readonly onFatal?: (err: IbisError) => void
+  readonly snapshotEveryEntries?: number
+  /** Test option. */
+  readonly disabled?: readonly Mechanism[]
+}
+
+interface DriverCounters {
+  invalidMessages: number
+  droppedMessages: number
+  overloadedProposals: number
+  oversizedCommands: number
+  diskFull: number
+  snapshotsTaken: number
+  snapshotFailures: number
+  compactions: number
+  applied: number
+  applyFailures: number
+}
+
+type StorageEffect = Extract<Effect, { type: 'save-hard-state' | 'append' | 'reset-log' | 'save-snapshot' | 'send' }>
+
+/** What of a batch is on the disk. */
+interface StoredPart {
+  readonly events: ReplicaEvent[]
+  /** Effects that must not be executed again. */
+  readonly done: Set<StorageEffect>
+}
+
+/** Joins append effects: what a later one replaces need not be written. */
+const mergeEntries = (earlier: readonly LogEntry[], later: readonly LogEntry[]): LogEntry[] => {
+  const first = later[0]
+  return first ? [...earlier.filter((entry) => entry.index < first.index), ...later] : [...earlier]
+}
+
+/**
+ * Runs one replica on files, timers and a transport. Effects are stored and synced in batches, and
+ * the messages of a batch leave after its sync.
+ */
+export class ReplicaDriver<Command, Result> implements Group<Command, Result> {
+  readonly #options: DriverOptions<Command, Result>
+  readonly #storage: GroupStorage
+  readonly #replica: Replica
+  readonly #proposals: Proposals<Result | undefined>
+  readonly #listeners = new Set<(status: ReplicaStatus) => void>()
+  readonly #counters: DriverCounters = {
+    invalidMessages: 0, droppedMessages: 0, overloadedProposals: 0, oversizedCommands: 0, diskFull: 0, snapshotsTaken: 0, snapshotFailures: 0, compactions: 0, applied: 0, applyFailures: 0
+  }
+
+  readonly #events: ReplicaEvent[] = []
+  #isStepping = false
+  #queue: StorageEffect[] = []
+  #flushing: Promise<void> | null = null
+  /** A term or vote that a full disk did not take; no message leaves before it is stored. */
+  #unsavedHardState: HardState | null = null
+  #isRetryPlanned = false
+  #isTakingSnapshot = false
+  #snapshotAfter = -Infinity
+  #appliedIndex: number
+  #status: ReplicaStatus
+  #stopTicks: Unsubscribe = () => {}
+  #isStopped = false
+
+  private constructor (options: DriverOptions<Command, Result>, opened: OpenedGroup) {
+    this.#options = options
+    this.#storage = opened.storage
+    this.#proposals = new Proposals(options.timers)
+    const { group, node, folder, random, initialMembers } = options
+    this.#replica = new Replica({
+      group, node, random, incarnation: folder.incarnation, peers: initialMembers.map((member) => member.node), disabled: options.disabled ?? []
+    }, opened.state, options.timers.now())
+    const { snapshot } = opened.state
+    this.#appliedIndex = snapshot.index
+    if (snapshot.data !== '') this.#restoreMachine(snapshot)
+    this.#status = this.getStatus()
+  }
+
+  /** Recovers the state from the folder and starts to take part. Throws `data-damaged`. */
+  static async open<Command, Result> (options: DriverOptions<Command, Result>): Promise<ReplicaDriver<Command, Result>> {
+    const opened = await GroupStorage.open(options.folder, options.group, options.initialMembers)
+    const info = { group: options.group, node: options.node }
+    if (opened.tornTail) options.log?.('warn', 'an incomplete record at the end of the log was cut', { ...info, ...opened.tornTail })
+    if (opened.damagedSnapshots.length > 0) options.log?.('warn', 'damaged snapshots were replaced by an older one and the log', { ...info, indexes: opened.damagedSnapshots })
+    const driver = new ReplicaDriver(options, opened)
+    driver.#stopTicks = options.timers.every(TICK_MS, () => driver.#dispatch({ type: 'tick' }))
+    return driver
+  }
+
+  /** Commands are plain JSON. Callers must not change a command after the call. */
+  async propose (command: Command, timeoutMs: number): Promise<Result> {
+    this.#checkRoom()
+    if (JSON.stringify(command).length > MAX_COMMAND_BYTES) {
+      this.#counters.oversizedCommands += 1
+      throw new IbisError('body-too-large', `a command takes at most ${MAX_COMMAND_BYTES} bytes`)
+    }
+    return await this.#proposals.add(timeoutMs, (id) => this.#dispatch({ type: 'propose', id, command })) as Result
+  }
+
+  /** Adds or removes a node; an added one starts as a learner and is promoted when it has caught up. */
+  async changeMembers (change: MemberChange, timeoutMs: number): Promise<void> {
+    this.#checkRoom()
+    await this.#proposals.add(timeoutMs, (id) => this.#dispatch({ type: 'change', id, change }))
+  }
+
+  /** Asks a caught-up voter to take over, for example before a shutdown. */
+  transferLeadership (): void {
+    this.#dispatch({ type: 'transfer' })
+  }
+
+  getStatus (): ReplicaStatus {
+    return this.#replica.getStatus(this.#options.timers.now())
+  }
+
+  getCounters (): Readonly<Record<string, number>> {
+    return { ...this.#counters, ...this.#replica.counters, ...this.#storage.logCounters, pendingProposals: this.#proposals.size, queuedEffects: this.#queue.length }
+  }
+
+  get appliedIndex (): number {
+    return this.#appliedIndex
+  }
+
+  onStatus (listener: (status: ReplicaStatus) => void): () => void {
+    this.#listeners.add(listener)
+    return () => { this.#listeners.delete(listener) }
+  }
+
+  handleMessage (from: NodeId, message: unknown): void {
+    const result = v.safeParse(messageSchema, message)
+    if (!result.success) {
+      this.#counters.invalidMessages += 1
+      return
+    }
+    this.#dispatch({ type: 'message', from, message: result.output })
+  }
+
+  async stop (): Promise<void> {
+    this.#shutDown('the replica was stopped')
+    await this.#flushing
+    await this.#storage.close()
+  }
+
+  #checkRoom (): void {
+    if (this.#isStopped) throw new IbisError('shutting-down', 'this replica has stopped')
+    if (this.#proposals.size < MAX_PENDING_PROPOSALS) return
+    this.#counters.overloadedProposals += 1
+    throw new IbisError('overloaded', `${MAX_PENDING_PROPOSALS} commands wait for their outcome`)
+  }
+
+  #shutDown (detail: string): void {
+    this.#isStopped = true
+    this.#stopTicks()
+    this.#proposals.failAll(detail)
+  }
+
+  /** Stops for good: a replica that broke a rule or lost its files must not go on. */
+  #halt (cause: unknown): void {
+    if (this.#isStopped) return
+    const err = IbisError.from(cause)
+    this.#shutDown(`the replica failed: ${err.message}`)
+    this.#options.log?.('error', 'the replica has failed and takes no further part', { group: this.#options.group, node: this.#options.node, err: err.message })
+    this.#options.onFatal?.(err)
+  }
+
+  // ---- events ----
+
+  /** Events that a listener or the state machine causes are handled after the current one. */
+  #dispatch (event: ReplicaEvent): void {
+    if (this.#isStopped) return
+    this.#events.push(event)
+    if (this.#isStepping) return
+    this.#isStepping = true
+    try {
+      for (let next = this.#events.shift(); next && !this.#isStopped; next = this.#events.shift()) this.#step(next)
+    } catch (err) {
+      this.#halt(err)
+    } finally {
+      this.#isStepping = false
+    }
+    this.#announceStatus()
+  }
+
+  #step (event: ReplicaEvent): void {
+    for (const effect of this.#replica.step(event, this.#options.timers.now())) this.#execute(effect)
+    this.#takeSnapshotWhenDue()
+    if (this.#queue.length > 0) this.#flushing ??= this.#flush()
+  }
+
+  #execute (effect: Effect): void {
+    switch (effect.type) {
+      case 'commit': return this.#apply(effect.index)
+      case 'restore': return this.#restore(effect.snapshot)
+      case 'accepted': return this.#proposals.accept(effect.id, effect.index, effect.term)
+      case 'refused': return this.#proposals.refuse(effect.id, effect.reason, this.getStatus().leader)
+      case 'dropped': return this.#proposals.drop(effect.fromIndex)
+      case 'send': return this.#send(effect)
+      case 'save-hard-state':
+      case 'append':
+      case 'reset-log':
+      case 'save-snapshot': {
+        this.#queue.push(effect)
+        return
+      }
+      default: assertNever(effect)
+    }
+  }
+
+  #announceStatus (): void {
+    const previous = this.#status
+    const status = this.getStatus()
+    this.#status = status
+    const isSame = previous.role === status.role && previous.leader === status.leader && previous.hasQuorum === status.hasQuorum
+    if (isSame) return
+    for (const listener of this.#listeners) listener(status)
+  }
+
+  // ---- state machine ----
+
+  #apply (index: number): void {
+    invariant(index >= this.#appliedIndex, 'the applied index does not decrease', { index, applied: this.#appliedIndex })
+    while (this.#appliedIndex < index) {
+      const entry = this.#replica.getEntry(this.#appliedIndex + 1)
+      invariant(entry, 'a committed entry is in the log until it is applied', { index: this.#appliedIndex + 1 })
+      this.#appliedIndex += 1
+      this.#counters.applied += 1
+      const getResult = this.#applyEntry(entry)
+      this.#proposals.finish(entry.index, entry.term, getResult)
+    }
+  }
+
+  /** An error of the state machine is its deterministic answer, and goes to the proposer. */
+  #applyEntry (entry: LogEntry): () => Result | undefined {
+    if (entry.body.type !== 'command') return () => undefined
+    try {
+      const result = this.#options.machine.apply(entry.body.command as Command, entry.index)
+      return () => result
+    } catch (err) {
+      this.#counters.applyFailures += 1
+      return () => { throw err }
+    }
+  }
+
+  #restore (snapshot: EncodedSnapshot): void {
+    invariant(snapshot.index >= this.#appliedIndex, 'the applied index does not decrease', { snapshot: snapshot.index, applied: this.#appliedIndex })
+    this.#restoreMachine(snapshot)
+    this.#appliedIndex = snapshot.index
+    this.#proposals.skip(snapshot.index)
+  }
+
+  #restoreMachine (snapshot: EncodedSnapshot): void {
+    this.#options.machine.restore(unpackValue(Buffer.from(snapshot.data, 'base64')))
+  }
+
+  #takeSnapshotWhenDue (): void {
+    if (this.#isTakingSnapshot || this.#options.timers.now() < this.#snapshotAfter) return
+    const entries = this.#appliedIndex - this.#replica.snapshotIndex
+    const isDue = entries >= (this.#options.snapshotEveryEntries ?? SNAPSHOT_EVERY_ENTRIES) || (entries > 0 && this.#replica.getBytesAfterSnapshot() >= SNAPSHOT_EVERY_BYTES)
+    if (!isDue) return
+    const data = packValue(this.#options.machine.toSnapshot()).toString('base64')
+    this.#isTakingSnapshot = true
+    this.#counters.snapshotsTaken += 1
+    this.#queue.push({ type: 'save-snapshot', snapshot: this.#replica.createSnapshot(this.#appliedIndex, data) })
+  }
+
+  // ---- storage ----
+
+  #send (effect: Extract<Effect, { type: 'send' }>): void {
+    if (this.#unsavedHardState || this.#queue.length >= MAX_QUEUED_EFFECTS) {
+      this.#counters.droppedMessages += 1
+      return
+    }
+    const mustWait = this.#flushing || this.#queue.length > 0
+    if (mustWait && !this.#options.disabled?.includes('sync-first')) this.#queue.push(effect)
+    else this.#transmit(effect)
+  }
+
+  #transmit (effect: Extract<Effect, { type: 'send' }>): void {
+    this.#options.transport.send(this.#options.group, effect.to, effect.message)
+  }
+
+  async #flush (): Promise<void> {
+    // Leaves the current turn, so that events of one turn share a sync.
+    await Promise.resolve()
+    while (this.#queue.length > 0 && !this.#isStopped) {
+      const batch = this.#queue
+      this.#queue = []
+      const stored: StoredPart = { events: [], done: new Set() }
+      try {
+        await this.#storeBatch(batch, stored)
+        if (!this.#isStopped) this.#finishBatch(batch, stored)
+      } catch (err) {
+        // The replica must not drop entries that are on the disk, so it hears of them first.
+        for (const event of stored.events) this.#dispatch(event)
+        if (isDiskFull(err)) this.#handleDiskFull(batch, stored)
+        else this.#halt(err)
+      }
+    }
+    this.#flushing = null
+  }
+
+  /** Adds to `stored` as far as the batch comes. */
+  async #storeBatch (batch: readonly StorageEffect[], stored: StoredPart): Promise<void> {
+    const hardState = batch.findLast((effect) => effect.type === 'save-hard-state')
+    // The term goes first: a stored entry must not have a higher one.
+    if (hardState) {
+      await this.#storage.saveHardState(hardState.state)
+      stored.done.add(hardState)
+    }
+    let entries: LogEntry[] = []
+    let sequence = 0
+    const storeEntries = async (): Promise<void> => {
+      await this.#storage.append(entries)
+      if (sequence > 0) stored.events.push({ type: 'persisted', sequence })
+      entries = []
+      sequence = 0
+    }
+    for (const effect of batch) {
+      if (effect.type === 'append') {
+        entries = mergeEntries(entries, effect.entries)
+        sequence = effect.sequence
+      } else if (effect.type === 'reset-log') {
+        entries = []
+        await this.#storage.resetLog(effect.index)
+        stored.done.add(effect)
+      } else if (effect.type === 'save-snapshot') {
+        await storeEntries()
+        stored.events.push(await this.#saveSnapshot(effect.snapshot))
+        stored.done.add(effect)
+      }
+    }
+    await storeEntries()
+  }
+
+  #finishBatch (batch: readonly StorageEffect[], stored: StoredPart): void {
+    for (const effect of batch) if (effect.type === 'send') this.#transmit(effect)
+    for (const event of stored.events) this.#dispatch(event)
+  }
+
+  async #saveSnapshot (snapshot: EncodedSnapshot): Promise<ReplicaEvent> {
+    this.#isTakingSnapshot = false
+    try {
+      await this.#storage.saveSnapshot(snapshot)
+      await this.#storage.compact()
+      this.#counters.compactions += 1
+      return { type: 'snapshot-saved', snapshot }
+    } catch (err) {
+      if (!isDiskFull(err)) throw err
+      this.#counters.snapshotFailures += 1
+      this.#snapshotAfter = this.#options.timers.now() + DISK_RETRY_MS
+      return { type: 'snapshot-failed' }
+    }
+  }
+
+  /** Nothing of the batch leaves; the replica drops what was not stored, and a term is tried again. */
+  #handleDiskFull (batch: readonly StorageEffect[], stored: StoredPart): void {
+    const rest = [...batch.filter((effect) => !stored.done.has(effect)), ...this.#queue]
+    this.#counters.diskFull += 1
+    this.#unsavedHardState = rest.findLast((effect) => effect.type === 'save-hard-state')?.state ?? this.#unsavedHardState
+    this.#queue = rest.filter((effect) => effect.type === 'reset-log')
+    this.#counters.droppedMessages += rest.filter((effect) => effect.type === 'send').length
+    this.#dispatch({ type: 'append-failed' })
+    if (rest.some((effect) => effect.type === 'save-snapshot')) {
+      this.#isTakingSnapshot = false
+      this.#dispatch({ type: 'snapshot-failed' })
+    }
+    if (!this.#isRetryPlanned) this.#planRetry()
+  }
+
+  #planRetry (): void {
+    this.#isRetryPlanned = true
+    this.#options.log?.('warn', 'the disk is full; new proposals are refused', { group: this.#options.group, node: this.#options.node })
+    this.#options.timers.subscribe(DISK_RETRY_MS, () => { this.#retryDisk() })
+  }
+
+  #retryDisk (): void {
+    this.#isRetryPlanned = false
+    if (this.#isStopped) return
+    const state = this.#unsavedHardState
+    this.#unsavedHardState = null
+    if (state) {
+      this.#queue.push({ type: 'save-hard-state', state })
+      this.#flushing ??= this.#flush()
+    }
+    this.#dispatch({ type: 'disk-writable' })
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/group-storage.ts
@@ -0,0 +1,140 @@
+import { posix } from 'node:path'
+import * as v from 'valibot'
+import { IbisError, invariant } from '@ibisstair/common'
+import { AppendLog, SnapshotStore, ValueFile } from '@ibisstair/storage'
+import type { DataFolder, TornTail } from '@ibisstair/storage'
+import { entrySchema, hardStateSchema, snapshotSchema } from './messages.ts'
+import type { ReplicaState } from './replica-types.ts'
+import type { EncodedSnapshot, HardState, LogEntry, Member } from './types.ts'
+
+const HARD_STATE_FILE = 'hard-state'
+const LOG_FILE = 'log'
+
+export interface OpenedGroup {
+  readonly storage: GroupStorage
+  readonly state: ReplicaState
+  readonly tornTail: TornTail | null
+  /** Indexes of damaged snapshots that the log made up for. */
+  readonly damagedSnapshots: readonly number[]
+}
+
+const createLostError = (file: string, detail: string): IbisError =>
+  new IbisError('data-damaged', `${file}: ${detail}`, { info: { file, offset: 0 } })
+
+const parseStored = <S extends v.GenericSchema>(schema: S, value: unknown, file: string): v.InferOutput<S> => {
+  const result = v.safeParse(schema, value)
+  if (!result.success) throw createLostError(file, 'a stored value has an unknown form')
+  return result.output
+}
+
+/** The durable state of one replica: hard state, log and snapshots in the group's folder. */
+export class GroupStorage {
+  readonly #hardState: ValueFile<typeof hardStateSchema>
+  readonly #snapshots: SnapshotStore
+  readonly #log: AppendLog
+  /** Index of the first record in the file; of the next one when the file is empty. */
+  #firstIndex = 1
+  #snapshotIndex = 0
+  /** The log reaches back to this snapshot, in case the newest one is damaged. */
+  #previousSnapshotIndex = 0
+
+  private constructor (hardState: ValueFile<typeof hardStateSchema>, snapshots: SnapshotStore, log: AppendLog) {
+    this.#hardState = hardState
+    this.#snapshots = snapshots
+    this.#log = log
+  }
+
+  /**
+   * Opens or creates the group's state. A node in its first incarnation starts with the initial
+   * members; a later one starts without members and has to be admitted. Throws `data-damaged`.
+   */
+  static async open (folder: DataFolder, group: string, initialMembers: readonly Member[]): Promise<OpenedGroup> {
+    const path = await folder.makeGroupFolder(group)
+    const hardStateFile = new ValueFile(folder.fs, posix.join(path, HARD_STATE_FILE), hardStateSchema)
+    const snapshots = new SnapshotStore(folder.fs, path)
+    const hardState = await hardStateFile.read() ?? await GroupStorage.#create(folder, group, hardStateFile, snapshots, initialMembers)
+    await folder.addGroup(group)
+    const loaded = await snapshots.load()
+    if (!loaded.newest) throw createLostError(path, 'no valid snapshot is left')
+    const snapshot = parseStored(snapshotSchema, loaded.newest.value, path)
+    const { log, records, tornTail } = await AppendLog.open(folder.fs, posix.join(path, LOG_FILE))
+    const storage = new GroupStorage(hardStateFile, snapshots, log)
+    storage.#snapshotIndex = snapshot.index
+    storage.#previousSnapshotIndex = loaded.previousIndex ?? snapshot.index
+    const entries = await storage.#recover(records, snapshot, Math.max(0, ...loaded.damaged))
+    return { storage, state: { hardState, snapshot, entries }, tornTail, damagedSnapshots: loaded.damaged }
+  }
+
+  static async #create (folder: DataFolder, group: string, file: ValueFile<typeof hardStateSchema>, snapshots: SnapshotStore, initialMembers: readonly Member[]): Promise<HardState> {
+    if (folder.hasGroup(group)) throw createLostError(file.path, 'the state of the group is missing')
+    const hardState = { term: 0, votedFor: null, votedIncarnation: null }
+    await snapshots.save(0, { index: 0, term: 0, members: folder.isFirstIncarnation ? initialMembers : [], data: '' })
+    await file.write(hardState)
+    return hardState
+  }
+
+  /** Returns the entries after the snapshot. */
+  async #recover (records: readonly unknown[], snapshot: EncodedSnapshot, requiredIndex: number): Promise<LogEntry[]> {
+    const { path } = this.#log
+    const entries = records.map((record) => parseStored(entrySchema, record, path))
+    const first = entries[0]?.index ?? snapshot.index + 1
+    const last = first + entries.length - 1
+    if (entries.some((entry, i) => entry.index !== first + i)) throw createLostError(path, 'the log has a gap')
+    if (first > snapshot.index + 1) throw createLostError(path, `the log starts at ${first}, but the newest valid snapshot ends at ${snapshot.index}`)
+    if (last < requiredIndex) throw createLostError(path, `the snapshot at ${requiredIndex} is damaged, and the log ends at ${last}`)
+    this.#firstIndex = first
+    const atSnapshot = entries[snapshot.index - first]
+    // A received snapshot replaces a log that it is ahead of or that disagrees with it.
+    const isObsolete = last < snapshot.index || (atSnapshot && atSnapshot.term !== snapshot.term)
+    if (isObsolete) await this.resetLog(snapshot.index)
+    return isObsolete ? [] : entries.slice(snapshot.index + 1 - first)
+  }
+
+  get logBytes (): number {
+    return this.#log.bytes
+  }
+
+  get logCounters (): Readonly<Record<string, number>> {
+    return { ...this.#log.counters }
+  }
+
+  async saveHardState (state: HardState): Promise<void> {
+    await this.#hardState.write({ ...state, votedIncarnation: state.votedIncarnation ?? null })
+  }
+
+  /** Replaces the log from the first entry's index on. */
+  async append (entries: readonly LogEntry[]): Promise<void> {
+    const first = entries[0]
+    if (!first) return
+    if (this.#log.count === 0) this.#firstIndex = first.index
+    const keep = first.index - this.#firstIndex
+    invariant(keep >= 0 && keep <= this.#log.count, 'the stored log has no gap', { first: first.index, stored: this.#firstIndex, count: this.#log.count })
+    if (keep < this.#log.count) await this.#log.truncate(keep)
+    if (keep === 0) this.#firstIndex = first.index
+    await this.#log.append(entries)
+  }
+
+  async resetLog (index: number): Promise<void> {
+    await this.#log.truncate(0)
+    this.#firstIndex = index + 1
+    this.#previousSnapshotIndex = index
+  }
+
+  async saveSnapshot (snapshot: EncodedSnapshot): Promise<void> {
+    await this.#snapshots.save(snapshot.index, snapshot)
+    this.#previousSnapshotIndex = Math.max(this.#previousSnapshotIndex, this.#snapshotIndex)
+    this.#snapshotIndex = Math.max(this.#snapshotIndex, snapshot.index)
+  }
+
+  /** Removes the records that only the snapshot before the previous one needed. */
+  async compact (): Promise<void> {
+    const count = Math.min(this.#previousSnapshotIndex + 1 - this.#firstIndex, this.#log.count)
+    if (count <= 0) return
+    await this.#log.dropFirst(count)
+    this.#firstIndex += count
+  }
+
+  async close (): Promise<void> {
+    await this.#log.close()
+  }
+}
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -1,3 +1,5 @@
 export * from './types.ts'
+export { ReplicaDriver } from './driver.ts'
+export type { DriverOptions } from './driver.ts'
 export { Replica } from './replica.ts'
 export type * from './replica-types.ts'
--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -18,7 +18,9 @@
 export class ReplicaLog {
   #base: { readonly index: number, readonly term: number }
   #entries: LogEntry[] = []
-  #sizes: number[] = []
+  /** For each entry the estimated bytes of the log up to and including it. */
+  #sums: number[] = []
+  #baseSum = 0
   /** The configuration at the base and those in entries; the last one is in force. */
   #configurations: Configuration[]
 
@@ -64,7 +66,7 @@
     invariant(entry.index === this.lastIndex + 1, 'the log has no gap', { entry: entry.index, last: this.lastIndex })
     invariant(entry.term >= this.lastTerm, 'terms do not decrease along the log', { entry: entry.term, last: this.lastTerm })
     this.#entries.push(entry)
-    this.#sizes.push(estimateBytes(entry))
+    this.#sums.push(this.#sumAt(this.lastIndex - 1) + estimateBytes(entry))
     if (entry.body.type === 'members') this.#configurations.push({ index: entry.index, members: entry.body.members })
   }
 
@@ -72,7 +74,7 @@
   truncateFrom (index: number): void {
     const keep = Math.max(0, index - this.#base.index - 1)
     this.#entries.length = Math.min(keep, this.#entries.length)
-    this.#sizes.length = this.#entries.length
+    this.#sums.length = this.#entries.length
     while (this.#configurations.length > 1 && this.configuration.index >= index) this.#configurations.pop()
   }
 
@@ -83,8 +85,9 @@
     invariant(term !== null, 'the log is compacted up to an entry it has', { index, last: this.lastIndex })
     const members = this.membersAt(index)
     const count = index - this.#base.index
+    this.#baseSum = this.#sumAt(index)
     this.#entries = this.#entries.slice(count)
-    this.#sizes = this.#sizes.slice(count)
+    this.#sums = this.#sums.slice(count)
     this.#base = { index, term }
     this.#configurations = [{ index, members }, ...this.#configurations.filter((configuration) => configuration.index > index)]
   }
@@ -94,17 +97,17 @@
     const start = from - this.#base.index - 1
     const limit = Math.min(to - this.#base.index, start + maxEntries, this.#entries.length)
     let end = start
-    for (let bytes = 0; end < limit; end++) {
-      bytes += this.#sizes[end] ?? 0
-      if (end > start && bytes > maxBytes) break
-    }
+    const maxSum = this.#sumAt(from - 1) + maxBytes
+    while (end < limit && (end === start || this.#sumAt(this.#base.index + end + 1) <= maxSum)) end += 1
     return this.#entries.slice(start, end)
   }
 
   /** Estimated bytes of the entries after the index. */
   bytesAfter (index: number): number {
-    let sum = 0
-    for (let i = Math.max(0, index - this.#base.index); i < this.#sizes.length; i++) sum += this.#sizes[i] ?? 0
-    return sum
+    return this.#sumAt(this.lastIndex) - this.#sumAt(index)
+  }
+
+  #sumAt (index: number): number {
+    return this.#sums[index - this.#base.index - 1] ?? this.#baseSum
   }
 }
--- a/packages/consensus/src/messages.ts
+++ b/packages/consensus/src/messages.ts
@@ -24,7 +24,7 @@
 export const hardStateSchema = v.object({
   term: count,
   votedFor: v.nullable(nodeId),
-  votedIncarnation: v.optional(v.nullable(v.string()))
+  votedIncarnation: v.optional(v.nullable(v.string()), null)
 })
 
 export const snapshotSchema = v.object({
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -4,7 +4,7 @@
 import {
   ELECTION_TIMEOUT_MAX_MS, ELECTION_TIMEOUT_MIN_MS, HEARTBEAT_MS, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_LOG_ENTRIES,
   MAX_SNAPSHOT_CHARS, MAX_UNCOMMITTED_BYTES, MAX_UNCOMMITTED_ENTRIES, SNAPSHOT_CHUNK_CHARS,
-  TRAILING_ENTRIES, WITNESS_TIMEOUT_FACTOR
+  TRAILING_BYTES, TRAILING_ENTRIES, WITNESS_TIMEOUT_FACTOR
 } from './constants.ts'
 import { ReplicaLog } from './log.ts'
 import { countVoterChanges, findMember, isMajority, isSameMember, listVoters, majorityValue, withLearner, withoutNode, withVoter } from './members.ts'
@@ -841,7 +841,15 @@
       return
     }
     this.#snapshot = snapshot
-    this.#log.compact(Math.max(this.#log.baseIndex, Math.min(snapshot.index, this.#commitIndex - (this.#options.trailingEntries ?? TRAILING_ENTRIES))))
+    this.#log.compact(this.#findTrailingStart(snapshot.index))
+  }
+
+  /** Entries that slow followers may still need stay, as far as the limits allow. */
+  #findTrailingStart (snapshotIndex: number): number {
+    const limit = this.#log.bytesAfter(snapshotIndex) + TRAILING_BYTES
+    let index = Math.max(this.#log.baseIndex, snapshotIndex - (this.#options.trailingEntries ?? TRAILING_ENTRIES))
+    while (index < snapshotIndex && this.#log.bytesAfter(index) > limit) index += 1
+    return index
   }
 
   #install (snapshot: EncodedSnapshot): void {
--- /dev/null
+++ b/packages/consensus/tests/support/driver-cluster.ts
@@ -0,0 +1,264 @@
+import { asId, IbisError } from '@ibisstair/common'
+import type { ErrorKind, NodeId } from '@ibisstair/common'
+import { DataFolder, MemoryDisk } from '@ibisstair/storage'
+import { ManualTimerService, RandomSource } from '@ibisstair/timers'
+import { ReplicaDriver } from '../../src/index.ts'
+import type { Mechanism, Member, ReplicaStatus, StateMachine } from '../../src/index.ts'
+import { SafetyError } from './history.ts'
+
+/** Answers each command with its position, and detects commands that are applied twice or reordered. */
+export class ListMachine implements StateMachine<string, number> {
+  commands: string[] = []
+
+  apply (command: string): number {
+    if (command === 'fail') throw new IbisError('version-conflict', 'the command asks for a failure')
+    this.commands.push(command)
+    return this.commands.length
+  }
+
+  toSnapshot (): unknown {
+    return this.commands
+  }
+
+  restore (snapshot: unknown): void {
+    this.commands = [...snapshot as string[]]
+  }
+}
+
+interface Node {
+  readonly id: NodeId
+  disk: MemoryDisk
+  driver: ReplicaDriver<string, number> | null
+  machine: ListMachine
+  life: number
+  isStarting: boolean
+  isFull: boolean
+  fatal: IbisError | null
+}
+
+export interface DriverClusterOptions {
+  readonly voters: number
+  readonly witnesses?: number
+  readonly seed: number
+  readonly snapshotEvery?: number
+  readonly disabled?: readonly Mechanism[]
+  readonly ignoreSync?: boolean
+}
+
+export interface Faults {
+  readonly drop: number
+  readonly duplicate: number
+  readonly delayMs: number
+}
+
+const NO_FAULTS: Faults = { drop: 0, duplicate: 0, delayMs: 2 }
+const FOLDER = '/data'
+const MAX_DISK_DELAY_MS = 3
+
+/** Kinds that state that the command was not and will not be committed. */
+const NOT_RUN: readonly ErrorKind[] = ['not-leader', 'no-quorum', 'disk-full', 'overloaded', 'shutting-down']
+
+const nextTurn = (): Promise<void> => new Promise((resolve) => { setImmediate(resolve) })
+
+/** A cluster of drivers on fakes for disk, network and time, all driven by one seed. */
+export class DriverCluster {
+  readonly timers = new ManualTimerService()
+  readonly nodes: Node[] = []
+  /** Commands whose proposer was told that they are committed, with their position. */
+  readonly acknowledged = new Map<string, number>()
+  readonly refused = new Set<string>()
+  readonly outcomes = new Map<string, number>()
+  readonly members: readonly Member[]
+  readonly #random: RandomSource
+  readonly #options: DriverClusterOptions
+  #faults = NO_FAULTS
+  #parts = new Map<NodeId, number>()
+  #proposed = 0
+
+  private constructor (options: DriverClusterOptions) {
+    this.#options = options
+    this.#random = new RandomSource(options.seed)
+    const total = options.voters + (options.witnesses ?? 0)
+    this.members = Array.from({ length: total }, (_, i) => ({ node: asId<NodeId>(`n${i}`), incarnation: '1', role: 'voter', witness: i >= options.voters }))
+  }
+
+  static async create (options: DriverClusterOptions): Promise<DriverCluster> {
+    const cluster = new DriverCluster(options)
+    for (const { node } of cluster.members) {
+      const created: Node = { id: node, disk: cluster.#createDisk(), driver: null, machine: new ListMachine(), life: 0, isStarting: false, isFull: false, fatal: null }
+      cluster.nodes.push(created)
+      const init = DataFolder.init(created.disk.attach(), FOLDER)
+      await cluster.run(100)
+      await init
+      cluster.start(created)
+    }
+    return cluster
+  }
+
+  async run (ms: number): Promise<void> {
+    const end = this.timers.now() + ms
+    await nextTurn()
+    while (this.timers.runNext(end)) await nextTurn()
+    this.timers.advance(end - this.timers.now())
+    await nextTurn()
+  }
+
+  node (i: number): Node {
+    return this.nodes[i % this.nodes.length]!
+  }
+
+  statusOf (node: Node): ReplicaStatus | null {
+    return node.driver?.getStatus() ?? null
+  }
+
+  get leaders (): Node[] {
+    return this.nodes.filter((node) => this.statusOf(node)?.role === 'leader')
+  }
+
+  propose (node: Node, timeoutMs = 3000): void {
+    const command = `c${this.#proposed++}`
+    const { driver } = node
+    if (!driver) return
+    driver.propose(command, timeoutMs).then((position) => {
+      this.#count('committed')
+      this.acknowledged.set(command, position)
+    }, (err: IbisError) => {
+      this.#count(err.kind)
+      if (NOT_RUN.includes(err.kind)) this.refused.add(command)
+    })
+  }
+
+  crash (node: Node): void {
+    node.life += 1
+    node.disk.crash(this.#random)
+    this.#abandon(node)
+  }
+
+  /** Starting takes time, as the files are read through the fake disk. */
+  start (node: Node): void {
+    if (node.driver || node.isStarting) return
+    node.isStarting = true
+    const { life } = node
+    this.#open(node, life).then((driver) => {
+      if (node.life !== life) return
+      node.driver = driver
+    }, (err: unknown) => {
+      if (node.life === life) node.fatal = IbisError.from(err)
+    }).finally(() => {
+      if (node.life === life) node.isStarting = false
+    })
+  }
+
+  canLose (node: Node): boolean {
+    const lists = this.nodes.map((other) => this.statusOf(other)?.members ?? [])
+    // A node that is down may hold a configuration that the others do not know.
+    if (this.nodes.some((other) => !other.driver || this.statusOf(other)?.members.length === 0)) return false
+    return lists.every((members) => {
+      const voters = members.filter((member) => member.role === 'voter')
+      const intact = voters.filter((member) => this.nodes.some((other) => other !== node && this.statusOf(other)?.node === member.node && this.statusOf(other)?.incarnation === member.incarnation))
+      return intact.length * 2 > voters.length
+    })
+  }
+
+  loseDisk (node: Node): void {
+    node.life += 1
+    node.disk.lose()
+    this.#abandon(node)
+  }
+
+  setFull (node: Node, isFull: boolean): void {
+    node.isFull = isFull
+    node.disk.setCapacity(isFull ? node.disk.usedBytes + 200 : Infinity)
+  }
+
+  partition (parts: readonly number[]): void {
+    this.#parts = new Map(this.nodes.map((node, i) => [node.id, parts[i % parts.length] ?? 0]))
+  }
+
+  setFaults (faults: Faults): void {
+    this.#faults = faults
+  }
+
+  healNetwork (): void {
+    this.#parts.clear()
+    this.#faults = NO_FAULTS
+  }
+
+  heal (): void {
+    this.healNetwork()
+    for (const node of this.nodes) {
+      if (node.isFull) this.setFull(node, false)
+      this.start(node)
+    }
+  }
+
+  checkNoFailure (): void {
+    for (const node of this.nodes) {
+      if (node.fatal) throw new SafetyError(`${node.id} failed: ${node.fatal.message}`)
+    }
+  }
+
+  /** The state machines agree, and keep every acknowledged command at its position and no refused one. */
+  checkMachines (): void {
+    const longest = this.nodes.map((node) => node.machine.commands).reduce((a, b) => a.length >= b.length ? a : b)
+    for (const { id, machine } of this.nodes) {
+      const different = machine.commands.findIndex((command, i) => command !== longest[i])
+      if (different >= 0) throw new SafetyError(`${id} applied ${machine.commands[different]} as number ${different + 1}, another replica ${longest[different]}`)
+    }
+    if (new Set(longest).size !== longest.length) throw new SafetyError('a command was applied twice')
+    for (const [command, position] of this.acknowledged) {
+      if (longest[position - 1] !== command) throw new SafetyError(`${command} was acknowledged as number ${position}, which is ${longest[position - 1]}`)
+    }
+    const wrong = longest.find((command) => this.refused.has(command))
+    if (wrong) throw new SafetyError(`${wrong} was refused as not run and is applied`)
+  }
+
+  #count (outcome: string): void {
+    this.outcomes.set(outcome, (this.outcomes.get(outcome) ?? 0) + 1)
+  }
+
+  #createDisk (): MemoryDisk {
+    return new MemoryDisk({ delay: () => this.timers.delay(this.#random.int(0, MAX_DISK_DELAY_MS)), ignoreSync: this.#options.ignoreSync ?? false })
+  }
+
+  #abandon (node: Node): void {
+    const { driver } = node
+    node.driver = null
+    node.isStarting = false
+    node.machine = new ListMachine()
+    driver?.stop().catch(() => {})
+  }
+
+  async #open (node: Node, life: number): Promise<ReplicaDriver<string, number>> {
+    const folder = await DataFolder.open(node.disk.attach(), FOLDER, new RandomSource(this.#random.int(1, 0x7fffffff)))
+    const machine = new ListMachine()
+    const driver = await ReplicaDriver.open<string, number>({
+      group: 'g',
+      node: node.id,
+      folder,
+      timers: this.timers,
+      random: new RandomSource(this.#random.int(1, 0x7fffffff)),
+      transport: { send: (_group, to, message) => this.#transmit(node, life, to, message) },
+      machine,
+      initialMembers: this.members,
+      snapshotEveryEntries: this.#options.snapshotEvery ?? 20,
+      disabled: this.#options.disabled ?? [],
+      onFatal: (err) => { if (node.life === life) node.fatal = err }
+    })
+    if (node.life === life) node.machine = machine
+    return driver
+  }
+
+  #transmit (node: Node, life: number, to: NodeId, message: unknown): void {
+    const target = this.nodes.find((other) => other.id === to)
+    if (!target || node.life !== life || this.#parts.get(node.id) !== this.#parts.get(to)) return
+    const copies = this.#random.float() < this.#faults.duplicate ? 2 : 1
+    for (let i = 0; i < copies; i++) {
+      if (this.#random.float() < this.#faults.drop) continue
+      const text = JSON.stringify(message)
+      this.timers.subscribe(this.#random.int(0, this.#faults.delayMs), () => {
+        if (this.#parts.get(node.id) === this.#parts.get(to)) target.driver?.handleMessage(node.id, JSON.parse(text))
+      })
+    }
+  }
+}
--- a/packages/storage/src/append-log.ts
+++ b/packages/storage/src/append-log.ts
@@ -27,6 +27,7 @@
 type Operation = Waiter & (
   | { readonly type: 'append', readonly payloads: readonly Buffer[] }
   | { readonly type: 'truncate', readonly count: number }
+  | { readonly type: 'drop', readonly count: number }
   | { readonly type: 'replace', readonly payloads: readonly Buffer[] }
 )
 
@@ -45,7 +46,7 @@
 }
 
 const countBytes = (operation: Operation): number =>
-  operation.type === 'truncate' ? 0 : operation.payloads.reduce((sum, payload) => sum + FRAME_HEADER_BYTES + payload.length, 0)
+  operation.type === 'truncate' || operation.type === 'drop' ? 0 : operation.payloads.reduce((sum, payload) => sum + FRAME_HEADER_BYTES + payload.length, 0)
 
 const scan = (content: Buffer): Scan => {
   const records: unknown[] = []
@@ -133,6 +134,11 @@
     await this.#enqueue((waiter) => ({ type: 'replace', payloads, ...waiter }))
   }
 
+  /** Removes the first `count` records, atomically as `replace` does. */
+  dropFirst (count: number): Promise<void> {
+    return this.#enqueue((waiter) => ({ type: 'drop', count, ...waiter }))
+  }
+
   async close (): Promise<void> {
     await this.#running
     this.#broken ??= new IbisError('internal', `${this.path}: the log is closed`)
@@ -186,6 +192,7 @@
   async #execute (batch: readonly Operation[]): Promise<void> {
     const first = batch[0]
     if (first?.type === 'truncate') return await this.#truncate(first.count)
+    if (first?.type === 'drop') return await this.#replace(await this.#readFrom(first.count))
     if (first?.type === 'replace') return await this.#replace(first.payloads)
     await this.#append(batch.flatMap((operation) => operation.type === 'append' ? operation.payloads : []))
   }
@@ -257,6 +264,15 @@
     await old.close()
   }
 
+  async #readFrom (count: number): Promise<Buffer[]> {
+    const content = await this.#file.read(0, this.#end)
+    return this.#offsets.slice(count).map((offset) => {
+      const frame = readFrame(content, offset)
+      if (!frame) throw createDamagedError(this.path, offset, 'a synced record is invalid')
+      return frame.payload
+    })
+  }
+
   async #writeTemporary (path: string, data: Buffer): Promise<FileHandle> {
     const file = await this.#fs.open(path)
     try {
--- a/packages/storage/src/frame.ts
+++ b/packages/storage/src/frame.ts
@@ -14,6 +14,8 @@
 
 export const packValue = (value: unknown): Buffer => packr.pack(value)
 
+export const unpackValue = (data: Uint8Array): unknown => packr.unpack(data)
+
 /** One checksummed value in a file. */
 export interface Frame {
   readonly payload: Buffer
@@ -47,7 +49,7 @@
   return { payload: frame.subarray(FRAME_HEADER_BYTES), syncedLength: frame.readDoubleLE(SYNCED_AT), end }
 }
 
-export const decodePayload = (frame: Frame): unknown => packr.unpack(frame.payload)
+export const decodePayload = (frame: Frame): unknown => unpackValue(frame.payload)
 
 /**
  * Whether a later valid frame was written when the byte at `offset` was already on the disk. Such
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -1,6 +1,7 @@
 export * from './append-log.ts'
 export * from './data-folder.ts'
 export { isDiskFull } from './errors.ts'
+export { packValue, unpackValue } from './frame.ts'
 export * from './memory-file-system.ts'
 export * from './node-file-system.ts'
 export * from './snapshot-store.ts'
--- a/packages/storage/tests/append-log.test.ts
+++ b/packages/storage/tests/append-log.test.ts
@@ -75,6 +75,16 @@
   await rejectsWith(t, AppendLog.open(disk.attach(), PATH), { kind: 'data-damaged' })
 })
 
+t.test('records dropped from the front stay dropped, and appends continue behind the rest', async (t) => {
+  const disk = new MemoryDisk()
+  const { log } = await AppendLog.open(disk.attach(), PATH)
+  await log.append([1, 2, 3, 4])
+  await log.dropFirst(3)
+  await log.append([5])
+  disk.crash(new RandomSource(3))
+  t.same(await readAll(disk), [4, 5])
+})
+
 t.test('a full disk rejects with disk-full, stores nothing and leaves the log usable', async (t) => {
   const disk = new MemoryDisk()
   const { log } = await AppendLog.open(disk.attach(), PATH)
