ctl: run the tests against the config register

Cause: the fake of the tests had its own rules for change ids, which could differ from those of ConfigRegister. Change: the fake entry applies changes and imports through ConfigRegister; a new test covers the refusals of the register. An error lists each failing entry once instead of once per round. Conclusion: resends, conflicts and refusals of ctl agree with the register.

--- a/apps/ctl/tests/ctl.test.ts
+++ b/apps/ctl/tests/ctl.test.ts
@@ -5,7 +5,8 @@
 import { chmodSync } from 'node:fs'
 import t, { type Test } from 'tap'
 import { IbisError } from '@ibisstair/common'
-import { type Config, type ConfigChange, ConfigDelta, EMPTY_CONFIG, encodeCanonical, parseConfig, parseConfigChange } from '@ibisstair/model'
+import { type Config, type ConfigChange, EMPTY_CONFIG, parseConfigChange } from '@ibisstair/model'
+import { type ConfigCommand, ConfigRegister } from '@ibisstair/registers'
 import { runMain, type MainProcess } from '@ibisstair/settings'
 import { RandomSource, SystemTimerService } from '@ibisstair/timers'
 import { parse, stringify } from 'yaml'
@@ -19,20 +20,21 @@
 /** What the fake does with an accepted change before it would answer. */
 type Fault = 'none' | 'lose-answer'
 
-/** One config register behind any number of listeners, with the rules of section 5.6. */
+/** The config register behind an HTTP listener. */
 class FakeDeployment {
-  config: Config = EMPTY_CONFIG
   fault: Fault = 'none'
   readonly changes: ConfigChange[] = []
-  readonly paths: string[] = []
-  readonly #recorded = new Map<string, { fingerprint: string, version: number }>()
+  readonly #register = new ConfigRegister()
+
+  get config (): Config {
+    return this.#register.config
+  }
 
   async listen (t: Test): Promise<string> {
     const server = createServer((req, res) => {
       let body = ''
       req.on('data', (chunk: Buffer) => { body += chunk.toString() })
       req.on('end', () => {
-        this.paths.push(`${req.method} ${req.url}`)
         try {
           if (req.headers.authorization !== `Bearer ${SECRET}`) throw new IbisError('unauthorized', 'the shared secret is missing or wrong')
           this.#answer(`${req.method} ${req.url}`, body, res)
@@ -57,11 +59,14 @@
       case 'GET /v1/config': return reply(this.config)
       case 'GET /v1/status': return reply({ configVersion: this.config.version, controls: [] })
       case 'GET /v1/requests/diver/key%2F1/explain': return reply({ state: 'queued', reason: 'no free rack' })
-      case 'POST /v1/config/import': return reply(this.#import(JSON.parse(body) as { config: unknown }))
+      case 'POST /v1/config/import': {
+        const { config } = JSON.parse(body) as { config: Config }
+        return reply({ version: this.#apply({ type: 'import', config }) })
+      }
       case 'POST /v1/config/changes': {
         const change = parseConfigChange(JSON.parse(body))
         this.changes.push(change)
-        const version = this.#apply(change)
+        const version = this.#apply({ type: 'change', change })
         if (this.fault === 'none') return reply({ version, changeId: change.changeId })
         this.fault = 'none'
         res.destroy()
@@ -71,23 +76,10 @@
     }
   }
 
-  #import ({ config }: { config: unknown }): { version: number } {
-    this.config = parseConfig(config)
-    return { version: this.config.version }
-  }
-
-  #apply (change: ConfigChange): number {
-    const fingerprint = encodeCanonical(change)
-    const known = this.#recorded.get(change.changeId)
-    if (known?.fingerprint === fingerprint) return known.version
-    if (known) throw new IbisError('key-conflict', `changeId ${change.changeId} belongs to a different change`)
-    const { version } = this.config
-    if (change.expectedVersion !== version) {
-      throw new IbisError('version-conflict', `the version in force is ${version}`, { info: { version } })
-    }
-    this.config = { ...ConfigDelta.create(change.delta).apply(this.config), version: version + 1 }
-    this.#recorded.set(change.changeId, { fingerprint, version: version + 1 })
-    return version + 1
+  #apply (command: ConfigCommand): number {
+    const result = this.#register.apply(command)
+    if (result.status === 'refused') throw IbisError.fromBody(result.error)
+    return result.version
   }
 }
 
@@ -118,12 +110,13 @@
 }
 
 const SHAPE_OPTIONS = ['--tasks', '4', '--accelerators', '2', '--adjacency', 'rack']
+const PUT_DOMAIN = ['domain', 'put', 'portland-bench', '--region', 'cascadia', '--rack', 'rack-1:6:8:8', '--rack', 'rack-2:5:8:8']
 const KIND_OPTIONS = ['--urgency', 'urgent', '--idempotent', 'yes', '--expected-run-ms', '500', '--start-within-ms', '100', '--target', '0.99']
 
 t.test('each subcommand that changes the configuration has its effect', async (t) => {
   const { deployment, runConnected } = await setUp(t)
   const steps: ReadonlyArray<readonly string[]> = [
-    ['domain', 'put', 'portland-bench', '--region', 'cascadia', '--rack', 'rack-1:6:8:8', '--rack', 'rack-2:5:8:8'],
+    PUT_DOMAIN,
     ['customer', 'create', 'diver', '--priority', '2.5'],
     ['customer', 'create', 'shop'],
     ['customer', 'change', 'diver', '--max-queued', '50'],
@@ -164,26 +157,41 @@
 
 t.test('reading subcommands print text and JSON', async (t) => {
   const { runConnected } = await setUp(t)
+  await runConnected(...PUT_DOMAIN)
   await runConnected('customer', 'create', 'diver')
   await runConnected('guarantee', 'add', 'diver', ...SHAPE_OPTIONS)
   t.match((await runConnected('customer', 'list')).out, /diver +1 +1000 +1 x \(4 tasks, 2 accelerators, 1 slots, rack\)/)
   t.match(JSON.parse((await runConnected('customer', 'list', '--format', 'json')).out), [{ id: 'diver', priority: 1 }])
-  t.match(parse((await runConnected('config', 'show')).out), { version: 2, customers: [{ id: 'diver' }] })
-  t.match(JSON.parse((await runConnected('status', '--format', 'json')).out), { configVersion: 2 })
+  t.match(parse((await runConnected('config', 'show')).out), { version: 3, customers: [{ id: 'diver' }] })
+  t.match(JSON.parse((await runConnected('status', '--format', 'json')).out), { configVersion: 3 })
   t.match((await runConnected('explain', 'diver', 'key/1')).out, 'reason: no free rack')
 })
 
 t.test('an answer that is lost after the change was accepted is fetched again without applying it twice', async (t) => {
   const { deployment, runConnected } = await setUp(t)
+  await runConnected(...PUT_DOMAIN)
   await runConnected('customer', 'create', 'diver')
   deployment.fault = 'lose-answer'
   const { code, out, err } = await runConnected('guarantee', 'add', 'diver', ...SHAPE_OPTIONS)
   t.equal(code, 0)
-  t.match(out, 'accepted: version 2')
+  t.match(out, 'accepted: version 3')
   t.equal(deployment.config.customers[0]!.guarantees[0]!.count, 1)
-  const [, first, second] = deployment.changes
+  const [, , first, second] = deployment.changes
   t.same(first, second)
-  t.match(err, `--change-id ${first!.changeId} --expect-version 1`)
+  t.match(err, `--change-id ${first!.changeId} --expect-version 2`)
+})
+
+t.test('a change that the register refuses is reported with its reason and has no effect', async (t) => {
+  const { deployment, runConnected } = await setUp(t)
+  await runConnected(...PUT_DOMAIN)
+  await runConnected('customer', 'create', 'diver')
+  const large = await runConnected('guarantee', 'add', 'diver', ...SHAPE_OPTIONS, '--count', '50')
+  t.equal(large.code, 1)
+  t.match(large.err, /config-infeasible: .*diver/)
+  t.match(large.err, 'outcome of the change: not-run')
+  t.match((await runConnected('customer', 'remove', 'none')).err, /unknown-customer: /)
+  t.match((await runConnected('undrain', 'endpoint-1')).err, /invalid-request: .*names nothing in version 2/)
+  t.equal(deployment.config.version, 2)
 })
 
 t.test('an operator resends with the printed id and version and gets the recorded outcome', async (t) => {
--- a/packages/operator-client/src/client.ts
+++ b/packages/operator-client/src/client.ts
@@ -37,7 +37,8 @@
 }
 
 interface Attempts {
-  readonly failures: string[]
+  /** Without repetitions, because an entry often fails in the same way in every round. */
+  readonly failures: Set<string>
   /** Whether an earlier attempt may have had its effect. */
   isAmbiguous: boolean
   last: IbisError | undefined
@@ -88,7 +89,7 @@
   }
 
   async #call (call: Call): Promise<unknown> {
-    const attempts: Attempts = { failures: [], isAmbiguous: false, last: undefined }
+    const attempts: Attempts = { failures: new Set(), isAmbiguous: false, last: undefined }
     for (let round = 0; round < this.#rounds; round++) {
       if (round > 0) await this.#options.timers.delay(ROUND_PAUSE_MS)
       for (const entry of this.#entries) {
@@ -126,7 +127,7 @@
   static #record (attempts: Attempts, call: Call, entry: EntryTarget, err: IbisError): void {
     if (!RESENT_KINDS.has(err.kind)) throw OperatorClient.#qualify(err, call, attempts)
     attempts.last = err
-    attempts.failures.push(`${formatEntryTarget(entry)}: ${err.kind}: ${err.message}`)
+    attempts.failures.add(`${formatEntryTarget(entry)}: ${err.kind}: ${err.message}`)
     const isUndelivered = err.details?.reason === 'connect'
     if (err.execution === 'unknown' && !isUndelivered) attempts.isAmbiguous = true
   }
@@ -139,7 +140,7 @@
 
   static #summarise ({ failures, isAmbiguous, last }: Attempts): IbisError {
     const kind = last?.kind ?? 'unreachable'
-    const detail = failures.length > 0 ? failures.join('; ') : 'no entry is given'
+    const detail = failures.size > 0 ? [...failures].join('; ') : 'no entry is given'
     return new IbisError(kind, detail, {
       execution: isAmbiguous ? 'unknown' : 'not-run',
       ...(last?.retryAfterMs !== undefined && { retryAfterMs: last.retryAfterMs })
