--- a/packages/consensus/src/replica-types.ts
+++ b/packages/consensus/src/replica-types.ts
@@ -26,6 +26,7 @@
   readonly random: RandomSource
   readonly trailingEntries?: number
   readonly snapshotChunkChars?: number
+  readonly maxBatchEntries?: number
   /** Test option. */
   readonly disabled?: readonly Mechanism[]
 }
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -632,7 +632,7 @@
     if (progress.mode === 'snapshot') return this.#sendSnapshotPart(progress)
     let sent = false
     while (!progress.isWindowFull && progress.nextIndex <= this.#persistedIndex) {
-      const entries = this.#log.slice(progress.nextIndex, this.#persistedIndex, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES)
+      const entries = this.#log.slice(progress.nextIndex, this.#persistedIndex, this.#options.maxBatchEntries ?? MAX_BATCH_ENTRIES, MAX_BATCH_BYTES)
       const lastIndex = progress.nextIndex + entries.length - 1
       this.#sendAppend(progress, entries)
       progress.recordSent(lastIndex, this.#now)
--- /dev/null
+++ b/packages/consensus/tests/mechanisms.test.ts
@@ -0,0 +1,46 @@
+import fc from 'fast-check'
+import t from 'tap'
+import type { Mechanism } from '../src/index.ts'
+import { createCaseArbitrary, runReplicaCase } from './support/actions.ts'
+import type { Profile, ReplicaCase } from './support/actions.ts'
+import { driverCaseArbitrary, runDriverCase } from './support/driver-actions.ts'
+import type { DriverCase } from './support/driver-actions.ts'
+
+// Shows that the randomised runs notice a missing safety mechanism: each one fails without it, and
+// the same cases pass with it. Shrinking is off to bound the time.
+const SEED = 1
+const BOUND = { seed: SEED, endOnFailure: true }
+
+const REPLICA_CASES: readonly (readonly [Mechanism, Profile, number])[] = [
+  ['single-vote', 'general', 60],
+  ['log-check', 'general', 30],
+  ['incarnation-check', 'general', 30],
+  ['single-change', 'changes', 30]
+]
+
+for (const [mechanism, profile, numRuns] of REPLICA_CASES) {
+  t.test(`replica runs fail without ${mechanism}`, async (t) => {
+    const check = (disabled: readonly Mechanism[], runs: number): fc.RunDetails<[ReplicaCase]> =>
+      fc.check(fc.property(createCaseArbitrary(profile, [[5, 0], [3, 0]]), (replicaCase) => { runReplicaCase(replicaCase, { disabled }) }), { ...BOUND, numRuns: runs })
+    const without = check([mechanism], numRuns)
+    t.ok(without.failed)
+    t.comment(`seed ${SEED}, run ${without.numRuns}: ${String(without.errorInstance)}`)
+    t.notOk(check([], without.numRuns).failed)
+  })
+}
+
+const DRIVER_CASES = [
+  ['messages sent before the sync', { disabled: ['sync-first'] }],
+  ['a disk that ignores syncs', { ignoreSync: true }]
+] as const
+
+for (const [name, options] of DRIVER_CASES) {
+  t.test(`driver runs fail with ${name}`, async (t) => {
+    const check = (override: Parameters<typeof runDriverCase>[1], runs: number): Promise<fc.RunDetails<[DriverCase]>> =>
+      fc.check(fc.asyncProperty(driverCaseArbitrary, async (driverCase) => { await runDriverCase(driverCase, override) }), { ...BOUND, numRuns: runs })
+    const without = await check(options, 150)
+    t.ok(without.failed)
+    t.comment(`seed ${SEED}, run ${without.numRuns}: ${String(without.errorInstance)}`)
+    t.notOk((await check({}, Math.min(without.numRuns, 60))).failed)
+  })
+}
