--- /dev/null
+++ b/packages/questionnaire/src/constants.ts
@@ -0,0 +1,24 @@
+import type { Adjacency, Urgency } from '@ibisstair/model'
+
+export const TOGETHER = ['same-worker', 'same-rack', 'anywhere'] as const
+export const SHARES = ['small', 'ordinary', 'large'] as const
+
+export type Together = typeof TOGETHER[number]
+export type Share = typeof SHARES[number]
+
+export const ADJACENCY_OF: Readonly<Record<Together, Adjacency>> = {
+  'same-worker': 'worker',
+  'same-rack': 'rack',
+  anywhere: 'any'
+}
+
+/** Weights in dominant-resource fairness; a large team gets four times the surplus of a small one. */
+export const PRIORITY_OF: Readonly<Record<Share, number>> = { small: 0.5, ordinary: 1, large: 2 }
+
+export const DEFAULT_ON_TIME_PERCENT: Readonly<Record<Urgency, number>> = { urgent: 99, normal: 95, bulk: 90 }
+
+/** Leaves room for a team that underestimates its callers. */
+export const MIN_QUEUED = 16
+
+/** Bulk work waits for everything else, so that a shorter promise is rarely kept under load. */
+export const SHORT_BULK_START_MS = 60_000
--- /dev/null
+++ b/packages/questionnaire/src/index.ts
@@ -0,0 +1,7 @@
+export * from './build.ts'
+export * from './change.ts'
+export * from './constants.ts'
+export * from './duration.ts'
+export * from './format.ts'
+export * from './notes.ts'
+export * from './schemas.ts'
