model, registers: bound bytes and apply commands in their JSON form

Ruled out: dropping the assignments of finished records, because a new leader needs them to acknowledge results at the endpoints. Conclusion: replicas agree on commands with undefined fields, and the registers' memory is bounded by bytes.

--- a/packages/model/src/config.ts
+++ b/packages/model/src/config.ts
@@ -1,5 +1,5 @@
 import { checkValue, IbisError } from '@ibisstair/common'
-import { MAX_FLEET_WORKERS } from './constants.ts'
+import { MAX_CONFIG_BYTES, MAX_FLEET_WORKERS } from './constants.ts'
 import { compareText } from './order.ts'
 import { ConfigChangeSchema, ConfigDeltaSchema, ConfigSchema } from './schemas.ts'
 import type { Config, ConfigChange, ConfigDeltaBody } from './types.ts'
@@ -39,11 +39,18 @@
   )
 }
 
+const checkEncodedSize = (config: Config, what: string): void => {
+  const bytes = Buffer.byteLength(JSON.stringify(config))
+  if (bytes <= MAX_CONFIG_BYTES) return
+  throw new IbisError('invalid-request', `${what}: takes ${bytes} bytes as JSON, accepted is at most ${MAX_CONFIG_BYTES}`)
+}
+
 /** Checks fields, unique ids and references, and sorts the lists; `checkFeasible` is separate. */
 export const parseConfig = (input: unknown, what = 'configuration'): Config => {
   const config: Config = checkValue(ConfigSchema, input, what)
   checkPinnedDomains(config, what)
   checkFleetSize(config, what)
+  checkEncodedSize(config, what)
   return sortConfig(config)
 }
 
--- a/packages/model/src/constants.ts
+++ b/packages/model/src/constants.ts
@@ -13,7 +13,9 @@
 /** Deeper payloads overflow the stack of recursive encoders. */
 export const MAX_PAYLOAD_DEPTH = 64
 
-/** The limits below keep a configuration inside one message and `checkFeasible` inside one heartbeat. */
+/** A configuration is pushed and imported in one message (4 MiB) and one log entry (3 MiB). */
+export const MAX_CONFIG_BYTES = 2 * 1024 * 1024
+/** The limits below keep the time of `checkFeasible` near one heartbeat. */
 export const MAX_CUSTOMERS = 1000
 export const MAX_GUARANTEES_PER_CUSTOMER = 100
 export const MAX_KINDS = 1000
--- a/packages/model/src/feasibility.ts
+++ b/packages/model/src/feasibility.ts
@@ -122,9 +122,7 @@
 }
 
 const runStrategy = (config: Config, demands: readonly Demand[], strategy: Strategy): GuaranteePlan => {
-  const pools = [...config.fleet.domains]
-    .sort((a, b) => compareText(a.id, b.id))
-    .map((domain) => new DomainPool(domain))
+  const pools = config.fleet.domains.map((domain) => new DomainPool(domain))
   const gangs: PlannedGang[] = []
   const misfits: Misfit[] = []
   for (const demand of demands) {
--- a/packages/model/tests/parse.test.ts
+++ b/packages/model/tests/parse.test.ts
@@ -165,6 +165,12 @@
   for (const [change, message] of cases) t.match(refusal(t, () => parseConfig({ ...config, ...change })).message, message)
 })
 
+t.test('a configuration that no message could carry is refused', async (t) => {
+  const guarantee = { shape, count: 1 }
+  const customers = Array.from({ length: 1000 }, (_, i) => ({ id: `c${i}`, priority: 1, maxQueued: 1, guarantees: Array.from({ length: 30 }, () => guarantee) }))
+  t.match(refusal(t, () => parseConfig({ ...config, customers })).message, /takes \d+ bytes as JSON, accepted is at most 2097152/)
+})
+
 t.test('a parsed configuration parses again to the same value', async (t) => {
   t.strictSame(parseConfig(JSON.parse(JSON.stringify(config))), config)
 })
--- a/packages/registers/src/config-register.ts
+++ b/packages/registers/src/config-register.ts
@@ -9,6 +9,7 @@
 import { BoundedMap } from './bounded-map.ts'
 import type { ConfigCommand, ConfigResult } from './config-types.ts'
 import { MAX_ACCEPTED_CHANGE_IDS, MAX_REFUSED_CHANGE_IDS } from './constants.ts'
+import { toPlainJson } from './plain.ts'
 import { ConfigCommandSchema, ConfigSnapshotSchema } from './schemas.ts'
 
 interface RecordedChange {
@@ -93,9 +94,8 @@
 
   #apply (command: ConfigCommand): ConfigResult {
     try {
-      const { type } = checkValue(ConfigCommandSchema, command, 'configuration command')
-      if (type === 'import') return this.#import((command as { config: unknown }).config)
-      return this.#change((command as { change: unknown }).change)
+      const plain = checkValue(ConfigCommandSchema, toPlainJson(command, 'configuration command'), 'configuration command')
+      return plain.type === 'import' ? this.#import(plain.config) : this.#change(plain.change)
     } catch (err) {
       if (!(err instanceof IbisError)) throw err
       return this.#refuse(err)
--- a/packages/registers/src/job-register.ts
+++ b/packages/registers/src/job-register.ts
@@ -3,23 +3,26 @@
 import type { JobOutcome } from '@ibisstair/model'
 import { isDeepStrictEqual } from 'node:util'
 import {
-  DEFAULT_RETRY_MS, MAX_ANSWER_BYTES, MAX_CLOCK_STEP_MS, MAX_JOB_RECORDS, OUTCOME_RETENTION_MS
+  DEFAULT_RETRY_MS, MAX_ANSWER_BYTES, MAX_CLOCK_STEP_MS, MAX_JOB_RECORDS, MAX_START_BYTES, OUTCOME_RETENTION_MS
 } from './constants.ts'
-import { checkAnswers, checkStart, isNotRun, isUnknown, measureOutcome } from './job-rules.ts'
+import { checkAnswers, checkStart, isNotRun, isUnknown, measureOutcome, measureStart } from './job-rules.ts'
 import type {
   Acknowledge, JobCommand, JobRecord, JobRegisterStats, JobResult, RecordOutcome, RecordStart
 } from './job-types.ts'
+import { toPlainJson } from './plain.ts'
 import { JobCommandSchema, JobSnapshotSchema } from './schemas.ts'
 
 export interface JobRegisterLimits {
   readonly records: number
   readonly retentionMs: number
+  readonly startBytes: number
   readonly answerBytes: number
 }
 
 const DEFAULT_LIMITS: JobRegisterLimits = {
   records: MAX_JOB_RECORDS,
   retentionMs: OUTCOME_RETENTION_MS,
+  startBytes: MAX_START_BYTES,
   answerBytes: MAX_ANSWER_BYTES
 }
 
@@ -38,6 +41,7 @@
   #open = new Map<string, JobRecord>()
   /** With outcome, in the order in which the outcomes were recorded. */
   #finished = new Map<string, JobRecord>()
+  #startBytes = 0
   #answerBytes = 0
   #clockMs = 0
   #lastAtMs: number | null = null
@@ -48,7 +52,7 @@
 
   apply (input: JobCommand): JobResult {
     try {
-      const command: JobCommand = checkValue(JobCommandSchema, input, 'job command')
+      const command: JobCommand = checkValue(JobCommandSchema, toPlainJson(input, 'job command'), 'job command')
       this.#advanceClock(command.atMs)
       this.#dropExpired()
       const before = this.#size
@@ -76,6 +80,7 @@
     return {
       records: this.#size,
       withoutOutcome: this.#open.size,
+      startBytes: this.#startBytes,
       answerBytes: this.#answerBytes,
       clockMs: this.#clockMs
     }
@@ -96,6 +101,7 @@
     this.#open = new Map()
     this.#finished = new Map()
     for (const record of state.records) (record.outcome ? this.#finished : this.#open).set(idOf(record), record)
+    this.#startBytes = state.records.reduce((sum, record) => sum + record.startBytes, 0)
     this.#answerBytes = state.records.reduce((sum, record) => sum + record.answerBytes, 0)
   }
 
@@ -116,7 +122,7 @@
     checkStart(command)
     const known = this.get(command.customer, command.key)
     if (!known) {
-      this.#checkRoom()
+      this.#checkRoom(measureStart(command))
       return this.#begin(command)
     }
     if (known.fingerprint !== command.fingerprint) {
@@ -134,8 +140,10 @@
     invariant(!this.#open.has(id), 'a key has at most one start without outcome', { command })
     invariant(!previous || isNotRun(previous.outcome), 'a second start needs the outcome "not run"', { command, previous })
     const { type, atMs, ...start } = command
-    const record: JobRecord = { ...start, startedAtMs: this.#clockMs, acknowledged: false, answerBytes: 0 }
+    const startBytes = measureStart(command)
+    const record: JobRecord = { ...start, startedAtMs: this.#clockMs, acknowledged: false, startBytes, answerBytes: 0 }
     this.#finished.delete(id)
+    this.#startBytes += startBytes - (previous?.startBytes ?? 0)
     this.#open.set(id, record)
     return { status: 'recorded', record }
   }
@@ -177,7 +185,7 @@
     throw new IbisError('not-found', `key ${command.key} of customer ${command.customer} has no start record`)
   }
 
-  #checkRoom (): void {
+  #checkRoom (startBytes: number): void {
     const records = this.#size
     if (records >= this.#limits.records) {
       throw new IbisError('overloaded', `the register holds ${records} of ${this.#limits.records} records, and none is older than the retention age`, {
@@ -185,6 +193,12 @@
         info: { records, limit: this.#limits.records }
       })
     }
+    if (this.#startBytes + startBytes > this.#limits.startBytes) {
+      throw new IbisError('overloaded', `the register holds ${this.#startBytes} of ${this.#limits.startBytes} bytes of start records, and this one takes ${startBytes}`, {
+        retryAfterMs: this.#untilNextExpiryMs(),
+        info: { startBytes: this.#startBytes, limit: this.#limits.startBytes }
+      })
+    }
     if (this.#answerBytes >= this.#limits.answerBytes) {
       throw new IbisError('overloaded', `the register holds ${this.#answerBytes} of ${this.#limits.answerBytes} bytes of answers that are not acknowledged`, {
         retryAfterMs: DEFAULT_RETRY_MS,
@@ -211,6 +225,7 @@
       invariant(record.outcome && record.finishedAtMs !== undefined, 'only records with an outcome expire', record)
       if (this.#clockMs - record.finishedAtMs < this.#limits.retentionMs) return
       this.#finished.delete(id)
+      this.#startBytes -= record.startBytes
       this.#answerBytes -= record.answerBytes
     }
   }
@@ -232,6 +247,6 @@
       'the register keeps its limit of records',
       this.getStats()
     )
-    invariant(this.#answerBytes >= 0, 'answer bytes are counted once', this.getStats())
+    invariant(this.#startBytes >= 0 && this.#answerBytes >= 0, 'bytes are counted once', this.getStats())
   }
 }
--- a/packages/registers/src/job-rules.ts
+++ b/packages/registers/src/job-rules.ts
@@ -29,13 +29,10 @@
   throw new IbisError('invalid-request', `job command: field outcome.answers: got ${outcome.answers.length}, accepted is one for each of the ${tasks} tasks`)
 }
 
-const encodedBytes = (value: unknown): number => {
-  try {
-    return Buffer.byteLength(JSON.stringify(value) ?? '')
-  } catch (err) {
-    throw new IbisError('invalid-request', 'job command: field outcome.answers: cannot be encoded as JSON', { cause: err as Error })
-  }
-}
+const encodedBytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value))
+
+export const measureStart = ({ metadata, assignments }: RecordStart): number =>
+  encodedBytes(metadata) + encodedBytes(assignments)
 
 /** Bytes of the answers; refuses answers that no message could carry. */
 export const measureOutcome = (outcome: JobOutcome): number => {
--- a/packages/registers/src/job-types.ts
+++ b/packages/registers/src/job-types.ts
@@ -52,6 +52,8 @@
   readonly outcome?: RecordedOutcome
   readonly finishedAtMs?: number
   readonly acknowledged: boolean
+  /** Encoded size of metadata and assignments. */
+  readonly startBytes: number
   readonly answerBytes: number
 }
 
@@ -68,6 +70,7 @@
 export interface JobRegisterStats {
   readonly records: number
   readonly withoutOutcome: number
+  readonly startBytes: number
   readonly answerBytes: number
   readonly clockMs: number
 }
--- a/packages/registers/src/schemas.ts
+++ b/packages/registers/src/schemas.ts
@@ -9,7 +9,10 @@
 const AssignmentsSchema = v.pipe(v.array(AssignmentSchema), v.minLength(1), v.maxLength(MAX_GANG_TASKS))
 
 /** Bodies are parsed by the model, so that their errors name the field inside the body. */
-export const ConfigCommandSchema = v.object({ type: v.picklist(['change', 'import']) })
+export const ConfigCommandSchema = v.variant('type', [
+  v.strictObject({ type: v.literal('change'), change: v.unknown() }),
+  v.strictObject({ type: v.literal('import'), config: v.unknown() })
+])
 
 const ConfigResultSchema = v.variant('status', [
   v.strictObject({ status: v.literal('accepted'), version: CounterSchema }),
@@ -72,6 +75,7 @@
   outcome: v.exactOptional(RecordedOutcomeSchema),
   finishedAtMs: v.exactOptional(AtMsSchema),
   acknowledged: v.boolean(),
+  startBytes: CounterSchema,
   answerBytes: CounterSchema
 })
 
--- a/packages/registers/tests/config-register.test.ts
+++ b/packages/registers/tests/config-register.test.ts
@@ -120,6 +120,16 @@
   t.equal(register.rememberedChanges, 3)
 })
 
+t.test('the proposer, which applies its own object, agrees with replicas that applied its JSON', async (t) => {
+  const operation = customerOf('c0', 1) as Extract<ConfigOperation, { op: 'put-customer' }>
+  const guarantees = operation.customer.guarantees.map((guarantee) => ({ ...guarantee, domain: undefined }))
+  const command = changeOf('a', 1, { ...operation, customer: { ...operation.customer, guarantees } } as unknown as ConfigOperation)
+  const [proposer, follower] = [withBase(), withBase()]
+  t.strictSame(proposer.apply(command), { status: 'accepted', version: 2 })
+  t.strictSame(follower.apply(JSON.parse(JSON.stringify(command))), { status: 'accepted', version: 2 })
+  t.strictSame(follower.toSnapshot(), proposer.toSnapshot())
+})
+
 t.test('a malformed command is refused on every replica instead of stopping it', async (t) => {
   const register = withBase()
   const inputs: unknown[] = [null, 3, {}, { type: 'change' }, { type: 'change', change: { changeId: 'a' } }, { type: 'import' }, { type: 'x' }]
--- a/packages/registers/tests/job-register.test.ts
+++ b/packages/registers/tests/job-register.test.ts
@@ -10,7 +10,7 @@
 const RUNS = { seed: 5202, numRuns: 150 }
 t.before(() => { t.comment(`seed ${RUNS.seed}, ${RUNS.numRuns} runs`) })
 
-const LIMITS: JobRegisterLimits = { records: 5, retentionMs: 1000, answerBytes: 300 }
+const LIMITS: JobRegisterLimits = { records: 5, retentionMs: 1000, startBytes: 10_000, answerBytes: 300 }
 const TASKS = 2
 
 const metadataOf = (key: string): JobMetadata => ({
@@ -197,6 +197,34 @@
   t.equal(statusOf(register.apply(ackOf('none', 'j1'))), 'not-found')
 })
 
+t.test('start records of wide gangs are bounded by their bytes', async (t) => {
+  const register = new JobRegister({ ...LIMITS, startBytes: 1000 })
+  t.equal(register.apply(startOf('a', 'j1')).status, 'recorded')
+  const { startBytes } = register.getStats()
+  t.ok(startBytes > 300 && startBytes < 1000)
+  t.match(register.apply(startOf('b', 'j2', { metadata: { ...metadataOf('b'), kind: asId('k'.repeat(64)) } })), { status: 'recorded' })
+  t.match(register.apply(startOf('c', 'j3')), { status: 'refused', error: { kind: 'overloaded', info: { limit: 1000 } } })
+  register.apply(outcomeOf('a', 'j1', NOT_RUN))
+  t.equal(register.apply(startOf('a', 'j4')).status, 'recorded', 'a start after "not run" replaces its record')
+  register.apply(outcomeOf('a', 'j4', DONE))
+  register.apply(ackOf('none', 'j', LIMITS.retentionMs))
+  t.equal(register.apply(startOf('c', 'j3', { atMs: LIMITS.retentionMs })).status, 'recorded', 'expiry gives the room back')
+})
+
+t.test('the proposer, which applies its own object, agrees with replicas that applied its JSON', async (t) => {
+  const start = startOf('k', 'j1')
+  const outcome = outcomeOf('k', 'j1', { state: 'done', answers: [{ index: 0, body: undefined }, { index: 1, body: { a: undefined, b: [undefined, NaN] } }] })
+  const commands = [{ ...start, metadata: { ...start.metadata, homeDomain: undefined } } as unknown as JobCommand, outcome]
+  const proposer = new JobRegister(LIMITS)
+  const follower = new JobRegister(LIMITS)
+  for (const command of commands) {
+    const result = proposer.apply(command)
+    t.equal(result.status, 'recorded')
+    t.strictSame(follower.apply(JSON.parse(JSON.stringify(command))), result)
+  }
+  t.strictSame(follower.toSnapshot(), proposer.toSnapshot())
+})
+
 t.test('a malformed command is refused on every replica instead of stopping it', async (t) => {
   const register = new JobRegister(LIMITS)
   const inputs: unknown[] = [null, 3, {}, { type: 'record-start' }, { ...startOf('k', 'j'), atMs: NaN }, { ...startOf('k', 'j'), extra: 1 },
