scheduler: reclaim guaranteed shapes, and place by what is left for them

Large guaranteed gangs waited behind small work. Every guaranteed shape is now planned on concrete workers, its home; only work inside its customer's home is safe from other customers. A job that is below its customer's floor, or has a guaranteed shape, waits 200 ms for capacity to become free and then preempts the borrowed work with the least loss, non-idempotent work last. A victim that has not left after 2.7 s is replaced. Borrowed work spares idle homes (rule home-scoring).

--- a/packages/scheduler/src/best-fit.ts
+++ b/packages/scheduler/src/best-fit.ts
@@ -11,6 +11,9 @@
 /** A whole free worker in a rack that could hold a large gang is worth more than any remainder. */
 const WHOLE_WORKER_COST = 100
 
+/** Capacity that a guarantee may need at any moment; using it risks a preemption. */
+const IDLE_HOME_COST = 30
+
 /** Lower is better: what the placement takes away from large shapes. */
 export type WorkerCost = (worker: Worker, accelerators: number) => number
 
@@ -21,6 +24,13 @@
   return left + (breaksWhole ? WHOLE_WORKER_COST + 10 * worker.rack.wholeWorkers : 0)
 }
 
+/** Also spares idle homes, so that the guaranteed shapes find their place free. */
+export const costOfHomes: WorkerCost = (worker, accelerators) => {
+  const left = worker.availableAccelerators - accelerators
+  const takenFromHomes = Math.max(0, worker.idleHomeAccelerators - left) - Math.max(0, worker.idleHomeAccelerators - worker.availableAccelerators)
+  return costOfRemainder(worker, accelerators) + IDLE_HOME_COST * takenFromHomes
+}
+
 const findWorker = (fleet: Fleet, shape: Shape, cost: WorkerCost): Allocation[] | undefined => {
   const accelerators = shape.tasks * shape.acceleratorsPerTask
   const slots = shape.tasks * shape.slotsPerTask
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -17,3 +17,12 @@
  * same customer waits, by urgency.
  */
 export const AGEING_MS: readonly number[] = [Infinity, 2000, 10_000]
+/**
+ * Time in which a job that is owed its guarantee waits for capacity that becomes free by itself.
+ * With two victims in turn the bound of 5.5 s holds: 0.2 + 2.7 + 2 + 0.5 s.
+ */
+export const RECLAIM_PATIENCE_MS = 200
+/** A victim that has not left by then is replaced by another one. */
+export const PREEMPT_RETRY_MS = CHECKPOINT_GRACE_MS + 700
+/** Jobs that wait for victims to leave at one time. */
+export const MAX_CLAIMS = 256
--- a/packages/scheduler/src/entities.ts
+++ b/packages/scheduler/src/entities.ts
@@ -29,6 +29,11 @@
   freeAccelerators: number
   freeSlots: number
   readonly jobs = new Set<Job>()
+  /** Capacity that is promised to a queued job and becomes free when its victims leave. */
+  claimedAccelerators = 0
+  claimedSlots = 0
+  /** Planned for guarantees and not used by their owners. */
+  idleHomeAccelerators = 0
   /** Position in the index of `Fleet`; undefined while the worker takes no work. */
   bucket: number | undefined
   bucketPosition = 0
@@ -51,11 +56,20 @@
   }
 
   get availableAccelerators (): number {
-    return Math.max(0, this.freeAccelerators)
+    return Math.max(0, this.freeAccelerators - this.claimedAccelerators)
   }
 
   get availableSlots (): number {
-    return Math.max(0, this.freeSlots)
+    return Math.max(0, this.freeSlots - this.claimedSlots)
+  }
+
+  /** Free capacity for the owner of a home; only other reclaims go first. */
+  get reclaimableAccelerators (): number {
+    return this.availableAccelerators
+  }
+
+  get reclaimableSlots (): number {
+    return this.availableSlots
   }
 }
 
@@ -88,6 +102,12 @@
   startedAtMs: number | undefined
   /** Set while a preempt or stop decision is being carried out. */
   stoppingSinceMs: number | undefined
+  /** Runs inside its customer's home, where no other customer can preempt it. */
+  isHome = false
+  /** Has exactly a shape that is guaranteed to its customer. */
+  isGuaranteedShape = false
+  /** Since when a guarantee is owed to the queued job. */
+  owedSinceMs: number | undefined
   readonly failedOn = new Set<EndpointId>()
   readonly steps: ExplanationStep[] = []
   /** Memberships in queues, by level; `JobQueues` owns them. */
@@ -130,3 +150,6 @@
 
 export const shapeKeyOf = (shape: Shape): string =>
   `${shape.adjacency}:${shape.tasks}x${shape.acceleratorsPerTask}a${shape.slotsPerTask}s`
+
+export const tasksOn = (job: Job, worker: Worker): number =>
+  job.allocations.find((allocation) => allocation.worker === worker)?.tasks ?? 0
--- a/packages/scheduler/src/fleet.ts
+++ b/packages/scheduler/src/fleet.ts
@@ -108,6 +108,16 @@
     this.epoch += 1
   }
 
+  /** Promises capacity to a queued job (`sign` 1) or takes the promise back (-1). */
+  claim (job: Job, allocations: readonly Allocation[], sign: 1 | -1): void {
+    for (const { worker, tasks } of allocations) {
+      worker.claimedAccelerators += sign * tasks * job.shape.acceleratorsPerTask
+      worker.claimedSlots += sign * tasks * job.shape.slotsPerTask
+      this.reindex(worker)
+    }
+    if (sign === -1) this.epoch += 1
+  }
+
   /** Brings the index and the sums up to date after a change of one worker. */
   reindex (worker: Worker): void {
     const usable = worker.isUsable && this.#workers.get(worker.id) === worker
--- a/packages/scheduler/src/policy.ts
+++ b/packages/scheduler/src/policy.ts
@@ -1,6 +1,6 @@
 /** Rules that can be switched off one by one, so that the bench can compare with and without each. */
 export const RULES = [
-  'customer-fairness', 'caller-fairness', 'urgency', 'ageing', 'best-fit'
+  'customer-fairness', 'caller-fairness', 'urgency', 'ageing', 'best-fit', 'guarantees', 'home-scoring'
 ] as const
 export type Rule = typeof RULES[number]
 
--- /dev/null
+++ b/packages/scheduler/src/preemption.ts
@@ -0,0 +1,84 @@
+import type { Shape } from '@ibisstair/model'
+import { PREEMPT_RETRY_MS } from './constants.ts'
+import type { Allocation, Job, Worker } from './entities.ts'
+import { tasksOn } from './entities.ts'
+import type { Place } from './floor-plan.ts'
+import { chooseAdjacent } from './floor-plan.ts'
+
+/** Non-idempotent work cannot be started again, so that stopping it loses the whole job. */
+const NON_IDEMPOTENT_LOSS = 1e12
+
+export interface VictimSet {
+  readonly victims: readonly Job[]
+  /** Accelerator milliseconds that are lost or at risk. */
+  readonly loss: number
+}
+
+export interface Reclaim extends VictimSet {
+  readonly allocations: readonly Allocation[]
+}
+
+/** Work that a stop loses: what ran since the start, of all tasks of the gang. */
+export const lossOf = (job: Job, nowMs: number): number => {
+  const ranMs = nowMs - (job.startedAtMs ?? nowMs)
+  return Math.max(1, job.accelerators) * (1 + ranMs) + (job.meta.idempotent ? 0 : NON_IDEMPOTENT_LOSS)
+}
+
+/** The running jobs of a worker that are cheapest to stop so that the capacity becomes free there. */
+export const selectVictims = (worker: Worker, accelerators: number, slots: number, nowMs: number, mayStop: (job: Job) => boolean): VictimSet | undefined => {
+  let missingAccelerators = accelerators - worker.freeAccelerators + worker.claimedAccelerators
+  let missingSlots = slots - worker.freeSlots + worker.claimedSlots
+  const candidates: { job: Job, loss: number, accelerators: number, slots: number }[] = []
+  for (const job of worker.jobs) {
+    const tasks = tasksOn(job, worker)
+    const held = { accelerators: tasks * job.shape.acceleratorsPerTask, slots: tasks * job.shape.slotsPerTask }
+    if (job.stoppingSinceMs !== undefined) {
+      // A stop that takes too long is not counted on: its endpoint may be unreachable.
+      if (nowMs - job.stoppingSinceMs >= PREEMPT_RETRY_MS) continue
+      missingAccelerators -= held.accelerators
+      missingSlots -= held.slots
+    } else if (job.phase === 'running' && mayStop(job)) {
+      candidates.push({ job, loss: lossOf(job, nowMs), ...held })
+    }
+  }
+  candidates.sort((a, b) => a.loss - b.loss)
+  const chosen: typeof candidates = []
+  for (const candidate of candidates) {
+    if (missingAccelerators <= 0 && missingSlots <= 0) break
+    const helps = (missingAccelerators > 0 && candidate.accelerators > 0) || (missingSlots > 0 && candidate.slots > 0)
+    if (!helps) continue
+    chosen.push(candidate)
+    missingAccelerators -= candidate.accelerators
+    missingSlots -= candidate.slots
+  }
+  if (missingAccelerators > 0 || missingSlots > 0) return undefined
+  // A later, larger victim can make earlier ones unnecessary; the costliest is spared first.
+  for (const candidate of [...chosen].reverse()) {
+    if (missingAccelerators + candidate.accelerators > 0 || missingSlots + candidate.slots > 0) continue
+    chosen.splice(chosen.indexOf(candidate), 1)
+    missingAccelerators += candidate.accelerators
+    missingSlots += candidate.slots
+  }
+  return { victims: chosen.map(({ job }) => job), loss: chosen.reduce((sum, { loss }) => sum + loss, 0) }
+}
+
+/** The adjacent set of workers, out of those given, on which a shape costs the least lost work. */
+export const planReclaim = (shape: Shape, places: readonly Place[], nowMs: number, mayStop: (job: Job) => boolean): Reclaim | undefined => {
+  const select = (worker: Worker, tasks: number): VictimSet | undefined =>
+    selectVictims(worker, tasks * shape.acceleratorsPerTask, tasks * shape.slotsPerTask, nowMs, mayStop)
+  const capacities = places.flatMap(({ worker, tasks }) => {
+    const set = select(worker, tasks)
+    return set ? [{ worker, tasks, cost: set.loss / tasks }] : []
+  })
+  const allocations = chooseAdjacent(shape, capacities)
+  if (!allocations) return undefined
+  const victims = new Set<Job>()
+  let loss = 0
+  for (const { worker, tasks } of allocations) {
+    const set = select(worker, tasks)
+    if (!set) return undefined
+    for (const job of set.victims) victims.add(job)
+    loss += set.loss
+  }
+  return { allocations, victims: [...victims], loss }
+}
--- a/packages/scheduler/src/queues.ts
+++ b/packages/scheduler/src/queues.ts
@@ -3,6 +3,7 @@
 import { URGENCIES } from '@ibisstair/model'
 import { MAX_SHAPE_CLASSES } from './constants.ts'
 import type { Job } from './entities.ts'
+import { shapeKeyOf } from './entities.ts'
 import { IndexedHeap } from './indexed-heap.ts'
 import { LinkedQueue } from './linked-queue.ts'
 
@@ -49,6 +50,9 @@
   readonly #order = new IndexedHeap<Lane>((a, b) => isServedBefore(a.caller, b.caller))
   /** Fleet epoch at which a search for this shape failed. */
   blockedEpoch = -1
+  /** Fleet epoch at which the guarantee could not hold this shape, and when to look again at the latest. */
+  homeBlockedEpoch = -1
+  homeRetryAtMs = 0
 
   constructor (readonly key: string, readonly account: CustomerAccount) {}
 
@@ -115,20 +119,31 @@
   /** Use above the guarantees. */
   borrowedAccelerators = 0
   borrowedSlots = 0
-  running = 0
+  readonly running = new Set<Job>()
+  /** Sums and shapes of the guarantees in this domain. */
+  floorAccelerators = 0
+  floorSlots = 0
+  guaranteedShapes: ReadonlySet<string> = new Set()
+  usedAccelerators = 0
+  usedSlots = 0
+  queued = 0
   /** Order among customers: weighted dominant share of the use above the guarantees. */
   shareKey = 0
   lastServed = 0
 
   constructor (readonly id: CustomerId) {}
 
-  get queued (): number {
-    return this.urgencies.reduce((sum, queue) => sum + queue.size, 0)
+  get hasGuarantees (): boolean {
+    return this.guaranteedShapes.size > 0
   }
 
   configure (share: CustomerShare | undefined): void {
     this.isConfigured = share !== undefined
     this.priority = Math.max(share?.priority ?? 1, Number.EPSILON)
+    const guarantees = share?.guarantees ?? []
+    this.guaranteedShapes = new Set(guarantees.map(({ shape }) => shapeKeyOf(shape)))
+    this.floorAccelerators = guarantees.reduce((sum, { shape, count }) => sum + count * shape.tasks * shape.acceleratorsPerTask, 0)
+    this.floorSlots = guarantees.reduce((sum, { shape, count }) => sum + count * shape.tasks * shape.slotsPerTask, 0)
     this.maxQueued = share?.maxQueued ?? 0
   }
 
@@ -195,10 +210,12 @@
     this.#memberships.set(job, { account, queue, lane })
     this.#noteShape(shapeClass)
     caller.queued += 1
+    account.queued += 1
     caller.queuedByUrgency[job.urgencyIndex]! += 1
     caller.workByUrgency[job.urgencyIndex]! += work
     queue.work += work
     shapeClass.blockedEpoch = -1
+    shapeClass.homeBlockedEpoch = -1
   }
 
   remove (job: Job): void {
@@ -210,6 +227,7 @@
     job.queueNodes = []
     const { caller, shapeClass } = lane
     caller.queued -= 1
+    account.queued -= 1
     caller.queuedByUrgency[job.urgencyIndex]! -= 1
     caller.workByUrgency[job.urgencyIndex]! -= job.queuedWork
     queue.work = queue.size === 0 ? 0 : queue.work - job.queuedWork
@@ -222,7 +240,10 @@
   countUse (job: Job, sign: 1 | -1): void {
     const account = this.customerOf(job.meta.customer)
     const caller = account.callerOf(job.meta.caller)
-    account.running += sign
+    if (sign === 1) account.running.add(job)
+    else account.running.delete(job)
+    account.usedAccelerators += sign * job.accelerators
+    account.usedSlots += sign * job.slots
     caller.accelerators += sign * job.accelerators
     caller.slots += sign * job.slots
     if (sign === 1) caller.lastServed = account.lastServed = ++this.#served
@@ -232,7 +253,7 @@
 
   /** Removes accounts of customers that left the configuration and hold nothing. */
   forgetCustomer (account: CustomerAccount): void {
-    if (!account.isConfigured && account.queued === 0 && account.running === 0) this.#customers.delete(account.id)
+    if (!account.isConfigured && account.queued === 0 && account.running.size === 0) this.#customers.delete(account.id)
   }
 
   /** Moves a customer in the order after its share changed. */
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -1,18 +1,29 @@
 import type { EndpointId, ErrorKind, JobId, TaskId } from '@ibisstair/common'
 import { asId, assertNever, invariant } from '@ibisstair/common'
 import type { Assignment, DomainShare, JobMetadata } from '@ibisstair/model'
-import { findBestFit } from './best-fit.ts'
-import { AGEING_MS, MAX_ENDED_JOBS, MAX_PLACEMENTS_PER_EVENT, MAX_START_ATTEMPTS } from './constants.ts'
-import type { Allocation } from './entities.ts'
+import { costOfHomes, costOfRemainder, findBestFit } from './best-fit.ts'
+import { AGEING_MS, MAX_CLAIMS, MAX_ENDED_JOBS, MAX_PLACEMENTS_PER_EVENT, MAX_START_ATTEMPTS, PREEMPT_RETRY_MS, RECLAIM_PATIENCE_MS } from './constants.ts'
+import type { Allocation, Worker } from './entities.ts'
 import { Job } from './entities.ts'
 import { findFirstFit } from './first-fit.ts'
 import { Fleet } from './fleet.ts'
+import { FloorPlan, chooseAdjacent, findVacant } from './floor-plan.ts'
 import type { Policy, Rule } from './policy.ts'
 import { PRESENT_POLICY } from './policy.ts'
+import type { Reclaim } from './preemption.ts'
+import { planReclaim } from './preemption.ts'
 import type { CustomerAccount, ShapeClass, UrgencyQueue } from './queues.ts'
 import { JobQueues } from './queues.ts'
 import type { Decision, DomainScheduler, Explanation, FinishResult, SchedulerEvent, SchedulerStats, TaskReport } from './types.ts'
 
+/** A queued job that gets these allocations as soon as the victims have left them. */
+interface Claim {
+  readonly job: Job
+  readonly allocations: readonly Allocation[]
+  readonly sinceMs: number
+  readonly rule: string
+}
+
 /**
  * Schedules one failure domain. After `finished` with `failed`, `lost` or `preempted` the job is
  * either queued again, and a `place` follows, or a `refuse` in the same batch ends it.
@@ -22,6 +33,9 @@
   readonly #jobs = new Map<JobId, Job>()
   readonly #ended = new Map<JobId, Job>()
   readonly #queues = new JobQueues()
+  readonly #plan = new FloorPlan()
+  readonly #claims = new Map<Job, Claim>()
+  readonly #guaranteed = new Set<CustomerAccount>()
   readonly #policy: Policy
   /** Shapes for which a search at this fleet epoch failed, whoever asked. */
   readonly #failedSearches = new Map<string, number>()
@@ -61,7 +75,7 @@
       freeSlots += worker.freeSlots
       totalAccelerators += worker.info.accelerators
     }
-    return { queued: this.#queues.size, running: this.#running, freeAccelerators, totalAccelerators, freeSlots, quarantined: 0 }
+    return { queued: this.#queues.size + this.#claims.size, running: this.#running, freeAccelerators, totalAccelerators, freeSlots, quarantined: 0 }
   }
 
   #apply (event: SchedulerEvent): void {
@@ -85,7 +99,14 @@
     this.#share = share
     this.#fleet.setDrains(share.drains)
     const configured = new Set(share.customers.map((customer) => customer.id))
-    for (const customer of share.customers) this.#queues.customerOf(customer.id).configure(customer)
+    this.#guaranteed.clear()
+    for (const customer of share.customers) {
+      const account = this.#queues.customerOf(customer.id)
+      account.configure(customer)
+      if (account.hasGuarantees) this.#guaranteed.add(account)
+    }
+    if (this.#uses('guarantees')) this.#plan.configure(share)
+    this.#layoutVersion = -1
     for (const account of this.#queues.customers) {
       if (configured.has(account.id)) continue
       account.configure(undefined)
@@ -120,9 +141,9 @@
     job.attempt = 1
     job.assignments = assignments
     const allocations = this.#allocationsOf(assignments)
-    this.#countUse(job, 1)
     const fits = allocations.every(({ worker, tasks }) => worker.freeAccelerators >= tasks * meta.shape.acceleratorsPerTask && worker.freeSlots >= tasks * meta.shape.slotsPerTask)
     if (fits) this.#fleet.allocate(job, allocations)
+    this.#countUse(job, 1)
     job.enter('running')
     job.startedAtMs = this.#nowMs
     this.#running += 1
@@ -171,15 +192,25 @@
   }
 
   #leaveSlots (job: Job): void {
+    const { allocations } = job
+    this.#countUse(job, -1)
     this.#fleet.release(job)
     this.#running -= 1
-    this.#countUse(job, -1)
+    for (const { worker } of allocations) this.#seatNeighbours(job, worker)
     job.startedAtMs = undefined
   }
 
+  /** Home capacity that became free counts for the customer's other work on the same worker. */
+  #seatNeighbours (job: Job, worker: Worker): void {
+    if (!this.#plan.spotsOf(job.meta.customer)?.has(worker)) return
+    for (const other of worker.jobs) if (other.meta.customer === job.meta.customer) this.#takeHome(other)
+    this.#updateShare(this.#queues.customerOf(job.meta.customer))
+  }
+
   #requeue (job: Job): void {
     job.enter('queued')
     job.stoppingSinceMs = undefined
+    job.owedSinceMs = undefined
     this.#queues.add(job, true, this.#workOf(job))
   }
 
@@ -190,6 +221,7 @@
   }
 
   #end (job: Job): void {
+    this.#dropClaim(job)
     this.#queues.remove(job)
     job.enter('finished')
     this.#jobs.delete(job.id)
@@ -210,12 +242,48 @@
 
   #countUse (job: Job, sign: 1 | -1): void {
     const account = this.#queues.customerOf(job.meta.customer)
+    if (sign === -1 && job.isHome) this.#leaveHome(job)
     account.borrowedAccelerators += sign * job.accelerators
     account.borrowedSlots += sign * job.slots
     this.#queues.countUse(job, sign)
+    if (sign === 1) this.#takeHome(job)
     this.#updateShare(account)
   }
 
+  /** Counts a running job as guaranteed if it lies inside its customer's home. */
+  #takeHome (job: Job): void {
+    if (job.isHome) return
+    const account = this.#queues.customerOf(job.meta.customer)
+    job.isGuaranteedShape = account.guaranteedShapes.has(job.shapeKey)
+    const moved = job.isGuaranteedShape ? this.#clearHome(account, job.allocations) : []
+    job.isHome = this.#plan.seat(account.id, job.shape, job.allocations)
+    for (const other of moved) this.#takeHome(other)
+    if (!job.isHome) return
+    account.borrowedAccelerators -= job.accelerators
+    account.borrowedSlots -= job.slots
+  }
+
+  /** Takes the customer's other work out of its home on these workers, so that a guaranteed shape goes first. */
+  #clearHome (account: CustomerAccount, allocations: readonly Allocation[]): Job[] {
+    const moved: Job[] = []
+    for (const { worker } of allocations) {
+      for (const other of worker.jobs) {
+        if (!other.isHome || other.isGuaranteedShape || other.meta.customer !== account.id) continue
+        this.#leaveHome(other)
+        moved.push(other)
+      }
+    }
+    return moved
+  }
+
+  #leaveHome (job: Job): void {
+    const account = this.#queues.customerOf(job.meta.customer)
+    this.#plan.unseat(job.meta.customer, job.shape, job.allocations)
+    job.isHome = false
+    account.borrowedAccelerators += job.accelerators
+    account.borrowedSlots += job.slots
+  }
+
   #updateShare (account: CustomerAccount): void {
     this.#queues.setShareKey(account, this.#uses('customer-fairness') ? this.#dominantShareOf(account) : 0)
   }
@@ -223,18 +291,137 @@
   #dispatch (): void {
     if (this.#policy.order === 'arrival') return this.#dispatchInOrder()
     this.#followLayout()
+    this.#serveClaims()
     for (let i = 0; i < MAX_PLACEMENTS_PER_EVENT; i++) {
-      if (!this.#placeNext()) return
+      if (!this.#placeGuaranteed() && !this.#placeNext()) return
+    }
+  }
+
+  /** Places the jobs whose victims have left; a claim that takes too long is made anew with other victims. */
+  #serveClaims (): void {
+    for (const { job, allocations, sinceMs, rule } of [...this.#claims.values()]) {
+      const { shape } = job
+      const isFree = allocations.every(({ worker, tasks }) => worker.isUsable && worker.freeAccelerators >= tasks * shape.acceleratorsPerTask && worker.freeSlots >= tasks * shape.slotsPerTask)
+      if (isFree) {
+        this.#dropClaim(job)
+        this.#place(job, allocations, rule)
+      } else if (this.#nowMs - sinceMs >= PREEMPT_RETRY_MS || allocations.some(({ worker }) => !worker.isUsable)) {
+        this.#dropClaim(job)
+        this.#queues.add(job, true, this.#workOf(job))
+      }
+    }
+  }
+
+  #makeClaim (job: Job, reclaim: Reclaim, rule: string): void {
+    this.#queues.remove(job)
+    this.#fleet.claim(job, reclaim.allocations, 1)
+    const account = this.#queues.customerOf(job.meta.customer)
+    job.isGuaranteedShape = account.guaranteedShapes.has(job.shapeKey)
+    const moved = job.isGuaranteedShape ? this.#clearHome(account, reclaim.allocations) : []
+    const isSeated = this.#plan.seat(job.meta.customer, job.shape, reclaim.allocations)
+    invariant(isSeated, `claim of job ${job.id} lies inside the home of its customer`)
+    for (const other of moved) if (!reclaim.victims.includes(other)) this.#takeHome(other)
+    this.#claims.set(job, { job, allocations: reclaim.allocations, sinceMs: this.#nowMs, rule })
+    job.explain(this.#nowMs, rule, { victims: reclaim.victims.length, lostAcceleratorMs: reclaim.loss })
+    for (const victim of reclaim.victims) this.#preempt(victim, job, rule)
+  }
+
+  #dropClaim (job: Job): void {
+    const claim = this.#claims.get(job)
+    if (!claim) return
+    this.#claims.delete(job)
+    this.#plan.unseat(job.meta.customer, job.shape, claim.allocations)
+    this.#fleet.claim(job, claim.allocations, -1)
+  }
+
+  #preempt (victim: Job, beneficiary: Job, rule: string): void {
+    victim.stoppingSinceMs = this.#nowMs
+    victim.explain(this.#nowMs, 'preempted', { beneficiary: beneficiary.id, customer: beneficiary.meta.customer })
+    this.#decisions.push({ type: 'preempt', jobId: victim.id, beneficiary: beneficiary.id, rule })
+  }
+
+  /** Places or reclaims for one job that fits into what its customer's guarantee leaves free. */
+  #placeGuaranteed (): boolean {
+    if (!this.#uses('guarantees')) return false
+    for (const account of this.#guaranteed) {
+      if (account.queued === 0 || !this.#mayBeOwed(account)) continue
+      for (const queue of this.#listByUrgency(account)) {
+        for (const shapeClass of queue.classes.values()) {
+          if (shapeClass.homeBlockedEpoch === this.#fleet.epoch && this.#nowMs < shapeClass.homeRetryAtMs) continue
+          if (this.#serveGuarantee(account, shapeClass)) return true
+        }
+      }
     }
+    return false
+  }
+
+  /** Cheap test that spares most customers the search of their homes. */
+  #mayBeOwed (account: CustomerAccount): boolean {
+    if (account.usedAccelerators < account.floorAccelerators || account.usedSlots < account.floorSlots) return true
+    return account.urgencies.some((queue) => queue.classes.size > 0 && [...account.guaranteedShapes].some((key) => queue.classes.has(key)))
+  }
+
+  #serveGuarantee (account: CustomerAccount, shapeClass: ShapeClass): boolean {
+    const job = shapeClass.next(this.#uses('caller-fairness'))!
+    const isGuaranteedShape = account.guaranteedShapes.has(job.shapeKey)
+    if (!isGuaranteedShape && !isBelowFloor(account, job)) return this.#waitForHome(shapeClass, Infinity)
+    const places = this.#plan.listPlaces(account.id, job.shape, isGuaranteedShape)
+    const vacant = findVacant(job.shape, places)
+    // Other work leaves the home to the guaranteed shapes as long as there is room elsewhere.
+    if (vacant && isGuaranteedShape) return this.#place(job, vacant, 'guarantee')
+    const isOwed = chooseAdjacent(job.shape, places.map((place) => ({ ...place, cost: 0 }))) !== undefined
+    if (!isOwed) return this.#waitForHome(shapeClass, Infinity)
+    const elsewhere = this.#search(job)
+    if (elsewhere) return this.#place(job, elsewhere, 'guarantee-elsewhere')
+    if (vacant) return this.#place(job, vacant, 'guarantee')
+    job.owedSinceMs ??= this.#nowMs
+    const reclaimAtMs = job.owedSinceMs + RECLAIM_PATIENCE_MS
+    if (this.#nowMs < reclaimAtMs || this.#claims.size >= MAX_CLAIMS) return this.#waitForHome(shapeClass, reclaimAtMs)
+    job.isGuaranteedShape = isGuaranteedShape
+    const reclaim = planReclaim(job.shape, places, this.#nowMs, (victim) => !victim.isHome || this.#yieldsTo(victim, job))
+    if (!reclaim) return this.#waitForHome(shapeClass, this.#nowMs + RECLAIM_PATIENCE_MS)
+    this.#makeClaim(job, reclaim, 'reclaim-guarantee')
+    return true
+  }
+
+  /** Within a customer, work that is not more urgent leaves the home to the guaranteed shape. */
+  #yieldsTo (victim: Job, job: Job): boolean {
+    return job.isGuaranteedShape && !victim.isGuaranteedShape && victim.meta.customer === job.meta.customer && victim.urgencyIndex >= job.urgencyIndex
+  }
+
+  #waitForHome (shapeClass: ShapeClass, untilMs: number): false {
+    shapeClass.homeBlockedEpoch = this.#fleet.epoch
+    shapeClass.homeRetryAtMs = untilMs
+    return false
   }
 
   /** Shares are relative to the capacity, so that all of them change with it. */
   #followLayout (): void {
     if (this.#layoutVersion === this.#fleet.layoutVersion) return
     this.#layoutVersion = this.#fleet.layoutVersion
+    if (this.#uses('guarantees')) this.#replan()
     for (const account of this.#queues.customers) this.#updateShare(account)
   }
 
+  /** Moves the homes off lost workers and counts anew what runs inside them. */
+  #replan (): void {
+    for (const { job } of [...this.#claims.values()]) {
+      this.#dropClaim(job)
+      this.#queues.add(job, true, this.#workOf(job))
+    }
+    const seated: Job[] = []
+    for (const account of this.#guaranteed) {
+      for (const job of account.running) {
+        if (!job.isHome) continue
+        seated.push(job)
+        this.#leaveHome(job)
+      }
+    }
+    this.#plan.replan(this.#fleet)
+    for (const job of seated) this.#takeHome(job)
+    for (const account of this.#guaranteed) for (const job of account.running) this.#takeHome(job)
+  }
+
   #dispatchInOrder (): void {
     for (let i = 0; i < MAX_PLACEMENTS_PER_EVENT; i++) {
       const job = this.#queues.oldest
@@ -344,7 +531,7 @@
     if (this.#hasFailed(job.shapeKey)) return undefined
     const known = this.#foundSearches.get(job.shapeKey)
     if (known) return known
-    const found = this.#uses('best-fit') ? findBestFit(this.#fleet, job.shape) : findFirstFit(this.#fleet, job.shape)
+    const found = this.#uses('best-fit') ? findBestFit(this.#fleet, job.shape, this.#uses('home-scoring') ? costOfHomes : costOfRemainder) : findFirstFit(this.#fleet, job.shape)
     if (found) this.#foundSearches.set(job.shapeKey, found)
     else this.#noteFailedSearch(job.shapeKey)
     return found
@@ -355,7 +542,7 @@
     this.#failedSearches.set(shapeKey, this.#fleet.epoch)
   }
 
-  #place (job: Job, allocations: readonly Allocation[], rule: string): void {
+  #place (job: Job, allocations: readonly Allocation[], rule: string): true {
     this.#queues.remove(job)
     this.#fleet.allocate(job, allocations)
     job.enter('starting')
@@ -363,12 +550,17 @@
     job.attempt += 1
     this.#running += 1
     this.#countUse(job, 1)
+    this.#foundSearches.clear()
     job.assignments = assignTasks(job, allocations)
     job.explain(this.#nowMs, rule, { waitMs: this.#nowMs - job.submittedAtMs, attempt: job.attempt })
     this.#decisions.push({ type: 'place', jobId: job.id, attempt: job.attempt, assignments: job.assignments, rule })
+    return true
   }
 }
 
+const isBelowFloor = (account: CustomerAccount, job: Job): boolean =>
+  account.usedAccelerators + job.accelerators <= account.floorAccelerators && account.usedSlots + job.slots <= account.floorSlots
+
 const MAX_REMEMBERED_SHAPES = 1000
 
 const kindOfEnd = (result: FinishResult): ErrorKind => {
