scheduler: refuse what cannot be met, bound the queues and learn run times

A flood of urgent work held its own customer's urgent work for a minute although its deadline was 5 s. A request is now refused at once when the work ahead of it, at the rate that its customer can count on, takes longer than its deadline; the retry time is the difference. A job that has not started by its deadline is refused as not run. A caller may queue as much as there is room left, so that one caller fills at most half of its customer's queue. A shape that no worker or rack ever seen could hold is refused; a lost worker does not make a shape impossible.

Ruled out: evicting queued work of the heaviest caller, because a refusal at arrival is cheaper and comes while the caller can still go elsewhere.

--- /dev/null
+++ b/packages/scheduler/src/capacity-memory.ts
@@ -0,0 +1,46 @@
+import type { EndpointId, RackId } from '@ibisstair/common'
+import type { EndpointInfo, Shape } from '@ibisstair/model'
+import { countTasks, shapeKeyOf } from './entities.ts'
+
+const MAX_ENDPOINTS = 10_000
+const MAX_SHAPES = 1000
+
+interface Size {
+  readonly rack: RackId
+  readonly accelerators: number
+  readonly slots: number
+}
+
+/** Every worker ever seen, so that a shape is called impossible only if no worker or rack could hold it when empty. */
+export class CapacityMemory {
+  readonly #sizes = new Map<EndpointId, Size>()
+  readonly #answers = new Map<string, boolean>()
+
+  note (info: EndpointInfo): void {
+    const known = this.#sizes.get(info.id)
+    if (known && known.rack === info.rack && known.accelerators === info.accelerators && known.slots === info.slots) return
+    if (!known && this.#sizes.size >= MAX_ENDPOINTS) this.#sizes.delete(this.#sizes.keys().next().value!)
+    this.#sizes.set(info.id, { rack: info.rack, accelerators: info.accelerators, slots: info.slots })
+    this.#answers.clear()
+  }
+
+  couldHold (shape: Shape): boolean {
+    const key = shapeKeyOf(shape)
+    const known = this.#answers.get(key)
+    if (known !== undefined) return known
+    const answer = this.#compute(shape)
+    if (this.#answers.size >= MAX_SHAPES) this.#answers.clear()
+    this.#answers.set(key, answer)
+    return answer
+  }
+
+  #compute (shape: Shape): boolean {
+    if (this.#sizes.size === 0) return true
+    const groups = new Map<string, number>()
+    for (const [id, { rack, accelerators, slots }] of this.#sizes) {
+      const group = shape.adjacency === 'worker' ? id : shape.adjacency === 'rack' ? rack : 'domain'
+      groups.set(group, (groups.get(group) ?? 0) + countTasks(accelerators, slots, shape))
+    }
+    return [...groups.values()].some((tasks) => tasks >= shape.tasks)
+  }
+}
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -26,3 +26,7 @@
 export const PREEMPT_RETRY_MS = CHECKPOINT_GRACE_MS + 700
 /** Jobs that wait for victims to leave at one time. */
 export const MAX_CLAIMS = 256
+export const MIN_RETRY_AFTER_MS = 100
+export const MAX_RETRY_AFTER_MS = 600_000
+/** Time after which all endpoints of a domain have announced themselves to a new leader. */
+export const FLEET_DISCOVERY_MS = 5000
--- a/packages/scheduler/src/entities.ts
+++ b/packages/scheduler/src/entities.ts
@@ -100,6 +100,7 @@
   allocations: readonly Allocation[] = []
   assignments: readonly Assignment[] = []
   startedAtMs: number | undefined
+  hasStarted = false
   /** Set while a preempt or stop decision is being carried out. */
   stoppingSinceMs: number | undefined
   /** Runs inside its customer's home, where no other customer can preempt it. */
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -1,13 +1,17 @@
 import type { EndpointId, ErrorKind, JobId, TaskId } from '@ibisstair/common'
 import { asId, assertNever, invariant } from '@ibisstair/common'
-import type { Assignment, DomainShare, JobMetadata } from '@ibisstair/model'
+import type { Assignment, DomainShare, EndpointInfo, JobMetadata } from '@ibisstair/model'
 import { costOfHomes, costOfRemainder, findBestFit } from './best-fit.ts'
-import { AGEING_MS, MAX_CLAIMS, MAX_ENDED_JOBS, MAX_PLACEMENTS_PER_EVENT, MAX_START_ATTEMPTS, PREEMPT_RETRY_MS, RECLAIM_PATIENCE_MS } from './constants.ts'
+import { CapacityMemory } from './capacity-memory.ts'
+import { AGEING_MS, FLEET_DISCOVERY_MS, MAX_CLAIMS, MAX_ENDED_JOBS, MAX_PLACEMENTS_PER_EVENT, MAX_RETRY_AFTER_MS, MAX_START_ATTEMPTS, MIN_RETRY_AFTER_MS, PREEMPT_RETRY_MS, RECLAIM_PATIENCE_MS } from './constants.ts'
+import { Deadlines } from './deadlines.ts'
 import type { Allocation, Worker } from './entities.ts'
 import { Job } from './entities.ts'
 import { findFirstFit } from './first-fit.ts'
 import { Fleet } from './fleet.ts'
 import { FloorPlan, chooseAdjacent, findVacant } from './floor-plan.ts'
+import type { RunTimeEstimate } from './learned-times.ts'
+import { LearnedTimes } from './learned-times.ts'
 import type { Policy, Rule } from './policy.ts'
 import { PRESENT_POLICY } from './policy.ts'
 import type { Reclaim } from './preemption.ts'
@@ -34,6 +38,9 @@
   readonly #ended = new Map<JobId, Job>()
   readonly #queues = new JobQueues()
   readonly #plan = new FloorPlan()
+  readonly #capacity = new CapacityMemory()
+  readonly #deadlines = new Deadlines()
+  readonly #times = new LearnedTimes()
   readonly #claims = new Map<Job, Claim>()
   readonly #guaranteed = new Set<CustomerAccount>()
   readonly #policy: Policy
@@ -46,6 +53,7 @@
   #running = 0
   #decisions: Decision[] = []
   #nowMs = 0
+  #firstEventMs: number | undefined
 
   constructor (policy: Policy = PRESENT_POLICY) {
     this.#policy = policy
@@ -54,7 +62,9 @@
   handle (event: SchedulerEvent, nowMs: number): Decision[] {
     this.#nowMs = Math.max(this.#nowMs, nowMs)
     this.#decisions = []
+    this.#firstEventMs ??= this.#nowMs
     this.#apply(event)
+    this.#expire()
     this.#dispatch()
     return this.#decisions
   }
@@ -81,7 +91,7 @@
   #apply (event: SchedulerEvent): void {
     switch (event.type) {
       case 'config': return this.#setShare(event.share)
-      case 'endpoint-up': { this.#fleet.put(event.endpoint); return }
+      case 'endpoint-up': return this.#putEndpoint(event.endpoint)
       case 'endpoint-down': return this.#fleet.setDown(event.endpointId)
       case 'submit': return this.#submit(event.jobId, event.job)
       case 'cancel': return this.#cancel(event.jobId)
@@ -120,8 +130,80 @@
     this.#jobs.set(jobId, job)
     const known = !this.#share || this.#queues.find(meta.customer)?.isConfigured
     if (!known) return this.#refuse(job, 'unknown-customer', `customer ${meta.customer} is not configured`)
-    job.explain(this.#nowMs, 'admitted', { queued: this.#queues.size, urgency: meta.urgency })
+    if (this.#refuseImpossible(job)) return
+    const waitMs = this.#estimateWait(job)
+    if (this.#refuseFull(job) || this.#refuseLate(job, waitMs)) return
+    job.explain(this.#nowMs, 'admitted', { queued: this.#queues.size, urgency: meta.urgency, expectedWaitMs: Math.round(waitMs), deadlineMs: meta.deadlineMs })
     this.#queues.add(job, false, this.#workOf(job))
+    if (this.#uses('deadlines')) this.#deadlines.add(job, job.submittedAtMs + meta.deadlineMs)
+  }
+
+  #refuseImpossible (job: Job): boolean {
+    const isDiscovering = this.#nowMs - this.#firstEventMs! < FLEET_DISCOVERY_MS
+    if (!this.#uses('never-fits') || isDiscovering || this.#capacity.couldHold(job.shape)) return false
+    this.#refuse(job, 'never-fits', `no ${job.shape.adjacency === 'any' ? 'set of workers' : job.shape.adjacency} of this domain can hold ${job.shapeKey}`)
+    return true
+  }
+
+  /**
+   * A caller may queue as much as there is room left, so that the heaviest one fills at most half of
+   * its customer's queue and a new caller always finds room.
+   */
+  #refuseFull (job: Job): boolean {
+    if (!this.#uses('bounded-queues')) return false
+    const account = this.#queues.customerOf(job.meta.customer)
+    const queue = account.urgencies[job.urgencyIndex]!
+    const byCaller = account.callers.get(job.meta.caller)?.queuedByUrgency[job.urgencyIndex] ?? 0
+    const room = account.maxQueued - queue.size
+    if (byCaller < room) return false
+    const retryAfterMs = clampRetry(queue.work / this.#rateOf(account) / 10)
+    job.explain(this.#nowMs, 'queue-limit', { queued: queue.size, maxQueued: account.maxQueued, byCaller })
+    this.#refuse(job, 'queue-full', `${queue.size} of ${account.maxQueued} ${job.meta.urgency} requests are queued, ${byCaller} of this caller`, retryAfterMs)
+    return true
+  }
+
+  #refuseLate (job: Job, waitMs: number): boolean {
+    if (!this.#uses('deadlines') || waitMs <= job.meta.deadlineMs) return false
+    job.explain(this.#nowMs, 'backlog', { expectedWaitMs: Math.round(waitMs), deadlineMs: job.meta.deadlineMs })
+    this.#refuse(job, 'deadline-unreachable', `the backlog takes ${Math.round(waitMs)} ms, the deadline is ${job.meta.deadlineMs} ms`, clampRetry(waitMs - job.meta.deadlineMs))
+    return true
+  }
+
+  /** Time until the work ahead of a new job has started, at the rate that its customer can count on. */
+  #estimateWait (job: Job): number {
+    const account = this.#queues.customerOf(job.meta.customer)
+    if (account.queued === 0) return 0
+    let ahead = 0
+    let aheadOfCaller = 0
+    const caller = account.callers.get(job.meta.caller)
+    for (let urgency = 0; urgency <= job.urgencyIndex; urgency++) {
+      ahead += account.urgencies[urgency]!.work
+      aheadOfCaller += caller?.workByUrgency[urgency] ?? 0
+    }
+    // Callers take turns, so that a caller waits for its own work times the number of callers.
+    if (this.#uses('caller-fairness')) ahead = Math.min(ahead, (aheadOfCaller + this.#workOf(job)) * account.callers.size)
+    return ahead / this.#rateOf(account)
+  }
+
+  /** Accelerators that a customer can count on: its floor, or its part of the domain among those that are active. */
+  #rateOf (account: CustomerAccount): number {
+    let priorities = account.priority
+    for (const other of this.#queues.customers) {
+      if (other !== account && (other.queued > 0 || other.running.size > 0)) priorities += other.priority
+    }
+    return Math.max(1, account.floorAccelerators, this.#fleet.totalAccelerators * account.priority / priorities)
+  }
+
+  #expire (): void {
+    for (const job of this.#deadlines.takeExpired(this.#nowMs)) {
+      if (job.phase !== 'queued' || job.hasStarted) continue
+      this.#refuse(job, 'deadline-passed', `not started within ${job.meta.deadlineMs} ms`)
+    }
+  }
+
+  #putEndpoint (info: EndpointInfo): void {
+    this.#capacity.note(info)
+    this.#fleet.put(info)
   }
 
   #cancel (jobId: JobId): void {
@@ -168,6 +250,8 @@
     if (job?.phase !== 'starting') return
     job.enter('running')
     job.startedAtMs = this.#nowMs
+    job.hasStarted = true
+    this.#deadlines.remove(job)
   }
 
   #handleStartFailure (jobId: JobId, refusedBy: readonly EndpointId[]): void {
@@ -184,6 +268,7 @@
     const job = this.#jobs.get(jobId)
     if (!job?.holdsSlots) return
     this.#leaveSlots(job)
+    if (result === 'ok') this.#learn(job, tasks)
     job.explain(this.#nowMs, `finished-${result}`, { tasks: tasks.length })
     if (result === 'ok' || result === 'cancelled') return this.#end(job)
     if (!job.meta.idempotent) return this.#refuse(job, kindOfEnd(result), `non-idempotent work ended as ${result}`)
@@ -191,6 +276,13 @@
     this.#requeue(job)
   }
 
+  /** Work that was preempted before reports only its last part, so that it teaches nothing. */
+  #learn (job: Job, tasks: readonly TaskReport[]): void {
+    if (job.attempt > 1 || tasks.length === 0) return
+    const runMs = tasks.reduce((longest, task) => Math.max(longest, task.runMs), 0)
+    this.#times.record(job.meta.customer, job.meta.kind, job.accelerators, runMs)
+  }
+
   #leaveSlots (job: Job): void {
     const { allocations } = job
     this.#countUse(job, -1)
@@ -214,15 +306,16 @@
     this.#queues.add(job, true, this.#workOf(job))
   }
 
-  #refuse (job: Job, kind: ErrorKind, detail: string): void {
-    job.explain(this.#nowMs, kind, { detail })
-    this.#decisions.push({ type: 'refuse', jobId: job.id, kind, detail })
+  #refuse (job: Job, kind: ErrorKind, detail: string, retryAfterMs?: number): void {
+    job.explain(this.#nowMs, kind, { detail, ...(retryAfterMs !== undefined && { retryAfterMs }) })
+    this.#decisions.push({ type: 'refuse', jobId: job.id, kind, detail, ...(retryAfterMs !== undefined && { retryAfterMs }) })
     this.#end(job)
   }
 
   #end (job: Job): void {
     this.#dropClaim(job)
     this.#queues.remove(job)
+    this.#deadlines.remove(job)
     job.enter('finished')
     this.#jobs.delete(job.id)
     this.#ended.set(job.id, job)
@@ -237,7 +330,13 @@
 
   /** Estimated accelerator milliseconds of a job; slot-only work counts by its slots. */
   #workOf (job: Job): number {
-    return Math.max(1, job.accelerators, job.slots) * job.meta.expectedRunMs
+    return Math.max(1, job.accelerators, job.slots) * this.#estimateRun(job).lowMs
+  }
+
+  #estimateRun (job: Job): RunTimeEstimate {
+    const { customer, kind, expectedRunMs } = job.meta
+    if (this.#uses('learning')) return this.#times.estimate(customer, kind, job.accelerators, expectedRunMs)
+    return { lowMs: expectedRunMs, p50Ms: expectedRunMs, p90Ms: expectedRunMs, samples: 0 }
   }
 
   #countUse (job: Job, sign: 1 | -1): void {
@@ -561,6 +660,8 @@
 const isBelowFloor = (account: CustomerAccount, job: Job): boolean =>
   account.usedAccelerators + job.accelerators <= account.floorAccelerators && account.usedSlots + job.slots <= account.floorSlots
 
+const clampRetry = (ms: number): number => Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, ms)))
+
 const MAX_REMEMBERED_SHAPES = 1000
 
 const kindOfEnd = (result: FinishResult): ErrorKind => {
--- a/scripts/bench/simulate.ts
+++ b/scripts/bench/simulate.ts
@@ -156,8 +156,10 @@
     const plain = wanted.filter((trace) => !trace.arrival.isFlood)
     const goodput: Record<string, number> = {}
     for (const trace of regular.filter(isUseful)) goodput[trace.arrival.kind] = (goodput[trace.arrival.kind] ?? 0) + 1
+    const floodKinds = new Set(this.traces.filter((trace) => trace.arrival.isFlood).map((trace) => trace.arrival.kind))
     return {
       spec: this.spec,
+      floodKind: floodKinds.size === 1 ? [...floodKinds][0] : undefined,
       urgentP50: percentile(urgent, 0.5),
       urgentP99: percentile(urgent, 0.99),
       allP50: percentile(all, 0.5),
--- a/scripts/bench/types.ts
+++ b/scripts/bench/types.ts
@@ -53,6 +53,8 @@
   readonly failedShare: number
   readonly bulkMaxWaitMs: number
   readonly preemptions: number
-  /** Completed jobs of each kind that the flood does not consist of. */
+  /** The one kind of work that floods, if any. */
+  readonly floodKind: string | undefined
+  /** Useful jobs of each kind during the flood, without the flood itself. */
   readonly goodput: Readonly<Record<string, number>>
 }
