--- a/scripts/deployment.ts
+++ b/scripts/deployment.ts
@@ -1,13 +1,13 @@
 // Starts the processes of one deployment on loopback for the demo and the end-to-end tests. Only
 // this development script starts processes; the shipped binaries start none.
 import { spawn, type ChildProcess } from 'node:child_process'
-import { mkdirSync, openSync, rmSync, writeFileSync } from 'node:fs'
+import { closeSync, mkdirSync, openSync, rmSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
 import { fileURLToPath } from 'node:url'
 import { stringify } from 'yaml'
 
 const ROOT = fileURLToPath(new URL('..', import.meta.url))
-const BINARIES = { entry: `${ROOT}dist/ibisstair-entry.mjs`, control: `${ROOT}dist/ibisstair-control.mjs` } as const
+const BINARIES = { entry: 'ibisstair-entry.mjs', control: 'ibisstair-control.mjs' } as const
 const STOP_TIMEOUT_MS = 20_000
 
 export interface Address {
@@ -35,13 +35,20 @@
   readonly domains: readonly string[]
   readonly entriesPerDomain?: number
   readonly drainMs?: number
+  /** Folder of the bundles; the tests build their own, so that no other run replaces them. */
+  readonly binaries?: string
+  /** Changes the settings of a process before they are written, for example to put a proxy in between. */
+  readonly adjust?: (node: string, settings: Settings) => Settings
 }
 
+export type Settings = Readonly<Record<string, any>>
+
 type Role = keyof typeof BINARIES
 
 interface Managed {
   readonly role: Role
-  readonly settings: string
+  readonly file: string
+  settings: Settings
   child: ChildProcess | null
 }
 
@@ -88,17 +95,18 @@
   }
 
   async start (): Promise<void> {
-    await Promise.all(this.controls.map(({ node }) => this.#initData(node)))
+    await Promise.all(this.controls.map(({ node }) => this.initData(node)))
     for (const { node } of [...this.controls, ...this.entries]) this.startProcess(node)
   }
 
   startProcess (node: string): void {
     const managed = this.#get(node)
     const log = openSync(`${this.#options.folder}/${node}.log`, 'a')
-    managed.child = spawn(process.execPath, [BINARIES[managed.role], '--settings', managed.settings], {
+    managed.child = spawn(process.execPath, [this.#getBinary(managed.role), '--settings', managed.file], {
       stdio: ['ignore', log, log],
       env: { ...process.env, UV_USE_IO_URING: '0' }
     })
+    closeSync(log)
   }
 
   getPid (node: string): number | undefined {
@@ -124,6 +132,13 @@
     rmSync(this.getDataFolder(node), { recursive: true, force: true })
   }
 
+  /** Rewrites the settings of a process; they are read at its next start. */
+  changeSettings (node: string, change: (settings: Settings) => Settings): void {
+    const managed = this.#get(node)
+    managed.settings = change(managed.settings)
+    writeFileSync(managed.file, stringify(managed.settings))
+  }
+
   getDataFolder (node: string): string {
     return `${this.#options.folder}/${node}`
   }
@@ -151,9 +166,14 @@
     return code
   }
 
-  async #initData (node: string): Promise<void> {
-    const { settings, role } = this.#get(node)
-    const child = spawn(process.execPath, [BINARIES[role], '--init', '--settings', settings], { stdio: ['ignore', 'inherit', 'inherit'] })
+  #getBinary (role: Role): string {
+    return `${this.#options.binaries ?? `${ROOT}dist`}/${BINARIES[role]}`
+  }
+
+  /** Creates the data folder under the first incarnation, as at installation. */
+  async initData (node: string): Promise<void> {
+    const { file, role } = this.#get(node)
+    const child = spawn(process.execPath, [this.#getBinary(role), '--init', '--settings', file], { stdio: ['ignore', 'inherit', 'inherit'] })
     const code = await new Promise((resolve) => { child.once('exit', resolve) })
     if (code !== 0) throw new Error(`${node}: initialisation ended with exit code ${code}`)
   }
@@ -181,9 +201,10 @@
     mkdirSync(folder, { recursive: true })
   }
 
-  #addProcess (role: Role, node: string, settings: object): void {
+  #addProcess (role: Role, node: string, settings: Settings): void {
     const file = `${this.#options.folder}/${node}.yaml`
-    writeFileSync(file, stringify(settings))
-    this.#processes.set(node, { role, settings: file, child: null })
+    const adjusted = this.#options.adjust?.(node, settings) ?? settings
+    writeFileSync(file, stringify(adjusted))
+    this.#processes.set(node, { role, file, settings: adjusted, child: null })
   }
 }
--- a/scripts/stand-in-endpoint.ts
+++ b/scripts/stand-in-endpoint.ts
@@ -18,6 +18,8 @@
   /** Endpoint listeners of the entries to announce to. */
   readonly entries: ReadonlyArray<{ readonly address: string, readonly port: number }>
   readonly announceMs?: number
+  /** Port to announce instead of the listener's, for example that of a proxy in front of it. */
+  readonly announcedPort?: number
 }
 
 /** Faults that the stand-in shows until the next setting. */
@@ -96,6 +98,10 @@
     return asId<EndpointId>(this.#options.id)
   }
 
+  get port (): number {
+    return (this.#server.address() as AddressInfo).port
+  }
+
   async start (): Promise<void> {
     await new Promise<void>((resolve) => { this.#server.listen(0, '127.0.0.1', resolve) })
     this.#stops.push(this.#timers.every(this.#options.announceMs ?? 1000, () => this.announce()))
@@ -136,7 +142,7 @@
       incarnation: this.#incarnation,
       sequence: ++this.#sequence,
       address: '127.0.0.1',
-      port: (this.#server.address() as AddressInfo).port,
+      port: this.#options.announcedPort ?? this.port,
       failureDomain: domain,
       rack,
       slots: this.#slots,
