rpc, gateway: let a shutdown cut no answer and end in spite of open connections

Cause: a control process that got SIGTERM did not end within 20 s and was killed, because RpcServer.close waited for connections that stay open. Node.js counts a connection without a request as active, and closes an answer that is written but not yet taken by its reader as idle; the second also cut answers of the entry's listeners. DrainingServer now serves both packages: it ends each connection after its answer, leaves unread answers alone and closes the rest when nothing is in progress.

Ruled out: the groups and the scheduling session, which stop within milliseconds.

--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -1,7 +1,6 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { IbisError } from '@ibisstair/common'
-import { sendError, type Target } from '@ibisstair/rpc'
+import { DrainingServer, sendError, type Target } from '@ibisstair/rpc'
 
 export interface HttpCallContext {
   readonly req: IncomingMessage
@@ -21,44 +20,28 @@
   }
 }
 
-/** One HTTP listener that counts the requests in progress, so that a shutdown can wait for them. */
+/** One HTTP listener; errors of the handler become answers. */
 export class HttpListener {
-  readonly #server: Server
-  #inProgress = 0
-  #isClosing = false
-  #onIdle: (() => void) | null = null
+  readonly #server: DrainingServer
 
   constructor (handler: HttpHandler) {
-    this.#server = createServer((req, res) => { this.#handle(handler, req, res).catch(() => res.destroy()) })
-    this.#server.keepAliveTimeout = 10_000
+    this.#server = new DrainingServer((req, res) => { this.#handle(handler, req, res).catch(() => res.destroy()) })
   }
 
   get inProgress (): number {
-    return this.#inProgress
+    return this.#server.inProgress
   }
 
   async listen (target: Target): Promise<Target> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(target.port, target.address, resolve)
-    })
-    const { address, port } = this.#server.address() as AddressInfo
-    return { address, port }
+    return await this.#server.listen(target)
   }
 
   /** Accepts no new connection and resolves when every request in progress has been answered. */
   async close (): Promise<void> {
-    this.#isClosing = true
-    const closed = new Promise<void>((resolve) => { this.#server.close(() => resolve()) })
-    if (this.#inProgress > 0) await new Promise<void>((resolve) => { this.#onIdle = resolve })
-    this.#server.closeIdleConnections()
-    await closed
+    await this.#server.close()
   }
 
   async #handle (handler: HttpHandler, req: IncomingMessage, res: ServerResponse): Promise<void> {
-    this.#inProgress += 1
-    res.once('close', () => this.#handleDone())
-    if (this.#isClosing) res.setHeader('connection', 'close')
     try {
       const url = new URL(req.url ?? '/', 'http://entry.invalid')
       await handler({ req, res, url, parts: parsePath(url) })
@@ -66,10 +49,4 @@
       sendError(res, IbisError.from(err))
     }
   }
-
-  #handleDone (): void {
-    this.#inProgress -= 1
-    if (this.#isClosing) this.#server.closeIdleConnections()
-    if (this.#inProgress === 0) this.#onIdle?.()
-  }
 }
--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -1,5 +1,6 @@
 export * from './client.ts'
 export * from './constants.ts'
+export * from './draining-server.ts'
 export * from './http.ts'
 export * from './messages.ts'
 export * from './server.ts'
--- a/packages/rpc/src/server.ts
+++ b/packages/rpc/src/server.ts
@@ -1,8 +1,8 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { asId, IbisError, type NodeId } from '@ibisstair/common'
 import { createJSONRPCErrorResponse, isJSONRPCRequest, JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer, type JSONRPCResponse } from 'json-rpc-2.0'
 import { DEADLINE_HEADER, DEPLOYMENT_HEADER, DEFAULT_CALL_MS, MAX_RPC_BODY_BYTES, NODE_HEADER } from './constants.ts'
+import { DrainingServer } from './draining-server.ts'
 import { checkBearer, parseJson, readBody, sendError, sendJson } from './http.ts'
 import type { CallContext, Handler, Identity, Target } from './types.ts'
 
@@ -21,12 +21,11 @@
 export class RpcServer {
   readonly #identity: Identity
   readonly #rpc = new JSONRPCServer<CallContext>({ errorListener: () => {} })
-  readonly #http: Server
+  readonly #http: DrainingServer
 
   constructor (identity: Identity) {
     this.#identity = identity
-    this.#http = createServer((req, res) => { this.#handle(req, res).catch((err) => sendError(res, IbisError.from(err))) })
-    this.#http.keepAliveTimeout = 10_000
+    this.#http = new DrainingServer((req, res) => { this.#handle(req, res).catch((err) => sendError(res, IbisError.from(err))) })
   }
 
   register (method: string, handler: Handler): void {
@@ -40,25 +39,17 @@
   }
 
   async listen (target: Target): Promise<Target> {
-    await new Promise<void>((resolve, reject) => {
-      this.#http.once('error', reject)
-      this.#http.listen(target.port, target.address, resolve)
-    })
-    const { address, port } = this.#http.address() as AddressInfo
-    return { address, port }
+    return await this.#http.listen(target)
   }
 
   /** Stops accepting connections and waits until the calls in progress have been answered. */
   async close (): Promise<void> {
-    const closed = new Promise<void>((resolve) => { this.#http.close(() => resolve()) })
-    this.#http.closeIdleConnections()
-    await closed
+    await this.#http.close()
   }
 
   /** Cuts the connections that are still open. */
   destroy (): void {
-    this.#http.close()
-    this.#http.closeAllConnections()
+    this.#http.destroy()
   }
 
   async #handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
