control: schedule only after the entries of earlier terms are applied

Cause: a new leader opened its session while its record still lacked starts that the previous leader had committed. A resent non-idempotent request was then created a second time, its gang of the previous leader was stopped as an orphan, and the caller was told 'key-conflict (not-run)' about work that had run. The session now waits until the log that the leader had at its election is committed.

Ruled out: the register, which refused the second start, and the adoption of idempotent gangs.

--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -104,6 +104,8 @@
   #domainGroup: ControlGroup<JobCommand, JobResult> | null = null
   #session: DomainSession | null = null
   #withoutLeaderSinceMs: number | null = null
+  /** Term in which this process leads, and the end of the log at the time of its election. */
+  #election: { readonly term: number, readonly lastIndex: number } | null = null
   #isStopping = false
 
   constructor (options: ControlNodeOptions) {
@@ -199,7 +201,7 @@
     if (!this.#options.cache.current) return 'none'
     if (status.role === 'leader') {
       this.#withoutLeaderSinceMs = null
-      return status.hasQuorum ? 'leader' : 'none'
+      return status.hasQuorum && this.#hasAppliedEarlierTerms(status) ? 'leader' : 'none'
     }
     if (status.leader !== null) {
       this.#withoutLeaderSinceMs = null
@@ -209,6 +211,12 @@
     return now - this.#withoutLeaderSinceMs >= DEGRADED_AFTER_MS ? 'degraded' : 'none'
   }
 
+  /** Until then the record may lack starts that an earlier leader committed, and would allow them again. */
+  #hasAppliedEarlierTerms ({ term, lastIndex, commitIndex }: ReplicaStatus): boolean {
+    if (this.#election?.term !== term) this.#election = { term, lastIndex }
+    return commitIndex >= this.#election.lastIndex
+  }
+
   #openSession (isDegraded: boolean): void {
     const { timers, random, metrics, logger, domain, cache, createScheduler } = this.#options
     const group = this.#domainGroup!
