control: do not refuse placed work as 'not run' when a session ends

Cause: at the end of a session every waiting call got 'not-leader', which says 'not run', also for jobs whose tasks were running. The entry took it for a refusal and submitted the work elsewhere: it ran twice, or the caller got 'deadline-passed (not-run)' for work that had run. A start that another job has recorded is reported as 'outcome-unknown' instead of 'key-conflict (not-run)'.

--- a/packages/control/src/session.ts
+++ b/packages/control/src/session.ts
@@ -139,7 +139,9 @@
     const entry = this.#jobs.find(customer, key)
     if (!entry) return await this.wait(customer, key, 0)
     if (!entry.isFinished) this.#schedule({ type: 'cancel', jobId: entry.jobId })
-    return await this.#waitFor(entry, ENDPOINT_CALL_MS)
+    const status = await this.#waitFor(entry, ENDPOINT_CALL_MS)
+    if (!entry.isFinished) this.#checkOpen()
+    return status
   }
 
   explain (customer: CustomerId, key: RequestKey): Explanation {
@@ -156,7 +158,9 @@
 
   async #waitFor (entry: JobEntry, waitMs: number): Promise<JobStatus> {
     await this.#jobs.wait(entry, waitMs)
-    if (!entry.isFinished) this.#checkOpen()
+    // A refusal says "not run", so after the end of this session only work that was never placed gets one.
+    const isPlaced = entry.state !== 'queued' || entry.everStarted
+    if (!entry.isFinished && !isPlaced) this.#checkOpen()
     if (entry.isForgotten) throw new IbisError('not-found', `job ${entry.jobId} was lost and its payload is not known here`)
     if (entry.outcome && !entry.request.idempotent) this.#acknowledge(entry)
     return entry.getStatus()
@@ -320,7 +324,8 @@
 
   #handleRecorded (gang: Gang, result: JobResult): void {
     if (result.status === 'recorded') return this.#gangs.handle(gang, { type: 'recorded', ok: true })
-    const error = result.status === 'refused' ? result.error : toErrorBody('key-conflict', `key ${gang.spec.request.key} was started before as job ${result.record.jobId}`)
+    // The other start may have run, so its key must not be reported as "not run".
+    const error = result.status === 'refused' ? result.error : toErrorBody('outcome-unknown', `key ${gang.spec.request.key} was started before as job ${result.record.jobId}`)
     this.#gangs.handle(gang, { type: 'recorded', ok: false, error })
   }
 
