control: tell the scheduler of an adopted gang before the gang can end

Cause: a gang whose tasks are done ends within GangRunner.add, so the scheduler heard 'finished' before 'adopt' and kept the accelerators of the job for good. After a change of leader under load an endpoint got no more work, and requests ended with 'deadline-passed'.

Ruled out: the endpoint, which had all its slots free.

--- a/packages/control/src/session.ts
+++ b/packages/control/src/session.ts
@@ -518,8 +518,9 @@
     entry.startedAfterMs = 0
     this.#jobs.add(entry)
     this.#options.metrics.increment('gangs.adopted')
-    this.#gangs.add(Gang.adopt(this.#toSpec(jobId, attempt, request, assignments), views))
+    // A gang that is done ends within `add`, and the scheduler has to know the job before its end.
     this.#schedule({ type: 'adopt', jobId, job, assignments })
+    this.#gangs.add(Gang.adopt(this.#toSpec(jobId, attempt, request, assignments), views))
   }
 
   /** Recorded work is resolved from its record, which names all members. */
