--- a/tests/support/in-process.ts
+++ b/tests/support/in-process.ts
@@ -1,10 +1,12 @@
 import type { Test } from 'tap'
 import { asId, type DomainId, type NodeId } from '@ibisstair/common'
-import { ConfigCache } from '@ibisstair/config-sync'
-import { ControlNode } from '@ibisstair/control'
+import { ReplicaDriver } from '@ibisstair/consensus'
+import { ConfigCache, openConfigCache } from '@ibisstair/config-sync'
+import { ControlNode, type OpenGroup } from '@ibisstair/control'
 import { Entry, type EntryAddresses } from '@ibisstair/gateway'
 import { RpcClient, RpcServer, type Identity } from '@ibisstair/rpc'
 import { Scheduler } from '@ibisstair/scheduler'
+import { DataFolder, type FileSystem } from '@ibisstair/storage'
 import { createLogger, Metrics } from '@ibisstair/telemetry'
 import { RandomSource, SystemTimerService } from '@ibisstair/timers'
 import { StandInEndpoint } from '../../scripts/stand-in-endpoint.ts'
@@ -12,6 +14,7 @@
 
 export const SECRET = 'secret-of-the-test-deployment'
 export const DOMAIN = asId<DomainId>('cr-sj')
+const DATA_FOLDER = '/data'
 const LOCAL = { address: '127.0.0.1', port: 0 }
 
 export interface InProcess {
@@ -26,23 +29,40 @@
 const random = new RandomSource(1)
 const logger = createLogger({ level: 'error', node: 'test' })
 
-const startControl = async (t: Test): Promise<{ readonly address: string, readonly port: number }> => {
+/** Groups with one voter each, whose state is kept on the given file system. */
+const openGroupsOn = async (fs: FileSystem, node: NodeId): Promise<OpenGroup> => {
+  const folder = await DataFolder.init(fs, DATA_FOLDER)
+  return async (spec, machine) => await ReplicaDriver.open({
+    group: spec.name,
+    node,
+    folder,
+    timers,
+    random,
+    transport: { send: () => {} },
+    machine,
+    initialMembers: [{ node, incarnation: '1', role: 'voter', witness: false }],
+    onFatal: (err) => { throw err }
+  })
+}
+
+const startControl = async (t: Test, fs?: FileSystem): Promise<{ readonly address: string, readonly port: number }> => {
   const identity = identify('control-1')
   const server = new RpcServer(identity)
   const rpc = new RpcClient(identity, timers)
+  const openGroup: OpenGroup = fs ? await openGroupsOn(fs, identity.node) : async (_spec, machine) => new LocalGroup(identity.node, machine)
   const node = new ControlNode({
     node: identity.node,
     domain: DOMAIN,
     groups: { config: { voters: [identity.node] }, domains: [{ domain: DOMAIN, voters: [identity.node], witness: asId<NodeId>('none') }] },
     peers: [],
-    cache: new ConfigCache(null),
+    cache: fs ? await openConfigCache(fs, DATA_FOLDER, () => {}) : new ConfigCache(null),
     rpc,
     server,
     timers,
     random,
     metrics: new Metrics({ node: 'control-1' }),
     logger,
-    openGroup: async (_spec, machine) => new LocalGroup(identity.node, machine),
+    openGroup,
     createScheduler: () => new Scheduler()
   })
   const address = await server.listen(LOCAL)
@@ -56,8 +76,8 @@
 }
 
 /** One entry, one control process with a fake group, and a few endpoints, all in this process. */
-export const startInProcess = async (t: Test, options: { readonly endpoints?: number, readonly accelerators?: number } = {}): Promise<InProcess> => {
-  const control = await startControl(t)
+export const startInProcess = async (t: Test, options: { readonly endpoints?: number, readonly accelerators?: number, readonly fs?: FileSystem } = {}): Promise<InProcess> => {
+  const control = await startControl(t, options.fs)
   const identity = identify('entry-1')
   const rpc = new RpcClient(identity, timers)
   const server = new RpcServer(identity)
