gateway: ask once more for an idempotent submission without an answer

Cause: when the connections of an entry went silent, a submission of idempotent work without an answer led straight to the next failure domain, over connections that were silent as well. The caller got 'deadline-passed (unknown)' although the work had run and its answer was there. The entry now asks the same domain once more under the same key, on a new connection and for 500 ms, and goes on to the next domain after that.

Ruled out: the pool, which drops its idle connections after the first timeout, and non-idempotent requests, which stay with their home domain.

The ports of a deployment now lie below the range of outgoing connections, which had taken a port before its process listened.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -22,6 +22,8 @@
 export const WAIT_POLL_MS = 10_000
 /** A submit waits this long for the outcome, so that short work needs one call. */
 export const SUBMIT_WAIT_MS = 1_000
+/** Short, so that a domain which is cut off leaves time to submit to another one before the deadline. */
+export const REPEAT_CALL_MS = 500
 export const CONTROL_CALL_MS = 2_000
 /** How long a caller's connection is held without an outcome before it gets status 202. */
 export const MAX_HELD_MS = 600_000
--- a/packages/gateway/src/route.ts
+++ b/packages/gateway/src/route.ts
@@ -4,7 +4,8 @@
 
 /** What the entry does next for a request. */
 export type RouteStep =
-  | { readonly type: 'submit', readonly domain: DomainId, readonly request: JobRequest }
+  /** A repeat asks under the same key for a submission without an answer. */
+  | { readonly type: 'submit', readonly domain: DomainId, readonly request: JobRequest, readonly isRepeat?: boolean }
   | { readonly type: 'wait', readonly domain: DomainId }
   | { readonly type: 'pause', readonly ms: number }
   | { readonly type: 'answer', readonly status: JobStatus }
@@ -182,12 +183,20 @@
 
   #handleError (error: IbisError, nowMs: number): RouteStep {
     if (this.#isAccepted) return this.#handleWaitError(error, nowMs)
+    const isFirstUnanswered = this.#isAmbiguous(error) && !this.#ambiguous.has(this.#domain)
     if (this.#isAmbiguous(error)) this.#ambiguous.add(this.#domain)
     const reaction = error.kind === 'not-found' ? 'final' : getReaction(error.kind)
     if (reaction === 'final') return this.#fail(error)
+    // The connection may have gone silent after the domain took the request; a new one shows that.
+    if (isFirstUnanswered && this.#request.idempotent && this.#trySpend(nowMs)) return this.#repeat(nowMs)
     return this.#retry(error, reaction, nowMs)
   }
 
+  #repeat (nowMs: number): RouteStep {
+    const step = this.#submit(nowMs)
+    return step.type === 'submit' ? { ...step, isRepeat: true } : step
+  }
+
   /**
    * The domain has accepted the request, so the outcome is asked for there again: its next leader
    * adopts what runs. Only a leader that does not know the request, or a long silence, leads to a
--- a/packages/gateway/src/runner.ts
+++ b/packages/gateway/src/runner.ts
@@ -4,7 +4,7 @@
 import type { Explanation } from '@ibisstair/scheduler'
 import type { TimerService } from '@ibisstair/timers'
 import { RetryBudget } from './budget.ts'
-import { CONTROL_CALL_MS, SUBMIT_WAIT_MS, WAIT_POLL_MS } from './constants.ts'
+import { CONTROL_CALL_MS, REPEAT_CALL_MS, SUBMIT_WAIT_MS, WAIT_POLL_MS } from './constants.ts'
 import type { DomainClient } from './domains.ts'
 import type { KeyParams, SubmitParams, WaitParams } from './messages.ts'
 import { RequestRoute, type RouteResult } from './route.ts'
@@ -61,7 +61,7 @@
           const leftMs = endMs - timers.now()
           if (step.type === 'wait' && leftMs <= 0 && last) return last
           const result = step.type === 'submit'
-            ? await this.#submit(step.domain, step.request, Math.min(SUBMIT_WAIT_MS, Math.max(0, leftMs)))
+            ? await this.#submit(step.domain, step.request, step.isRepeat ? 0 : Math.min(SUBMIT_WAIT_MS, Math.max(0, leftMs)), step.isRepeat)
             : await this.#wait(step.domain, { ...toKey(request), waitMs: Math.min(WAIT_POLL_MS, leftMs) })
           if (result.type === 'status') last = result.status
           route.handle(result, timers.now())
@@ -116,9 +116,9 @@
     return [...new Set([this.#ownDomain, ...(home === undefined ? [] : [home]), ...all])].filter((domain) => all.includes(domain))
   }
 
-  #submit (domain: DomainId, request: JobRequest, waitMs: number): Promise<RouteResult> {
+  #submit (domain: DomainId, request: JobRequest, waitMs: number, isRepeat = false): Promise<RouteResult> {
     const params: SubmitParams = { request, waitMs }
-    return this.#attempt(domain, 'job.submit', params, waitMs + LONG_POLL_GRACE_MS)
+    return this.#attempt(domain, 'job.submit', params, isRepeat ? REPEAT_CALL_MS : waitMs + LONG_POLL_GRACE_MS)
   }
 
   #wait (domain: DomainId, params: WaitParams): Promise<RouteResult> {
--- a/scripts/deployment.ts
+++ b/scripts/deployment.ts
@@ -1,6 +1,7 @@
 // Starts the processes of one deployment on loopback for the demo and the end-to-end tests. Only
 // this development script starts processes; the shipped binaries start none.
 import { spawn, type ChildProcess } from 'node:child_process'
+import { randomInt } from 'node:crypto'
 import { closeSync, mkdirSync, openSync, rmSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
 import { fileURLToPath } from 'node:url'
@@ -52,14 +53,30 @@
   child: ChildProcess | null
 }
 
+const FIRST_PORT = 10_000
+const PORT_BLOCKS = 160
+const PORTS_IN_BLOCK = 128
+
+const isFree = (port: number): Promise<boolean> => new Promise((resolve) => {
+  const server = createServer()
+  server.once('error', () => resolve(false))
+  server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+})
+
+/**
+ * Finds a block of free ports below the range that the system gives to outgoing connections, which
+ * could take a port before the process that is to listen there has started.
+ */
 const findFreePorts = async (count: number): Promise<number[]> => {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
-    const server = createServer()
-    server.listen(0, '127.0.0.1', () => resolve(server))
-  })))
-  const ports = servers.map((server) => (server.address() as { port: number }).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => { server.close(resolve) })))
-  return ports
+  if (count > PORTS_IN_BLOCK) throw new Error(`${count} ports are needed, a block has ${PORTS_IN_BLOCK}`)
+  const first = randomInt(PORT_BLOCKS)
+  for (let i = 0; i < PORT_BLOCKS; i += 1) {
+    const base = FIRST_PORT + ((first + i) % PORT_BLOCKS) * PORTS_IN_BLOCK
+    const ports = Array.from({ length: count }, (_, offset) => base + offset)
+    const free = await Promise.all(ports.map(isFree))
+    if (free.every(Boolean)) return ports
+  }
+  throw new Error('no block of free ports was found')
 }
 
 export class Deployment {
--- a/scripts/stand-in-endpoint.ts
+++ b/scripts/stand-in-endpoint.ts
@@ -30,6 +30,8 @@
   hang?: boolean
   /** No request gets an answer, and no announcement is sent. */
   silent?: boolean
+  /** No announcement is sent, and requests are served. */
+  muted?: boolean
   /** Requests are carried out, and the answers are never sent. */
   loseAnswers?: boolean
   /** Answers come this much later. */
@@ -135,7 +137,7 @@
   }
 
   announce (only?: number): void {
-    if (this.faults.silent) return
+    if (this.faults.silent || this.faults.muted) return
     const { id, domain, rack, entries } = this.#options
     const body = JSON.stringify({
       endpointId: id,
--- a/tests/support/processes.ts
+++ b/tests/support/processes.ts
@@ -38,7 +38,7 @@
   readonly configVersion: number
   readonly groups: readonly GroupView[]
   readonly endpoints: { readonly up: number, readonly leaving: number }
-  readonly session: { readonly endpoints: number, readonly totalAccelerators: number, readonly recovering: boolean, readonly active: number } | null
+  readonly session: { readonly degraded: boolean, readonly endpoints: number, readonly totalAccelerators: number, readonly recovering: boolean, readonly active: number } | null
 }
 
 export const single = { tasks: 1, acceleratorsPerTask: 1, slotsPerTask: 1, adjacency: 'any' }
@@ -89,6 +89,14 @@
     return reply
   }
 
+  /** Makes one accepted change after another, from version `from` to version `to`. */
+  async changeUpTo (entry: EntryAddress, from: number, to: number): Promise<void> {
+    for (let version = from; version < to; version += 1) {
+      const reply = await this.proposeUntilDecided(entry, `change-${version + 1}`, version, [putCustomer('clinics', version + 1)])
+      if (reply.body.version !== version + 1) throw new Error(`change ${version + 1}: ${JSON.stringify(reply.body)}`)
+    }
+  }
+
   /** Null when the process does not answer. */
   async readVersion (node: string): Promise<number | null> {
     const { address } = this.nodes.find((known) => known.node === node)!
