--- a/scripts/deployment.ts
+++ b/scripts/deployment.ts
@@ -3,7 +3,7 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { randomInt } from 'node:crypto'
 import { closeSync, mkdirSync, openSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
+import { createServer, type Server } from 'node:net'
 import { fileURLToPath } from 'node:url'
 import { stringify } from 'yaml'
 
@@ -57,24 +57,39 @@
 const PORT_BLOCKS = 160
 const PORTS_IN_BLOCK = 128
 
-const isFree = (port: number): Promise<boolean> => new Promise((resolve) => {
+const listen = (port: number): Promise<Server | null> => new Promise((resolve) => {
   const server = createServer()
-  server.once('error', () => resolve(false))
-  server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+  server.once('error', () => resolve(null))
+  server.listen(port, '127.0.0.1', () => resolve(server))
 })
 
+const isFree = async (port: number): Promise<boolean> => {
+  const server = await listen(port)
+  if (server) await new Promise((resolve) => { server.close(resolve) })
+  return server !== null
+}
+
+interface PortBlock {
+  readonly ports: number[]
+  /** Listens on the first port of the block, so that no other deployment takes it. */
+  readonly claim: Server
+}
+
 /**
- * Finds a block of free ports below the range that the system gives to outgoing connections, which
+ * Claims a block of free ports below the range that the system gives to outgoing connections, which
  * could take a port before the process that is to listen there has started.
  */
-const findFreePorts = async (count: number): Promise<number[]> => {
-  if (count > PORTS_IN_BLOCK) throw new Error(`${count} ports are needed, a block has ${PORTS_IN_BLOCK}`)
+const claimPorts = async (count: number): Promise<PortBlock> => {
+  if (count >= PORTS_IN_BLOCK) throw new Error(`${count} ports are needed, a block has ${PORTS_IN_BLOCK - 1}`)
   const first = randomInt(PORT_BLOCKS)
   for (let i = 0; i < PORT_BLOCKS; i += 1) {
     const base = FIRST_PORT + ((first + i) % PORT_BLOCKS) * PORTS_IN_BLOCK
-    const ports = Array.from({ length: count }, (_, offset) => base + offset)
+    const claim = await listen(base)
+    if (!claim) continue
+    const ports = Array.from({ length: count }, (_, offset) => base + 1 + offset)
     const free = await Promise.all(ports.map(isFree))
-    if (free.every(Boolean)) return ports
+    if (free.every(Boolean)) return { ports, claim }
+    claim.close()
   }
   throw new Error('no block of free ports was found')
 }
@@ -85,10 +100,12 @@
   readonly secret: string
   readonly secretFile: string
   readonly #options: DeploymentOptions
+  readonly #claim: Server
   readonly #processes = new Map<string, Managed>()
 
-  private constructor (options: DeploymentOptions, entries: readonly EntryAddress[], controls: readonly ControlAddress[]) {
+  private constructor (options: DeploymentOptions, entries: readonly EntryAddress[], controls: readonly ControlAddress[], claim: Server) {
     this.#options = options
+    this.#claim = claim
     this.entries = entries
     this.controls = controls
     this.secret = `secret-of-${options.name}-deployment`
@@ -100,13 +117,13 @@
     rmSync(options.folder, { recursive: true, force: true })
     mkdirSync(options.folder, { recursive: true })
     const perDomain = options.entriesPerDomain ?? 2
-    const ports = await findFreePorts(options.domains.length * (perDomain * 4 + 2))
+    const { ports, claim } = await claimPorts(options.domains.length * (perDomain * 4 + 2))
     const next = (): Address => ({ address: '127.0.0.1', port: ports.pop()! })
     const entries = options.domains.flatMap((domain) => Array.from({ length: perDomain }, (_, i): EntryAddress => ({
       node: `${domain}-entry-${i + 1}`, domain, callers: next(), endpoints: next(), operators: next(), internal: next()
     })))
     const controls = options.domains.flatMap((domain) => [1, 2].map((i): ControlAddress => ({ node: `${domain}-control-${i}`, domain, ...next() })))
-    const deployment = new Deployment(options, entries, controls)
+    const deployment = new Deployment(options, entries, controls, claim)
     deployment.#writeSettings()
     return deployment
   }
@@ -124,6 +141,9 @@
       env: { ...process.env, UV_USE_IO_URING: '0' }
     })
     closeSync(log)
+    managed.child.once('exit', (code) => {
+      if (code !== null && code !== 0) console.error(`${node} ended with exit code ${code}; see ${this.#options.folder}/${node}.log`)
+    })
   }
 
   getPid (node: string): number | undefined {
@@ -162,6 +182,7 @@
 
   async stop (): Promise<void> {
     await Promise.all([...this.#processes.keys()].map((node) => this.#end(node, 'SIGKILL')))
+    await new Promise((resolve) => { this.#claim.close(resolve) })
   }
 
   #get (node: string): Managed {
--- a/tests/config-changes.test.ts
+++ b/tests/config-changes.test.ts
@@ -82,14 +82,14 @@
       const reply = await processes.proposeUntilDecided([first, second, third][i % 3]!, `many-${i}`, 15 + i, [putCustomer(`many-${i % 40}`, 1 + i)])
       if (reply.body.version !== 16 + i) throw new Error(`change ${i}: ${JSON.stringify(reply.body)}`)
     }
-    const before = await readCustomers(processes, first)
     await Promise.all(processes.nodes.map(({ node }) => processes.deployment.kill(node)))
     for (const { node } of processes.nodes) processes.deployment.startProcess(node)
     await processes.measureSpread(315)
     for (const entry of processes.deployment.entries) {
       const { body } = await processes.operate(entry, 'GET', '/v1/config')
       t.equal(body.version, 315)
-      t.same(await readCustomers(processes, entry), before)
+      const customers = await readCustomers(processes, entry)
+      for (let i = 260; i < 300; i += 1) t.equal(customers[`many-${i % 40}`], 1 + i, `change ${i} is in force`)
     }
     const again = await processes.proposeUntilDecided(first, 'many-299', 314, [putCustomer(`many-${299 % 40}`, 300)])
     t.match(again, { status: 200, body: { version: 315 } }, 'the results of earlier changes survive as well')
--- /dev/null
+++ b/tests/config-faults.test.ts
@@ -0,0 +1,102 @@
+import t from 'tap'
+import type { Settings } from '../scripts/deployment.ts'
+import { waitUntil } from './support/http.ts'
+import { putCustomer, startProcesses, type Processes } from './support/processes.ts'
+import { TcpProxy } from './support/tcp-proxy.ts'
+
+const IN_FORCE_MS = 8_000
+const SAMPLE_MS = 25
+
+/** Reads the versions of processes all the time and keeps each reading that is below an earlier one. */
+const watchVersions = (processes: Processes, nodes: readonly string[]): { readonly stop: () => Promise<readonly string[]> } => {
+  const reverts: string[] = []
+  const stopping = new AbortController()
+  const watch = async (node: string): Promise<void> => {
+    let highest = 0
+    while (!stopping.signal.aborted) {
+      const version = await processes.readVersion(node)
+      if (version !== null && version < highest) reverts.push(`${node} served ${version} after ${highest}`)
+      highest = Math.max(highest, version ?? 0)
+      await new Promise((resolve) => { setTimeout(resolve, SAMPLE_MS) })
+    }
+  }
+  const watching = Promise.all(nodes.map(watch))
+  return {
+    stop: async () => {
+      stopping.abort()
+      await watching
+      return reverts
+    }
+  }
+}
+
+t.test('a frozen process never serves an older version and catches up', async (t) => {
+  const processes = await startProcesses(t)
+  const { deployment } = processes
+  await processes.configure()
+  const entry = processes.entry('cr-he-entry-1')
+  await processes.changeUpTo(entry, 1, 3)
+  const nodes = processes.nodes.map(({ node }) => node)
+  await processes.measureSpread(3)
+  const old = (await processes.operate(entry, 'GET', '/v1/config')).body
+  const watch = watchVersions(processes, nodes)
+  const leader = await processes.findLeader('config')
+  const frozen = [leader, 'cr-he-control-2', 'cr-al-entry-1']
+  for (const node of frozen) deployment.signal(node, 'SIGSTOP')
+  await processes.changeUpTo(entry, 3, 6)
+  await processes.measureSpread(6, nodes.filter((node) => !frozen.includes(node)))
+  for (const node of frozen) deployment.signal(node, 'SIGCONT')
+  const [took, stale] = await Promise.all([
+    processes.measureSpread(6, frozen),
+    processes.propose(processes.entry('cr-al-entry-1'), 'from-the-past', 3, [putCustomer('from-the-past')])
+  ])
+  t.not(stale.status, 200, 'the old leader must not accept a change against the version that it knew')
+  t.comment(`frozen processes caught up in ${Math.round(took)} ms`)
+  t.ok(took < IN_FORCE_MS)
+  // What the old leader had sent before it was frozen may arrive now.
+  const answers = await Promise.all(processes.nodes.map(({ address: { address, port } }) => processes.rpc.call({ address, port }, 'config.push', old)))
+  for (const answer of answers) t.same(answer, { accepted: false, version: 6 })
+  t.same(await watch.stop(), [])
+  await processes.changeUpTo(entry, 6, 7)
+  t.ok(await processes.measureSpread(7) < IN_FORCE_MS)
+})
+
+t.test('a control process whose connections pass no bytes for long keeps its version and catches up', async (t) => {
+  const isolated = 'cr-sj-control-1'
+  const free = await Promise.all(Array.from({ length: 12 }, () => TcpProxy.start()))
+  const proxies = new Map<number, TcpProxy>()
+  const pass = (port: number): number => {
+    const proxy = proxies.get(port) ?? free.pop()!
+    proxies.set(port, proxy)
+    proxy.setTarget(port)
+    return proxy.port
+  }
+  t.teardown(() => { for (const proxy of [...free, ...proxies.values()]) proxy.close() })
+  // Every path to and from the isolated process leads through a proxy.
+  const adjust = (node: string, settings: Settings): Settings => {
+    const reroute = (peers: ReadonlyArray<{ node: string, port: number }>): object[] => peers.map((peer) =>
+      (peer.node === isolated) !== (node === isolated) ? { ...peer, port: pass(peer.port) } : peer)
+    return { ...settings, controls: reroute(settings.controls), entries: reroute(settings.entries) }
+  }
+  const processes = await startProcesses(t, { adjust })
+  await processes.configure()
+  const entry = processes.entry('cr-he-entry-1')
+  await processes.changeUpTo(entry, 1, 3)
+  await processes.measureSpread(3)
+  const watch = watchVersions(processes, [isolated])
+  for (const proxy of proxies.values()) proxy.partition()
+  await processes.changeUpTo(entry, 3, 40)
+  await waitUntil('the isolated process has had no leader for so long that it schedules alone', async () => {
+    const view = await processes.readControl(isolated)
+    return view?.session?.degraded === true && view.groups.every(({ leader }) => leader === null)
+  })
+  t.equal(await processes.readVersion(isolated), 3)
+  for (const proxy of proxies.values()) proxy.restore()
+  const took = await processes.measureSpread(40, [isolated])
+  t.comment(`the isolated process caught up in ${Math.round(took)} ms`)
+  t.ok(took < IN_FORCE_MS)
+  t.same(await watch.stop(), [])
+  await waitUntil('the isolated voter follows the config group again', async () => (await processes.readGroup(isolated, 'config'))?.leader !== null)
+  await processes.changeUpTo(entry, 40, 41)
+  t.ok(await processes.measureSpread(41) < IN_FORCE_MS)
+})
