control: wake a gang again when its timer fired too early

Cause: system timers may fire up to about a millisecond before performance.now() reaches the time that was asked for. The gang found nothing due and, as it asks only once for the same time, got no other wake: a start without an answer was never followed up, and its caller waited for good.

packages/control/tests/gang-runner.test.ts (timers 1.5 ms early): before: one call, 'run', in 3 s; after: the retries of 'run' and then 'stop'. Ruled out: timers less than 1 ms early, after which the gang asks for another time by itself.

--- a/packages/control/src/gang-runner.ts
+++ b/packages/control/src/gang-runner.ts
@@ -120,7 +120,12 @@
 
   #wake (gang: Gang, atMs: number): void {
     this.#wakes.get(gang)?.()
-    this.#wakes.set(gang, this.#timers.subscribe(atMs - this.#timers.now(), () => this.handle(gang, { type: 'timer' })))
+    // System timers may fire a millisecond early, and the gang asks only once for the same time.
+    const delayMs = Math.ceil(atMs - this.#timers.now())
+    this.#wakes.set(gang, this.#timers.subscribe(delayMs, () => {
+      if (this.#timers.now() < atMs) this.#wake(gang, atMs)
+      else this.handle(gang, { type: 'timer' })
+    }))
   }
 
   #remove (gang: Gang): void {
