registers: limit a customer to as much of the job register as is free

Cause: the register is bounded and drops no outcome within 24 h, so that a flood of non-idempotent work by one customer, or answers that it never fetches, would have stopped the starts of all customers. Change: a start is refused with `overloaded` when its customer would hold more records, start bytes or answer bytes than are free: alone it gets half, beside another flood a third. Acknowledged answers are released above half of the room. Ruled out: fixed quotas for each customer, because the register does not know the customers; a shorter retention, because a resend after it would run twice.

--- a/packages/registers/src/job-register.ts
+++ b/packages/registers/src/job-register.ts
@@ -122,7 +122,7 @@
     checkStart(command)
     const known = this.get(command.customer, command.key)
     if (!known) {
-      this.#checkRoom(measureStart(command))
+      this.#checkRoom(command)
       return this.#begin(command)
     }
     if (known.fingerprint !== command.fingerprint) {
@@ -185,26 +185,36 @@
     throw new IbisError('not-found', `key ${command.key} of customer ${command.customer} has no start record`)
   }
 
-  #checkRoom (startBytes: number): void {
-    const records = this.#size
-    if (records >= this.#limits.records) {
-      throw new IbisError('overloaded', `the register holds ${records} of ${this.#limits.records} records, and none is older than the retention age`, {
+  /**
+   * One customer holds at most as much as is free, so that a flood by one leaves room for the
+   * others without a fixed quota: alone it gets half, beside another flood a third.
+   */
+  #checkRoom (command: RecordStart): void {
+    const held = this.#measureCustomer(command.customer)
+    const check = (what: string, heldByCustomer: number, added: number, used: number, limit: number): void => {
+      const free = Math.max(0, limit - used)
+      if (added > 0 ? heldByCustomer + added <= free : heldByCustomer < free) return
+      throw new IbisError('overloaded', `customer ${command.customer} holds ${heldByCustomer} ${what}, and ${free} of ${limit} are free; accepted is at most as much as is free, until outcomes pass the retention age`, {
         retryAfterMs: this.#untilNextExpiryMs(),
-        info: { records, limit: this.#limits.records }
+        info: { held: heldByCustomer, free, limit }
       })
     }
-    if (this.#startBytes + startBytes > this.#limits.startBytes) {
-      throw new IbisError('overloaded', `the register holds ${this.#startBytes} of ${this.#limits.startBytes} bytes of start records, and this one takes ${startBytes}`, {
-        retryAfterMs: this.#untilNextExpiryMs(),
-        info: { startBytes: this.#startBytes, limit: this.#limits.startBytes }
-      })
-    }
-    if (this.#answerBytes >= this.#limits.answerBytes) {
-      throw new IbisError('overloaded', `the register holds ${this.#answerBytes} of ${this.#limits.answerBytes} bytes of answers that are not acknowledged`, {
-        retryAfterMs: DEFAULT_RETRY_MS,
-        info: { answerBytes: this.#answerBytes, limit: this.#limits.answerBytes }
-      })
+    check('records', held.records, 1, this.#size, this.#limits.records)
+    check('bytes of start records', held.startBytes, measureStart(command), this.#startBytes, this.#limits.startBytes)
+    check('bytes of answers', held.answerBytes, 0, this.#answerBytes, this.#limits.answerBytes)
+  }
+
+  #measureCustomer (customer: CustomerId): Pick<JobRegisterStats, 'records' | 'startBytes' | 'answerBytes'> {
+    const held = { records: 0, startBytes: 0, answerBytes: 0 }
+    for (const records of [this.#open, this.#finished]) {
+      for (const record of records.values()) {
+        if (record.customer !== customer) continue
+        held.records += 1
+        held.startBytes += record.startBytes
+        held.answerBytes += record.answerBytes
+      }
     }
+    return held
   }
 
   #untilNextExpiryMs (): number {
@@ -230,14 +240,15 @@
     }
   }
 
-  /** Gives up acknowledged answers, oldest first, while the limit is exceeded. The keys stay. */
+  /** Gives up acknowledged answers, oldest first, while they take over half of the room. The keys stay. */
   #releaseAnswers (): void {
-    if (this.#answerBytes < this.#limits.answerBytes) return
+    const kept = this.#limits.answerBytes / 2
+    if (this.#answerBytes < kept) return
     for (const [id, record] of this.#finished) {
       if (!record.acknowledged || record.outcome?.state !== 'done') continue
       this.#finished.set(id, { ...record, outcome: { state: 'released' }, answerBytes: 0 })
       this.#answerBytes -= record.answerBytes
-      if (this.#answerBytes < this.#limits.answerBytes) return
+      if (this.#answerBytes < kept) return
     }
   }
 
