--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -1,18 +1,33 @@
 import type { EndpointId, ErrorKind, JobId, TaskId } from '@ibisstair/common'
 import { asId, assertNever, invariant } from '@ibisstair/common'
-import type { Assignment, DomainShare, JobMetadata } from '@ibisstair/model'
-import { findBestFit } from './best-fit.ts'
-import { AGEING_MS, MAX_ENDED_JOBS, MAX_PLACEMENTS_PER_EVENT, MAX_START_ATTEMPTS } from './constants.ts'
-import type { Allocation } from './entities.ts'
+import type { Assignment, DomainShare, EndpointInfo, JobMetadata } from '@ibisstair/model'
+import { costOfHomes, costOfRemainder, findBestFit } from './best-fit.ts'
+import { CapacityMemory } from './capacity-memory.ts'
+import { AGEING_MS, FLEET_DISCOVERY_MS, MAX_CLAIMS, MAX_ENDED_JOBS, MAX_PLACEMENTS_PER_EVENT, MAX_RETRY_AFTER_MS, MAX_START_ATTEMPTS, MIN_RETRY_AFTER_MS, PREEMPT_RETRY_MS, RECLAIM_PATIENCE_MS } from './constants.ts'
+import { Deadlines } from './deadlines.ts'
+import type { Allocation, Worker } from './entities.ts'
 import { Job } from './entities.ts'
 import { findFirstFit } from './first-fit.ts'
 import { Fleet } from './fleet.ts'
+import { FloorPlan, chooseAdjacent, findVacant } from './floor-plan.ts'
+import type { RunTimeEstimate } from './learned-times.ts'
+import { LearnedTimes } from './learned-times.ts'
 import type { Policy, Rule } from './policy.ts'
 import { PRESENT_POLICY } from './policy.ts'
+import type { Reclaim } from './preemption.ts'
+import { planReclaim } from './preemption.ts'
 import type { CustomerAccount, ShapeClass, UrgencyQueue } from './queues.ts'
 import { JobQueues } from './queues.ts'
 import type { Decision, DomainScheduler, Explanation, FinishResult, SchedulerEvent, SchedulerStats, TaskReport } from './types.ts'
 
+/** A queued job that gets these allocations as soon as the victims have left them. */
+interface Claim {
+  readonly job: Job
+  readonly allocations: readonly Allocation[]
+  readonly sinceMs: number
+  readonly rule: string
+}
+
 /**
  * Schedules one failure domain. After `finished` with `failed`, `lost` or `preempted` the job is
  * either queued again, and a `place` follows, or a `refuse` in the same batch ends it.
@@ -22,6 +37,12 @@
   readonly #jobs = new Map<JobId, Job>()
   readonly #ended = new Map<JobId, Job>()
   readonly #queues = new JobQueues()
+  readonly #plan = new FloorPlan()
+  readonly #capacity = new CapacityMemory()
+  readonly #deadlines = new Deadlines()
+  readonly #times = new LearnedTimes()
+  readonly #claims = new Map<Job, Claim>()
+  readonly #guaranteed = new Set<CustomerAccount>()
   readonly #policy: Policy
   /** Shapes for which a search at this fleet epoch failed, whoever asked. */
   readonly #failedSearches = new Map<string, number>()
@@ -32,6 +53,7 @@
   #running = 0
   #decisions: Decision[] = []
   #nowMs = 0
+  #firstEventMs: number | undefined
 
   constructor (policy: Policy = PRESENT_POLICY) {
     this.#policy = policy
@@ -40,7 +62,9 @@
   handle (event: SchedulerEvent, nowMs: number): Decision[] {
     this.#nowMs = Math.max(this.#nowMs, nowMs)
     this.#decisions = []
+    this.#firstEventMs ??= this.#nowMs
     this.#apply(event)
+    this.#expire()
     this.#dispatch()
     return this.#decisions
   }
@@ -61,13 +85,13 @@
       freeSlots += worker.freeSlots
       totalAccelerators += worker.info.accelerators
     }
-    return { queued: this.#queues.size, running: this.#running, freeAccelerators, totalAccelerators, freeSlots, quarantined: 0 }
+    return { queued: this.#queues.size + this.#claims.size, running: this.#running, freeAccelerators, totalAccelerators, freeSlots, quarantined: 0 }
   }
 
   #apply (event: SchedulerEvent): void {
     switch (event.type) {
       case 'config': return this.#setShare(event.share)
-      case 'endpoint-up': { this.#fleet.put(event.endpoint); return }
+      case 'endpoint-up': return this.#putEndpoint(event.endpoint)
       case 'endpoint-down': return this.#fleet.setDown(event.endpointId)
       case 'submit': return this.#submit(event.jobId, event.job)
       case 'cancel': return this.#cancel(event.jobId)
@@ -85,7 +109,14 @@
     this.#share = share
     this.#fleet.setDrains(share.drains)
     const configured = new Set(share.customers.map((customer) => customer.id))
-    for (const customer of share.customers) this.#queues.customerOf(customer.id).configure(customer)
+    this.#guaranteed.clear()
+    for (const customer of share.customers) {
+      const account = this.#queues.customerOf(customer.id)
+      account.configure(customer)
+      if (account.hasGuarantees) this.#guaranteed.add(account)
+    }
+    if (this.#uses('guarantees')) this.#plan.configure(share)
+    this.#layoutVersion = -1
     for (const account of this.#queues.customers) {
       if (configured.has(account.id)) continue
       account.configure(undefined)
@@ -99,8 +130,80 @@
     this.#jobs.set(jobId, job)
     const known = !this.#share || this.#queues.find(meta.customer)?.isConfigured
     if (!known) return this.#refuse(job, 'unknown-customer', `customer ${meta.customer} is not configured`)
-    job.explain(this.#nowMs, 'admitted', { queued: this.#queues.size, urgency: meta.urgency })
+    if (this.#refuseImpossible(job)) return
+    const waitMs = this.#estimateWait(job)
+    if (this.#refuseFull(job) || this.#refuseLate(job, waitMs)) return
+    job.explain(this.#nowMs, 'admitted', { queued: this.#queues.size, urgency: meta.urgency, expectedWaitMs: Math.round(waitMs), deadlineMs: meta.deadlineMs })
     this.#queues.add(job, false, this.#workOf(job))
+    if (this.#uses('deadlines')) this.#deadlines.add(job, job.submittedAtMs + meta.deadlineMs)
+  }
+
+  #refuseImpossible (job: Job): boolean {
+    const isDiscovering = this.#nowMs - this.#firstEventMs! < FLEET_DISCOVERY_MS
+    if (!this.#uses('never-fits') || isDiscovering || this.#capacity.couldHold(job.shape)) return false
+    this.#refuse(job, 'never-fits', `no ${job.shape.adjacency === 'any' ? 'set of workers' : job.shape.adjacency} of this domain can hold ${job.shapeKey}`)
+    return true
+  }
+
+  /**
+   * A caller may queue as much as there is room left, so that the heaviest one fills at most half of
+   * its customer's queue and a new caller always finds room.
+   */
+  #refuseFull (job: Job): boolean {
+    if (!this.#uses('bounded-queues')) return false
+    const account = this.#queues.customerOf(job.meta.customer)
+    const queue = account.urgencies[job.urgencyIndex]!
+    const byCaller = account.callers.get(job.meta.caller)?.queuedByUrgency[job.urgencyIndex] ?? 0
+    const room = account.maxQueued - queue.size
+    if (byCaller < room) return false
+    const retryAfterMs = clampRetry(queue.work / this.#rateOf(account) / 10)
+    job.explain(this.#nowMs, 'queue-limit', { queued: queue.size, maxQueued: account.maxQueued, byCaller })
+    this.#refuse(job, 'queue-full', `${queue.size} of ${account.maxQueued} ${job.meta.urgency} requests are queued, ${byCaller} of this caller`, retryAfterMs)
+    return true
+  }
+
+  #refuseLate (job: Job, waitMs: number): boolean {
+    if (!this.#uses('deadlines') || waitMs <= job.meta.deadlineMs) return false
+    job.explain(this.#nowMs, 'backlog', { expectedWaitMs: Math.round(waitMs), deadlineMs: job.meta.deadlineMs })
+    this.#refuse(job, 'deadline-unreachable', `the backlog takes ${Math.round(waitMs)} ms, the deadline is ${job.meta.deadlineMs} ms`, clampRetry(waitMs - job.meta.deadlineMs))
+    return true
+  }
+
+  /** Time until the work ahead of a new job has started, at the rate that its customer can count on. */
+  #estimateWait (job: Job): number {
+    const account = this.#queues.customerOf(job.meta.customer)
+    if (account.queued === 0) return 0
+    let ahead = 0
+    let aheadOfCaller = 0
+    const caller = account.callers.get(job.meta.caller)
+    for (let urgency = 0; urgency <= job.urgencyIndex; urgency++) {
+      ahead += account.urgencies[urgency]!.work
+      aheadOfCaller += caller?.workByUrgency[urgency] ?? 0
+    }
+    // Callers take turns, so that a caller waits for its own work times the number of callers.
+    if (this.#uses('caller-fairness')) ahead = Math.min(ahead, (aheadOfCaller + this.#workOf(job)) * account.callers.size)
+    return ahead / this.#rateOf(account)
+  }
+
+  /** Accelerators that a customer can count on: its floor, or its part of the domain among those that are active. */
+  #rateOf (account: CustomerAccount): number {
+    let priorities = account.priority
+    for (const other of this.#queues.customers) {
+      if (other !== account && (other.queued > 0 || other.running.size > 0)) priorities += other.priority
+    }
+    return Math.max(1, account.floorAccelerators, this.#fleet.totalAccelerators * account.priority / priorities)
+  }
+
+  #expire (): void {
+    for (const job of this.#deadlines.takeExpired(this.#nowMs)) {
+      if (job.phase !== 'queued' || job.hasStarted) continue
+      this.#refuse(job, 'deadline-passed', `not started within ${job.meta.deadlineMs} ms`)
+    }
+  }
+
+  #putEndpoint (info: EndpointInfo): void {
+    this.#capacity.note(info)
+    this.#fleet.put(info)
   }
 
   #cancel (jobId: JobId): void {
@@ -120,9 +223,9 @@
     job.attempt = 1
     job.assignments = assignments
     const allocations = this.#allocationsOf(assignments)
-    this.#countUse(job, 1)
     const fits = allocations.every(({ worker, tasks }) => worker.freeAccelerators >= tasks * meta.shape.acceleratorsPerTask && worker.freeSlots >= tasks * meta.shape.slotsPerTask)
     if (fits) this.#fleet.allocate(job, allocations)
+    this.#countUse(job, 1)
     job.enter('running')
     job.startedAtMs = this.#nowMs
     this.#running += 1
@@ -147,6 +250,8 @@
     if (job?.phase !== 'starting') return
     job.enter('running')
     job.startedAtMs = this.#nowMs
+    job.hasStarted = true
+    this.#deadlines.remove(job)
   }
 
   #handleStartFailure (jobId: JobId, refusedBy: readonly EndpointId[]): void {
@@ -163,6 +268,7 @@
     const job = this.#jobs.get(jobId)
     if (!job?.holdsSlots) return
     this.#leaveSlots(job)
+    if (result === 'ok') this.#learn(job, tasks)
     job.explain(this.#nowMs, `finished-${result}`, { tasks: tasks.length })
     if (result === 'ok' || result === 'cancelled') return this.#end(job)
     if (!job.meta.idempotent) return this.#refuse(job, kindOfEnd(result), `non-idempotent work ended as ${result}`)
@@ -170,27 +276,46 @@
     this.#requeue(job)
   }
 
+  /** Work that was preempted before reports only its last part, so that it teaches nothing. */
+  #learn (job: Job, tasks: readonly TaskReport[]): void {
+    if (job.attempt > 1 || tasks.length === 0) return
+    const runMs = tasks.reduce((longest, task) => Math.max(longest, task.runMs), 0)
+    this.#times.record(job.meta.customer, job.meta.kind, job.accelerators, runMs)
+  }
+
   #leaveSlots (job: Job): void {
+    const { allocations } = job
+    this.#countUse(job, -1)
     this.#fleet.release(job)
     this.#running -= 1
-    this.#countUse(job, -1)
+    for (const { worker } of allocations) this.#seatNeighbours(job, worker)
     job.startedAtMs = undefined
   }
 
+  /** Home capacity that became free counts for the customer's other work on the same worker. */
+  #seatNeighbours (job: Job, worker: Worker): void {
+    if (!this.#plan.spotsOf(job.meta.customer)?.has(worker)) return
+    for (const other of worker.jobs) if (other.meta.customer === job.meta.customer) this.#takeHome(other)
+    this.#updateShare(this.#queues.customerOf(job.meta.customer))
+  }
+
   #requeue (job: Job): void {
     job.enter('queued')
     job.stoppingSinceMs = undefined
+    job.owedSinceMs = undefined
     this.#queues.add(job, true, this.#workOf(job))
   }
 
-  #refuse (job: Job, kind: ErrorKind, detail: string): void {
-    job.explain(this.#nowMs, kind, { detail })
-    this.#decisions.push({ type: 'refuse', jobId: job.id, kind, detail })
+  #refuse (job: Job, kind: ErrorKind, detail: string, retryAfterMs?: number): void {
+    job.explain(this.#nowMs, kind, { detail, ...(retryAfterMs !== undefined && { retryAfterMs }) })
+    this.#decisions.push({ type: 'refuse', jobId: job.id, kind, detail, ...(retryAfterMs !== undefined && { retryAfterMs }) })
     this.#end(job)
   }
 
   #end (job: Job): void {
+    this.#dropClaim(job)
     this.#queues.remove(job)
+    this.#deadlines.remove(job)
     job.enter('finished')
     this.#jobs.delete(job.id)
     this.#ended.set(job.id, job)
@@ -205,17 +330,59 @@
 
   /** Estimated accelerator milliseconds of a job; slot-only work counts by its slots. */
   #workOf (job: Job): number {
-    return Math.max(1, job.accelerators, job.slots) * job.meta.expectedRunMs
+    return Math.max(1, job.accelerators, job.slots) * this.#estimateRun(job).lowMs
+  }
+
+  #estimateRun (job: Job): RunTimeEstimate {
+    const { customer, kind, expectedRunMs } = job.meta
+    if (this.#uses('learning')) return this.#times.estimate(customer, kind, job.accelerators, expectedRunMs)
+    return { lowMs: expectedRunMs, p50Ms: expectedRunMs, p90Ms: expectedRunMs, samples: 0 }
   }
 
   #countUse (job: Job, sign: 1 | -1): void {
     const account = this.#queues.customerOf(job.meta.customer)
+    if (sign === -1 && job.isHome) this.#leaveHome(job)
     account.borrowedAccelerators += sign * job.accelerators
     account.borrowedSlots += sign * job.slots
     this.#queues.countUse(job, sign)
+    if (sign === 1) this.#takeHome(job)
     this.#updateShare(account)
   }
 
+  /** Counts a running job as guaranteed if it lies inside its customer's home. */
+  #takeHome (job: Job): void {
+    if (job.isHome) return
+    const account = this.#queues.customerOf(job.meta.customer)
+    job.isGuaranteedShape = account.guaranteedShapes.has(job.shapeKey)
+    const moved = job.isGuaranteedShape ? this.#clearHome(account, job.allocations) : []
+    job.isHome = this.#plan.seat(account.id, job.shape, job.allocations)
+    for (const other of moved) this.#takeHome(other)
+    if (!job.isHome) return
+    account.borrowedAccelerators -= job.accelerators
+    account.borrowedSlots -= job.slots
+  }
+
+  /** Takes the customer's other work out of its home on these workers, so that a guaranteed shape goes first. */
+  #clearHome (account: CustomerAccount, allocations: readonly Allocation[]): Job[] {
+    const moved: Job[] = []
+    for (const { worker } of allocations) {
+      for (const other of worker.jobs) {
+        if (!other.isHome || other.isGuaranteedShape || other.meta.customer !== account.id) continue
+        this.#leaveHome(other)
+        moved.push(other)
+      }
+    }
+    return moved
+  }
+
+  #leaveHome (job: Job): void {
+    const account = this.#queues.customerOf(job.meta.customer)
+    this.#plan.unseat(job.meta.customer, job.shape, job.allocations)
+    job.isHome = false
+    account.borrowedAccelerators += job.accelerators
+    account.borrowedSlots += job.slots
+  }
+
   #updateShare (account: CustomerAccount): void {
     this.#queues.setShareKey(account, this.#uses('customer-fairness') ? this.#dominantShareOf(account) : 0)
   }
@@ -223,18 +390,137 @@
   #dispatch (): void {
     if (this.#policy.order === 'arrival') return this.#dispatchInOrder()
     this.#followLayout()
+    this.#serveClaims()
     for (let i = 0; i < MAX_PLACEMENTS_PER_EVENT; i++) {
-      if (!this.#placeNext()) return
+      if (!this.#placeGuaranteed() && !this.#placeNext()) return
+    }
+  }
+
+  /** Places the jobs whose victims have left; a claim that takes too long is made anew with other victims. */
+  #serveClaims (): void {
+    for (const { job, allocations, sinceMs, rule } of [...this.#claims.values()]) {
+      const { shape } = job
+      const isFree = allocations.every(({ worker, tasks }) => worker.isUsable && worker.freeAccelerators >= tasks * shape.acceleratorsPerTask && worker.freeSlots >= tasks * shape.slotsPerTask)
+      if (isFree) {
+        this.#dropClaim(job)
+        this.#place(job, allocations, rule)
+      } else if (this.#nowMs - sinceMs >= PREEMPT_RETRY_MS || allocations.some(({ worker }) => !worker.isUsable)) {
+        this.#dropClaim(job)
+        this.#queues.add(job, true, this.#workOf(job))
+      }
     }
   }
 
+  #makeClaim (job: Job, reclaim: Reclaim, rule: string): void {
+    this.#queues.remove(job)
+    this.#fleet.claim(job, reclaim.allocations, 1)
+    const account = this.#queues.customerOf(job.meta.customer)
+    job.isGuaranteedShape = account.guaranteedShapes.has(job.shapeKey)
+    const moved = job.isGuaranteedShape ? this.#clearHome(account, reclaim.allocations) : []
+    const isSeated = this.#plan.seat(job.meta.customer, job.shape, reclaim.allocations)
+    invariant(isSeated, `claim of job ${job.id} lies inside the home of its customer`)
+    for (const other of moved) if (!reclaim.victims.includes(other)) this.#takeHome(other)
+    this.#claims.set(job, { job, allocations: reclaim.allocations, sinceMs: this.#nowMs, rule })
+    job.explain(this.#nowMs, rule, { victims: reclaim.victims.length, lostAcceleratorMs: reclaim.loss })
+    for (const victim of reclaim.victims) this.#preempt(victim, job, rule)
+  }
+
+  #dropClaim (job: Job): void {
+    const claim = this.#claims.get(job)
+    if (!claim) return
+    this.#claims.delete(job)
+    this.#plan.unseat(job.meta.customer, job.shape, claim.allocations)
+    this.#fleet.claim(job, claim.allocations, -1)
+  }
+
+  #preempt (victim: Job, beneficiary: Job, rule: string): void {
+    victim.stoppingSinceMs = this.#nowMs
+    victim.explain(this.#nowMs, 'preempted', { beneficiary: beneficiary.id, customer: beneficiary.meta.customer })
+    this.#decisions.push({ type: 'preempt', jobId: victim.id, beneficiary: beneficiary.id, rule })
+  }
+
+  /** Places or reclaims for one job that fits into what its customer's guarantee leaves free. */
+  #placeGuaranteed (): boolean {
+    if (!this.#uses('guarantees')) return false
+    for (const account of this.#guaranteed) {
+      if (account.queued === 0 || !this.#mayBeOwed(account)) continue
+      for (const queue of this.#listByUrgency(account)) {
+        for (const shapeClass of queue.classes.values()) {
+          if (shapeClass.homeBlockedEpoch === this.#fleet.epoch && this.#nowMs < shapeClass.homeRetryAtMs) continue
+          if (this.#serveGuarantee(account, shapeClass)) return true
+        }
+      }
+    }
+    return false
+  }
+
+  /** Cheap test that spares most customers the search of their homes. */
+  #mayBeOwed (account: CustomerAccount): boolean {
+    if (account.usedAccelerators < account.floorAccelerators || account.usedSlots < account.floorSlots) return true
+    return account.urgencies.some((queue) => queue.classes.size > 0 && [...account.guaranteedShapes].some((key) => queue.classes.has(key)))
+  }
+
+  #serveGuarantee (account: CustomerAccount, shapeClass: ShapeClass): boolean {
+    const job = shapeClass.next(this.#uses('caller-fairness'))!
+    const isGuaranteedShape = account.guaranteedShapes.has(job.shapeKey)
+    if (!isGuaranteedShape && !isBelowFloor(account, job)) return this.#waitForHome(shapeClass, Infinity)
+    const places = this.#plan.listPlaces(account.id, job.shape, isGuaranteedShape)
+    const vacant = findVacant(job.shape, places)
+    // Other work leaves the home to the guaranteed shapes as long as there is room elsewhere.
+    if (vacant && isGuaranteedShape) return this.#place(job, vacant, 'guarantee')
+    const isOwed = chooseAdjacent(job.shape, places.map((place) => ({ ...place, cost: 0 }))) !== undefined
+    if (!isOwed) return this.#waitForHome(shapeClass, Infinity)
+    const elsewhere = this.#search(job)
+    if (elsewhere) return this.#place(job, elsewhere, 'guarantee-elsewhere')
+    if (vacant) return this.#place(job, vacant, 'guarantee')
+    job.owedSinceMs ??= this.#nowMs
+    const reclaimAtMs = job.owedSinceMs + RECLAIM_PATIENCE_MS
+    if (this.#nowMs < reclaimAtMs || this.#claims.size >= MAX_CLAIMS) return this.#waitForHome(shapeClass, reclaimAtMs)
+    job.isGuaranteedShape = isGuaranteedShape
+    const reclaim = planReclaim(job.shape, places, this.#nowMs, (victim) => !victim.isHome || this.#yieldsTo(victim, job))
+    if (!reclaim) return this.#waitForHome(shapeClass, this.#nowMs + RECLAIM_PATIENCE_MS)
+    this.#makeClaim(job, reclaim, 'reclaim-guarantee')
+    return true
+  }
+
+  /** Within a customer, work that is not more urgent leaves the home to the guaranteed shape. */
+  #yieldsTo (victim: Job, job: Job): boolean {
+    return job.isGuaranteedShape && !victim.isGuaranteedShape && victim.meta.customer === job.meta.customer && victim.urgencyIndex >= job.urgencyIndex
+  }
+
+  #waitForHome (shapeClass: ShapeClass, untilMs: number): false {
+    shapeClass.homeBlockedEpoch = this.#fleet.epoch
+    shapeClass.homeRetryAtMs = untilMs
+    return false
+  }
+
   /** Shares are relative to the capacity, so that all of them change with it. */
   #followLayout (): void {
     if (this.#layoutVersion === this.#fleet.layoutVersion) return
     this.#layoutVersion = this.#fleet.layoutVersion
+    if (this.#uses('guarantees')) this.#replan()
     for (const account of this.#queues.customers) this.#updateShare(account)
   }
 
+  /** Moves the homes off lost workers and counts anew what runs inside them. */
+  #replan (): void {
+    for (const { job } of [...this.#claims.values()]) {
+      this.#dropClaim(job)
+      this.#queues.add(job, true, this.#workOf(job))
+    }
+    const seated: Job[] = []
+    for (const account of this.#guaranteed) {
+      for (const job of account.running) {
+        if (!job.isHome) continue
+        seated.push(job)
+        this.#leaveHome(job)
+      }
+    }
+    this.#plan.replan(this.#fleet)
+    for (const job of seated) this.#takeHome(job)
+    for (const account of this.#guaranteed) for (const job of account.running) this.#takeHome(job)
+  }
+
   #dispatchInOrder (): void {
     for (let i = 0; i < MAX_PLACEMENTS_PER_EVENT; i++) {
       const job = this.#queues.oldest
@@ -344,7 +630,7 @@
     if (this.#hasFailed(job.shapeKey)) return undefined
     const known = this.#foundSearches.get(job.shapeKey)
     if (known) return known
-    const found = this.#uses('best-fit') ? findBestFit(this.#fleet, job.shape) : findFirstFit(this.#fleet, job.shape)
+    const found = this.#uses('best-fit') ? findBestFit(this.#fleet, job.shape, this.#uses('home-scoring') ? costOfHomes : costOfRemainder) : findFirstFit(this.#fleet, job.shape)
     if (found) this.#foundSearches.set(job.shapeKey, found)
     else this.#noteFailedSearch(job.shapeKey)
     return found
@@ -355,7 +641,7 @@
     this.#failedSearches.set(shapeKey, this.#fleet.epoch)
   }
 
-  #place (job: Job, allocations: readonly Allocation[], rule: string): void {
+  #place (job: Job, allocations: readonly Allocation[], rule: string): true {
     this.#queues.remove(job)
     this.#fleet.allocate(job, allocations)
     job.enter('starting')
@@ -363,12 +649,19 @@
     job.attempt += 1
     this.#running += 1
     this.#countUse(job, 1)
+    this.#foundSearches.clear()
     job.assignments = assignTasks(job, allocations)
     job.explain(this.#nowMs, rule, { waitMs: this.#nowMs - job.submittedAtMs, attempt: job.attempt })
     this.#decisions.push({ type: 'place', jobId: job.id, attempt: job.attempt, assignments: job.assignments, rule })
+    return true
   }
 }
 
+const isBelowFloor = (account: CustomerAccount, job: Job): boolean =>
+  account.usedAccelerators + job.accelerators <= account.floorAccelerators && account.usedSlots + job.slots <= account.floorSlots
+
+const clampRetry = (ms: number): number => Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, ms)))
+
 const MAX_REMEMBERED_SHAPES = 1000
 
 const kindOfEnd = (result: FinishResult): ErrorKind => {
