control: answer from the record when another job was started under the same key

Ruled out: two starts of the same request; the register refused the second one as it must. Change: such a job is forgotten and its callers are answered from the record; a job that was adopted without payload and lost is started again with the payload of a call that waits for it. Conclusion: a request that meets a recorded start joins it.

--- a/packages/control/src/constants.ts
+++ b/packages/control/src/constants.ts
@@ -24,6 +24,4 @@
 /** Jobs of one failure domain that are queued or running. */
 export const MAX_ACTIVE_JOBS = 50_000
 export const MAX_WAITERS_PER_JOB = 64
-/** Answers above this size are acknowledged to the record, so that it may release them. */
-export const ACKNOWLEDGE_BYTES = 1_024
 export const MESSAGE_TIMEOUT_MS = 1_000
--- a/packages/control/src/jobs.ts
+++ b/packages/control/src/jobs.ts
@@ -15,6 +15,8 @@
   outcomeBytes = 0
   isAcknowledged = false
   isForgotten = false
+  /** The record names another job that was started under the same key. */
+  isStartedElsewhere = false
   readonly waiters = new Set<() => void>()
 
   constructor (
--- a/packages/control/src/session.ts
+++ b/packages/control/src/session.ts
@@ -10,7 +10,7 @@
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { groupIntoGangs, type FoundGang, type FoundTask } from './adoption.ts'
 import {
-  ACKNOWLEDGE_BYTES, ADOPTION_MS, CHECKPOINT_GRACE_MS, ENDPOINT_CALL_MS, LEASE_TTL_MS, RENEW_PERIOD_MS, RESERVATION_TTL_MS,
+  ADOPTION_MS, CHECKPOINT_GRACE_MS, ENDPOINT_CALL_MS, LEASE_TTL_MS, RENEW_PERIOD_MS, RESERVATION_TTL_MS,
   RESOLVE_PERIOD_MS, SCHEDULER_TICK_MS
 } from './constants.ts'
 import { GangRunner } from './gang-runner.ts'
@@ -118,16 +118,22 @@
 
   async submit (request: JobRequest, waitMs: number): Promise<JobStatus> {
     await this.#recovered
-    this.#checkOpen()
-    const entry = this.#findOrCreate(request)
-    return await this.#waitFor(entry, waitMs)
+    const endMs = this.#timers.now() + waitMs
+    for (;;) {
+      this.#checkOpen()
+      const entry = this.#findOrCreate(request)
+      const status = await this.#waitFor(entry, endMs - this.#timers.now())
+      // A forgotten job is found in the record now, or starts again with the payload of this call.
+      if (!entry.isForgotten) return status
+    }
   }
 
   async wait (customer: CustomerId, key: RequestKey, waitMs: number): Promise<JobStatus> {
     await this.#recovered
     this.#checkOpen()
     const entry = this.#jobs.find(customer, key)
-    if (entry) return await this.#waitFor(entry, waitMs)
+    const status = entry && await this.#waitFor(entry, waitMs)
+    if (status && !entry.isForgotten) return status
     const record = this.#options.register.get(customer, key)
     if (record) return toRecordStatus(record)
     throw new IbisError('not-found', `failure domain ${this.#options.domain} knows no request ${key} of customer ${customer}`)
@@ -157,7 +163,6 @@
   async #waitFor (entry: JobEntry, waitMs: number): Promise<JobStatus> {
     await this.#jobs.wait(entry, waitMs)
     if (!entry.isFinished) this.#checkOpen()
-    if (entry.isForgotten) throw new IbisError('not-found', `job ${entry.jobId} was lost and its payload is not known here`)
     if (entry.outcome && !entry.request.idempotent) this.#acknowledge(entry)
     return entry.getStatus()
   }
@@ -223,7 +228,7 @@
 
   #acknowledge (entry: JobEntry): void {
     const { propose } = this.#options
-    if (!propose || entry.isAcknowledged || entry.outcomeBytes < ACKNOWLEDGE_BYTES) return
+    if (!propose || entry.isAcknowledged) return
     entry.isAcknowledged = true
     const { customer, key } = entry.request
     propose({ type: 'acknowledge', customer, key, jobId: entry.jobId, atMs: this.#timers.wallClock() }).catch(() => {})
@@ -320,8 +325,13 @@
 
   #handleRecorded (gang: Gang, result: JobResult): void {
     if (result.status === 'recorded') return this.#gangs.handle(gang, { type: 'recorded', ok: true })
-    const error = result.status === 'refused' ? result.error : toErrorBody('key-conflict', `key ${gang.spec.request.key} was started before as job ${result.record.jobId}`)
-    this.#gangs.handle(gang, { type: 'recorded', ok: false, error })
+    const entry = this.#jobs.get(gang.spec.jobId)
+    if (result.status === 'exists') {
+      // A previous leader recorded a start that this replica had not applied when the request arrived.
+      if (entry) entry.isStartedElsewhere = true
+      return this.#gangs.handle(gang, { type: 'recorded', ok: false })
+    }
+    this.#gangs.handle(gang, { type: 'recorded', ok: false, error: result.error })
   }
 
   #handleStarted (gang: Gang): void {
@@ -343,6 +353,7 @@
     const outcome: JobOutcome = { state: 'failed', error: error ?? toErrorBody('gang-not-started', 'a member refused or did not answer') }
     if (this.#hasOpenRecord(entry, attempt)) await this.#recordOutcome(entry, attempt, outcome)
     if (this.#isClosed) return
+    if (entry.isStartedElsewhere) return this.#forget(entry)
     if (!error && !wasResolving) {
       entry.state = 'queued'
       return this.#schedule({ type: 'start-failed', jobId, refusedBy })
@@ -372,7 +383,7 @@
     this.#schedule({ type: 'finished', jobId, result: toFinishResult(result), tasks: toReports(gang, result) })
   }
 
-  /** The payload is known to the caller's entry only, which submits again when it finds the job unknown. */
+  /** Callers of a forgotten job are answered from the record, or submit the request again. */
   #forget (entry: JobEntry): void {
     this.#schedule({ type: 'finished', jobId: entry.jobId, result: 'cancelled', tasks: [] })
     this.#jobs.forget(entry)
@@ -389,7 +400,8 @@
     const { customer, key } = entry.request
     while (!this.#isClosed && this.#options.propose) {
       try {
-        await this.#options.propose({ type: 'record-outcome', customer, key, jobId: entry.jobId, attempt, outcome, atMs: this.#timers.wallClock() })
+        const result = await this.#options.propose({ type: 'record-outcome', customer, key, jobId: entry.jobId, attempt, outcome, atMs: this.#timers.wallClock() })
+        if (result.status === 'refused') this.#options.logger.error('the record refused an outcome', { jobId: entry.jobId, kind: result.error.kind, detail: result.error.detail })
         return
       } catch {
         this.#options.metrics.increment('records.outcome-retries')
--- /dev/null
+++ b/scripts/chaos.ts
@@ -0,0 +1,211 @@
+// A long randomised run on real processes: kills, freezes, restarts, lost disks and misbehaving
+// endpoints while callers send work; at the end the promises are checked.
+//   node --import tsx scripts/chaos.ts --minutes 2 --seed 7
+import { parseArgs } from 'node:util'
+import { fileURLToPath } from 'node:url'
+import { RandomSource } from '@ibisstair/timers'
+import { call, send, type Work } from './callers.ts'
+import { Deployment } from './deployment.ts'
+import { checkPromises, type Told } from './promises.ts'
+import { StandInEndpoint, type Faults, type StartRecord } from './stand-in-endpoint.ts'
+
+const { values } = parseArgs({
+  options: {
+    minutes: { type: 'string', default: '1' },
+    seed: { type: 'string' },
+    domains: { type: 'string', default: '2' },
+    'no-disk-loss': { type: 'boolean', default: false }
+  }
+})
+const seed = Number(values.seed ?? Math.floor(Date.now() % 1_000_000))
+const random = new RandomSource(seed)
+const DOMAINS = ['cr-sj', 'cr-al', 'cr-he', 'cr-ca'].slice(0, Number(values.domains))
+const FOLDER = `${fileURLToPath(new URL('..', import.meta.url))}.demo/chaos-${seed}`
+const WORKERS = 6
+const REPAIR_MS = 12_000
+
+const pause = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms) })
+const say = (text: string): void => console.log(`${((Date.now() - began) / 1000).toFixed(1).padStart(6)} s  ${text}`)
+
+const began = Date.now()
+const deployment = await Deployment.create({ folder: FOLDER, name: 'chaos', domains: DOMAINS, drainMs: 200 })
+const operator = { authorization: `Bearer ${deployment.secret}` }
+const records: StartRecord[] = []
+let endpoints: StandInEndpoint[] = []
+const run = { isOver: false }
+
+const until = async (what: string, condition: () => Promise<boolean>, ms = 30_000): Promise<void> => {
+  const end = Date.now() + ms
+  while (!(await condition().catch(() => false))) {
+    if (Date.now() > end) throw new Error(`timed out: ${what}`)
+    await pause(100)
+  }
+}
+
+const configure = async (): Promise<void> => {
+  const kind = (name: string, urgency: string, idempotent: boolean): object => ({
+    op: 'put-kind', kind: { kind: name, urgency, idempotent, expectedRunMs: 200, objective: { startWithinMs: 40_000, target: 0.99 } }
+  })
+  const delta = [
+    ...DOMAINS.map((id) => ({ op: 'put-domain', domain: { id, region: 'cr-central', racks: [{ id: `${id}-rack`, workers: WORKERS, acceleratorsPerWorker: 8, slotsPerWorker: 8 }] } })),
+    kind('splash-check', 'urgent', true),
+    kind('pickup', 'normal', false),
+    { op: 'put-customer', customer: { id: 'clinics', priority: 1, guarantees: [], maxQueued: 1000 } }
+  ]
+  await until('the first configuration is accepted', async () =>
+    (await call(deployment.entries[0]!.operators, 'POST', '/v1/config/changes', { changeId: 'set-up', expectedVersion: 0, delta }, operator, 3_000)).status === 200)
+}
+
+const createEndpoint = (domain: string, i: number): StandInEndpoint => new StandInEndpoint({
+  id: `${domain}-worker-${i}`, domain, rack: `${domain}-rack`, entries: deployment.entries.filter((entry) => entry.domain === domain).map((entry) => entry.endpoints)
+})
+
+let nextKey = 1
+const createWork = (): Work => {
+  const idempotent = random.int(0, 1) === 0
+  const tasks = random.pick([1, 1, 1, 2, 4])!
+  return {
+    key: `${idempotent ? 'check' : 'pickup'}-${nextKey++}`,
+    customer: 'clinics',
+    caller: `caller-${random.int(1, 5)}`,
+    kind: idempotent ? 'splash-check' : 'pickup',
+    idempotent,
+    shape: { tasks, acceleratorsPerTask: random.int(1, 4), slotsPerTask: 1, adjacency: random.pick(['any', 'rack'] as const)! },
+    runMs: random.pick([10, 50, 200, 1000, 4000])!,
+    deadlineMs: 40_000
+  }
+}
+
+const down = new Set<string>()
+const pickUp = (nodes: readonly { readonly node: string }[]): string | undefined => random.pick(nodes.map(({ node }) => node).filter((node) => !down.has(node)))
+
+const killAndRestart = async (node: string, ms: number, losesData = false): Promise<void> => {
+  down.add(node)
+  await deployment.kill(node)
+  if (losesData) deployment.loseData(node)
+  await pause(ms)
+  deployment.startProcess(node)
+  if (losesData) await pause(REPAIR_MS)
+  down.delete(node)
+}
+
+const freeze = async (node: string, ms: number): Promise<void> => {
+  down.add(node)
+  deployment.signal(node, 'SIGSTOP')
+  await pause(ms)
+  deployment.signal(node, 'SIGCONT')
+  down.delete(node)
+}
+
+const terminateAndRestart = async (node: string): Promise<void> => {
+  down.add(node)
+  const code = await deployment.terminate(node)
+  if (code !== 0) say(`${node} ended with exit code ${code} after SIGTERM`)
+  deployment.startProcess(node)
+  down.delete(node)
+}
+
+const misbehave = async (endpoint: StandInEndpoint, faults: Faults, ms: number): Promise<void> => {
+  endpoint.faults = faults
+  await pause(ms)
+  endpoint.faults = {}
+}
+
+/** Disk losses come one at a time, as a group of three survives one. */
+let isLosingDisk = false
+const loseDisk = async (node: string): Promise<void> => {
+  if (isLosingDisk || values['no-disk-loss'] || down.size > 0) return
+  isLosingDisk = true
+  say(`${node} loses its disk`)
+  await killAndRestart(node, 300, true)
+  isLosingDisk = false
+}
+
+const disturb = async (): Promise<void> => {
+  const control = pickUp(deployment.controls)
+  const entry = pickUp(deployment.entries)
+  const endpoint = random.pick(endpoints)!
+  const ms = random.pick([300, 1500, 5000, 12_000])!
+  switch (random.int(0, 9)) {
+    case 0:
+    case 1:
+      if (!control || isLosingDisk) return
+      say(`kill ${control} for ${ms} ms`)
+      return await killAndRestart(control, ms)
+    case 2:
+    case 3:
+      if (!control || isLosingDisk) return
+      say(`freeze ${control} for ${ms} ms`)
+      return await freeze(control, ms)
+    case 4:
+      if (!entry) return
+      say(`kill ${entry} for ${ms} ms`)
+      return await killAndRestart(entry, ms)
+    case 5:
+      if (!entry || deployment.entries.length - down.size < 2) return
+      say(`terminate ${entry}`)
+      return await terminateAndRestart(entry)
+    case 6:
+      if (!control || isLosingDisk) return
+      say(`terminate ${control}`)
+      return await terminateAndRestart(control)
+    case 7:
+      say(`restart endpoint ${endpoint.id}`)
+      return endpoint.restart()
+    case 8: {
+      const faults = random.pick<Faults>([{ silent: true }, { loseAnswers: true }, { delayMs: 700 }, { answerTwice: true }, { hang: true }, { fail: true }])!
+      say(`endpoint ${endpoint.id}: ${Object.keys(faults).join()} for ${ms} ms`)
+      return await misbehave(endpoint, faults, ms)
+    }
+    default:
+      if (control) await loseDisk(control)
+  }
+}
+
+const told: Told[] = []
+const callers = async (): Promise<void> => {
+  while (!run.isOver) {
+    told.push(await send(deployment.entries.map((entry) => entry.callers), createWork(), random.int(0, 100), 90_000))
+    await pause(random.int(0, 50))
+  }
+}
+
+const print = (): number => {
+  const counts = new Map<string, number>()
+  for (const { kind, error } of told) {
+    const name = `${kind}: ${error ? `${error.kind} (${error.execution})` : 'answered'}`
+    counts.set(name, (counts.get(name) ?? 0) + 1)
+  }
+  for (const [name, count] of [...counts].sort()) console.log(`  ${name.padEnd(50)} ${count}`)
+  const violations = checkPromises(told, records)
+  for (const { promise, detail } of violations) console.log(`BROKEN: ${promise}: ${detail}`)
+  console.log(`seed ${seed}: ${told.length} requests, ${records.length} tasks started, ${violations.length} promises broken`)
+  return violations.length
+}
+
+try {
+  console.log(`seed ${seed}, ${values.minutes} min, logs in ${FOLDER}`)
+  await deployment.start()
+  await configure()
+  endpoints = DOMAINS.flatMap((domain) => Array.from({ length: WORKERS }, (_, i) => createEndpoint(domain, i)))
+  for (const endpoint of endpoints) await endpoint.start()
+  const working = Array.from({ length: 24 }, () => callers())
+  const end = Date.now() + Number(values.minutes) * 60_000
+  const disturbances = new Set<Promise<void>>()
+  while (Date.now() < end) {
+    await pause(random.int(200, 2500))
+    if (disturbances.size >= 2) continue
+    const one: Promise<void> = disturb().catch((err: Error) => say(err.message)).finally(() => disturbances.delete(one))
+    disturbances.add(one)
+  }
+  await Promise.all(disturbances)
+  run.isOver = true
+  say('no more disturbances; waiting for the last outcomes')
+  await Promise.all(working)
+  for (const endpoint of endpoints) records.push(...endpoint.records)
+  process.exitCode = print() > 0 ? 1 : 0
+} finally {
+  for (const endpoint of endpoints) endpoint.kill()
+  await deployment.stop()
+}
+process.exit()
--- a/scripts/deployment.ts
+++ b/scripts/deployment.ts
@@ -8,7 +8,7 @@
 
 const ROOT = fileURLToPath(new URL('..', import.meta.url))
 const BINARIES = { entry: `${ROOT}dist/ibisstair-entry.mjs`, control: `${ROOT}dist/ibisstair-control.mjs` } as const
-const STOP_TIMEOUT_MS = 20_000
+const STOP_TIMEOUT_MS = 100_000
 
 export interface Address {
   readonly address: string
