--- a/scripts/chaos.ts
+++ b/scripts/chaos.ts
@@ -165,7 +165,12 @@
 const told: Told[] = []
 const callers = async (): Promise<void> => {
   while (!run.isOver) {
-    told.push(await send(deployment.entries.map((entry) => entry.callers), createWork(), random.int(0, 100), 90_000))
+    const work = createWork()
+    const sentAt = Date.now()
+    const one = await send(deployment.entries.map((entry) => entry.callers), work, random.int(0, 100), 90_000)
+    told.push(one)
+    const seconds = (Date.now() - sentAt) / 1000
+    if (seconds > 15) say(`${work.key} (${work.shape.tasks} tasks, ${work.runMs} ms) took ${seconds.toFixed(1)} s: ${one.error?.kind ?? 'answered'}`)
     await pause(random.int(0, 50))
   }
 }
@@ -177,6 +182,7 @@
     counts.set(name, (counts.get(name) ?? 0) + 1)
   }
   for (const [name, count] of [...counts].sort()) console.log(`  ${name.padEnd(50)} ${count}`)
+  for (const { key, error } of told) if (error && error.kind !== 'task-failed') console.log(`  ${key}: ${error.kind} (${error.execution}): ${error.detail ?? ''}`)
   const violations = checkPromises(told, records)
   for (const { promise, detail } of violations) console.log(`BROKEN: ${promise}: ${detail}`)
   console.log(`seed ${seed}: ${told.length} requests, ${records.length} tasks started, ${violations.length} promises broken`)
--- a/scripts/promises.ts
+++ b/scripts/promises.ts
@@ -11,7 +11,7 @@
   readonly expectAnswer: (index: number) => unknown
   readonly status: number
   readonly answer?: ReadonlyArray<{ readonly index: number, readonly body: unknown }>
-  readonly error?: { readonly kind: string, readonly execution: string }
+  readonly error?: { readonly kind: string, readonly execution: string, readonly detail?: string }
 }
 
 export interface Violation {
--- a/scripts/stand-in-endpoint.ts
+++ b/scripts/stand-in-endpoint.ts
@@ -24,7 +24,7 @@
 export interface Faults {
   /** Every task fails as soon as it starts. */
   fail?: boolean
-  /** Tasks never finish. */
+  /** Tasks do not finish while this is set. */
   hang?: boolean
   /** No request gets an answer, and no announcement is sent. */
   silent?: boolean
@@ -66,6 +66,7 @@
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024
 const MAX_RECORDS = 100_000
+const HANG_CHECK_MS = 200
 
 export class StandInEndpoint {
   readonly #options: StandInOptions
@@ -253,19 +254,21 @@
     const record: StartRecord = { taskId, customer, key, kind, index: grant.index, tasks: shape.tasks, atMs: this.#timers.wallClock() }
     if (this.records.length < MAX_RECORDS) this.records.push(record)
     const isFailing = this.faults.fail === true || fail
-    const stop = this.faults.hang
-      ? () => {}
-      : this.#timers.subscribe(isFailing ? 1 : runMs, () => {
-        this.#running.delete(taskId)
-        Object.assign(record, { endMs: this.#timers.wallClock(), end: isFailing ? 'failed' : 'done' })
-        const outcome = isFailing
-          ? { state: 'failed', error: 'told to fail' } as const
-          : { state: 'done', answer: answer ?? { key, index: grant.index } } as const
-        this.#apply(this.#table.complete(taskId, outcome, this.#timers.now()))
-        this.#finished.push(taskId)
-        for (const wake of [...this.#waiting]) wake()
-      })
-    this.#running.set(taskId, { stop, record })
+    const finish = (): void => {
+      if (this.faults.hang) {
+        this.#running.set(taskId, { stop: this.#timers.subscribe(HANG_CHECK_MS, finish), record })
+        return
+      }
+      this.#running.delete(taskId)
+      Object.assign(record, { endMs: this.#timers.wallClock(), end: isFailing ? 'failed' : 'done' })
+      const outcome = isFailing
+        ? { state: 'failed', error: 'told to fail' } as const
+        : { state: 'done', answer: answer ?? { key, index: grant.index } } as const
+      this.#apply(this.#table.complete(taskId, outcome, this.#timers.now()))
+      this.#finished.push(taskId)
+      for (const wake of [...this.#waiting]) wake()
+    }
+    this.#running.set(taskId, { stop: this.#timers.subscribe(isFailing ? 1 : runMs, finish), record })
   }
 
   #kill (taskId: TaskId): void {
