consensus: ask a follower with a full disk once per heartbeat

A follower whose disk is full acknowledges what it has, and the leader answered each such reply at once with the same entries, without end. The fake event queue now bounds the events of a run, so that such a loop fails instead of hanging.

--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -628,6 +628,7 @@
 
   /** Sends persisted entries as far as the window allows; returns whether a message was sent. */
   #sendEntries (progress: Progress): boolean {
+    if (progress.diskFull) return false
     if (progress.nextIndex <= this.#log.baseIndex && progress.mode !== 'snapshot') progress.startSnapshot(this.#snapshot.index)
     if (progress.mode === 'snapshot') return this.#sendSnapshotPart(progress)
     let sent = false
@@ -672,6 +673,8 @@
     invariant(message.matchIndex <= this.#log.lastIndex, 'a follower acknowledges only what the leader has', { match: message.matchIndex, last: this.#log.lastIndex })
     if (progress.mode === 'snapshot' && message.matchIndex < this.#log.baseIndex) return
     progress.acknowledge(message.matchIndex, this.#now)
+    // Its answer would be the same at once; heartbeats ask until it has room.
+    if (message.diskFull) progress.probeFrom(progress.matchIndex + 1)
     progress.updateRound(this.#log.lastIndex, this.#now)
     this.#advanceLeaderCommit()
     this.#sendEntries(progress)
--- a/packages/consensus/tests/replica.test.ts
+++ b/packages/consensus/tests/replica.test.ts
@@ -281,6 +281,22 @@
   t.equal(cluster.statusOf(follower)!.commitIndex, cluster.history.lastIndex)
 })
 
+t.test('a follower with a full disk is asked once per heartbeat, and catches up when it has room', async (t) => {
+  const cluster = new ReplicaCluster({ voters: 3, witnesses: 0, seed: 15 })
+  cluster.run(5000)
+  const follower = cluster.node(indexOfLeader(cluster) + 1)
+  cluster.setFull(follower, true)
+  cluster.propose(cluster.leaders[0]!, 'first')
+  cluster.run(1000)
+  const before = cluster.sentMessages
+  cluster.run(3000)
+  t.ok(cluster.sentMessages - before <= 4 * 11, `${cluster.sentMessages - before} messages in 3 s`)
+  t.equal(cluster.history.acknowledgedCount, 1)
+  cluster.setFull(follower, false)
+  cluster.run(1000)
+  t.equal(cluster.statusOf(follower)!.commitIndex, cluster.history.lastIndex)
+})
+
 t.test('only one membership change is in flight, and it keeps an active majority', async (t) => {
   const replica = createReplica(createMembers(3), 2, [])
   elect(replica, 3)
--- a/packages/consensus/tests/support/event-queue.ts
+++ b/packages/consensus/tests/support/event-queue.ts
@@ -4,10 +4,14 @@
   readonly fn: () => void
 }
 
+/** Far above what a run needs; replicas that answer each other without end are beyond it. */
+const MAX_EVENTS = 1_000_000
+
 /** Virtual time for a cluster of pure replicas: a binary heap by time, then by order of scheduling. */
 export class EventQueue {
   now = 0
   #order = 0
+  #executed = 0
   readonly #heap: Item[] = []
 
   schedule (delayMs: number, fn: () => void): void {
@@ -28,6 +32,8 @@
     for (let top = this.#heap[0]; top && top.at <= end; top = this.#heap[0]) {
       this.#pop()
       this.now = top.at
+      this.#executed += 1
+      if (this.#executed > MAX_EVENTS) throw new Error(`more than ${MAX_EVENTS} events by ${this.now} ms`)
       top.fn()
     }
     this.now = end
--- a/packages/consensus/tests/support/replica-cluster.ts
+++ b/packages/consensus/tests/support/replica-cluster.ts
@@ -67,6 +67,7 @@
   #parts = new Map<NodeId, number>()
   #nextId = 0
   maxTerm = 0
+  sentMessages = 0
 
   constructor (options: ClusterOptions) {
     this.#options = options
@@ -375,6 +376,7 @@
 
   #transmit (node: Node, effect: Extract<Effect, { type: 'send' }>): void {
     const { message, to } = effect
+    this.sentMessages += 1
     if (message.type === 'vote-reply' && message.granted) this.history.recordVote(`${node.id}/${node.incarnation}`, message.term, `${to}/${message.toIncarnation}`)
     const target = this.nodes.find((other) => other.id === to)
     if (!target || this.#parts.get(node.id) !== this.#parts.get(to)) return
