consensus: apply the JSON form of a command on every replica

The leader applied the caller's object and followers what JSON kept of it, so a value such as undefined or a Date gave different states, and a caller that changed the object changed the log.

--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -115,13 +115,17 @@
     return driver
   }
 
-  /** Commands are plain JSON. Callers must not change a command after the call. */
-  async propose (command: Command, timeoutMs: number): Promise<Result> {
+  /** Commands are plain JSON. */
+  async propose (proposed: Command, timeoutMs: number): Promise<Result> {
     this.#checkRoom()
-    if (JSON.stringify(command).length > MAX_COMMAND_BYTES) {
+    const text: string | undefined = JSON.stringify(proposed)
+    if (text === undefined) throw new IbisError('invalid-request', 'a command is a JSON value')
+    if (Buffer.byteLength(text) > MAX_COMMAND_BYTES) {
       this.#counters.oversizedCommands += 1
       throw new IbisError('body-too-large', `a command takes at most ${MAX_COMMAND_BYTES} bytes`)
     }
+    // The copy has what followers receive, so that all replicas apply the same value.
+    const command: unknown = JSON.parse(text)
     return await this.#proposals.add(timeoutMs, (id) => this.#dispatch({ type: 'propose', id, command })) as Result
   }
 
--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -1,6 +1,9 @@
 import { invariant } from '@ibisstair/common'
 import type { LogEntry, Member } from './types.ts'
 
+/** Index, term and punctuation of an entry in a message. */
+const ENTRY_OVERHEAD_BYTES = 40
+
 interface Configuration {
   readonly index: number
   readonly members: readonly Member[]
@@ -12,7 +15,7 @@
   readonly members: readonly Member[]
 }
 
-const estimateBytes = (entry: LogEntry): number => JSON.stringify(entry.body).length + 40
+const estimateBytes = (entry: LogEntry): number => Buffer.byteLength(JSON.stringify(entry.body)) + ENTRY_OVERHEAD_BYTES
 
 /** The entries in memory, behind a base that a snapshot covers, and the configurations in them. */
 export class ReplicaLog {
--- a/packages/consensus/tests/driver.test.ts
+++ b/packages/consensus/tests/driver.test.ts
@@ -45,6 +45,17 @@
   t.equal(await second, 2)
 })
 
+t.test('all replicas apply the same value, also when JSON has no form for a part of it', async (t) => {
+  const cluster = await start(3, 12)
+  const given = { kept: 1, dropped: undefined, at: new Date(0) }
+  const promise = leaderOf(cluster).driver!.propose(given as unknown as string, 1000)
+  given.kept = 2
+  await cluster.run(1000)
+  t.equal(await promise, 1)
+  for (const node of cluster.nodes) t.strictSame(node.machine.commands, [{ kept: 1, at: '1970-01-01T00:00:00.000Z' }])
+  await expectRejection(t, cluster, leaderOf(cluster).driver!.propose(undefined as unknown as string, 1000), { kind: 'invalid-request' })
+})
+
 t.test('a follower names the leader, and input beyond the limits is refused', async (t) => {
   const cluster = await start(3, 2)
   const leader = leaderOf(cluster)
