--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -45,6 +45,7 @@
   compactions: number
   applied: number
   applyFailures: number
+  listenerFailures: number
 }
 
 type StorageEffect = Extract<Effect, { type: 'save-hard-state' | 'append' | 'reset-log' | 'save-snapshot' | 'send' }>
@@ -73,7 +74,7 @@
   readonly #proposals: Proposals<Result | undefined>
   readonly #listeners = new Set<(status: ReplicaStatus) => void>()
   readonly #counters: DriverCounters = {
-    invalidMessages: 0, droppedMessages: 0, overloadedProposals: 0, oversizedCommands: 0, diskFull: 0, snapshotsTaken: 0, snapshotFailures: 0, compactions: 0, applied: 0, applyFailures: 0
+    invalidMessages: 0, droppedMessages: 0, overloadedProposals: 0, oversizedCommands: 0, diskFull: 0, snapshotsTaken: 0, snapshotFailures: 0, compactions: 0, applied: 0, applyFailures: 0, listenerFailures: 0
   }
 
   readonly #events: ReplicaEvent[] = []
@@ -244,7 +245,16 @@
     this.#status = status
     const isSame = previous.role === status.role && previous.leader === status.leader && previous.hasQuorum === status.hasQuorum
     if (isSame) return
-    for (const listener of this.#listeners) listener(status)
+    for (const listener of this.#listeners) this.#notify(listener, status)
+  }
+
+  #notify (listener: (status: ReplicaStatus) => void, status: ReplicaStatus): void {
+    try {
+      listener(status)
+    } catch (err) {
+      this.#counters.listenerFailures += 1
+      this.#options.log?.('error', 'a status listener failed', { group: this.#options.group, node: this.#options.node, err: String(err) })
+    }
   }
 
   // ---- state machine ----
@@ -308,7 +318,12 @@
   }
 
   #transmit (effect: Extract<Effect, { type: 'send' }>): void {
-    this.#options.transport.send(this.#options.group, effect.to, effect.message)
+    try {
+      this.#options.transport.send(this.#options.group, effect.to, effect.message)
+    } catch {
+      // The protocol allows for lost messages; a failing transport must not stop the replica.
+      this.#counters.droppedMessages += 1
+    }
   }
 
   async #flush (): Promise<void> {
--- a/packages/consensus/tests/driver-random.test.ts
+++ b/packages/consensus/tests/driver-random.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import t from 'tap'
-import { driverCaseArbitrary, runDriverCase } from './support/driver-actions.ts'
+import { createDriverCaseArbitrary, runDriverCase } from './support/driver-actions.ts'
 
 // Guards against lost acknowledged commands, refused commands that are applied, and replicas that
 // fail or stay behind, with torn writes, lost and full disks and restarts during writes.
@@ -9,5 +9,5 @@
 
 t.test('drivers keep acknowledged commands and refuse truthfully', async (t) => {
   t.comment(`seed ${SEED}, ${RUNS} runs`)
-  await fc.assert(fc.asyncProperty(driverCaseArbitrary, async (driverCase) => { await runDriverCase(driverCase) }), { seed: SEED, numRuns: RUNS })
+  await fc.assert(fc.asyncProperty(createDriverCaseArbitrary(), async (driverCase) => { await runDriverCase(driverCase) }), { seed: SEED, numRuns: RUNS })
 })
--- a/packages/consensus/tests/driver.test.ts
+++ b/packages/consensus/tests/driver.test.ts
@@ -230,6 +230,30 @@
   cluster.checkMachines()
 })
 
+t.test('a failing transport or listener does not stop the replica', async (t) => {
+  const timers = new ManualTimerService()
+  const node = asId<NodeId>('n0')
+  const members: Member[] = ['n0', 'n1', 'n2'].map((name) => ({ node: asId<NodeId>(name), incarnation: '1', role: 'voter', witness: false }))
+  const fatal: IbisError[] = []
+  const driver = await ReplicaDriver.open<string, number>({
+    group: 'g',
+    node,
+    folder: await DataFolder.init(new MemoryDisk().attach(), '/data'),
+    timers,
+    random: new RandomSource(1),
+    transport: { send: () => { throw new Error('no route') } },
+    machine: new ListMachine(),
+    initialMembers: members,
+    onFatal: (err) => fatal.push(err)
+  })
+  driver.onStatus(() => { throw new Error('listener') })
+  timers.advance(10_000)
+  t.same(fatal, [])
+  const { droppedMessages = 0, listenerFailures = 0 } = driver.getCounters()
+  t.ok(droppedMessages > 0 && listenerFailures > 0)
+  await driver.stop()
+})
+
 t.test('listeners hear of changes of role, leader and quorum, and stop ends what is pending', async (t) => {
   const timers = new ManualTimerService()
   const disk = new MemoryDisk()
--- a/packages/consensus/tests/mechanisms.test.ts
+++ b/packages/consensus/tests/mechanisms.test.ts
@@ -3,7 +3,7 @@
 import type { Mechanism } from '../src/index.ts'
 import { createCaseArbitrary, runReplicaCase } from './support/actions.ts'
 import type { Profile, ReplicaCase } from './support/actions.ts'
-import { driverCaseArbitrary, runDriverCase } from './support/driver-actions.ts'
+import { createDriverCaseArbitrary, runDriverCase } from './support/driver-actions.ts'
 import type { DriverCase } from './support/driver-actions.ts'
 
 // Shows that the randomised runs notice a missing safety mechanism: each one fails without it, and
@@ -37,7 +37,7 @@
 for (const [name, options] of DRIVER_CASES) {
   t.test(`driver runs fail with ${name}`, async (t) => {
     const check = (override: Parameters<typeof runDriverCase>[1], runs: number): Promise<fc.RunDetails<[DriverCase]>> =>
-      fc.check(fc.asyncProperty(driverCaseArbitrary, async (driverCase) => { await runDriverCase(driverCase, override) }), { ...BOUND, numRuns: runs })
+      fc.check(fc.asyncProperty(createDriverCaseArbitrary(), async (driverCase) => { await runDriverCase(driverCase, override) }), { ...BOUND, numRuns: runs })
     const without = await check(options, 150)
     t.ok(without.failed)
     t.comment(`seed ${SEED}, run ${without.numRuns}: ${String(without.errorInstance)}`)
--- a/packages/consensus/tests/support/actions.ts
+++ b/packages/consensus/tests/support/actions.ts
@@ -141,6 +141,10 @@
   if (leading?.witness && status.members.some((member) => !member.witness)) throw new SafetyError('a witness leads a group that has other voters')
 }
 
+/** Numbers of actions in a case. */
+export const SHORT = { minLength: 5, maxLength: 60 }
+export const LONG = { minLength: 100, maxLength: 300 }
+
 /** Voters and witnesses: the config group, a domain group, and others. */
 const SHAPES = [[5, 0], [2, 1], [3, 0], [4, 1]] as const
 
@@ -152,11 +156,11 @@
   readonly actions: readonly Action[]
 }
 
-export const createCaseArbitrary = (profile: Profile, shapes: readonly (readonly [number, number])[] = SHAPES): fc.Arbitrary<ReplicaCase> => fc.record({
+export const createCaseArbitrary = (profile: Profile, shapes: readonly (readonly [number, number])[] = SHAPES, length = SHORT): fc.Arbitrary<ReplicaCase> => fc.record({
   seed: fc.nat(),
   shape: fc.constantFrom(...shapes),
   maxBatchEntries: fc.constantFrom(1, 4, 64),
-  actions: fc.array(createActionArbitrary(profile), { minLength: 5, maxLength: 60, size: 'max' })
+  actions: fc.array(createActionArbitrary(profile), { ...length, size: 'max' })
 }).map(({ shape, ...rest }) => ({ ...rest, voters: shape[0], witnesses: shape[1] }))
 
 export const runReplicaCase = (replicaCase: ReplicaCase, options: Partial<ClusterOptions> = {}): ReplicaCluster => {
--- a/packages/consensus/tests/support/driver-actions.ts
+++ b/packages/consensus/tests/support/driver-actions.ts
@@ -104,10 +104,10 @@
   readonly actions: readonly DriverAction[]
 }
 
-export const driverCaseArbitrary: fc.Arbitrary<DriverCase> = fc.record({
+export const createDriverCaseArbitrary = (length = { minLength: 5, maxLength: 40 }): fc.Arbitrary<DriverCase> => fc.record({
   seed: fc.nat(),
   shape: fc.constantFrom(...SHAPES),
-  actions: fc.array(driverActionArbitrary, { minLength: 5, maxLength: 40, size: 'max' })
+  actions: fc.array(driverActionArbitrary, { ...length, size: 'max' })
 }).map(({ shape, ...rest }) => ({ ...rest, voters: shape[0], witnesses: shape[1] }))
 
 export const runDriverCase = async (driverCase: DriverCase, options: Partial<DriverClusterOptions> = {}): Promise<DriverCluster> => {
--- a/scripts/soak-consensus.ts
+++ b/scripts/soak-consensus.ts
@@ -3,11 +3,12 @@
 import { parseArgs } from 'node:util'
 import fc from 'fast-check'
 import type { Mechanism } from '../packages/consensus/src/index.ts'
-import { createCaseArbitrary, runReplicaCase } from '../packages/consensus/tests/support/actions.ts'
+import { createCaseArbitrary, LONG, runReplicaCase, SHORT } from '../packages/consensus/tests/support/actions.ts'
 import type { Profile } from '../packages/consensus/tests/support/actions.ts'
-import { driverCaseArbitrary, runDriverCase } from '../packages/consensus/tests/support/driver-actions.ts'
+import { createDriverCaseArbitrary, runDriverCase } from '../packages/consensus/tests/support/driver-actions.ts'
 
 const RUNS_PER_ROUND = 100
+const LONG_RUNS_PER_ROUND = 25
 const PROFILES: readonly Profile[] = ['general', 'churn', 'changes']
 
 const { values } = parseArgs({
@@ -34,28 +35,30 @@
   process.exit(1)
 }
 
-const runReplicas = (profile: Profile, seed: number): void => {
-  const property = fc.property(createCaseArbitrary(profile), (replicaCase) => {
+const runReplicas = (profile: Profile, seed: number, isLong: boolean): void => {
+  const property = fc.property(createCaseArbitrary(profile, undefined, isLong ? LONG : SHORT), (replicaCase) => {
     const cluster = runReplicaCase(replicaCase, { disabled })
     for (const node of cluster.nodes) count({ ...node.replica?.counters })
     count({ committed: cluster.history.lastIndex, acknowledged: cluster.history.acknowledgedCount })
   })
-  report(profile, seed, fc.check(property, { seed, numRuns: RUNS_PER_ROUND, endOnFailure: !values.shrink }))
+  report(`${profile}${isLong ? ', long' : ''}`, seed, fc.check(property, { seed, numRuns: isLong ? LONG_RUNS_PER_ROUND : RUNS_PER_ROUND, endOnFailure: !values.shrink }))
 }
 
-const runDrivers = async (seed: number): Promise<void> => {
-  const property = fc.asyncProperty(driverCaseArbitrary, async (driverCase) => {
+const runDrivers = async (seed: number, isLong: boolean): Promise<void> => {
+  const property = fc.asyncProperty(createDriverCaseArbitrary(isLong ? LONG : undefined), async (driverCase) => {
     const cluster = await runDriverCase(driverCase, { disabled })
     count(Object.fromEntries([...cluster.outcomes].map(([kind, value]) => [`proposal ${kind}`, value])))
   })
-  report('drivers', seed, await fc.check(property, { seed, numRuns: RUNS_PER_ROUND, endOnFailure: !values.shrink }))
+  report(`drivers${isLong ? ', long' : ''}`, seed, await fc.check(property, { seed, numRuns: isLong ? LONG_RUNS_PER_ROUND : RUNS_PER_ROUND, endOnFailure: !values.shrink }))
 }
 
 let seed = Number(values.seed)
 console.log(`first seed ${seed}${disabled.length > 0 ? `, without ${disabled.join(', ')}` : ''}`)
 for (; performance.now() < end; seed++) {
-  for (const profile of PROFILES) runReplicas(profile, seed)
-  await runDrivers(seed)
+  // Long cases reach snapshots, repairs and many terms; short ones shrink to a readable case.
+  const isLong = seed % 2 === 1
+  for (const profile of PROFILES) runReplicas(profile, seed, isLong)
+  await runDrivers(seed, isLong)
 }
 console.log(`passed, last seed ${seed - 1}`)
 for (const [name, value] of [...totals].sort(([a], [b]) => a < b ? -1 : 1)) console.log(`${name.padEnd(28)} ${value}`)
