--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -45,6 +45,7 @@
   compactions: number
   applied: number
   applyFailures: number
+  listenerFailures: number
 }
 
 type StorageEffect = Extract<Effect, { type: 'save-hard-state' | 'append' | 'reset-log' | 'save-snapshot' | 'send' }>
@@ -73,7 +74,7 @@
   readonly #proposals: Proposals<Result | undefined>
   readonly #listeners = new Set<(status: ReplicaStatus) => void>()
   readonly #counters: DriverCounters = {
-    invalidMessages: 0, droppedMessages: 0, overloadedProposals: 0, oversizedCommands: 0, diskFull: 0, snapshotsTaken: 0, snapshotFailures: 0, compactions: 0, applied: 0, applyFailures: 0
+    invalidMessages: 0, droppedMessages: 0, overloadedProposals: 0, oversizedCommands: 0, diskFull: 0, snapshotsTaken: 0, snapshotFailures: 0, compactions: 0, applied: 0, applyFailures: 0, listenerFailures: 0
   }
 
   readonly #events: ReplicaEvent[] = []
@@ -115,13 +116,17 @@
     return driver
   }
 
-  /** Commands are plain JSON. Callers must not change a command after the call. */
-  async propose (command: Command, timeoutMs: number): Promise<Result> {
+  /** Commands are plain JSON. */
+  async propose (proposed: Command, timeoutMs: number): Promise<Result> {
     this.#checkRoom()
-    if (JSON.stringify(command).length > MAX_COMMAND_BYTES) {
+    const text: string | undefined = JSON.stringify(proposed)
+    if (text === undefined) throw new IbisError('invalid-request', 'a command is a JSON value')
+    if (Buffer.byteLength(text) > MAX_COMMAND_BYTES) {
       this.#counters.oversizedCommands += 1
       throw new IbisError('body-too-large', `a command takes at most ${MAX_COMMAND_BYTES} bytes`)
     }
+    // The copy has what followers receive, so that all replicas apply the same value.
+    const command: unknown = JSON.parse(text)
     return await this.#proposals.add(timeoutMs, (id) => this.#dispatch({ type: 'propose', id, command })) as Result
   }
 
@@ -240,7 +245,16 @@
     this.#status = status
     const isSame = previous.role === status.role && previous.leader === status.leader && previous.hasQuorum === status.hasQuorum
     if (isSame) return
-    for (const listener of this.#listeners) listener(status)
+    for (const listener of this.#listeners) this.#notify(listener, status)
+  }
+
+  #notify (listener: (status: ReplicaStatus) => void, status: ReplicaStatus): void {
+    try {
+      listener(status)
+    } catch (err) {
+      this.#counters.listenerFailures += 1
+      this.#options.log?.('error', 'a status listener failed', { group: this.#options.group, node: this.#options.node, err: String(err) })
+    }
   }
 
   // ---- state machine ----
@@ -304,7 +318,12 @@
   }
 
   #transmit (effect: Extract<Effect, { type: 'send' }>): void {
-    this.#options.transport.send(this.#options.group, effect.to, effect.message)
+    try {
+      this.#options.transport.send(this.#options.group, effect.to, effect.message)
+    } catch {
+      // The protocol allows for lost messages; a failing transport must not stop the replica.
+      this.#counters.droppedMessages += 1
+    }
   }
 
   async #flush (): Promise<void> {
