scheduler: quarantine failing workers and give slow ones less work

A worker that fails in 50 ms is always free and attracts the most work. Three failures of different jobs without a success between them, of a kind of work that another worker finishes, quarantine a worker; it is probed with one task at a time and released after two successes. A job that fails on three workers is refused as suspect and its failures are taken back from the workers. When a third of the workers (at least three) become suspect within 10 s, none stays quarantined. Workers 1.6 times slower than the median are used when nothing else is left. Retries of failed and lost work spend a shared budget.

--- a/packages/scheduler/src/best-fit.ts
+++ b/packages/scheduler/src/best-fit.ts
@@ -1,4 +1,5 @@
 import type { Shape } from '@ibisstair/model'
+import { OUTLIER_COST } from './constants.ts'
 import type { Allocation, Rack, Worker } from './entities.ts'
 import { countTasks } from './entities.ts'
 import { fillInOrder } from './first-fit.ts'
@@ -21,7 +22,7 @@
 export const costOfRemainder: WorkerCost = (worker, accelerators) => {
   const left = worker.availableAccelerators - accelerators
   const breaksWhole = worker.availableAccelerators === worker.info.accelerators && accelerators > 0
-  return left + (breaksWhole ? WHOLE_WORKER_COST + 10 * worker.rack.wholeWorkers : 0)
+  return left + (breaksWhole ? WHOLE_WORKER_COST + 10 * worker.rack.wholeWorkers : 0) + (worker.isOutlier ? OUTLIER_COST : 0)
 }
 
 /** Also spares idle homes, so that the guaranteed shapes find their place free. */
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -30,3 +30,5 @@
 export const MAX_RETRY_AFTER_MS = 600_000
 /** Time after which all endpoints of a domain have announced themselves to a new leader. */
 export const FLEET_DISCOVERY_MS = 5000
+/** Above all other costs of a placement, so that a slow worker is used only when nothing else is left. */
+export const OUTLIER_COST = 10_000
--- a/packages/scheduler/src/entities.ts
+++ b/packages/scheduler/src/entities.ts
@@ -26,6 +26,9 @@
   info: EndpointInfo
   up = true
   drained = false
+  quarantined = false
+  /** Slower than the others: used when nothing else is left. */
+  isOutlier = false
   freeAccelerators: number
   freeSlots: number
   readonly jobs = new Set<Job>()
@@ -52,7 +55,7 @@
   }
 
   get isUsable (): boolean {
-    return this.up && !this.drained && !this.info.leaving
+    return this.up && !this.drained && !this.quarantined && !this.info.leaving
   }
 
   get availableAccelerators (): number {
--- a/packages/scheduler/src/fleet.ts
+++ b/packages/scheduler/src/fleet.ts
@@ -85,6 +85,14 @@
     this.#noteLayout()
   }
 
+  setQuarantined (id: EndpointId, quarantined: boolean): void {
+    const worker = this.#workers.get(id)
+    if (!worker || worker.quarantined === quarantined) return
+    worker.quarantined = quarantined
+    this.reindex(worker)
+    this.#noteLayout()
+  }
+
   allocate (job: Job, allocations: readonly Allocation[]): void {
     for (const { worker, tasks } of allocations) {
       worker.freeAccelerators -= tasks * job.shape.acceleratorsPerTask
--- a/packages/scheduler/src/floor-plan.ts
+++ b/packages/scheduler/src/floor-plan.ts
@@ -3,6 +3,7 @@
 import type { DomainShare, Shape } from '@ibisstair/model'
 import type { Allocation, Rack, Worker } from './entities.ts'
 import { countTasks, tasksOn } from './entities.ts'
+import { OUTLIER_COST } from './constants.ts'
 import type { Fleet } from './fleet.ts'
 
 /** Capacity of one worker that a customer's guarantees are planned on. */
@@ -183,7 +184,7 @@
         const used = planned.get(worker)
         const accelerators = worker.info.accelerators - (used?.accelerators ?? 0)
         const tasks = countTasks(accelerators, worker.info.slots - (used?.slots ?? 0), shape)
-        if (tasks > 0) capacities.push({ worker, tasks, cost: accelerators })
+        if (tasks > 0) capacities.push({ worker, tasks, cost: accelerators + (worker.isOutlier ? OUTLIER_COST : 0) })
       }
       instance.allocations = chooseAdjacent(shape, capacities)
       if (instance.allocations) addPlanned(planned, shape, instance.allocations)
@@ -213,7 +214,7 @@
 export const findVacant = (shape: Shape, places: readonly Place[]): readonly Allocation[] | undefined =>
   chooseAdjacent(shape, places.map(({ worker, tasks }) => {
     const vacant = countTasks(worker.reclaimableAccelerators, worker.reclaimableSlots, shape)
-    return { worker, tasks: Math.min(tasks, vacant), cost: worker.reclaimableAccelerators }
+    return { worker, tasks: Math.min(tasks, vacant), cost: worker.reclaimableAccelerators + (worker.isOutlier ? OUTLIER_COST : 0) }
   }))
 
 const sizeOf = (shape: Shape): number => shape.tasks * Math.max(shape.acceleratorsPerTask, shape.slotsPerTask)
--- a/packages/scheduler/src/policy.ts
+++ b/packages/scheduler/src/policy.ts
@@ -1,7 +1,8 @@
 /** Rules that can be switched off one by one, so that the bench can compare with and without each. */
 export const RULES = [
   'customer-fairness', 'caller-fairness', 'urgency', 'ageing', 'best-fit', 'guarantees', 'home-scoring',
-  'learning', 'deadlines', 'bounded-queues', 'never-fits'
+  'learning', 'deadlines', 'bounded-queues', 'never-fits',
+  'quarantine', 'outliers', 'retry-budget'
 ] as const
 export type Rule = typeof RULES[number]
 
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -12,12 +12,16 @@
 import { FloorPlan, chooseAdjacent, findVacant } from './floor-plan.ts'
 import type { RunTimeEstimate } from './learned-times.ts'
 import { LearnedTimes } from './learned-times.ts'
+import { Outliers } from './outliers.ts'
 import type { Policy, Rule } from './policy.ts'
 import { PRESENT_POLICY } from './policy.ts'
 import type { Reclaim } from './preemption.ts'
 import { planReclaim } from './preemption.ts'
 import type { CustomerAccount, ShapeClass, UrgencyQueue } from './queues.ts'
 import { JobQueues } from './queues.ts'
+import { RetryBudget } from './retry-budget.ts'
+import type { SuspectChange } from './suspects.ts'
+import { JOB_SUSPECT_WORKERS, Suspects } from './suspects.ts'
 import type { Decision, DomainScheduler, Explanation, FinishResult, SchedulerEvent, SchedulerStats, TaskReport } from './types.ts'
 
 /** A queued job that gets these allocations as soon as the victims have left them. */
@@ -41,6 +45,9 @@
   readonly #capacity = new CapacityMemory()
   readonly #deadlines = new Deadlines()
   readonly #times = new LearnedTimes()
+  readonly #suspects = new Suspects()
+  readonly #outliers = new Outliers()
+  readonly #retries = new RetryBudget()
   readonly #claims = new Map<Job, Claim>()
   readonly #guaranteed = new Set<CustomerAccount>()
   readonly #policy: Policy
@@ -53,6 +60,7 @@
   #running = 0
   #decisions: Decision[] = []
   #nowMs = 0
+  #massSuspicions = 0
   #firstEventMs: number | undefined
 
   constructor (policy: Policy = PRESENT_POLICY) {
@@ -85,7 +93,7 @@
       freeSlots += worker.freeSlots
       totalAccelerators += worker.info.accelerators
     }
-    return { queued: this.#queues.size + this.#claims.size, running: this.#running, freeAccelerators, totalAccelerators, freeSlots, quarantined: 0 }
+    return { queued: this.#queues.size + this.#claims.size, running: this.#running, freeAccelerators, totalAccelerators, freeSlots, quarantined: this.#suspects.quarantined, massSuspicions: this.#massSuspicions }
   }
 
   #apply (event: SchedulerEvent): void {
@@ -131,6 +139,7 @@
     const known = !this.#share || this.#queues.find(meta.customer)?.isConfigured
     if (!known) return this.#refuse(job, 'unknown-customer', `customer ${meta.customer} is not configured`)
     if (this.#refuseImpossible(job)) return
+    this.#retries.noteFirstAttempt()
     const waitMs = this.#estimateWait(job)
     if (this.#refuseFull(job) || this.#refuseLate(job, waitMs)) return
     job.explain(this.#nowMs, 'admitted', { queued: this.#queues.size, urgency: meta.urgency, expectedWaitMs: Math.round(waitMs), deadlineMs: meta.deadlineMs })
@@ -203,7 +212,12 @@
 
   #putEndpoint (info: EndpointInfo): void {
     this.#capacity.note(info)
-    this.#fleet.put(info)
+    const known = this.#fleet.get(info.id)
+    const worker = this.#fleet.put(info)
+    if (!known || known === worker) return
+    // A restarted endpoint starts without a record.
+    this.#suspects.forget(info.id)
+    this.#outliers.forget(info.id)
   }
 
   #cancel (jobId: JobId): void {
@@ -269,20 +283,83 @@
     if (!job?.holdsSlots) return
     this.#leaveSlots(job)
     if (result === 'ok') this.#learn(job, tasks)
+    this.#judge(job, result, tasks)
     job.explain(this.#nowMs, `finished-${result}`, { tasks: tasks.length })
+    if (result === 'failed' && this.#uses('quarantine') && job.failedOn.size >= JOB_SUSPECT_WORKERS) {
+      this.#applySuspects(this.#suspects.forgive(job))
+      return this.#refuse(job, 'job-suspect', `failed on ${job.failedOn.size} workers`)
+    }
     if (result === 'ok' || result === 'cancelled') return this.#end(job)
     if (!job.meta.idempotent) return this.#refuse(job, kindOfEnd(result), `non-idempotent work ended as ${result}`)
     if (job.attempt >= MAX_START_ATTEMPTS) return this.#refuse(job, kindOfEnd(result), `ended as ${result} after ${job.attempt} attempts`)
+    if (result !== 'preempted' && this.#uses('retry-budget') && !this.#retries.take(this.#nowMs)) {
+      return this.#refuse(job, kindOfEnd(result), `ended as ${result}; the retry budget is spent`)
+    }
     this.#requeue(job)
   }
 
+  /** Compares the outcome with that of other workers. Tasks of a failed gang that did not fail themselves were cut short. */
+  #judge (job: Job, result: FinishResult, tasks: readonly TaskReport[]): void {
+    for (const task of tasks) {
+      if (result === 'failed' && !task.ok) {
+        job.failedOn.add(task.endpointId)
+        if (this.#uses('quarantine')) this.#applySuspects(this.#suspects.noteFailure(task.endpointId, job, this.#fleet.size, this.#nowMs))
+      }
+      if (result !== 'ok') continue
+      if (this.#uses('quarantine')) this.#applySuspects(this.#suspects.noteSuccess(task.endpointId, job))
+    }
+    this.#suspects.endProbe(job, this.#nowMs)
+  }
+
+  #applySuspects ({ quarantined, released, massSuspicion }: SuspectChange): void {
+    for (const id of quarantined) this.#fleet.setQuarantined(id, true)
+    for (const id of released) this.#fleet.setQuarantined(id, false)
+    if (massSuspicion) this.#massSuspicions += 1
+  }
+
+  /** Sends one task to a quarantined worker, preferably of the least urgent work that may run twice. */
+  #probe (): void {
+    if (this.#suspects.quarantined === 0) return
+    for (const id of this.#suspects.listProbeable(this.#nowMs)) {
+      const worker = this.#fleet.get(id)
+      if (!worker?.up || worker.drained || worker.info.leaving || worker.jobs.size > 0) continue
+      const job = this.#findProbe(worker)
+      if (!job) continue
+      this.#suspects.startProbe(id, job)
+      this.#place(job, [{ worker, tasks: 1 }], 'probe')
+    }
+  }
+
+  #findProbe (worker: Worker): Job | undefined {
+    let found: Job | undefined
+    for (const heap of this.#queues.shapes.values()) {
+      const job = heap.peek()!.next(this.#uses('caller-fairness'))!
+      if (job.shape.tasks !== 1 || !job.meta.idempotent || job.failedOn.size > 0) continue
+      if (job.accelerators > worker.freeAccelerators || job.slots > worker.freeSlots) continue
+      if (!found || job.urgencyIndex > found.urgencyIndex) found = job
+    }
+    return found
+  }
+
   /** Work that was preempted before reports only its last part, so that it teaches nothing. */
   #learn (job: Job, tasks: readonly TaskReport[]): void {
     if (job.attempt > 1 || tasks.length === 0) return
     const runMs = tasks.reduce((longest, task) => Math.max(longest, task.runMs), 0)
+    if (this.#uses('outliers')) this.#comparePace(job, tasks)
     this.#times.record(job.meta.customer, job.meta.kind, job.accelerators, runMs)
   }
 
+  #comparePace (job: Job, tasks: readonly TaskReport[]): void {
+    const { p50Ms, samples } = this.#estimateRun(job)
+    // A gang runs at the pace of its slowest member, which says nothing about the others.
+    if (samples === 0 || tasks.length > 1) return
+    for (const { endpointId, runMs } of tasks) {
+      this.#outliers.note(endpointId, runMs / p50Ms)
+      const worker = this.#fleet.get(endpointId)
+      if (worker) worker.isOutlier = this.#outliers.isOutlier(endpointId)
+    }
+  }
+
   #leaveSlots (job: Job): void {
     const { allocations } = job
     this.#countUse(job, -1)
@@ -391,6 +468,7 @@
     if (this.#policy.order === 'arrival') return this.#dispatchInOrder()
     this.#followLayout()
     this.#serveClaims()
+    this.#probe()
     for (let i = 0; i < MAX_PLACEMENTS_PER_EVENT; i++) {
       if (!this.#placeGuaranteed() && !this.#placeNext()) return
     }
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -66,4 +66,6 @@
   readonly totalAccelerators: number
   readonly freeSlots: number
   readonly quarantined: number
+  /** Times at which so many workers became suspect at once that none was quarantined. */
+  readonly massSuspicions?: number
 }
