--- a/packages/gang/tests/support/scheduler.ts
+++ b/packages/gang/tests/support/scheduler.ts
@@ -4,7 +4,7 @@
 import type { Unsubscribe } from '@ibisstair/timers'
 import { buildTaskRequest, Gang, type CallResult, type GangEffect, type GangEvent, type GangSpec, type LeaseRenewal, type TaskView } from '../../src/index.ts'
 import type { FakeEndpoint } from './endpoint.ts'
-import type { Job, World } from './world.ts'
+import type { Job, SchedulerHost } from './types.ts'
 
 const RENEW_MS = 1_000
 const MAX_ATTEMPTS = 4
@@ -25,15 +25,17 @@
   readonly term: number
   isAlive = true
   frozenUntilMs = 0
-  readonly #world: World
+  readonly #world: SchedulerHost
   readonly slots = new Map<string, Slot>()
   readonly #attempts = new Map<string, number>()
   readonly #failures = new Map<string, number>()
   readonly #knownIncarnation = new Map<string, number>()
   #isDeposed = false
   #isTakingOver = false
+  #isDraining = false
+  readonly #inbox: Array<() => void> = []
 
-  constructor (id: number, term: number, world: World) {
+  constructor (id: number, term: number, world: SchedulerHost) {
     this.id = id
     this.term = term
     this.#world = world
@@ -158,15 +160,24 @@
     return slot
   }
 
-  /** Runs now, or after the freeze, or never once the process is dead. */
+  /** Runs now, or after the freeze in the order of arrival, or never once the process is dead. */
   #run (fn: () => void): void {
     if (!this.isAlive) return
-    const now = this.#world.timers.now()
-    if (this.frozenUntilMs > now) {
-      this.#world.timers.subscribe(this.frozenUntilMs - now, () => this.#run(fn))
+    const waitMs = this.frozenUntilMs - this.#world.timers.now()
+    if (waitMs <= 0 && (this.#inbox.length === 0 || this.#isDraining)) return fn()
+    if (this.#inbox.length === 0) this.#world.timers.subscribe(Math.max(0, waitMs), () => this.#drain())
+    this.#inbox.push(fn)
+  }
+
+  #drain (): void {
+    const waitMs = this.frozenUntilMs - this.#world.timers.now()
+    if (waitMs > 0) {
+      this.#world.timers.subscribe(waitMs, () => this.#drain())
       return
     }
-    fn()
+    this.#isDraining = true
+    while (this.#inbox.length > 0 && this.isAlive) this.#inbox.shift()?.()
+    this.#isDraining = false
   }
 
   #handle (slot: Slot, event: GangEvent): void {
@@ -174,7 +185,7 @@
     const effects = slot.gang.handle(event, this.#world.timers.now())
     this.#world.onReported(slot.spec, effects)
     for (const effect of effects) {
-      this.#world.onStep(this)
+      this.#world.onStep(this.id)
       this.#run(() => this.#execute(slot, effect))
     }
   }
--- a/packages/gang/tests/support/world.ts
+++ b/packages/gang/tests/support/world.ts
@@ -6,6 +6,7 @@
 import { FakeEndpoint, type Execution, type Work } from './endpoint.ts'
 import { FakeNetwork, type NetworkOptions } from './network.ts'
 import { FakeScheduler } from './scheduler.ts'
+import type { Job, SchedulerHost, StartRecord } from './types.ts'
 
 export interface JobPlan {
   readonly atMs: number
@@ -41,18 +42,6 @@
   readonly noTerms?: boolean
 }
 
-export interface Job {
-  readonly id: string
-  readonly request: JobRequest
-  isSubmitted: boolean
-  outcome: string | undefined
-}
-
-interface StartRecord {
-  readonly spec: GangSpec
-  outcome: string | undefined
-}
-
 /** The domain group's record of non-idempotent starts: accepts proposals of the newest term only. */
 class FakeRegister {
   readonly #records = new Map<string, StartRecord>()
@@ -105,7 +94,7 @@
 const END_MS = 120_000
 
 /** Gangs and task tables on virtual time with faults; `run` returns what it found wrong. */
-export class World {
+export class World implements SchedulerHost {
   readonly timers = new ManualTimerService()
   readonly random: RandomSource
   readonly network: FakeNetwork
@@ -185,8 +174,8 @@
   }
 
   /** Counts the effects of leaders, so that a fault can strike after each of them. */
-  onStep (scheduler: FakeScheduler): void {
-    if (scheduler !== this.#leader || this.#isElecting) return
+  onStep (schedulerId: number): void {
+    if (schedulerId !== this.#leader.id || this.#isElecting) return
     this.#steps += 1
     for (const fault of this.#scenario.faults) {
       if ('atStep' in fault && fault.atStep === this.#steps) this.#strikeLeader(fault)
