--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -54,6 +54,7 @@
   | { readonly type: 'call-started', readonly peer: NodeId }
   /** Bytes or a ping answer arrived. */
   | { readonly type: 'progress', readonly peer: NodeId }
+  /** Not reported for calls that a reset of the connections ended. */
   | { readonly type: 'call-ended', readonly peer: NodeId, readonly ok: boolean }
   | { readonly type: 'tick' }
 
