gang: renew leases eight times in a term

Cause: the coupling of leases grants only what remains since the longest-silent member was seen; with a third of the term a change of leader loses running gangs.

--- a/packages/gang/tests/phases.test.ts
+++ b/packages/gang/tests/phases.test.ts
@@ -1,7 +1,7 @@
 import { asId } from '@ibisstair/common'
 import type { JobRequest } from '@ibisstair/model'
 import t from 'tap'
-import { Gang, type CallResult, type EndpointOperation, type GangEffect, type GangSpec, type TaskView } from '../src/index.ts'
+import { Gang, type CallResult, type EndpointOperation, type GangEffect, type GangOptions, type GangSpec, type TaskView } from '../src/index.ts'
 
 const PHASES = ['new', 'reserving', 'arming', 'recording', 'starting', 'running', 'checkpointing'] as const
 type Phase = typeof PHASES[number]
@@ -145,6 +145,31 @@
   t.match(results(reply(gang, 1, 'stop', ok(never), 1_601)), [{ type: 'not-started' }])
 })
 
+// Guards against a whole gang that is given up because one answer was lost.
+t.test('a lost start answer is asked again; without that the same run loses the gang', async (t) => {
+  const startWithLostAnswer = (options: GangOptions): Gang => {
+    const gang = Gang.create(toSpec(2, false), options)
+    gang.handle({ type: 'timer' }, 0)
+    for (const i of [0, 1]) reply(gang, i, 'reserve', ok(), 1)
+    for (const i of [0, 1]) reply(gang, i, 'arm', ok(), 2)
+    gang.handle({ type: 'recorded', ok: true }, 3)
+    reply(gang, 0, 'start', ok(running), 4)
+    reply(gang, 1, 'start', { status: 'unknown' }, 1_003)
+    gang.handle({ type: 'timer' }, 1_253)
+    reply(gang, 1, 'start', ok(running), 1_260)
+    return gang
+  }
+  t.equal(startWithLostAnswer({}).phase, 'running')
+  t.equal(startWithLostAnswer({ unsafe: { noStartRetry: true } }).phase, 'stopping')
+})
+
+t.test('a repeated start carries what remains of the first lease', async (t) => {
+  const gang = toPhase('starting')
+  reply(gang, 0, 'start', ok(running), 4)
+  reply(gang, 1, 'start', { status: 'unknown' }, 1_003)
+  t.match(gang.handle({ type: 'timer' }, 1_253), [{ operation: 'start', index: 1, leaseMs: 6_750 }])
+})
+
 t.test('a record that is refused gives its reason to the caller', async (t) => {
   const gang = toPhase('recording')
   const error = { kind: 'no-quorum', detail: 'x', execution: 'not-run', resendSafe: true, advice: 'y' } as const
--- a/packages/gang/tests/support/scheduler.ts
+++ b/packages/gang/tests/support/scheduler.ts
@@ -6,7 +6,6 @@
 import type { FakeEndpoint } from './endpoint.ts'
 import type { Job, SchedulerHost } from './types.ts'
 
-const RENEW_MS = 1_000
 const MAX_ATTEMPTS = 4
 const FAILURES_UNTIL_LOST = 3
 
@@ -39,7 +38,7 @@
     this.id = id
     this.term = term
     this.#world = world
-    world.timers.every(RENEW_MS, () => this.#run(() => this.#renew()))
+    world.timers.every(world.renewMs, () => this.#run(() => this.#renew()))
   }
 
   get isOpen (): boolean {
--- a/packages/gang/tests/support/types.ts
+++ b/packages/gang/tests/support/types.ts
@@ -25,6 +25,7 @@
   readonly jobs: readonly Job[]
   readonly findings: string[]
   readonly leaseMs: number
+  readonly renewMs: number
   readonly unsafeGang: Partial<Record<GangProtection, boolean>>
   readonly register: {
     get (jobId: string): StartRecord | undefined
--- a/packages/gang/tests/support/world.ts
+++ b/packages/gang/tests/support/world.ts
@@ -20,6 +20,7 @@
   | { readonly type: 'kill-leader', readonly atStep: number, readonly electionMs: number }
   | { readonly type: 'freeze-leader', readonly atStep: number, readonly freezeMs: number, readonly electionMs: number, readonly deposedAfterMs: number }
   | { readonly type: 'second-leader', readonly atStep: number, readonly electionMs: number, readonly deposedAfterMs: number }
+  | { readonly type: 'kill-leader-at', readonly atMs: number, readonly electionMs: number }
   | { readonly type: 'kill-endpoint', readonly atMs: number, readonly endpoint: number, readonly downMs: number }
   | { readonly type: 'hang-endpoint', readonly atMs: number, readonly endpoint: number, readonly hangMs: number }
   | { readonly type: 'cut', readonly atMs: number, readonly endpoint: number, readonly cutMs: number }
@@ -30,6 +31,7 @@
   readonly endpoints: number
   readonly slots: number
   readonly leaseMs: number
+  readonly renewMs?: number
   readonly network: NetworkOptions
   readonly jobs: readonly JobPlan[]
   readonly faults: readonly Fault[]
@@ -92,6 +94,7 @@
 }
 
 const END_MS = 120_000
+const RENEW_MS = 1_000
 
 /** Gangs and task tables on virtual time with faults; `run` returns what it found wrong. */
 export class World implements SchedulerHost {
@@ -106,6 +109,7 @@
   readonly findings: string[] = []
   readonly #specs = new Map<string, GangSpec>()
   readonly leaseMs: number
+  readonly renewMs: number
   readonly unsafeGang: Partial<Record<GangProtection, boolean>>
   readonly #scenario: Scenario
   readonly #schedulers: FakeScheduler[] = []
@@ -116,6 +120,7 @@
   constructor (scenario: Scenario, unsafe: Unsafe = {}) {
     this.#scenario = scenario
     this.leaseMs = scenario.leaseMs
+    this.renewMs = scenario.renewMs ?? RENEW_MS
     this.unsafeGang = unsafe.gang ?? {}
     this.random = new RandomSource(scenario.seed)
     this.network = new FakeNetwork(scenario.network, this.timers, this.random)
@@ -234,6 +239,10 @@
 
   #strike (fault: Fault & { atMs: number }): void {
     switch (fault.type) {
+      case 'kill-leader-at':
+        this.#leader.kill()
+        this.#replaceLeader(fault.electionMs, 0)
+        return
       case 'kill-endpoint': {
         const endpoint = this.endpoints[fault.endpoint % this.endpoints.length]!
         endpoint.kill()
