--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,6 +1,7 @@
 const ORDER = [
-  'common', 'timers', 'telemetry', 'settings', 'model', 'storage', 'consensus', 'registers',
-  'membership', 'scheduler', 'endpoint-tasks', 'gang', 'endpoint-client', 'rpc', 'gateway', 'control'
+  'common', 'timers', 'telemetry', 'settings', 'model', 'questionnaire', 'storage', 'consensus',
+  'registers', 'membership', 'scheduler', 'endpoint-tasks', 'gang', 'rpc', 'operator-client', 'endpoint-client', 'config-sync', 'gateway',
+  'control'
 ]
 
 const layered = ORDER.map((name, i) => ({
@@ -14,7 +15,7 @@
 module.exports = {
   forbidden: [
     ...layered,
-    { name: 'no-circular', severity: 'error', from: {}, to: { circular: true } },
+    { name: 'no-circular', severity: 'error', from: {}, to: { circular: true, viaOnly: { dependencyTypesNot: ['type-only'] } } },
     {
       name: 'barrel-only',
       comment: 'Other packages import src/index.ts and nothing behind it.',
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -134,6 +134,17 @@
   readonly leaving: boolean
 }
 
+export interface EndpointUsage {
+  readonly acceleratorsBusy: number
+  /** Age of the measurement when it was sent. */
+  readonly lagMs: number
+}
+
+export interface Announcement {
+  readonly endpoint: EndpointInfo
+  readonly usage?: EndpointUsage
+}
+
 export interface Assignment {
   readonly index: number
   readonly taskId: TaskId
@@ -167,5 +178,7 @@
   readonly key: RequestKey
   readonly customer: CustomerId
   readonly state: JobState
+  /** Milliseconds from arrival to the start of the gang, once it has started. */
+  readonly startedAfterMs?: number
   readonly outcome?: JobOutcome
 }
--- /dev/null
+++ b/packages/scheduler/src/entities.ts
@@ -0,0 +1,156 @@
+import type { EndpointId, JobId, RackId } from '@ibisstair/common'
+import { invariant } from '@ibisstair/common'
+import type { Assignment, EndpointInfo, JobMetadata, Shape, Urgency } from '@ibisstair/model'
+import { URGENCIES } from '@ibisstair/model'
+import { MAX_STEPS_PER_JOB } from './constants.ts'
+import type { QueueNode } from './linked-queue.ts'
+import type { ExplanationStep } from './types.ts'
+
+export type JobPhase = 'queued' | 'starting' | 'running' | 'finished'
+
+/** Capacity that a job holds, or is about to hold, on one worker. */
+export interface Allocation {
+  readonly worker: Worker
+  readonly tasks: number
+}
+
+const NEXT_PHASES: Record<JobPhase, readonly JobPhase[]> = {
+  queued: ['starting', 'running', 'finished'],
+  starting: ['queued', 'running', 'finished'],
+  running: ['queued', 'finished'],
+  finished: []
+}
+
+/** One incarnation of an endpoint with the capacity that is still free on it. */
+export class Worker {
+  info: EndpointInfo
+  up = true
+  drained = false
+  freeAccelerators: number
+  freeSlots: number
+  readonly jobs = new Set<Job>()
+  /** Capacity that is promised to a queued job and becomes free when its victims leave. */
+  claimedAccelerators = 0
+  claimedSlots = 0
+  /** Planned for guarantees and not used by their owners. */
+  idleHomeAccelerators = 0
+  /** Position in the index of `Fleet`; undefined while the worker takes no work. */
+  bucket: number | undefined
+  bucketPosition = 0
+  /** What the sums of the rack contain of this worker. */
+  countedAccelerators = 0
+  countedWhole = 0
+
+  constructor (info: EndpointInfo, readonly rack: Rack) {
+    this.info = info
+    this.freeAccelerators = info.accelerators
+    this.freeSlots = info.slots
+  }
+
+  get id (): EndpointId {
+    return this.info.id
+  }
+
+  get isUsable (): boolean {
+    return this.up && !this.drained && !this.info.leaving
+  }
+
+  get availableAccelerators (): number {
+    return Math.max(0, this.freeAccelerators - this.claimedAccelerators)
+  }
+
+  get availableSlots (): number {
+    return Math.max(0, this.freeSlots - this.claimedSlots)
+  }
+
+  /** Free capacity for the owner of a home; only other reclaims go first. */
+  get reclaimableAccelerators (): number {
+    return this.availableAccelerators
+  }
+
+  get reclaimableSlots (): number {
+    return this.availableSlots
+  }
+}
+
+export class Rack {
+  readonly workers = new Set<Worker>()
+  availableAccelerators = 0
+  /** Workers with all accelerators available. */
+  wholeWorkers = 0
+
+  constructor (readonly id: RackId) {}
+}
+
+/** Tasks of the shape, at most the whole gang, that fit into a capacity. */
+export const countTasks = (accelerators: number, slots: number, shape: Shape): number => {
+  const byAccelerators = shape.acceleratorsPerTask > 0 ? Math.floor(accelerators / shape.acceleratorsPerTask) : Infinity
+  const bySlots = shape.slotsPerTask > 0 ? Math.floor(slots / shape.slotsPerTask) : Infinity
+  return Math.max(0, Math.min(shape.tasks, byAccelerators, bySlots))
+}
+
+/** One job and everything the scheduler knows about it. */
+export class Job {
+  readonly urgencyIndex: number
+  readonly accelerators: number
+  readonly slots: number
+  readonly shapeKey: string
+  #phase: JobPhase = 'queued'
+  attempt = 0
+  allocations: readonly Allocation[] = []
+  assignments: readonly Assignment[] = []
+  startedAtMs: number | undefined
+  hasStarted = false
+  /** Set while a preempt or stop decision is being carried out. */
+  stoppingSinceMs: number | undefined
+  /** Runs inside its customer's home, where no other customer can preempt it. */
+  isHome = false
+  /** Has exactly a shape that is guaranteed to its customer. */
+  isGuaranteedShape = false
+  /** Since when a guarantee is owed to the queued job. */
+  owedSinceMs: number | undefined
+  readonly failedOn = new Set<EndpointId>()
+  readonly steps: ExplanationStep[] = []
+  /** Memberships in queues, by level; `JobQueues` owns them. */
+  queueNodes: readonly QueueNode<Job>[] = []
+  /** Estimated accelerator milliseconds that the queue sums contain for this job. */
+  queuedWork = 0
+
+  constructor (readonly id: JobId, readonly meta: JobMetadata, readonly submittedAtMs: number) {
+    this.urgencyIndex = indexOfUrgency(meta.urgency)
+    this.accelerators = meta.shape.tasks * meta.shape.acceleratorsPerTask
+    this.slots = meta.shape.tasks * meta.shape.slotsPerTask
+    this.shapeKey = shapeKeyOf(meta.shape)
+  }
+
+  get shape (): Shape {
+    return this.meta.shape
+  }
+
+  get phase (): JobPhase {
+    return this.#phase
+  }
+
+  get holdsSlots (): boolean {
+    return this.#phase === 'starting' || this.#phase === 'running'
+  }
+
+  enter (phase: JobPhase): void {
+    invariant(NEXT_PHASES[this.#phase].includes(phase), `job ${this.id} moves from ${this.#phase} to ${phase}`)
+    this.#phase = phase
+  }
+
+  explain (atMs: number, rule: string, numbers: ExplanationStep['numbers']): void {
+    // The first half keeps the admission, the second half the newest decisions.
+    if (this.steps.length >= MAX_STEPS_PER_JOB) this.steps.splice(MAX_STEPS_PER_JOB / 2, 1)
+    this.steps.push({ atMs, rule, numbers })
+  }
+}
+
+export const indexOfUrgency = (urgency: Urgency): number => URGENCIES.indexOf(urgency)
+
+export const shapeKeyOf = (shape: Shape): string =>
+  `${shape.adjacency}:${shape.tasks}x${shape.acceleratorsPerTask}a${shape.slotsPerTask}s`
+
+export const tasksOn = (job: Job, worker: Worker): number =>
+  job.allocations.find((allocation) => allocation.worker === worker)?.tasks ?? 0
