--- a/scripts/chaos.ts
+++ b/scripts/chaos.ts
@@ -163,6 +163,12 @@
 }
 
 const told: Told[] = []
+
+const reportSlow = async (work: Work, seconds: number, { error }: Told): Promise<void> => {
+  say(`${work.key} (${work.shape.tasks} tasks, ${work.runMs} ms) took ${seconds.toFixed(1)} s: ${error?.kind ?? 'answered'}`)
+  const explained = await call(random.pick(deployment.entries)!.callers, 'GET', `/v1/requests/${work.customer}/${work.key}/explain`).catch(() => null)
+  if (explained) say(JSON.stringify(explained.body))
+}
 const callers = async (): Promise<void> => {
   while (!run.isOver) {
     const work = createWork()
@@ -170,7 +176,7 @@
     const one = await send(deployment.entries.map((entry) => entry.callers), work, random.int(0, 100), 90_000)
     told.push(one)
     const seconds = (Date.now() - sentAt) / 1000
-    if (seconds > 15) say(`${work.key} (${work.shape.tasks} tasks, ${work.runMs} ms) took ${seconds.toFixed(1)} s: ${one.error?.kind ?? 'answered'}`)
+    if (seconds > 15) await reportSlow(work, seconds, one)
     await pause(random.int(0, 50))
   }
 }
