capacity: measure what each process, endpoint, task and record costs

The command starts the bundles with a preloaded probe that reads the byte counters of their sockets, so that the bundles need no code for it.

--- /dev/null
+++ b/scripts/capacity/idle.ts
@@ -0,0 +1,111 @@
+import { createFleetChange } from './fleet.ts'
+import { MeasuredDeployment, timers, type Usage } from './processes.ts'
+
+const SETTLE_MS = 3_000
+const SPREAD_CHANGES = 12
+
+export interface ControlUsage extends Usage {
+  readonly led: number
+  readonly followed: number
+  readonly peers: number
+  readonly heapMb: number
+}
+
+export interface SpreadCost {
+  readonly commitMs: readonly number[]
+  readonly allMs: readonly number[]
+  /** Sent by the leader of the config group for each change, above what it sends when idle. */
+  readonly leaderSentBytes: number
+  readonly leaderCpuMs: number
+  /** Received by an entry for each change, above what it receives when idle. */
+  readonly entryReceivedBytes: number
+  readonly entryCpuMs: number
+}
+
+export interface RestartCost {
+  readonly receivedBytes: number
+  readonly requestsSent: number
+  readonly cpuMs: number
+  readonly readyMs: number
+}
+
+export interface IdleCost {
+  readonly processes: number
+  readonly controls: readonly ControlUsage[]
+  readonly entries: readonly Usage[]
+  readonly entryHeapMb: readonly number[]
+  readonly spread: SpreadCost
+  readonly restart: RestartCost
+}
+
+const isControl = ({ node }: { readonly node: string }): boolean => node.includes('-control-')
+
+const findConfigLeader = async (measured: MeasuredDeployment): Promise<string> => {
+  for (const { node } of measured.deployment.controls) {
+    const { groups } = await measured.getControlStatus(node)
+    if (groups.some(({ group, role }) => group === 'config' && role === 'leader')) return node
+  }
+  throw new Error('the config group has no leader')
+}
+
+/** Makes ordinary changes one after the other and takes the traffic above the idle one. */
+const measureSpread = async (measured: MeasuredDeployment, firstVersion: number, idle: readonly Usage[]): Promise<SpreadCost> => {
+  const leader = await findConfigLeader(measured)
+  const entry = measured.deployment.entries[0]!.node
+  const before = [await measured.sample(leader), await measured.sample(entry)] as const
+  const spreads: Array<{ readonly commitMs: number, readonly allMs: number }> = []
+  for (let i = 0; i < SPREAD_CHANGES; i++) spreads.push(await measured.measureSpread(firstVersion + i))
+  const after = [await measured.sample(leader), await measured.sample(entry)] as const
+  const seconds = (after[0].atMs - before[0].atMs) / 1000
+  const idleOf = (node: string): Usage => idle.find((usage) => usage.node === node)!
+  return {
+    commitMs: spreads.map(({ commitMs }) => commitMs),
+    allMs: spreads.map(({ allMs }) => allMs),
+    leaderSentBytes: (after[0].sent - before[0].sent - idleOf(leader).sentBytes * seconds) / SPREAD_CHANGES,
+    leaderCpuMs: (after[0].cpuMs - before[0].cpuMs - idleOf(leader).cpuPercent * 10 * seconds) / SPREAD_CHANGES,
+    entryReceivedBytes: (after[1].received - before[1].received - idleOf(entry).receivedBytes * seconds) / SPREAD_CHANGES,
+    entryCpuMs: (after[1].cpuMs - before[1].cpuMs - idleOf(entry).cpuPercent * 10 * seconds) / SPREAD_CHANGES
+  }
+}
+
+/** An entry that starts without its data folder fetches the configuration again. */
+const measureRestart = async (measured: MeasuredDeployment, version: number): Promise<RestartCost> => {
+  const { node } = measured.deployment.entries.at(-1)!
+  await measured.kill(node)
+  measured.deployment.loseData(node)
+  const startedAtMs = timers.now()
+  measured.startProcess(node)
+  await measured.waitForVersion(version)
+  const readyMs = timers.now() - startedAtMs
+  await timers.delay(500)
+  const { received, requestsSent, cpuMs } = await measured.sample(node)
+  return { receivedBytes: received, requestsSent, cpuMs, readyMs }
+}
+
+const toControlUsage = async (measured: MeasuredDeployment, usage: Usage): Promise<ControlUsage> => {
+  const { groups } = await measured.getControlStatus(usage.node)
+  const led = groups.filter(({ role }) => role === 'leader').length
+  const [heapMb] = await measured.measureHeap([usage.node])
+  return { ...usage, led, followed: groups.length - led, peers: measured.nodes.length - 1, heapMb: heapMb! }
+}
+
+/** A deployment without endpoints and work, with the projected configuration. */
+export const measureIdle = async (folder: string, domains: number, windowMs: number): Promise<IdleCost> => {
+  const names = Array.from({ length: domains }, (_, i) => `domain-${i}`)
+  const measured = await MeasuredDeployment.create(folder, names)
+  try {
+    await measured.start()
+    const version = await measured.propose(createFleetChange(1, names))
+    await measured.waitForVersion(version)
+    await timers.delay(SETTLE_MS)
+    const usage = await measured.measure(windowMs)
+    const spread = await measureSpread(measured, version, usage)
+    const restart = await measureRestart(measured, version + SPREAD_CHANGES)
+    const controls = await Promise.all(usage.filter(isControl).map((item) => toControlUsage(measured, item)))
+    const entries = usage.filter((item) => !isControl(item))
+    const entryHeapMb = await measured.measureHeap(entries.map(({ node }) => node))
+    return { processes: measured.nodes.length, controls, entries, entryHeapMb, spread, restart }
+  } finally {
+    await measured.stop()
+  }
+}
--- /dev/null
+++ b/scripts/capacity/load.ts
@@ -0,0 +1,193 @@
+import { Agent, request as httpRequest } from 'node:http'
+import type { Address } from '../deployment.ts'
+import { StandInEndpoint } from '../stand-in-endpoint.ts'
+import { createFleetChange, SLOTS_PER_WORKER, WORKERS_PER_RACK } from './fleet.ts'
+import { MeasuredDeployment, timers, waitUntil, type Usage } from './processes.ts'
+
+const TASKS_PER_GANG = 16
+const RUN_MS = 1_800_000
+const SETTLE_MS = 4_000
+
+export interface Level {
+  readonly endpoints: number
+  readonly tasks: number
+}
+
+export interface LoadCost extends Level {
+  readonly leader: Usage
+  readonly follower: Usage
+  readonly entries: readonly Usage[]
+  readonly leaderHeapMb: number
+  readonly entryHeapMb: number
+  /** CPU of all stand-ins together, which run in the measuring process. */
+  readonly standInCpuPercent: number
+  readonly startWaitMs: number
+}
+
+/** The endpoints and the held callers of one failure domain. */
+class DomainLoad {
+  readonly #measured: MeasuredDeployment
+  readonly #domain: string
+  readonly #endpoints: StandInEndpoint[] = []
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: Infinity })
+  #jobs = 0
+
+  constructor (measured: MeasuredDeployment, domain: string) {
+    this.#measured = measured
+    this.#domain = domain
+  }
+
+  get #entries (): readonly { readonly callers: Address, readonly endpoints: Address }[] {
+    return this.#measured.deployment.entries.filter(({ domain }) => domain === this.#domain)
+  }
+
+  get controls (): readonly string[] {
+    return this.#measured.deployment.controls.filter(({ domain }) => domain === this.#domain).map(({ node }) => node)
+  }
+
+  async findLeader (): Promise<string | undefined> {
+    for (const node of this.controls) {
+      if ((await this.#measured.getControlStatus(node)).session) return node
+    }
+    return undefined
+  }
+
+  async reach ({ endpoints, tasks }: Level): Promise<number> {
+    while (this.#endpoints.length < endpoints) {
+      const i = this.#endpoints.length
+      const endpoint = new StandInEndpoint({
+        id: `${this.#domain}-worker-${i}`,
+        domain: this.#domain,
+        rack: `${this.#domain}-rack-${Math.floor(i / WORKERS_PER_RACK)}`,
+        slots: SLOTS_PER_WORKER,
+        accelerators: SLOTS_PER_WORKER,
+        entries: this.#entries.map((entry) => entry.endpoints)
+      })
+      this.#endpoints.push(endpoint)
+      await endpoint.start()
+      // Announcements of a real fleet are spread over the second.
+      await timers.delay(8)
+    }
+    await waitUntil(`${this.#domain} schedules ${endpoints} endpoints`, async () =>
+      (await this.#getSession())?.totalAccelerators === endpoints * SLOTS_PER_WORKER)
+    const startedAtMs = timers.now()
+    while (this.#jobs * TASKS_PER_GANG < tasks) this.#submit()
+    await waitUntil(`${tasks} tasks run`, async () => (await this.#getSession())?.running === this.#jobs && this.#countRunning() >= tasks)
+    return timers.now() - startedAtMs
+  }
+
+  stop (): void {
+    for (const endpoint of this.#endpoints) endpoint.kill()
+    this.#agent.destroy()
+  }
+
+  async #getSession (): Promise<{ readonly totalAccelerators: number, readonly running: number } | null> {
+    const leader = await this.findLeader()
+    return leader ? (await this.#measured.getControlStatus(leader)).session : null
+  }
+
+  #countRunning (): number {
+    return this.#endpoints.reduce((sum, { records }) => sum + records.filter(({ end }) => end === undefined).length, 0)
+  }
+
+  /** A gang whose caller waits for the answer, as callers of long jobs do. */
+  #submit (): void {
+    const i = this.#jobs++
+    const { address, port } = this.#entries[i % this.#entries.length]!.callers
+    const body = JSON.stringify({
+      key: `${this.#domain}-job-${i}`,
+      customer: `customer-${i % 82}`,
+      caller: `caller-${i}`,
+      kind: 'kind-1',
+      shape: { tasks: TASKS_PER_GANG, acceleratorsPerTask: 1, slotsPerTask: 1, adjacency: 'any' },
+      payload: { runMs: RUN_MS }
+    })
+    const req = httpRequest({ host: address, port, method: 'POST', path: '/v1/requests?waitMs=600000', agent: this.#agent, headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) } })
+    req.on('response', (res) => {
+      res.on('error', () => {})
+      res.resume()
+    })
+    req.on('error', () => {})
+    req.end(body)
+  }
+}
+
+const getCpuMs = (): number => {
+  const { user, system } = process.cpuUsage()
+  return (user + system) / 1000
+}
+
+/** One failure domain of two at rising numbers of endpoints and running tasks. */
+export const measureLoad = async (folder: string, levels: readonly Level[], windowMs: number): Promise<LoadCost[]> => {
+  const domain = 'domain-0'
+  const names = [domain, 'domain-1']
+  const measured = await MeasuredDeployment.create(folder, names)
+  const load = new DomainLoad(measured, domain)
+  try {
+    await measured.start()
+    await measured.waitForVersion(await measured.propose(createFleetChange(1, names)))
+    const costs: LoadCost[] = []
+    for (const level of levels) costs.push(await measureLevel(measured, load, domain, level, windowMs))
+    return costs
+  } finally {
+    load.stop()
+    await measured.stop()
+  }
+}
+
+const measureLevel = async (measured: MeasuredDeployment, load: DomainLoad, domain: string, level: Level, windowMs: number): Promise<LoadCost> => {
+  const startWaitMs = await load.reach(level)
+  await timers.delay(SETTLE_MS)
+  const leader = (await load.findLeader())!
+  const follower = load.controls.find((node) => node !== leader)!
+  const entries = measured.deployment.entries.filter((entry) => entry.domain === domain).map(({ node }) => node)
+  const cpuMs = getCpuMs()
+  const startedAtMs = timers.now()
+  const [leaderUsage, followerUsage, ...entryUsage] = await measured.measure(windowMs, [leader, follower, ...entries])
+  const standInCpuPercent = (getCpuMs() - cpuMs) / (timers.now() - startedAtMs) * 100
+  const [leaderHeapMb, entryHeapMb] = await measured.measureHeap([leader, entries[0]!])
+  return {
+    ...level,
+    leader: leaderUsage!,
+    follower: followerUsage!,
+    entries: entryUsage,
+    leaderHeapMb: leaderHeapMb!,
+    entryHeapMb: entryHeapMb!,
+    standInCpuPercent,
+    startWaitMs
+  }
+}
+
+export interface FlagCost {
+  readonly flags: readonly string[]
+  readonly leader: Usage
+  readonly follower: Usage
+  readonly entries: readonly Usage[]
+}
+
+/** Domains with equal load side by side, the processes of each with other flags of Node.js. */
+export const measureFlags = async (folder: string, variants: ReadonlyArray<readonly string[]>, level: Level, windowMs: number): Promise<FlagCost[]> => {
+  const names = variants.map((_, i) => `domain-${i}`)
+  const measured = await MeasuredDeployment.create(folder, names)
+  const loads = names.map((name) => new DomainLoad(measured, name))
+  try {
+    await measured.start((node) => variants[names.findIndex((name) => node.startsWith(`${name}-`))] ?? [])
+    await measured.waitForVersion(await measured.propose(createFleetChange(1, names)))
+    for (const load of loads) await load.reach(level)
+    await timers.delay(SETTLE_MS)
+    const usage = await measured.measure(windowMs)
+    return await Promise.all(variants.map(async (flags, i) => {
+      const leader = await loads[i]!.findLeader()
+      const own = usage.filter(({ node }) => node.startsWith(`${names[i]}-`))
+      return {
+        flags,
+        leader: own.find(({ node }) => node === leader)!,
+        follower: own.find(({ node }) => node !== leader && node.includes('-control-'))!,
+        entries: own.filter(({ node }) => node.includes('-entry-'))
+      }
+    }))
+  } finally {
+    for (const load of loads) load.stop()
+    await measured.stop()
+  }
+}
--- /dev/null
+++ b/scripts/capacity/probe.mjs
@@ -0,0 +1,49 @@
+// Preloaded into a measured process: counts the bytes of its sockets and its HTTP requests, and
+// writes them to a file on a signal. The bundles themselves carry no code for this.
+import { subscribe } from 'node:diagnostics_channel'
+import { renameSync, writeFileSync } from 'node:fs'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+
+const path = `${process.env.CAPACITY_FOLDER}/probe-${process.pid}.json`
+const open = new Set()
+const closed = { received: 0, sent: 0 }
+const counters = { sockets: 0, requestsSent: 0, requestsServed: 0 }
+
+const watch = ({ socket }) => {
+  counters.sockets += 1
+  open.add(socket)
+  socket.once('close', () => {
+    open.delete(socket)
+    closed.received += socket.bytesRead
+    closed.sent += socket.bytesWritten
+  })
+}
+
+const report = (heapAfterGc) => {
+  const total = { ...closed }
+  for (const socket of open) {
+    total.received += socket.bytesRead
+    total.sent += socket.bytesWritten
+  }
+  const { user, system } = process.cpuUsage()
+  const { heapUsed, external } = process.memoryUsage()
+  const sample = { ...total, ...counters, cpuMs: (user + system) / 1000, heapBytes: heapUsed + external, heapAfterGc }
+  writeFileSync(`${path}.tmp`, JSON.stringify(sample))
+  renameSync(`${path}.tmp`, path)
+}
+
+subscribe('net.client.socket', watch)
+subscribe('net.server.socket', watch)
+subscribe('http.client.request.start', () => { counters.requestsSent += 1 })
+subscribe('http.server.request.start', () => { counters.requestsServed += 1 })
+process.on('SIGUSR2', () => report(null))
+// A full collection changes the later resident memory, so it has a signal of its own.
+process.on('SIGHUP', () => {
+  setFlagsFromString('--expose-gc')
+  const collect = runInNewContext('gc')
+  collect()
+  collect()
+  const { heapUsed, external } = process.memoryUsage()
+  report(heapUsed + external)
+})
