control: tell the scheduler of an adopted gang before the gang can end

Ruled out: slots held at the endpoints; their tables were empty. Conclusion: the chaos run now checks that capacity returns to free.

--- a/packages/control/src/session.ts
+++ b/packages/control/src/session.ts
@@ -525,8 +525,9 @@
     entry.startedAfterMs = 0
     this.#jobs.add(entry)
     this.#options.metrics.increment('gangs.adopted')
-    this.#gangs.add(Gang.adopt(this.#toSpec(jobId, attempt, request, assignments), views))
+    // The scheduler learns of the gang first: one whose members are all done ends within `add`.
     this.#schedule({ type: 'adopt', jobId, job, assignments })
+    this.#gangs.add(Gang.adopt(this.#toSpec(jobId, attempt, request, assignments), views))
   }
 
   /** Recorded work is resolved from its record, which names all members. */
--- a/scripts/chaos.ts
+++ b/scripts/chaos.ts
@@ -181,7 +181,30 @@
   }
 }
 
-const print = (): number => {
+interface SessionStatus {
+  readonly domain: string
+  readonly session?: { readonly degraded: boolean, readonly queued: number, readonly running: number, readonly active: number, readonly gangs: number, readonly freeAccelerators: number, readonly totalAccelerators: number, readonly quarantined: number } | null
+}
+
+/** After the last outcome every accelerator is free again, at the endpoints and in the scheduler's view. */
+const findLeaks = async (): Promise<string[]> => {
+  const read = async (): Promise<string[]> => {
+    const { body } = await call(random.pick(deployment.entries)!.operators, 'GET', '/v1/status', undefined, operator, 5_000)
+    const sessions = (body as unknown as { controls: SessionStatus[] }).controls.filter(({ session }) => session)
+    const busy = sessions.filter(({ session }) => session!.active > 0 || session!.gangs > 0 || session!.freeAccelerators < session!.totalAccelerators)
+    const held = endpoints.filter((endpoint) => endpoint.freeAccelerators < 8).map((endpoint) => `${endpoint.id} holds ${8 - endpoint.freeAccelerators} accelerators`)
+    return [...(sessions.length < DOMAINS.length ? ['a domain has no session'] : []), ...busy.map(({ domain, session }) => `${domain}: ${JSON.stringify(session)}`), ...held]
+  }
+  const end = Date.now() + 20_000
+  for (;;) {
+    const leaks = await read()
+    if (leaks.length === 0 || Date.now() > end) return leaks
+    await pause(500)
+  }
+}
+
+const print = (leaks: readonly string[]): number => {
+  for (const leak of leaks) console.log(`LEAK: ${leak}`)
   const counts = new Map<string, number>()
   for (const { kind, error } of told) {
     const name = `${kind}: ${error ? `${error.kind} (${error.execution})` : 'answered'}`
@@ -192,7 +215,7 @@
   const violations = checkPromises(told, records)
   for (const { promise, detail } of violations) console.log(`BROKEN: ${promise}: ${detail}`)
   console.log(`seed ${seed}: ${told.length} requests, ${records.length} tasks started, ${violations.length} promises broken`)
-  return violations.length
+  return violations.length + leaks.length
 }
 
 try {
@@ -215,7 +238,7 @@
   say('no more disturbances; waiting for the last outcomes')
   await Promise.all(working)
   for (const endpoint of endpoints) records.push(...endpoint.records)
-  process.exitCode = print() > 0 ? 1 : 0
+  process.exitCode = print(await findLeaks()) > 0 ? 1 : 0
 } finally {
   for (const endpoint of endpoints) endpoint.kill()
   await deployment.stop()
--- a/scripts/stand-in-endpoint.ts
+++ b/scripts/stand-in-endpoint.ts
@@ -103,6 +103,10 @@
     return (this.#server.address() as AddressInfo).port
   }
 
+  get freeAccelerators (): number {
+    return this.#table.getStats().freeAccelerators
+  }
+
   async start (): Promise<void> {
     await new Promise<void>((resolve) => { this.#server.listen(0, '127.0.0.1', resolve) })
     this.#stops.push(this.#timers.every(this.#options.announceMs ?? 1000, () => this.announce()))
