--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -65,6 +65,12 @@
     return found.members
   }
 
+  /** The configuration at the index and all later ones. */
+  listMembersFrom (index: number): (readonly Member[])[] {
+    const later = this.#configurations.filter((configuration) => configuration.index > index)
+    return [this.membersAt(index), ...later.map((configuration) => configuration.members)]
+  }
+
   append (entry: LogEntry): void {
     invariant(entry.index === this.lastIndex + 1, 'the log has no gap', { entry: entry.index, last: this.lastIndex })
     invariant(entry.term >= this.lastTerm, 'terms do not decrease along the log', { entry: entry.term, last: this.lastTerm })
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -232,8 +232,7 @@
    * the entries that the remaining voters need.
    */
   #isEligible (): boolean {
-    const committed = this.#log.membersAt(this.#commitIndex)
-    return [this.#members, committed].some((members) => listVoters(members).some((member) => isSameMember(member, this.#options)))
+    return this.#log.listMembersFrom(this.#commitIndex).some((members) => listVoters(members).some((member) => isSameMember(member, this.#options)))
   }
 
   #drawTimeout (): number {
--- a/packages/consensus/tests/replica.test.ts
+++ b/packages/consensus/tests/replica.test.ts
@@ -79,6 +79,18 @@
   t.ok(sent.includes('pre-vote'))
 })
 
+t.test('a restarted voter campaigns when only a configuration between the snapshot and its removal has it', async (t) => {
+  const members = createMembers(3)
+  const entries: LogEntry[] = [
+    { index: 1, term: 1, body: { type: 'members', members: members.slice(0, 2) } },
+    { index: 2, term: 1, body: { type: 'members', members: members.slice(1, 2) } }
+  ]
+  const replica = createReplica(members.slice(1), 1, entries)
+  const sent: string[] = []
+  for (let at = 100; at <= 2000; at += 100) sent.push(...typesSent(replica.step({ type: 'tick' }, at)))
+  t.ok(sent.includes('pre-vote'))
+})
+
 t.test('a received snapshot keeps entries that are stored and not applied yet', async (t) => {
   const members = createMembers(3)
   const replica = createReplica(members, 1, [command(1, 1), command(2, 1), command(3, 1)])
