scheduler: plan the start of large work, preempt for urgent work and throttle overuse

Large work outside the guarantees waited behind small work for as long as small work came. A large job that has waited 5 s and whose customer is next (15 s in any case) collects the adjacent workers that are expected to be free first. Idempotent work that should end before runs there meanwhile and is preempted when it does not, so that it never delays the start. Urgent work that has waited 0.5 s preempts the newest bulk work of its own customer or of the one with the largest share, if that would run for another 4 s. On an overused worker, bulk work beside other work is throttled once, to no less than half its speed. The test of guaranteed shapes among the queued jobs is now a counter.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -32,3 +32,24 @@
 export const FLEET_DISCOVERY_MS = 5000
 /** Above all other costs of a placement, so that a slow worker is used only when nothing else is left. */
 export const OUTLIER_COST = 10_000
+/** A gang, or a job of at least this many accelerators, gets a planned start. */
+export const LARGE_ACCELERATORS = 8
+/** Wait after which a large job gets a planned start when its customer is next, and in any case. */
+export const PLAN_AFTER_MS = 5000
+export const PLAN_AT_LATEST_MS = 15_000
+/** Large jobs with a planned start at one time in a domain; more would leave too much capacity waiting. */
+export const MAX_PLANS = 2
+/** Workers considered for one planned start. */
+export const MAX_PLANNED_WORKERS = 256
+/** A planned start that is this late is planned anew. */
+export const PLAN_OVERRUN_MS = 5000
+/** Wait after which urgent work may preempt less urgent work. */
+export const URGENT_PREEMPT_AFTER_MS = 500
+/** Remaining run time below which a victim would leave by itself in about the time that a preemption takes. */
+export const MIN_VICTIM_REMAINING_MS = 2 * CHECKPOINT_GRACE_MS
+/** Running jobs considered as victims of one urgent job, the newest first: they have the least to lose. */
+export const MAX_VICTIM_CANDIDATES = 32
+/** A worker that is busier than this share of its accelerators is overused. */
+export const OVERUSE_RATIO = 1.2
+/** Less would stop work that may not be the one that uses too much. */
+export const MIN_THROTTLE_FRACTION = 0.5
--- a/packages/scheduler/src/entities.ts
+++ b/packages/scheduler/src/entities.ts
@@ -35,6 +35,9 @@
   /** Capacity that is promised to a queued job and becomes free when its victims leave. */
   claimedAccelerators = 0
   claimedSlots = 0
+  /** Capacity that a planned start of a large job collects. */
+  collectedAccelerators = 0
+  collectedSlots = 0
   /** Planned for guarantees and not used by their owners. */
   idleHomeAccelerators = 0
   /** Position in the index of `Fleet`; undefined while the worker takes no work. */
@@ -59,20 +62,20 @@
   }
 
   get availableAccelerators (): number {
-    return Math.max(0, this.freeAccelerators - this.claimedAccelerators)
+    return Math.max(0, this.freeAccelerators - this.claimedAccelerators - this.collectedAccelerators)
   }
 
   get availableSlots (): number {
-    return Math.max(0, this.freeSlots - this.claimedSlots)
+    return Math.max(0, this.freeSlots - this.claimedSlots - this.collectedSlots)
   }
 
-  /** Free capacity for the owner of a home; only other reclaims go first. */
+  /** Free capacity for the owner of a home, who goes before planned starts but not before other reclaims. */
   get reclaimableAccelerators (): number {
-    return this.availableAccelerators
+    return Math.max(0, this.freeAccelerators - this.claimedAccelerators)
   }
 
   get reclaimableSlots (): number {
-    return this.availableSlots
+    return Math.max(0, this.freeSlots - this.claimedSlots)
   }
 }
 
@@ -110,6 +113,12 @@
   isHome = false
   /** Has exactly a shape that is guaranteed to its customer. */
   isGuaranteedShape = false
+  /** Speed that the endpoint was told to limit the job to. */
+  throttleFraction = 1
+  /** Membership in the customer's list of running work of this urgency. */
+  runningNode: QueueNode<Job> | undefined
+  /** Runs on capacity that a planned start collects, and leaves when that is due. */
+  isBackfill = false
   /** Since when a guarantee is owed to the queued job. */
   owedSinceMs: number | undefined
   readonly failedOn = new Set<EndpointId>()
--- a/packages/scheduler/src/fleet.ts
+++ b/packages/scheduler/src/fleet.ts
@@ -116,7 +116,7 @@
     this.epoch += 1
   }
 
-  /** Promises capacity to a queued job (`sign` 1) or takes the promise back (-1). */
+  /** Promises capacity that victims leave to a queued job (`sign` 1) or takes the promise back (-1). */
   claim (job: Job, allocations: readonly Allocation[], sign: 1 | -1): void {
     for (const { worker, tasks } of allocations) {
       worker.claimedAccelerators += sign * tasks * job.shape.acceleratorsPerTask
@@ -126,6 +126,16 @@
     if (sign === -1) this.epoch += 1
   }
 
+  /** Collects capacity for a planned start (`sign` 1) or gives it up (-1). */
+  collect (job: Job, allocations: readonly Allocation[], sign: 1 | -1): void {
+    for (const { worker, tasks } of allocations) {
+      worker.collectedAccelerators += sign * tasks * job.shape.acceleratorsPerTask
+      worker.collectedSlots += sign * tasks * job.shape.slotsPerTask
+      this.reindex(worker)
+    }
+    if (sign === -1) this.epoch += 1
+  }
+
   /** Brings the index and the sums up to date after a change of one worker. */
   reindex (worker: Worker): void {
     const usable = worker.isUsable && this.#workers.get(worker.id) === worker
--- a/packages/scheduler/src/linked-queue.ts
+++ b/packages/scheduler/src/linked-queue.ts
@@ -19,6 +19,10 @@
     return this.#head
   }
 
+  get tail (): QueueNode<T> | undefined {
+    return this.#tail
+  }
+
   push (value: T): QueueNode<T> {
     const node: QueueNode<T> = { value, prev: this.#tail, next: undefined, queue: this }
     if (this.#tail) this.#tail.next = node
--- a/packages/scheduler/src/policy.ts
+++ b/packages/scheduler/src/policy.ts
@@ -2,7 +2,9 @@
 export const RULES = [
   'customer-fairness', 'caller-fairness', 'urgency', 'ageing', 'best-fit', 'guarantees', 'home-scoring',
   'learning', 'deadlines', 'bounded-queues', 'never-fits',
-  'quarantine', 'outliers', 'retry-budget'
+  'quarantine', 'outliers', 'retry-budget',
+  'planned-starts', 'backfill',
+  'urgent-preemption', 'throttle'
 ] as const
 export type Rule = typeof RULES[number]
 
--- a/packages/scheduler/src/queues.ts
+++ b/packages/scheduler/src/queues.ts
@@ -120,6 +120,7 @@
   borrowedAccelerators = 0
   borrowedSlots = 0
   readonly running = new Set<Job>()
+  readonly runningByUrgency: readonly LinkedQueue<Job>[] = URGENCIES.map(() => new LinkedQueue<Job>())
   /** Sums and shapes of the guarantees in this domain. */
   floorAccelerators = 0
   floorSlots = 0
@@ -127,6 +128,8 @@
   usedAccelerators = 0
   usedSlots = 0
   queued = 0
+  /** Queued jobs that have exactly a guaranteed shape. */
+  queuedGuaranteed = 0
   /** Order among customers: weighted dominant share of the use above the guarantees. */
   shareKey = 0
   lastServed = 0
@@ -144,9 +147,18 @@
     this.guaranteedShapes = new Set(guarantees.map(({ shape }) => shapeKeyOf(shape)))
     this.floorAccelerators = guarantees.reduce((sum, { shape, count }) => sum + count * shape.tasks * shape.acceleratorsPerTask, 0)
     this.floorSlots = guarantees.reduce((sum, { shape, count }) => sum + count * shape.tasks * shape.slotsPerTask, 0)
+    this.recountGuaranteed()
     this.maxQueued = share?.maxQueued ?? 0
   }
 
+  /** Counts the queued jobs of guaranteed shapes anew after a change of the configuration. */
+  recountGuaranteed (): void {
+    this.queuedGuaranteed = 0
+    for (const queue of this.urgencies) {
+      for (const [key, { arrivals }] of queue.classes) if (this.guaranteedShapes.has(key)) this.queuedGuaranteed += arrivals.size
+    }
+  }
+
   callerOf (id: CallerId): CallerAccount {
     const known = this.callers.get(id)
     if (known) return known
@@ -211,6 +223,7 @@
     this.#noteShape(shapeClass)
     caller.queued += 1
     account.queued += 1
+    if (account.guaranteedShapes.has(shapeClass.key)) account.queuedGuaranteed += 1
     caller.queuedByUrgency[job.urgencyIndex]! += 1
     caller.workByUrgency[job.urgencyIndex]! += work
     queue.work += work
@@ -228,6 +241,7 @@
     const { caller, shapeClass } = lane
     caller.queued -= 1
     account.queued -= 1
+    if (account.guaranteedShapes.has(shapeClass.key)) account.queuedGuaranteed -= 1
     caller.queuedByUrgency[job.urgencyIndex]! -= 1
     caller.workByUrgency[job.urgencyIndex]! -= job.queuedWork
     queue.work = queue.size === 0 ? 0 : queue.work - job.queuedWork
@@ -240,8 +254,13 @@
   countUse (job: Job, sign: 1 | -1): void {
     const account = this.customerOf(job.meta.customer)
     const caller = account.callerOf(job.meta.caller)
-    if (sign === 1) account.running.add(job)
-    else account.running.delete(job)
+    if (sign === 1) {
+      account.running.add(job)
+      job.runningNode = account.runningByUrgency[job.urgencyIndex]!.push(job)
+    } else {
+      account.running.delete(job)
+      if (job.runningNode) account.runningByUrgency[job.urgencyIndex]!.remove(job.runningNode)
+    }
     account.usedAccelerators += sign * job.accelerators
     account.usedSlots += sign * job.slots
     caller.accelerators += sign * job.accelerators
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -1,18 +1,22 @@
 import type { EndpointId, ErrorKind, JobId, TaskId } from '@ibisstair/common'
 import { asId, assertNever, invariant } from '@ibisstair/common'
 import type { Assignment, DomainShare, EndpointInfo, JobMetadata } from '@ibisstair/model'
+import { URGENCIES } from '@ibisstair/model'
 import { costOfHomes, costOfRemainder, findBestFit } from './best-fit.ts'
 import { CapacityMemory } from './capacity-memory.ts'
-import { AGEING_MS, FLEET_DISCOVERY_MS, MAX_CLAIMS, MAX_ENDED_JOBS, MAX_PLACEMENTS_PER_EVENT, MAX_RETRY_AFTER_MS, MAX_START_ATTEMPTS, MIN_RETRY_AFTER_MS, PREEMPT_RETRY_MS, RECLAIM_PATIENCE_MS } from './constants.ts'
+import { AGEING_MS, FLEET_DISCOVERY_MS, LARGE_ACCELERATORS, MAX_CLAIMS, MAX_VICTIM_CANDIDATES, MIN_THROTTLE_FRACTION, MIN_VICTIM_REMAINING_MS, OVERUSE_RATIO, URGENT_PREEMPT_AFTER_MS, MAX_ENDED_JOBS, MAX_PLACEMENTS_PER_EVENT, MAX_PLANS, MAX_RETRY_AFTER_MS, MAX_START_ATTEMPTS, MIN_RETRY_AFTER_MS, PLAN_AFTER_MS, PLAN_AT_LATEST_MS, PLAN_OVERRUN_MS, PREEMPT_RETRY_MS, RECLAIM_PATIENCE_MS } from './constants.ts'
 import { Deadlines } from './deadlines.ts'
 import type { Allocation, Worker } from './entities.ts'
-import { Job } from './entities.ts'
+import { Job, countTasks } from './entities.ts'
 import { findFirstFit } from './first-fit.ts'
 import { Fleet } from './fleet.ts'
+import type { Place } from './floor-plan.ts'
 import { FloorPlan, chooseAdjacent, findVacant } from './floor-plan.ts'
 import type { RunTimeEstimate } from './learned-times.ts'
 import { LearnedTimes } from './learned-times.ts'
 import { Outliers } from './outliers.ts'
+import type { PlannedStart } from './planner.ts'
+import { planStart } from './planner.ts'
 import type { Policy, Rule } from './policy.ts'
 import { PRESENT_POLICY } from './policy.ts'
 import type { Reclaim } from './preemption.ts'
@@ -26,9 +30,14 @@
 
 /** A queued job that gets these allocations as soon as the victims have left them. */
 interface Claim {
+  readonly kind: 'reclaim' | 'plan' | 'urgent'
   readonly job: Job
   readonly allocations: readonly Allocation[]
   readonly sinceMs: number
+  /** When it is made anew if it could not be served. */
+  readonly untilMs: number
+  /** Planned start; victims of a reclaim leave as soon as they can. */
+  readonly startAtMs: number
   readonly rule: string
 }
 
@@ -107,8 +116,8 @@
       case 'started': return this.#markStarted(event.jobId)
       case 'start-failed': return this.#handleStartFailure(event.jobId, event.refusedBy)
       case 'finished': return this.#finish(event.jobId, event.result, event.tasks)
-      case 'usage': return
-      case 'tick': return
+      case 'usage': return this.#handleUsage(event.endpointId, event.acceleratorsBusy)
+      case 'tick': return this.#reviewWaiting()
       default: assertNever(event)
     }
   }
@@ -341,9 +350,9 @@
     return found
   }
 
-  /** Work that was preempted before reports only its last part, so that it teaches nothing. */
+  /** Work that was preempted before reports only its last part and throttled work a longer time: neither teaches anything. */
   #learn (job: Job, tasks: readonly TaskReport[]): void {
-    if (job.attempt > 1 || tasks.length === 0) return
+    if (job.attempt > 1 || job.throttleFraction < 1 || tasks.length === 0) return
     const runMs = tasks.reduce((longest, task) => Math.max(longest, task.runMs), 0)
     if (this.#uses('outliers')) this.#comparePace(job, tasks)
     this.#times.record(job.meta.customer, job.meta.kind, job.accelerators, runMs)
@@ -380,6 +389,8 @@
     job.enter('queued')
     job.stoppingSinceMs = undefined
     job.owedSinceMs = undefined
+    job.isBackfill = false
+    job.throttleFraction = 1
     this.#queues.add(job, true, this.#workOf(job))
   }
 
@@ -474,21 +485,180 @@
     }
   }
 
-  /** Places the jobs whose victims have left; a claim that takes too long is made anew with other victims. */
+  /** Places the jobs whose capacity has become free; a claim that takes too long is made anew. */
   #serveClaims (): void {
-    for (const { job, allocations, sinceMs, rule } of [...this.#claims.values()]) {
-      const { shape } = job
-      const isFree = allocations.every(({ worker, tasks }) => worker.isUsable && worker.freeAccelerators >= tasks * shape.acceleratorsPerTask && worker.freeSlots >= tasks * shape.slotsPerTask)
-      if (isFree) {
+    for (const claim of [...this.#claims.values()]) {
+      const { job, allocations, untilMs, rule } = claim
+      if (this.#isFree(claim)) {
         this.#dropClaim(job)
         this.#place(job, allocations, rule)
-      } else if (this.#nowMs - sinceMs >= PREEMPT_RETRY_MS || allocations.some(({ worker }) => !worker.isUsable)) {
+      } else if (this.#nowMs >= untilMs || this.#isOwedHome(claim) || allocations.some(({ worker }) => !worker.isUsable)) {
         this.#dropClaim(job)
         this.#queues.add(job, true, this.#workOf(job))
+      } else if (claim.kind === 'plan' && this.#nowMs >= claim.startAtMs) {
+        this.#endBackfill(claim)
       }
     }
   }
 
+  /** A planned job whose guarantee can hold it by now has a shorter way. */
+  #isOwedHome ({ kind, job }: Claim): boolean {
+    const account = this.#queues.customerOf(job.meta.customer)
+    if (kind !== 'plan' || !account.guaranteedShapes.has(job.shapeKey)) return false
+    const places = this.#plan.listPlaces(account.id, job.shape, true)
+    return chooseAdjacent(job.shape, places.map((place) => ({ ...place, cost: 0 }))) !== undefined
+  }
+
+  #isFree ({ kind, job, allocations }: Claim): boolean {
+    const { shape } = job
+    return allocations.every(({ worker, tasks }) => {
+      const accelerators = kind === 'plan' ? worker.reclaimableAccelerators : worker.freeAccelerators
+      const slots = kind === 'plan' ? worker.reclaimableSlots : worker.freeSlots
+      return worker.isUsable && accelerators >= tasks * shape.acceleratorsPerTask && slots >= tasks * shape.slotsPerTask
+    })
+  }
+
+  /** Backfilled work that runs longer than expected does not delay the planned start. */
+  #endBackfill ({ job, allocations, rule }: Claim): void {
+    for (const { worker } of allocations) {
+      for (const other of worker.jobs) {
+        if (other.isBackfill && other.phase === 'running' && other.stoppingSinceMs === undefined) this.#preempt(other, job, rule)
+      }
+    }
+  }
+
+  #reviewWaiting (): void {
+    this.#planLarge()
+    if (this.#uses('urgent-preemption')) this.#preemptForUrgent()
+  }
+
+  /** Urgent work that waits behind long work of lower urgency preempts the newest of it. */
+  #preemptForUrgent (): void {
+    for (const account of this.#queues.customers) {
+      const job = account.urgencies[0]!.arrivals.head?.value
+      if (!job || this.#nowMs - job.submittedAtMs < URGENT_PREEMPT_AFTER_MS || this.#hasUrgentClaim(account)) continue
+      const places = this.#listVictimPlaces(account, job)
+      const reclaim = planReclaim(job.shape, places, this.#nowMs, (victim) => this.#yieldsToUrgent(victim, account, job))
+      if (reclaim && reclaim.victims.length > 0) this.#makeUrgentClaim(job, reclaim)
+    }
+  }
+
+  #hasUrgentClaim (account: CustomerAccount): boolean {
+    for (const { kind, job } of this.#claims.values()) if (kind === 'urgent' && job.meta.customer === account.id) return true
+    return false
+  }
+
+  /** Workers of the newest bulk work of the customer itself and of the customer with the largest share. */
+  #listVictimPlaces (account: CustomerAccount, job: Job): Place[] {
+    let largest = account
+    for (const other of this.#queues.customers) if (other.shareKey > largest.shareKey) largest = other
+    const workers = new Set<Worker>()
+    for (const owner of new Set([account, largest])) {
+      let node = owner.runningByUrgency.at(-1)!.tail
+      for (let i = 0; node && i < MAX_VICTIM_CANDIDATES; i++, node = node.prev) {
+        if (this.#yieldsToUrgent(node.value, account, job)) for (const { worker } of node.value.allocations) workers.add(worker)
+      }
+    }
+    return [...workers].flatMap((worker) => {
+      const tasks = worker.isUsable ? countTasks(worker.info.accelerators, worker.info.slots, job.shape) : 0
+      return tasks > 0 ? [{ worker, tasks }] : []
+    })
+  }
+
+  /** Bulk work of the same customer, or of one that stays above this one's share, if it would run on for long. */
+  #yieldsToUrgent (victim: Job, account: CustomerAccount, job: Job): boolean {
+    if (victim.urgencyIndex !== URGENCIES.length - 1 || !victim.meta.idempotent || victim.stoppingSinceMs !== undefined) return false
+    if (this.#expectedEnd(victim) - this.#nowMs < MIN_VICTIM_REMAINING_MS) return false
+    if (victim.meta.customer === account.id) return true
+    const owner = this.#queues.customerOf(victim.meta.customer)
+    return !victim.isHome && owner.shareKey > account.shareKey + job.accelerators / Math.max(1, this.#fleet.totalAccelerators)
+  }
+
+  #makeUrgentClaim (job: Job, reclaim: Reclaim): void {
+    const rule = 'urgent-preemption'
+    this.#queues.remove(job)
+    this.#fleet.claim(job, reclaim.allocations, 1)
+    this.#claims.set(job, { kind: 'urgent', job, allocations: reclaim.allocations, sinceMs: this.#nowMs, startAtMs: this.#nowMs, untilMs: this.#nowMs + PREEMPT_RETRY_MS, rule })
+    job.explain(this.#nowMs, rule, { victims: reclaim.victims.length, lostAcceleratorMs: reclaim.loss, waitedMs: this.#nowMs - job.submittedAtMs })
+    for (const victim of reclaim.victims) this.#preempt(victim, job, rule)
+  }
+
+  /**
+   * On a worker that is busier than it can be, bulk work beside more urgent or guaranteed work is slowed
+   * down by the excess; that is enough, so that nothing has to be stopped. It is slowed down once, because
+   * the next reports still show the use before it.
+   */
+  #handleUsage (endpointId: EndpointId, busy: number): void {
+    const worker = this.#fleet.get(endpointId)
+    if (!worker || !this.#uses('throttle')) return
+    const jobs = [...worker.jobs].filter((job) => job.phase === 'running' && job.stoppingSinceMs === undefined)
+    const isBulk = (job: Job): boolean => job.urgencyIndex === URGENCIES.length - 1 && !job.isHome
+    const isShared = jobs.some((job) => !isBulk(job))
+    const ratio = busy / Math.max(1, worker.info.accelerators)
+    for (const job of jobs.filter(isBulk)) {
+      if (isShared && ratio > OVERUSE_RATIO && job.throttleFraction === 1) this.#throttle(job, Math.max(MIN_THROTTLE_FRACTION, 1 / ratio), busy)
+      else if (!isShared && job.throttleFraction < 1) this.#throttle(job, 1, busy)
+    }
+  }
+
+  #throttle (job: Job, fraction: number, busy: number): void {
+    if (job.throttleFraction === fraction) return
+    job.throttleFraction = fraction
+    const rule = fraction < 1 ? 'throttle-overuse' : 'lift-throttle'
+    job.explain(this.#nowMs, rule, { fraction, acceleratorsBusy: busy })
+    this.#decisions.push({ type: 'throttle', jobId: job.id, fraction, rule })
+  }
+
+  /** Plans the start of large jobs that wait; looks only at the next job of each shape. */
+  #planLarge (): void {
+    if (!this.#uses('planned-starts')) return
+    for (const heap of [...this.#queues.shapes.values()]) {
+      const plans = [...this.#claims.values()].filter(({ kind }) => kind === 'plan')
+      if (plans.length >= MAX_PLANS) return
+      const shapeClass = heap.peek()!
+      const job = shapeClass.next(this.#uses('caller-fairness'))!
+      if (!isLarge(job) || plans.some((plan) => plan.job.meta.customer === job.meta.customer)) continue
+      const waitedMs = this.#nowMs - job.submittedAtMs
+      if (waitedMs < PLAN_AFTER_MS) continue
+      // A guaranteed shape is served by its guarantee as soon as another of its kind ends.
+      const isNext = this.#hasLeastShare(shapeClass.account) && !shapeClass.account.guaranteedShapes.has(job.shapeKey)
+      if (waitedMs < PLAN_AT_LATEST_MS && !isNext) continue
+      const plan = planStart(this.#fleet, job.shape, this.#nowMs, (other) => this.#expectedEnd(other))
+      if (plan) this.#makePlan(job, plan)
+    }
+  }
+
+  #hasLeastShare (account: CustomerAccount): boolean {
+    for (const heap of this.#queues.shapes.values()) if (heap.peek()!.account.shareKey < account.shareKey) return false
+    return true
+  }
+
+  #expectedEnd (job: Job): number {
+    const { p50Ms } = this.#estimateRun(job)
+    const ranMs = this.#nowMs - (job.startedAtMs ?? this.#nowMs)
+    // Work that has outlived its median is assumed to need half of it again.
+    return this.#nowMs + Math.max(p50Ms - ranMs, p50Ms / 2)
+  }
+
+  #makePlan (job: Job, { allocations, startAtMs }: PlannedStart): void {
+    this.#queues.remove(job)
+    this.#fleet.collect(job, allocations, 1)
+    this.#claims.set(job, { kind: 'plan', job, allocations, sinceMs: this.#nowMs, startAtMs, untilMs: startAtMs + PLAN_OVERRUN_MS, rule: 'planned-start' })
+    job.explain(this.#nowMs, 'planned-start', { startInMs: Math.round(startAtMs - this.#nowMs), workers: allocations.length })
+  }
+
+  /** Capacity that a planned start collects, for work that is expected to end before it and may be stopped. */
+  #findBackfill (job: Job): readonly Allocation[] | undefined {
+    if (!this.#uses('backfill') || job.shape.tasks !== 1 || !job.meta.idempotent) return undefined
+    const endMs = this.#nowMs + this.#estimateRun(job).p90Ms
+    for (const { kind, startAtMs, allocations } of this.#claims.values()) {
+      if (kind !== 'plan' || endMs > startAtMs) continue
+      const found = allocations.find(({ worker }) => worker.isUsable && worker.reclaimableAccelerators >= job.accelerators && worker.reclaimableSlots >= job.slots)
+      if (found) return [{ worker: found.worker, tasks: 1 }]
+    }
+    return undefined
+  }
+
   #makeClaim (job: Job, reclaim: Reclaim, rule: string): void {
     this.#queues.remove(job)
     this.#fleet.claim(job, reclaim.allocations, 1)
@@ -498,7 +668,7 @@
     const isSeated = this.#plan.seat(job.meta.customer, job.shape, reclaim.allocations)
     invariant(isSeated, `claim of job ${job.id} lies inside the home of its customer`)
     for (const other of moved) if (!reclaim.victims.includes(other)) this.#takeHome(other)
-    this.#claims.set(job, { job, allocations: reclaim.allocations, sinceMs: this.#nowMs, rule })
+    this.#claims.set(job, { kind: 'reclaim', job, allocations: reclaim.allocations, sinceMs: this.#nowMs, startAtMs: this.#nowMs, untilMs: this.#nowMs + PREEMPT_RETRY_MS, rule })
     job.explain(this.#nowMs, rule, { victims: reclaim.victims.length, lostAcceleratorMs: reclaim.loss })
     for (const victim of reclaim.victims) this.#preempt(victim, job, rule)
   }
@@ -507,7 +677,8 @@
     const claim = this.#claims.get(job)
     if (!claim) return
     this.#claims.delete(job)
-    this.#plan.unseat(job.meta.customer, job.shape, claim.allocations)
+    if (claim.kind === 'plan') return this.#fleet.collect(job, claim.allocations, -1)
+    if (claim.kind === 'reclaim') this.#plan.unseat(job.meta.customer, job.shape, claim.allocations)
     this.#fleet.claim(job, claim.allocations, -1)
   }
 
@@ -535,7 +706,7 @@
   /** Cheap test that spares most customers the search of their homes. */
   #mayBeOwed (account: CustomerAccount): boolean {
     if (account.usedAccelerators < account.floorAccelerators || account.usedSlots < account.floorSlots) return true
-    return account.urgencies.some((queue) => queue.classes.size > 0 && [...account.guaranteedShapes].some((key) => queue.classes.has(key)))
+    return account.queuedGuaranteed > 0
   }
 
   #serveGuarantee (account: CustomerAccount, shapeClass: ShapeClass): boolean {
@@ -615,9 +786,13 @@
     for (const heap of this.#queues.shapes.values()) {
       const shapeClass = heap.peek()!
       if (!this.#mayFit(shapeClass)) continue
-      if (!this.#search(shapeClass.next(this.#uses('caller-fairness'))!)) {
+      const job = shapeClass.next(this.#uses('caller-fairness'))!
+      if (!this.#search(job)) {
         shapeClass.blockedEpoch = this.#fleet.epoch
-        continue
+        const backfill = this.#findBackfill(job)
+        if (!backfill) continue
+        job.isBackfill = true
+        return this.#place(job, backfill, 'backfill')
       }
       if (!next || this.#isNext(shapeClass.account, next)) next = shapeClass.account
     }
@@ -738,6 +913,8 @@
 const isBelowFloor = (account: CustomerAccount, job: Job): boolean =>
   account.usedAccelerators + job.accelerators <= account.floorAccelerators && account.usedSlots + job.slots <= account.floorSlots
 
+const isLarge = (job: Job): boolean => job.shape.tasks > 1 || job.accelerators >= LARGE_ACCELERATORS
+
 const clampRetry = (ms: number): number => Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, ms)))
 
 const MAX_REMEMBERED_SHAPES = 1000
--- a/packages/scheduler/tests/random.test.ts
+++ b/packages/scheduler/tests/random.test.ts
@@ -13,7 +13,7 @@
 const shapes = [shape(1, 1), shape(1, 2), shape(1, 8, 'worker'), shape(2, 4, 'rack'), shape(2, 8, 'rack'), shape(3, 1), shape(1, 0), shape(1, 99)]
 
 const step = fc.oneof(
-  { weight: 6, arbitrary: fc.record({ op: fc.constant('submit' as const), customer: fc.constantFrom('a', 'b', 'c'), caller: fc.constantFrom('x', 'y'), urgency: fc.constantFrom<Urgency>('urgent', 'normal', 'bulk'), shape: fc.constantFrom(...shapes), idempotent: fc.boolean(), deadlineMs: fc.constantFrom(50, 3000, 1_000_000) }) },
+  { weight: 9, arbitrary: fc.record({ op: fc.constant('submit' as const), customer: fc.constantFrom('a', 'b', 'c'), caller: fc.constantFrom('x', 'y'), urgency: fc.constantFrom<Urgency>('urgent', 'normal', 'bulk'), shape: fc.constantFrom(...shapes), idempotent: fc.boolean(), deadlineMs: fc.constantFrom(50, 3000, 1_000_000), expectedRunMs: fc.constantFrom(10, 1000, 3_600_000) }) },
   { weight: 3, arbitrary: fc.record({ op: fc.constant('finish' as const), at: fc.nat(50), result: fc.constantFrom<FinishResult>('ok', 'ok', 'ok', 'failed', 'lost') }) },
   { weight: 1, arbitrary: fc.record({ op: fc.constant('start-failed' as const), at: fc.nat(50) }) },
   { weight: 1, arbitrary: fc.record({ op: fc.constant('cancel' as const), at: fc.nat(300) }) },
@@ -160,10 +160,10 @@
 for (const [name, policy] of Object.entries({ fcfs: FCFS_POLICY, present: PRESENT_POLICY })) {
   t.test(`random events never over-commit, lose or duplicate a job (${name}, seed ${SEED})`, async () => {
     const isFcfs = name === 'fcfs'
-    fc.assert(fc.property(fc.array(step, { minLength: 20, maxLength: 150 }), (steps) => {
+    fc.assert(fc.property(fc.array(step, { minLength: 20, maxLength: 250 }), (steps) => {
       // A shape that fits nowhere blocks strict first come, first served for ever.
       const usable = isFcfs ? steps.filter((s) => s.op !== 'submit' || s.shape.acceleratorsPerTask <= 8) : steps
       new Model(new Scheduler(policy)).run(usable)
-    }), { seed: SEED, numRuns: 120 })
+    }), { seed: SEED, numRuns: 300 })
   })
 }
