--- a/scripts/bench/main.ts
+++ b/scripts/bench/main.ts
@@ -10,11 +10,12 @@
   options: {
     seeds: { type: 'string', default: '10' },
     'first-seed': { type: 'string', default: '1' },
-    policies: { type: 'string', default: 'fcfs' },
+    policies: { type: 'string', default: 'fcfs,no-urgent-preemption+throttle,present' },
     phases: { type: 'string', default: PHASES.join(',') },
     deployments: { type: 'string', default: 'co-op,guild' },
     processes: { type: 'string', default: '3' },
     scale: { type: 'boolean', default: false },
+    commit: { type: 'string', default: 'working tree' },
     write: { type: 'boolean', default: false }
   }
 })
@@ -33,6 +34,8 @@
   return specs
 }
 
+const keyOf = (spec: RunSpec): string => JSON.stringify(spec)
+
 const runAll = async (specs: readonly RunSpec[]): Promise<RunResult[]> => {
   const results: RunResult[] = []
   const waiting = [...specs]
@@ -51,7 +54,8 @@
     next()
   })
   await Promise.all(Array.from({ length: Math.min(3, Number(values.processes)) }, runChild))
-  return results
+  const order = new Map(specs.map((spec, i) => [keyOf(spec), i]))
+  return results.sort((a, b) => order.get(keyOf(a.spec))! - order.get(keyOf(b.spec))!)
 }
 
 const results = await runAll(listSpecs())
@@ -59,5 +63,12 @@
 console.log(formatTables(results, costs))
 if (values.write) {
   const { writeReport } = await import('./write-report.ts')
-  writeReport(results, costs, `npm run bench -- ${process.argv.slice(2).join(' ')}`)
+  const first = Number(values['first-seed'])
+  const policies = values.policies.split(',')
+  writeReport(results, costs, {
+    command: `npm run bench -- ${process.argv.slice(2).join(' ')}`,
+    commit: values.commit,
+    seeds: `${first} to ${first + Number(values.seeds) - 1}`,
+    previous: policies.at(-2) ?? 'none'
+  })
 }
