gang: let endpoint clocks drift in the randomised runs and name what each mechanism prevents

Cause: some mechanisms were shown by a secondary finding, and all clocks ran at the same rate. Change: the search looks for the finding that belongs to the mechanism; clocks of endpoints differ by up to 0.5 %.

--- a/packages/gang/tests/protections.test.ts
+++ b/packages/gang/tests/protections.test.ts
@@ -3,21 +3,21 @@
 import { World, type Scenario, type Unsafe } from './support/world.ts'
 
 const SEED = 7
-const RUNS = 500
+const RUNS = 1_000
 
 /** Each mechanism, what its absence breaks, and the seed whose runs show it. */
 const PROTECTIONS: ReadonlyArray<{ readonly name: string, readonly unsafe: Unsafe, readonly breaks: RegExp }> = [
   { name: 'all members are armed before any start', unsafe: { gang: { noArmBarrier: true } }, breaks: /^armed/ },
   { name: 'the start is recorded first', unsafe: { gang: { noRecord: true } }, breaks: /^at most once/ },
-  { name: 'a lost member stops the others', unsafe: { gang: { noStopOnLoss: true } }, breaks: /^no end|^partial/ },
+  { name: 'a lost member stops the others', unsafe: { gang: { noStopOnLoss: true } }, breaks: /^partial/ },
   { name: '"not run" needs confirmations', unsafe: { gang: { noStopProof: true } }, breaks: /^not-run is untrue/ },
   { name: 'a deposed leader acts no more', unsafe: { gang: { noDepose: true } }, breaks: /^deposed/ },
   { name: 'a start waits for its record for a bounded time', unsafe: { gang: { noRecordDeadline: true } }, breaks: /^no end/ },
   { name: 'stop is a fence', unsafe: { table: { noFence: true } }, breaks: /^not-run is untrue/ },
   { name: 'a task belongs to one incarnation', unsafe: { table: { noIncarnation: true } }, breaks: /^not-run is untrue|^at most once/ },
   { name: 'reservations expire', unsafe: { table: { noReservationExpiry: true } }, breaks: /^capacity/ },
-  { name: 'leases expire', unsafe: { table: { noLease: true } }, breaks: /^partial|^capacity/ },
-  { name: 'the endpoint remembers ended tasks', unsafe: { table: { noMemory: true } }, breaks: /^armed|^at most once|^not-run/ },
+  { name: 'leases expire', unsafe: { table: { noLease: true } }, breaks: /^partial/ },
+  { name: 'the endpoint remembers ended tasks', unsafe: { table: { noMemory: true } }, breaks: /^at most once|^not-run/ },
   { name: 'the record group accepts only the newest leader', unsafe: { noTerms: true }, breaks: /^at most once/ }
 ]
 
@@ -25,8 +25,8 @@
 // as soon as the mechanism is off.
 for (const { name, unsafe, breaks } of PROTECTIONS) {
   t.test(`${name} (seed ${SEED}, at most ${RUNS} runs)`, async (t) => {
-    const { scenario, findings } = search(SEED, RUNS, unsafe)
-    t.ok(findings.some((finding) => breaks.test(finding)), `switched off: ${findings.join('; ')}`)
+    const { scenario, findings } = search(SEED, RUNS, unsafe, breaks)
+    t.ok(findings.length > 0, `switched off: ${findings.join('; ')}`)
     t.same(scenario && new World(scenario).run(), [], 'the same run with the mechanism')
   })
 }
--- a/packages/gang/tests/support/endpoint.ts
+++ b/packages/gang/tests/support/endpoint.ts
@@ -2,6 +2,8 @@
 import { TaskTable, type TaskEffect, type TaskGrant, type TaskTableProtection } from '@ibisstair/endpoint-tasks'
 import type { ManualTimerService, RandomSource, Unsubscribe } from '@ibisstair/timers'
 
+export const MAX_DRIFT_PER_MILLE = 5
+
 /** One execution of a task, as the endpoint's own record shows it. */
 export interface Execution {
   readonly jobId: string
@@ -36,12 +38,14 @@
   readonly #timers: ManualTimerService
   readonly #random: RandomSource
   readonly #clockOffsetMs: number
+  /** The clocks of machines differ by less than a percent. */
+  readonly #clockRate: number
   readonly #unsafe: Partial<Record<TaskTableProtection, boolean>>
   readonly #running = new Map<TaskId, { execution: Execution, cancel: Unsubscribe, work: Work }>()
   #incarnation = 1
   #deadline: Unsubscribe = () => {}
 
-  constructor (name: string, slots: number, executions: Execution[], timers: ManualTimerService, random: RandomSource, unsafe: Partial<Record<TaskTableProtection, boolean>>, onExecute: (taskId: TaskId) => void) {
+  constructor (name: string, slots: number, executions: Execution[], timers: ManualTimerService, random: RandomSource, drifts: boolean, unsafe: Partial<Record<TaskTableProtection, boolean>>, onExecute: (taskId: TaskId) => void) {
     this.id = asId(name)
     this.slots = slots
     this.executions = executions
@@ -49,6 +53,7 @@
     this.#timers = timers
     this.#random = random
     this.#clockOffsetMs = random.int(0, 1_000_000)
+    this.#clockRate = drifts ? 1 + random.int(-MAX_DRIFT_PER_MILLE, MAX_DRIFT_PER_MILLE) / 1_000 : 1
     this.#unsafe = unsafe
     this.table = this.#createTable()
   }
@@ -59,7 +64,7 @@
 
   /** The endpoint's own clock. */
   now (): number {
-    return this.#timers.now() + this.#clockOffsetMs
+    return this.#timers.now() * this.#clockRate + this.#clockOffsetMs
   }
 
   kill (): void {
@@ -134,7 +139,7 @@
     this.#deadline()
     const next = this.table.getNextDeadlineMs()
     if (next === undefined) return
-    this.#deadline = this.#timers.subscribe(next - this.now(), () => {
+    this.#deadline = this.#timers.subscribe(Math.ceil((next - this.now()) / this.#clockRate), () => {
       if (this.isUp) this.apply(this.table.advance(this.now()))
     })
   }
--- a/packages/gang/tests/support/scenario.ts
+++ b/packages/gang/tests/support/scenario.ts
@@ -36,6 +36,7 @@
   endpoints: fc.integer({ min: 1, max: 5 }),
   slots: fc.integer({ min: 1, max: 4 }),
   leaseMs: fc.constant(8_000),
+  drifts: fc.boolean(),
   network: fc.record({
     loss: fc.constantFrom(0, 0.02, 0.2),
     duplication: fc.constantFrom(0, 0.1, 0.5),
@@ -59,13 +60,13 @@
   }
 }
 
-/** Runs `runs` generated scenarios and returns the first that breaks a promise, shrunk. */
-export const search = (seed: number, runs: number, unsafe: Unsafe = {}, maxShrinks = 300): SearchResult => {
+/** Runs `runs` generated scenarios and returns the first with a finding that matches `pattern`, shrunk. */
+export const search = (seed: number, runs: number, unsafe: Unsafe = {}, pattern = /./, maxShrinks = 300): SearchResult => {
   let shrinks = 0
   let last: { scenario: Scenario, findings: string[] } | undefined
   const property = fc.property(scenarioArbitrary, (scenario) => {
     if (last && ++shrinks > maxShrinks) return true
-    const findings = runScenario(scenario, unsafe)
+    const findings = runScenario(scenario, unsafe).filter((finding) => pattern.test(finding))
     if (findings.length > 0) last = { scenario, findings }
     return findings.length === 0
   })
--- a/packages/gang/tests/support/world.ts
+++ b/packages/gang/tests/support/world.ts
@@ -3,7 +3,7 @@
 import type { JobRequest, TaskAnswer } from '@ibisstair/model'
 import { ManualTimerService, RandomSource } from '@ibisstair/timers'
 import type { GangEffect, GangProtection, GangSpec } from '../../src/index.ts'
-import { FakeEndpoint, type Execution, type Work } from './endpoint.ts'
+import { FakeEndpoint, MAX_DRIFT_PER_MILLE, type Execution, type Work } from './endpoint.ts'
 import { FakeNetwork, type NetworkOptions } from './network.ts'
 import { FakeScheduler } from './scheduler.ts'
 import type { Job, SchedulerHost, StartRecord } from './types.ts'
@@ -32,6 +32,8 @@
   readonly slots: number
   readonly leaseMs: number
   readonly renewMs?: number
+  /** Whether the clocks of the endpoints run at different rates. */
+  readonly drifts?: boolean
   readonly network: NetworkOptions
   readonly jobs: readonly JobPlan[]
   readonly faults: readonly Fault[]
@@ -126,7 +128,7 @@
     this.network = new FakeNetwork(scenario.network, this.timers, this.random)
     this.register = new FakeRegister(this.timers, this.random, unsafe.noTerms ?? false)
     this.endpoints = Array.from({ length: scenario.endpoints }, (_, i) =>
-      new FakeEndpoint(`e${i}`, scenario.slots, this.executions, this.timers, this.random, unsafe.table ?? {}, (taskId) => this.#checkArmed(taskId)))
+      new FakeEndpoint(`e${i}`, scenario.slots, this.executions, this.timers, this.random, scenario.drifts ?? false, unsafe.table ?? {}, (taskId) => this.#checkArmed(taskId)))
     this.jobs = scenario.jobs.map((plan, i) => ({ id: `j${i}`, request: World.#toRequest(plan, i), isSubmitted: false, outcome: undefined }))
     this.#leader = this.#elect()
   }
@@ -289,7 +291,8 @@
       const gang = execution.taskId.slice(0, execution.taskId.lastIndexOf('.'))
       gangs.set(gang, [...gangs.get(gang) ?? [], execution])
     }
-    const bound = this.leaseMs + 2 * this.network.worstDelayMs + 10
+    const drift = this.#scenario.drifts ? 2 * MAX_DRIFT_PER_MILLE / 1_000 : 0
+    const bound = this.leaseMs * (1 + drift) + 2 * this.network.worstDelayMs + 10
     return [...gangs].flatMap(([gang, executions]) => {
       const tasks = this.jobs.find(({ id }) => id === executions[0]!.jobId)!.request.shape.tasks
       if (tasks === 1) return []
