gang: count an answer as a sign of life from the time of its question

The leader had been frozen for 1936 ms and took the answers that had waited for signs of life at the end of the freeze. Change: replies count from the first attempt of their call, views from askedMs or the last renewal, adopted views from askedMs of GangOptions. The fake leader renews as soon as a resolved gang continues. Ruled out: checking the deadlines before each event only, which notices freezes longer than the lease.

--- a/packages/gang/src/gang.ts
+++ b/packages/gang/src/gang.ts
@@ -34,6 +34,7 @@
   readonly #unsafe: NonNullable<GangOptions['unsafe']>
   readonly #members: readonly Member[]
   readonly #isSingle: boolean
+  readonly #askedMs: number | undefined
   /** False for an adopted gang of which some endpoints have not reported; it cannot continue. */
   readonly #isComplete: boolean
   #phase: GangPhase = 'new'
@@ -57,6 +58,7 @@
     this.spec = spec
     this.#origin = origin
     this.#unsafe = options.unsafe ?? {}
+    this.#askedMs = options.askedMs
     this.#members = spec.assignments.map((assignment) => new Member(assignment))
     this.#isSingle = spec.assignments.length === 1
   }
@@ -114,6 +116,7 @@
     return active.map((member) => {
       const { index, taskId, endpointId, incarnation } = member.assignment
       member.heldUntilMs = Math.max(member.heldUntilMs, nowMs + this.spec.callMs + termMs)
+      member.renewedMs = nowMs
       return { index, taskId, endpointId, incarnation, termMs }
     })
   }
@@ -137,7 +140,7 @@
 
   #begin (event: GangEvent): void {
     this.#beganMs = this.#nowMs
-    for (const member of this.#members) member.seenMs = this.#nowMs
+    for (const member of this.#members) member.seenMs = this.#askedMs ?? this.#nowMs
     if (this.#origin === 'create') {
       // A job that is already cancelled makes no call.
       if (event.type === 'cancel' || event.type === 'preempt') return this.#stopAll({ type: event.type === 'cancel' ? 'cancelled' : 'preempted' })
@@ -167,7 +170,7 @@
     switch (event.type) {
       case 'reply': return this.#onReply(event.index, event.operation, event.result)
       case 'recorded': return this.#onRecorded(event.ok, event.error)
-      case 'task': return this.#findMember(event.index)?.learn(event.task, this.#nowMs)
+      case 'task': return this.#onTask(event.index, event.task, event.askedMs)
       case 'endpoint-lost': return this.#onEndpointLost(event.endpointId)
       case 'cancel': return this.#onCancel()
       case 'preempt': return this.#onPreempt()
@@ -185,13 +188,20 @@
     return this.#members.find(({ assignment }) => assignment.index === index)
   }
 
+  #onTask (index: number, task: TaskView, askedMs: number | undefined): void {
+    const member = this.#findMember(index)
+    member?.learn(task, askedMs ?? member.renewedMs ?? -Infinity)
+  }
+
   #onReply (index: number, operation: EndpointOperation, result: CallResult): void {
     const member = this.#findMember(index)
     if (!member) return
     if (result.status === 'unknown') return this.#onUnanswered(member, operation)
     const call = member.call
     if (member.call?.operation === operation) member.call = undefined
-    if (result.task) member.learn(result.task, this.#nowMs)
+    // An answer to a call that is no longer pending is of unknown age.
+    const askedMs = call?.operation === operation ? call.sinceMs : -Infinity
+    if (result.task) member.learn(result.task, askedMs)
     if (result.status === 'refused') member.learnRefusal(result.reason, operation)
     switch (operation) {
       case 'reserve':
@@ -438,10 +448,10 @@
     for (const member of this.#members) this.#call(member, operation)
   }
 
-  #call (member: Member, operation: EndpointOperation, attempt = 1): void {
+  #call (member: Member, operation: EndpointOperation, attempt = 1, sinceMs = this.#nowMs): void {
     const { callMs, leaseMs, reservationMs } = this.spec
     const now = this.#nowMs
-    member.call = { operation, dueMs: now + callMs, retryMs: undefined, attempt }
+    member.call = { operation, sinceMs, dueMs: now + callMs, retryMs: undefined, attempt }
     member.contacted = true
     if (operation === 'reserve' || operation === 'arm') member.heldUntilMs = now + callMs + reservationMs
     if (operation === 'arm') member.armSentMs = now
@@ -461,7 +471,7 @@
       if (call?.retryMs === undefined || call.retryMs > this.#nowMs) continue
       const isStart = call.operation === 'start' || call.operation === 'run'
       if (call.operation === 'stop' ? this.#isReleased(member) : isStart && member.started) member.call = undefined
-      else this.#call(member, call.operation, call.attempt + 1)
+      else this.#call(member, call.operation, call.attempt + 1, call.sinceMs)
     }
   }
 
--- a/packages/gang/src/member.ts
+++ b/packages/gang/src/member.ts
@@ -3,6 +3,8 @@
 
 export interface PendingCall {
   readonly operation: EndpointOperation
+  /** When the first attempt was sent. */
+  readonly sinceMs: number
   /** When the call counts as unanswered. */
   readonly dueMs: number
   /** Set after an unknown answer: when to ask again. */
@@ -41,7 +43,9 @@
   stopAttempts = 0
   /** After this time the task holds neither a reservation nor a lease, even if no message arrives. */
   heldUntilMs = -Infinity
+  /** Up to when the task is known to have been there: the time of the question, not of the answer. */
   seenMs = -Infinity
+  renewedMs: number | undefined
   end: MemberEnd | undefined
 
   constructor (assignment: Assignment) {
@@ -70,7 +74,7 @@
     return !this.acknowledged && (this.isDone || this.end?.type === 'failed')
   }
 
-  learn (view: TaskView, nowMs: number): void {
+  learn (view: TaskView, askedMs: number): void {
     if (this.end && this.end.type !== 'gone') return
     if (view.everStarted) this.started = true
     if (view.checkpointed) this.checkpointed = true
@@ -91,7 +95,7 @@
         if (this.startSent || this.started) this.end ??= { type: 'gone', everStarted: this.started }
         return
       default:
-        if (!this.end) this.seenMs = nowMs
+        if (!this.end) this.seenMs = Math.max(this.seenMs, askedMs)
     }
   }
 
--- a/packages/gang/tests/phases.test.ts
+++ b/packages/gang/tests/phases.test.ts
@@ -207,8 +207,18 @@
 t.test('a member that is silent for a whole lease is lost, and nobody is renewed beyond that time', async (t) => {
   const gang = toPhase('running')
   gang.handle({ type: 'task', index: 0, task: running }, 5_000)
-  t.match(gang.getRenewals(6_000), [{ termMs: 2_004 }, { termMs: 2_004 }], 'the silent member was last seen at 4')
-  t.same(calls(gang.handle({ type: 'timer' }, 8_004)), ['stop0', 'stop1'])
+  t.match(gang.getRenewals(6_000), [{ termMs: 2_003 }, { termMs: 2_003 }], 'the silent member was last asked at 3, by its start')
+  t.same(calls(gang.handle({ type: 'timer' }, 8_003)), ['stop0', 'stop1'])
+})
+
+// Guards against a process that was frozen between a question and the handling of its answer.
+t.test('an answer is a sign of life from the time of its question', async (t) => {
+  const gang = toPhase('running')
+  gang.getRenewals(3_000)
+  for (const index of [0, 1]) gang.handle({ type: 'task', index, task: running }, 5_000)
+  t.match(gang.getRenewals(5_000), [{ termMs: 6_000 }, { termMs: 6_000 }])
+  for (const index of [0, 1]) gang.handle({ type: 'task', index, task: running, askedMs: 4_000 }, 5_500)
+  t.match(gang.getRenewals(6_000), [{ termMs: 6_000 }, { termMs: 6_000 }], 'the owner may name the time')
 })
 
 // Guards against a frozen process that takes an old buffered answer for a sign of life.
--- a/packages/gang/tests/protections.test.ts
+++ b/packages/gang/tests/protections.test.ts
@@ -52,6 +52,32 @@
   ]
 }
 
+/**
+ * Found by scripts/soak-gang.ts, seed 1300179716: a leader that was frozen for 1.9 s took the answers
+ * that had waited for it for signs of life at the end of the freeze, and renewed a member for too long.
+ */
+const FROZEN_READER: Scenario = {
+  seed: 1753520231,
+  endpoints: 3,
+  slots: 2,
+  leaseMs: 8000,
+  drifts: true,
+  network: { loss: 0.02, duplication: 0, maxDelayMs: 50 },
+  jobs: [
+    { atMs: 3013, tasks: 2, idempotent: true, work: { runMs: 16126, fails: false, ignoresCheckpoint: false, answerBytes: 63 } },
+    { atMs: 7825, tasks: 3, idempotent: false, work: { runMs: 5089, fails: false, ignoresCheckpoint: true, answerBytes: 41 } }
+  ],
+  faults: [
+    { type: 'cut', atMs: 4887, endpoint: 4, cutMs: 14018 },
+    { type: 'kill-leader', atStep: 39, electionMs: 2716 },
+    { type: 'freeze-leader', atStep: 18, freezeMs: 1936, electionMs: 1065, deposedAfterMs: 23634 }
+  ]
+}
+
+t.test('a leader that was frozen for a part of the lease grants no more than the rest', async (t) => {
+  t.same(new World(FROZEN_READER).run(), [])
+})
+
 t.test('the leases of one gang are coupled, so that a member that starts late does not outlive the others', async (t) => {
   t.match(new World(REPEATED_START, { gang: { noCoupledLeases: true } }).run(), [/^partial/], 'switched off')
   t.same(new World(REPEATED_START).run(), [], 'the same run with coupled leases')
--- a/packages/gang/tests/support/scheduler.ts
+++ b/packages/gang/tests/support/scheduler.ts
@@ -31,6 +31,7 @@
   readonly #knownIncarnation = new Map<string, number>()
   #isDeposed = false
   #isTakingOver = false
+  #askedMs = 0
   #isDraining = false
   readonly #inbox: Array<() => void> = []
 
@@ -59,6 +60,7 @@
 
   /** Adopts, stops or resolves what the previous leader left, then starts the rest. */
   takeOver (): void {
+    this.#askedMs = this.#world.timers.now()
     this.#isTakingOver = true
     const listings = new Map<TaskId, { listing: TaskListing, endpoint: FakeEndpoint, incarnation: number }>()
     for (const endpoint of this.#world.endpoints) {
@@ -70,6 +72,7 @@
     }
     this.#world.timers.subscribe(1_500, () => this.#run(() => {
       this.#isTakingOver = false
+      this.#world.timers.subscribe(0, () => this.#run(() => this.#renew()))
       for (const job of this.#world.jobs) {
         if (job.isSubmitted && job.outcome === undefined) this.#takeOverJob(job, [...listings.values()].filter(({ listing }) => listing.grant.jobId === job.id))
       }
@@ -108,7 +111,7 @@
       const { spec, views } = this.#toFoundSpec(job, items)
       const isWhole = spec.assignments.length === job.request.shape.tasks && views.every(({ phase, everStarted }) => everStarted && (phase === 'running' || phase === 'done'))
       const isLeftover = current !== undefined || !isWhole || !job.request.idempotent
-      const gang = Gang.adopt(spec, views, { unsafe: this.#world.unsafeGang })
+      const gang = Gang.adopt(spec, views, { askedMs: this.#askedMs, unsafe: this.#world.unsafeGang })
       if (!isLeftover) current = prefix
       const slot = this.#open(job, gang, spec, isLeftover)
       if (isLeftover && !gang.isClosed) this.#handle(slot, { type: 'cancel' })
@@ -204,6 +207,8 @@
         if (!this.#world.register.resolve(this.term, slot.job.id, 'not-run')) return
         this.#world.timers.subscribe(500, () => this.#run(() => this.#create(slot.job)))
         return
+      // The members of an adopted gang may be close to the end of their leases.
+      case 'started': return this.#renew()
       case 'finished': return this.#onFinished(slot, effect)
       default:
     }
