endpoint-tasks: keep results to fetch in their own map

Cause: listing and dropping unacknowledged results walked all ended tasks, up to 50,000, on each operation. Ruled out: a lower bound on ended tasks, because it would forget fences earlier.

--- a/packages/endpoint-tasks/src/table.ts
+++ b/packages/endpoint-tasks/src/table.ts
@@ -31,7 +31,6 @@
   /** Present until acknowledged. */
   answer: { readonly body: unknown } | undefined
   bytes: number
-  acknowledged: boolean
 }
 
 const byteLength = (answer: unknown): number => Buffer.byteLength(JSON.stringify(answer) ?? 'null')
@@ -49,7 +48,8 @@
   readonly #acceleratorOwner: (TaskId | undefined)[]
   #usedSlots = 0
   #nowMs = -Infinity
-  #unacknowledged = 0
+  /** Finished tasks with a result to fetch, in order of their end. */
+  readonly #unacknowledged = new Map<TaskId, EndedTask>()
   #unacknowledgedBytes = 0
   /** Latest end among the started tasks whose record was dropped. */
   #forgottenUpToMs = -Infinity
@@ -161,17 +161,14 @@
 
   /** Finished tasks whose result nobody has acknowledged. */
   getUnacknowledged (): TaskListing[] {
-    return this.list().filter(({ view }) => view.phase === 'done' || view.phase === 'failed')
+    return this.#listUnacknowledged()
   }
 
   /** Tasks that a new leader has to know: those that hold capacity and those with a result to fetch. */
   list (): TaskListing[] {
     const listings: TaskListing[] = []
     for (const { taskId, grant } of this.#live.values()) listings.push({ taskId, grant, view: this.getView(taskId) })
-    for (const [taskId, { grant, acknowledged }] of this.#ended) {
-      if (grant && !acknowledged) listings.push({ taskId, grant, view: this.getView(taskId) })
-    }
-    return listings
+    return [...listings, ...this.#listUnacknowledged()]
   }
 
   getStats (): TaskTableStats {
@@ -180,7 +177,7 @@
       freeAccelerators: this.#countFreeAccelerators(),
       live: this.#live.size,
       ended: this.#ended.size,
-      unacknowledged: this.#unacknowledged,
+      unacknowledged: this.#unacknowledged.size,
       refused: this.#refused,
       expired: this.#expired,
       forgotten: this.#forgotten
@@ -298,8 +295,7 @@
       runMs: 0,
       error: undefined,
       answer: undefined,
-      bytes: 0,
-      acknowledged: true
+      bytes: 0
     })
     if (this.#mayHaveForgotten(ageMs)) {
       return { status: 'refused', reason: 'forgotten' satisfies RefusalReason }
@@ -314,15 +310,17 @@
 
   #acknowledge (taskId: TaskId): CallResult {
     const ended = this.#ended.get(taskId)
-    if (ended) this.#discardAnswer(ended)
+    if (ended) this.#discardAnswer(taskId, ended)
     return this.#ok(taskId)
   }
 
-  #discardAnswer (ended: EndedTask): void {
-    if (ended.acknowledged) return
-    ended.acknowledged = true
+  #listUnacknowledged (): TaskListing[] {
+    return [...this.#unacknowledged].flatMap(([taskId, { grant }]) => grant ? [{ taskId, grant, view: this.getView(taskId) }] : [])
+  }
+
+  #discardAnswer (taskId: TaskId, ended: EndedTask): void {
+    if (!this.#unacknowledged.delete(taskId)) return
     ended.answer = undefined
-    this.#unacknowledged -= 1
     this.#unacknowledgedBytes -= ended.bytes
     ended.bytes = 0
   }
@@ -334,11 +332,7 @@
     if (this.#options.unsafe?.noMemory) return
     const isResult = phase === 'done' || phase === 'failed'
     const bytes = detail.bytes ?? 0
-    if (isResult) {
-      this.#unacknowledged += 1
-      this.#unacknowledgedBytes += bytes
-    }
-    this.#ended.set(task.taskId, {
+    const ended: EndedTask = {
       grant: task.grant,
       phase,
       everStarted: task.phase === 'running',
@@ -346,21 +340,24 @@
       runMs: task.phase === 'running' ? this.#nowMs - task.startedAtMs : 0,
       error: detail.error,
       answer: detail.answer,
-      bytes,
-      acknowledged: !isResult
-    })
+      bytes
+    }
+    this.#ended.set(task.taskId, ended)
+    if (!isResult) return
+    this.#unacknowledged.set(task.taskId, ended)
+    this.#unacknowledgedBytes += bytes
   }
 
   /** Drops answers of idempotent work when the bound is reached; other answers wait for their time limit. */
   #makeRoomForResult (): boolean {
     const maxCount = this.#options.maxUnacknowledged ?? MAX_UNACKNOWLEDGED
     const maxBytes = this.#options.maxUnacknowledgedBytes ?? MAX_UNACKNOWLEDGED_BYTES
-    const isFull = (): boolean => this.#unacknowledged + this.#live.size >= maxCount ||
+    const isFull = (): boolean => this.#unacknowledged.size + this.#live.size >= maxCount ||
       this.#unacknowledgedBytes + (this.#live.size + 1) * MAX_TASK_ANSWER_BYTES > maxBytes
     if (!isFull()) return true
-    for (const ended of this.#ended.values()) {
-      if (ended.acknowledged || !ended.grant?.request.idempotent) continue
-      this.#discardAnswer(ended)
+    for (const [taskId, ended] of this.#unacknowledged) {
+      if (!ended.grant?.request.idempotent) continue
+      this.#discardAnswer(taskId, ended)
       this.#forgotten += 1
       if (!isFull()) return true
     }
@@ -387,17 +384,15 @@
       if (ended.endedAtMs > endedBefore) break
       this.#forget(taskId, ended)
     }
-    if (this.#unacknowledged === 0) return
-    for (const ended of this.#ended.values()) {
+    for (const [taskId, ended] of this.#unacknowledged) {
       if (ended.endedAtMs > unacknowledgedBefore) break
-      if (ended.acknowledged) continue
       this.#forgotten += 1
-      this.#discardAnswer(ended)
+      this.#discardAnswer(taskId, ended)
     }
   }
 
   #forget (taskId: TaskId, ended: EndedTask): void {
-    this.#discardAnswer(ended)
+    this.#discardAnswer(taskId, ended)
     this.#ended.delete(taskId)
     this.#forgotten += 1
     if (ended.everStarted) this.#forgottenUpToMs = Math.max(this.#forgottenUpToMs, ended.endedAtMs)
