--- a/packages/control/src/session.ts
+++ b/packages/control/src/session.ts
@@ -145,7 +145,9 @@
     const entry = this.#jobs.find(customer, key)
     if (!entry) return await this.wait(customer, key, 0)
     if (!entry.isFinished) this.#schedule({ type: 'cancel', jobId: entry.jobId })
-    return await this.#waitFor(entry, ENDPOINT_CALL_MS)
+    const status = await this.#waitFor(entry, ENDPOINT_CALL_MS)
+    if (!entry.isFinished) this.#checkOpen()
+    return status
   }
 
   explain (customer: CustomerId, key: RequestKey): Explanation {
@@ -162,7 +164,9 @@
 
   async #waitFor (entry: JobEntry, waitMs: number): Promise<JobStatus> {
     await this.#jobs.wait(entry, waitMs)
-    if (!entry.isFinished) this.#checkOpen()
+    // A refusal says "not run", so after the end of this session only work that was never placed gets one.
+    const isPlaced = entry.state !== 'queued' || entry.everStarted
+    if (!entry.isFinished && !isPlaced) this.#checkOpen()
     if (entry.outcome && !entry.request.idempotent) this.#acknowledge(entry)
     return entry.getStatus()
   }
