consensus: keep an older term from replacing a stored one after a full disk

A term or vote that a full disk did not take was written again a second later, also when a newer one had been stored in between, so the replica could have voted twice in a term. The retry now writes the newest state, and storage asserts that a stored term does not decrease and its vote does not change. Regression test: driver.test.ts, 'a term that a full disk did not take'; before: term 5 after a restart, after: 6.

--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -81,8 +81,9 @@
   #isStepping = false
   #queue: StorageEffect[] = []
   #flushing: Promise<void> | null = null
-  /** A term or vote that a full disk did not take; no message leaves before it is stored. */
-  #unsavedHardState: HardState | null = null
+  #latestHardState: HardState | null = null
+  /** A full disk did not take the newest term or vote; no message leaves before it is stored. */
+  #isHardStateUnsaved = false
   #isRetryPlanned = false
   #diskFullAt = -Infinity
   #isTakingSnapshot = false
@@ -229,7 +230,11 @@
       case 'refused': return this.#proposals.refuse(effect.id, effect.reason, this.getStatus().leader)
       case 'dropped': return this.#proposals.drop(effect.fromIndex)
       case 'send': return this.#send(effect)
-      case 'save-hard-state':
+      case 'save-hard-state': {
+        this.#latestHardState = effect.state
+        this.#queue.push(effect)
+        return
+      }
       case 'append':
       case 'reset-log':
       case 'save-snapshot': {
@@ -309,7 +314,7 @@
   // ---- storage ----
 
   #send (effect: Extract<Effect, { type: 'send' }>): void {
-    if (this.#unsavedHardState || this.#queue.length >= MAX_QUEUED_EFFECTS) {
+    if (this.#isHardStateUnsaved || this.#queue.length >= MAX_QUEUED_EFFECTS) {
       this.#counters.droppedMessages += 1
       return
     }
@@ -353,6 +358,7 @@
     // The term goes first: a stored entry must not have a higher one.
     if (hardState) {
       await this.#storage.saveHardState(hardState.state)
+      if (hardState.state === this.#latestHardState) this.#isHardStateUnsaved = false
       stored.done.add(hardState)
     }
     let entries: LogEntry[] = []
@@ -403,7 +409,7 @@
   #handleDiskFull (batch: readonly StorageEffect[], stored: StoredPart): void {
     const rest = [...batch.filter((effect) => !stored.done.has(effect)), ...this.#queue]
     this.#counters.diskFull += 1
-    this.#unsavedHardState = rest.findLast((effect) => effect.type === 'save-hard-state')?.state ?? this.#unsavedHardState
+    this.#isHardStateUnsaved ||= rest.some((effect) => effect.type === 'save-hard-state')
     this.#queue = rest.filter((effect) => effect.type === 'reset-log')
     this.#counters.droppedMessages += rest.filter((effect) => effect.type === 'send').length
     this.#dispatch({ type: 'append-failed' })
@@ -423,10 +429,9 @@
   #retryDisk (): void {
     this.#isRetryPlanned = false
     if (this.#isStopped) return
-    const state = this.#unsavedHardState
-    this.#unsavedHardState = null
-    if (state) {
-      this.#queue.push({ type: 'save-hard-state', state })
+    // The newest state, as an older one must not replace it.
+    if (this.#isHardStateUnsaved && this.#latestHardState) {
+      this.#queue.push({ type: 'save-hard-state', state: this.#latestHardState })
       this.#flushing ??= this.#flush()
     }
     this.#dispatch({ type: 'disk-writable' })
--- a/packages/consensus/src/group-storage.ts
+++ b/packages/consensus/src/group-storage.ts
@@ -34,12 +34,14 @@
   readonly #log: AppendLog
   /** Index of the first record in the file; of the next one when the file is empty. */
   #firstIndex = 1
+  #storedHardState: HardState
   #snapshotIndex = 0
   /** The log reaches back to this snapshot, in case the newest one is damaged. */
   #previousSnapshotIndex = 0
 
-  private constructor (hardState: ValueFile<typeof hardStateSchema>, snapshots: SnapshotStore, log: AppendLog) {
-    this.#hardState = hardState
+  private constructor (file: ValueFile<typeof hardStateSchema>, hardState: HardState, snapshots: SnapshotStore, log: AppendLog) {
+    this.#hardState = file
+    this.#storedHardState = hardState
     this.#snapshots = snapshots
     this.#log = log
   }
@@ -58,7 +60,7 @@
     if (!loaded.newest) throw createLostError(path, 'no valid snapshot is left')
     const snapshot = parseStored(snapshotSchema, loaded.newest.value, path)
     const { log, records, tornTail } = await AppendLog.open(folder.fs, posix.join(path, LOG_FILE))
-    const storage = new GroupStorage(hardStateFile, snapshots, log)
+    const storage = new GroupStorage(hardStateFile, hardState, snapshots, log)
     storage.#snapshotIndex = snapshot.index
     storage.#previousSnapshotIndex = loaded.previousIndex ?? snapshot.index
     const entries = await storage.#recover(records, snapshot, Math.max(0, ...loaded.damaged))
@@ -99,7 +101,11 @@
   }
 
   async saveHardState (state: HardState): Promise<void> {
+    const stored = this.#storedHardState
+    const isSameVote = state.votedFor === stored.votedFor && (state.votedIncarnation ?? null) === (stored.votedIncarnation ?? null)
+    invariant(state.term > stored.term || (state.term === stored.term && (stored.votedFor === null || isSameVote)), 'a stored term does not decrease, and its vote does not change', { stored, state })
     await this.#hardState.write({ ...state, votedIncarnation: state.votedIncarnation ?? null })
+    this.#storedHardState = state
   }
 
   /** Replaces the log from the first entry's index on. */
--- a/packages/consensus/tests/driver.test.ts
+++ b/packages/consensus/tests/driver.test.ts
@@ -230,6 +230,40 @@
   cluster.checkMachines()
 })
 
+t.test('a term that a full disk did not take does not replace a later one that was stored', async (t) => {
+  const timers = new ManualTimerService()
+  const disk = new MemoryDisk()
+  const members: Member[] = ['n0', 'n1', 'n2'].map((name) => ({ node: asId<NodeId>(name), incarnation: '1', role: 'voter', witness: false }))
+  await DataFolder.init(disk.attach(), '/data')
+  const sent: unknown[] = []
+  const open = async (): Promise<ReplicaDriver<string, number>> => await ReplicaDriver.open<string, number>({
+    group: 'g',
+    node: asId<NodeId>('n0'),
+    folder: await DataFolder.open(disk.attach(), '/data', new RandomSource(1)),
+    timers,
+    random: new RandomSource(1),
+    transport: { send: (_group, _to, message) => sent.push(message) },
+    machine: new ListMachine(),
+    initialMembers: members
+  })
+  const driver = await open()
+  const askForVote = async (from: string, term: number): Promise<void> => {
+    driver.handleMessage(asId<NodeId>(from), { type: 'vote', term, fromIncarnation: '1', toIncarnation: '1', lastIndex: 0, lastTerm: 0, transfer: false })
+    for (let i = 0; i < 200; i++) await Promise.resolve()
+  }
+  disk.setCapacity(disk.usedBytes)
+  await askForVote('n1', 5)
+  t.same(sent, [], 'a vote that was not stored is not sent')
+  disk.setCapacity(Infinity)
+  await askForVote('n2', 6)
+  timers.advance(1100)
+  for (let i = 0; i < 200; i++) await Promise.resolve()
+  disk.crash(new RandomSource(1))
+  const reopened = await open()
+  t.equal(reopened.getStatus().term, 6)
+  await reopened.stop()
+})
+
 t.test('a failing transport or listener does not stop the replica', async (t) => {
   const timers = new ManualTimerService()
   const node = asId<NodeId>('n0')
--- a/packages/consensus/tests/support/driver-cluster.ts
+++ b/packages/consensus/tests/support/driver-cluster.ts
@@ -54,6 +54,7 @@
 const NO_FAULTS: Faults = { drop: 0, duplicate: 0, delayMs: 2 }
 const FOLDER = '/data'
 const MAX_DISK_DELAY_MS = 3
+const RESTART_MS = 1000
 
 /** Kinds that state that the command was not and will not be committed. */
 const NOT_RUN: readonly ErrorKind[] = ['not-leader', 'no-quorum', 'disk-full', 'overloaded', 'shutting-down']
@@ -143,8 +144,10 @@
       if (node.life !== life) return
       node.driver = driver
     }, (err: unknown) => {
+      if (node.life !== life) return
       // With a full disk the process exits and is started again later.
-      if (node.life === life && !(err instanceof IbisError && err.kind === 'disk-full')) node.fatal = IbisError.from(err)
+      if (err instanceof IbisError && err.kind === 'disk-full') this.timers.subscribe(RESTART_MS, () => this.#restart(node, life))
+      else node.fatal = IbisError.from(err)
     }).finally(() => {
       if (node.life === life) node.isStarting = false
     })
@@ -230,6 +233,10 @@
     driver?.stop().catch(() => {})
   }
 
+  #restart (node: Node, life: number): void {
+    if (node.life === life) this.start(node)
+  }
+
   async #open (node: Node, life: number): Promise<ReplicaDriver<string, number>> {
     const folder = await DataFolder.open(node.disk.attach(), FOLDER, new RandomSource(this.#random.int(1, 0x7fffffff)))
     const machine = new ListMachine()
