--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -43,6 +43,7 @@
   snapshotsTaken: number
   snapshotFailures: number
   compactions: number
+  compactionFailures: number
   applied: number
   applyFailures: number
   listenerFailures: number
@@ -74,7 +75,7 @@
   readonly #proposals: Proposals<Result | undefined>
   readonly #listeners = new Set<(status: ReplicaStatus) => void>()
   readonly #counters: DriverCounters = {
-    invalidMessages: 0, droppedMessages: 0, overloadedProposals: 0, oversizedCommands: 0, diskFull: 0, snapshotsTaken: 0, snapshotFailures: 0, compactions: 0, applied: 0, applyFailures: 0, listenerFailures: 0
+    invalidMessages: 0, droppedMessages: 0, overloadedProposals: 0, oversizedCommands: 0, diskFull: 0, snapshotsTaken: 0, snapshotFailures: 0, compactions: 0, compactionFailures: 0, applied: 0, applyFailures: 0, listenerFailures: 0
   }
 
   readonly #events: ReplicaEvent[] = []
@@ -394,8 +395,7 @@
   async #saveSnapshot (snapshot: EncodedSnapshot): Promise<ReplicaEvent> {
     try {
       await this.#storage.saveSnapshot(snapshot)
-      await this.#storage.compact()
-      this.#counters.compactions += 1
+      await this.#compact()
       return { type: 'snapshot-saved', snapshot }
     } catch (err) {
       if (!isDiskFull(err)) throw err
@@ -405,6 +405,17 @@
     }
   }
 
+  /** Without room for the shorter log the longer one stays until the next snapshot. */
+  async #compact (): Promise<void> {
+    try {
+      await this.#storage.compact()
+      this.#counters.compactions += 1
+    } catch (err) {
+      if (!isDiskFull(err)) throw err
+      this.#counters.compactionFailures += 1
+    }
+  }
+
   /** Nothing of the batch leaves; the replica drops what was not stored, and a term is tried again. */
   #handleDiskFull (batch: readonly StorageEffect[], stored: StoredPart): void {
     const rest = [...batch.filter((effect) => !stored.done.has(effect)), ...this.#queue]
