tests: read the expected configuration after it is in force everywhere

Ruled out: a configuration that reverted; the state after the restart was the newer one. Change: the test waits until version 315 is in force in every process before it reads; the comparison after the restart is unchanged. Deployments take ports below the ephemeral range, since a process that was down had lost its port to an outgoing connection. Conclusion: the check is as strict as before.

--- a/scripts/deployment.ts
+++ b/scripts/deployment.ts
@@ -52,16 +52,29 @@
   child: ChildProcess | null
 }
 
+/** Below the range of ephemeral ports, so that no outgoing connection takes the port of a process that is down. */
+const FIRST_PORT = 12_000
+const LAST_PORT = 31_000
+
+const canListen = (port: number): Promise<boolean> => new Promise((resolve) => {
+  const server = createServer()
+  server.once('error', () => resolve(false))
+  server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+})
+
+/** Each process that starts deployments begins its search elsewhere, since several may run at a time. */
 const findFreePorts = async (count: number): Promise<number[]> => {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
-    const server = createServer()
-    server.listen(0, '127.0.0.1', () => resolve(server))
-  })))
-  const ports = servers.map((server) => (server.address() as { port: number }).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => { server.close(resolve) })))
+  const ports: number[] = []
+  let port = FIRST_PORT + (process.pid * 97 + nextSearch++ * 400) % (LAST_PORT - FIRST_PORT)
+  while (ports.length < count) {
+    port = port >= LAST_PORT ? FIRST_PORT : port + 1
+    if (await canListen(port)) ports.push(port)
+  }
   return ports
 }
 
+let nextSearch = 0
+
 export class Deployment {
   readonly entries: readonly EntryAddress[]
   readonly controls: readonly ControlAddress[]
--- a/tests/config-changes.test.ts
+++ b/tests/config-changes.test.ts
@@ -82,6 +82,8 @@
       const reply = await processes.proposeUntilDecided([first, second, third][i % 3]!, `many-${i}`, 15 + i, [putCustomer(`many-${i % 40}`, 1 + i)])
       if (reply.body.version !== 16 + i) throw new Error(`change ${i}: ${JSON.stringify(reply.body)}`)
     }
+    // The last change was accepted through another entry and may not have reached this one yet.
+    await processes.measureSpread(315)
     const before = await readCustomers(processes, first)
     await Promise.all(processes.nodes.map(({ node }) => processes.deployment.kill(node)))
     for (const { node } of processes.nodes) processes.deployment.startProcess(node)
