--- a/scripts/bench/decision-cost.ts
+++ b/scripts/bench/decision-cost.ts
@@ -13,6 +13,8 @@
   readonly queued: number
   readonly microseconds: number
   readonly perSecond: number
+  /** Time to cancel a queued job at a random position. */
+  readonly cancelMicroseconds: number
 }
 
 const RUNNING_TASKS = 16_000
@@ -32,6 +34,8 @@
   #nowMs = 0
   events = 0
   elapsedMs = 0
+  #cancels = 0
+  #cancelMs = 0
 
   constructor (policy: string, readonly workers: number, readonly queued: number) {
     this.scheduler = createScheduler(policy)
@@ -69,13 +73,14 @@
     while (this.scheduler.getStats().queued < queued) this.#submit()
   }
 
-  measure (): DecisionCost & { policy: string } {
+  measure (): DecisionCost {
     for (let i = 0; i < WARM_UP_ROUNDS; i++) this.#round()
     this.events = 0
     this.elapsedMs = 0
     for (let i = 0; i < MEASURED_ROUNDS; i++) this.#round()
     const microseconds = 1000 * this.elapsedMs / this.events
-    return { policy: '', workers: this.workers, queued: this.queued, microseconds, perSecond: 1e6 / microseconds }
+    const cancelMicroseconds = 1000 * this.#cancelMs / Math.max(1, this.#cancels)
+    return { policy: '', workers: this.workers, queued: this.queued, microseconds, perSecond: 1e6 / microseconds, cancelMicroseconds }
   }
 
   #round (): void {
@@ -87,7 +92,7 @@
     const tasks = ended.assignments.map(({ index, endpointId }) => ({ index, endpointId, ok: true, runMs: 1000 }))
     this.#send({ type: 'finished', jobId: ended.jobId, result: 'ok', tasks })
     for (let i = 0; i < 8 && this.scheduler.getStats().queued < this.queued; i++) this.#submit()
-    if (this.#serial % 10 === 0) this.#submitAndCancel()
+    this.#cancelOne()
   }
 
   #submit (): JobId {
@@ -96,9 +101,14 @@
     return jobId
   }
 
-  #submitAndCancel (): void {
-    const jobId = this.#submit()
-    if (this.scheduler.explain(jobId).state === 'queued') this.#send({ type: 'cancel', jobId })
+  #cancelOne (): void {
+    const jobId = asId<JobId>(`j${this.#random.int(Math.max(0, this.#serial - this.queued), this.#serial - 1)}`)
+    if (this.scheduler.explain(jobId).state !== 'queued') return
+    const beforeMs = this.elapsedMs
+    this.#send({ type: 'cancel', jobId })
+    this.#cancels += 1
+    this.#cancelMs += this.elapsedMs - beforeMs
+    this.#submit()
   }
 
   #draw (jobId: JobId): JobMetadata {
--- a/scripts/bench/report.ts
+++ b/scripts/bench/report.ts
@@ -69,8 +69,8 @@
 export const formatTables = (results: readonly RunResult[], costs: readonly DecisionCost[]): string => {
   const parts = [...groupBy(results, (r) => r.spec.deployment)].map(([deployment, group]) => formatDeployment(deployment, group, results))
   if (costs.length > 0) {
-    const rows = costs.map((c) => [c.policy, String(c.workers), String(c.queued), c.microseconds.toFixed(1), c.perSecond.toFixed(0)])
-    parts.push(`### Cost of a decision\n\n${formatTable(['policy', 'workers', 'queued jobs', 'µs a decision', 'decisions a second'], rows)}\n`)
+    const rows = costs.map((c) => [c.policy, String(c.workers), String(c.queued), c.microseconds.toFixed(1), c.perSecond.toFixed(0), c.cancelMicroseconds.toFixed(1)])
+    parts.push(`### Cost of a decision\n\n${formatTable(['policy', 'workers', 'queued jobs', 'µs a decision', 'decisions a second', 'µs a cancellation'], rows)}\n`)
   }
   return parts.join('\n')
 }
