--- a/packages/consensus/tests/support/replica-cluster.ts
+++ b/packages/consensus/tests/support/replica-cluster.ts
@@ -111,8 +111,11 @@
   /** The process and the VM die: what was not synced is lost, or kept in part. */
   crash (node: Node): void {
     if (!node.replica) return
-    const kept = this.#random.int(0, node.pending.length)
-    for (const effect of node.pending.slice(0, kept)) this.#storeTorn(node, effect)
+    const kept = node.pending.slice(0, this.#random.int(0, node.pending.length))
+    const last = kept.pop()
+    for (const effect of kept) this.#store(node, effect)
+    // Nothing after a torn record is readable, so only the last write can be torn.
+    if (last) this.#storeTorn(node, last)
     node.replica = null
     node.pending = []
     node.isFlushing = false
