--- a/tests/support/processes.ts
+++ b/tests/support/processes.ts
@@ -184,6 +184,11 @@
     return await call(entry.callers, 'POST', `/v1/requests${query}`, request)
   }
 
+  /** Waits for the outcome by key. */
+  async fetch (entry: EntryAddress, key: string, waitMs = 10_000): Promise<Reply> {
+    return await call(entry.callers, 'GET', `/v1/requests/clinics/${key}?waitMs=${waitMs}`)
+  }
+
   get records (): StartRecord[] {
     return this.endpoints.flatMap(({ records }) => records)
   }
