--- a/packages/control/src/session.ts
+++ b/packages/control/src/session.ts
@@ -217,6 +217,7 @@
   }
 
   #create (request: JobRequest, fingerprint: string): JobEntry {
+    if (this.#links.size === 0) throw new IbisError('overloaded', `no endpoint has announced itself in failure domain ${this.#options.domain}`, { retryAfterMs: 1_000 })
     const entry = new JobEntry(asId<JobId>(`${this.#options.sessionId}-${this.#nextJob++}`), request, fingerprint, this.#timers.now())
     this.#jobs.add(entry)
     this.#options.metrics.increment('jobs.submitted')
--- a/packages/gateway/src/runner.ts
+++ b/packages/gateway/src/runner.ts
@@ -4,7 +4,7 @@
 import type { Explanation } from '@ibisstair/scheduler'
 import type { TimerService } from '@ibisstair/timers'
 import { RetryBudget } from './budget.ts'
-import { CONTROL_CALL_MS, SUBMIT_WAIT_MS, WAIT_POLL_MS } from './constants.ts'
+import { CONTROL_CALL_MS, PROBE_CALL_MS, SUBMIT_WAIT_MS, WAIT_POLL_MS } from './constants.ts'
 import type { DomainClient } from './domains.ts'
 import type { KeyParams, SubmitParams, WaitParams } from './messages.ts'
 import { RequestRoute, type RouteResult } from './route.ts'
@@ -62,7 +62,7 @@
           if (step.type === 'wait' && leftMs <= 0 && last) return last
           const result = step.type === 'submit'
             ? await this.#submit(step.domain, step.request, Math.min(SUBMIT_WAIT_MS, Math.max(0, leftMs)))
-            : await this.#wait(step.domain, { ...toKey(request), waitMs: Math.min(WAIT_POLL_MS, leftMs) })
+            : await this.#wait(step.domain, { ...toKey(request), waitMs: step.isProbe ? 0 : Math.min(WAIT_POLL_MS, leftMs) }, step.isProbe ? PROBE_CALL_MS : undefined)
           if (result.type === 'status') last = result.status
           route.handle(result, timers.now())
           break
@@ -121,8 +121,8 @@
     return this.#attempt(domain, 'job.submit', params, waitMs + LONG_POLL_GRACE_MS)
   }
 
-  #wait (domain: DomainId, params: WaitParams): Promise<RouteResult> {
-    return this.#attempt(domain, 'job.wait', { customer: params.customer, key: params.key, waitMs: params.waitMs }, params.waitMs + LONG_POLL_GRACE_MS)
+  #wait (domain: DomainId, params: WaitParams, timeoutMs = params.waitMs + LONG_POLL_GRACE_MS): Promise<RouteResult> {
+    return this.#attempt(domain, 'job.wait', { customer: params.customer, key: params.key, waitMs: params.waitMs }, timeoutMs)
   }
 
   async #attempt (domain: DomainId, method: string, params: unknown, timeoutMs: number): Promise<RouteResult> {
--- a/packages/model/src/constants.ts
+++ b/packages/model/src/constants.ts
@@ -9,6 +9,8 @@
 export const MAX_ACCELERATORS_PER_WORKER = 64
 export const MAX_SLOTS_PER_WORKER = 1024
 export const MAX_RUN_MS = 30 * 24 * 3600 * 1000
+/** Work that misses its objective is late, not useless; only a caller's own deadline ends its wait earlier. */
+export const DEFAULT_DEADLINE_FACTOR = 10
 export const MAX_DEADLINE_MS = 7 * 24 * 3600 * 1000
 /** Deeper payloads overflow the stack of recursive encoders. */
 export const MAX_PAYLOAD_DEPTH = 64
--- a/packages/model/src/schemas.ts
+++ b/packages/model/src/schemas.ts
@@ -64,6 +64,7 @@
   expectedRunMs: v.optional(RunMsSchema),
   idempotent: v.optional(v.boolean()),
   homeDomain: v.exactOptional(DomainIdSchema),
+  resend: v.exactOptional(v.boolean()),
   payload: v.optional(v.unknown(), null)
 })
 
--- a/scripts/deployment.ts
+++ b/scripts/deployment.ts
@@ -1,6 +1,7 @@
 // Starts the processes of one deployment on loopback for the demo and the end-to-end tests. Only
 // this development script starts processes; the shipped binaries start none.
 import { spawn, type ChildProcess } from 'node:child_process'
+import { randomInt } from 'node:crypto'
 import { closeSync, mkdirSync, openSync, rmSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
 import { fileURLToPath } from 'node:url'
@@ -52,29 +53,32 @@
   child: ChildProcess | null
 }
 
-/** Below the range of ephemeral ports, so that no outgoing connection takes the port of a process that is down. */
-const FIRST_PORT = 12_000
-const LAST_PORT = 31_000
+const FIRST_PORT = 10_000
+const PORT_BLOCKS = 160
+const PORTS_IN_BLOCK = 128
 
-const canListen = (port: number): Promise<boolean> => new Promise((resolve) => {
+const isFree = (port: number): Promise<boolean> => new Promise((resolve) => {
   const server = createServer()
   server.once('error', () => resolve(false))
   server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
 })
 
-/** Each process that starts deployments begins its search elsewhere, since several may run at a time. */
+/**
+ * Finds a block of free ports below the range that the system gives to outgoing connections, which
+ * could take a port before the process that is to listen there has started.
+ */
 const findFreePorts = async (count: number): Promise<number[]> => {
-  const ports: number[] = []
-  let port = FIRST_PORT + (process.pid * 97 + nextSearch++ * 400) % (LAST_PORT - FIRST_PORT)
-  while (ports.length < count) {
-    port = port >= LAST_PORT ? FIRST_PORT : port + 1
-    if (await canListen(port)) ports.push(port)
-  }
-  return ports
+  if (count > PORTS_IN_BLOCK) throw new Error(`${count} ports are needed, a block has ${PORTS_IN_BLOCK}`)
+  const first = randomInt(PORT_BLOCKS)
+  for (let i = 0; i < PORT_BLOCKS; i += 1) {
+    const base = FIRST_PORT + ((first + i) % PORT_BLOCKS) * PORTS_IN_BLOCK
+    const ports = Array.from({ length: count }, (_, offset) => base + offset)
+    const free = await Promise.all(ports.map(isFree))
+    if (free.every(Boolean)) return ports
+  }
+  throw new Error('no block of free ports was found')
 }
 
-let nextSearch = 0
-
 export class Deployment {
   readonly entries: readonly EntryAddress[]
   readonly controls: readonly ControlAddress[]
