scheduler: treat work of a customer that lost its guarantee as borrowed

After a configuration that removed a customer's guarantees, its work that ran inside the old home stayed safe from preemption, because only customers with guarantees were counted anew. The new owner of the capacity could then not reclaim it. The randomised test now changes guarantees and drains too.

--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -777,7 +777,8 @@
       this.#queues.add(job, true, this.#workOf(job))
     }
     const seated: Job[] = []
-    for (const account of this.#guaranteed) {
+    // Also of customers that have lost their guarantees: their work is borrowed from now on.
+    for (const account of this.#queues.customers) {
       for (const job of account.running) {
         if (!job.isHome) continue
         seated.push(job)
--- a/packages/scheduler/tests/guarantees.test.ts
+++ b/packages/scheduler/tests/guarantees.test.ts
@@ -113,6 +113,15 @@
   t.ok(runUntilPlaced(h, owed) + RESERVATION_MS <= RECLAIM_BOUND_MS)
 })
 
+t.test('work of a customer that lost its guarantee is no longer safe from others', async (t) => {
+  const h = new Harness(new Scheduler(), [customer('owner'), customer('a', { guarantees: [{ shape: gang, count: 1 }] })])
+  h.up('r1-1', 'r1-2')
+  h.start(h.submit({ customer: 'a', shape: gang }))
+  h.send({ type: 'config', share: share([customer('owner', { guarantees }), customer('a')]) })
+  const owed = h.submit({ customer: 'owner', shape: gang })
+  t.ok(runUntilPlaced(h, owed) + RESERVATION_MS <= RECLAIM_BOUND_MS)
+})
+
 t.test('any guaranteed shape is reclaimed in the bound from any mix of borrowed work (seed 11)', async () => {
   const borrowed = fc.record({ customer: fc.constantFrom('a', 'b'), shape: fc.constantFrom(shape(1, 1), shape(1, 3), shape(1, 8, 'worker'), shape(2, 4, 'rack'), shape(4, 1)), idempotent: fc.boolean() })
   fc.assert(fc.property(fc.array(borrowed, { minLength: 5, maxLength: 40 }), fc.nat(2000), (jobs, ageMs) => {
--- a/packages/scheduler/tests/random.test.ts
+++ b/packages/scheduler/tests/random.test.ts
@@ -5,13 +5,15 @@
 import t from 'tap'
 import type { Decision, FinishResult } from '../src/index.ts'
 import { FCFS_POLICY, PRESENT_POLICY, Scheduler } from '../src/index.ts'
-import { Harness, customer, endpoint, shape } from './support.ts'
+import { Harness, customer, endpoint, share, shape } from './support.ts'
 
 const SEED = 20_261_204
 const WORKERS = 6
 
 const shapes = [shape(1, 1), shape(1, 2), shape(1, 8, 'worker'), shape(2, 4, 'rack'), shape(2, 8, 'rack'), shape(3, 1), shape(1, 0), shape(1, 99)]
 
+const guaranteedShapes = [shape(1, 1), shape(1, 8, 'worker'), shape(2, 4, 'rack'), shape(2, 8, 'rack')]
+
 const step = fc.oneof(
   { weight: 9, arbitrary: fc.record({ op: fc.constant('submit' as const), customer: fc.constantFrom('a', 'b', 'c'), caller: fc.constantFrom('x', 'y'), urgency: fc.constantFrom<Urgency>('urgent', 'normal', 'bulk'), shape: fc.constantFrom(...shapes), idempotent: fc.boolean(), deadlineMs: fc.constantFrom(50, 3000, 1_000_000), expectedRunMs: fc.constantFrom(10, 1000, 3_600_000) }) },
   { weight: 3, arbitrary: fc.record({ op: fc.constant('finish' as const), at: fc.nat(50), result: fc.constantFrom<FinishResult>('ok', 'ok', 'ok', 'failed', 'lost') }) },
@@ -20,6 +22,7 @@
   { weight: 1, arbitrary: fc.record({ op: fc.constant('up' as const), worker: fc.nat(WORKERS - 1), incarnation: fc.integer({ min: 1, max: 2 }), leaving: fc.boolean() }) },
   { weight: 1, arbitrary: fc.record({ op: fc.constant('down' as const), worker: fc.nat(WORKERS - 1) }) },
   { weight: 1, arbitrary: fc.record({ op: fc.constant('usage' as const), worker: fc.nat(WORKERS - 1), busy: fc.nat(20) }) },
+  { weight: 1, arbitrary: fc.record({ op: fc.constant('config' as const), guaranteed: fc.subarray(['a', 'b', 'c']), shape: fc.constantFrom(...guaranteedShapes), drained: fc.nat(WORKERS * 3) }) },
   { weight: 3, arbitrary: fc.record({ op: fc.constant('tick' as const), ms: fc.constantFrom(1, 100, 3000) }) }
 )
 type Step = typeof step extends fc.Arbitrary<infer T> ? T : never
@@ -87,6 +90,11 @@
         h.send({ type: 'endpoint-down', endpointId: asId<EndpointId>(`w${step.worker}`) })
         return
       }
+      case 'config': {
+        const customers = ['a', 'b', 'c'].map((name) => customer(name, { maxQueued: 40, guarantees: step.guaranteed.includes(name) ? [{ shape: step.shape, count: 1 }] : [] }))
+        h.send({ type: 'config', share: { ...share(customers), drains: [asId<EndpointId>(`w${step.drained}`)] } })
+        return
+      }
       case 'usage': {
         h.send({ type: 'usage', endpointId: asId<EndpointId>(`w${step.worker}`), acceleratorsBusy: step.busy, lagMs: 500 })
         return
@@ -139,6 +147,7 @@
 
   /** Whatever is left can be finished: nothing holds capacity for ever. */
   #drain (): void {
+    this.harness.send({ type: 'config', share: share(['a', 'b', 'c'].map((name) => customer(name))) })
     for (let i = 0; i < WORKERS; i++) this.#up(i, 3, false)
     for (let i = 0; i < 400; i++) {
       this.#digest()
