scheduler: ignore an old incarnation also after the newer one went down

Once a downed endpoint without jobs had been forgotten, a late announcement of its previous incarnation was taken for an empty worker, although that incarnation's task could still hold the slots. The memory of all workers now keeps the incarnation.

--- a/packages/scheduler/src/capacity-memory.ts
+++ b/packages/scheduler/src/capacity-memory.ts
@@ -6,6 +6,7 @@
 const MAX_SHAPES = 1000
 
 interface Size {
+  readonly incarnation: number
   readonly rack: RackId
   readonly accelerators: number
   readonly slots: number
@@ -16,12 +17,15 @@
   readonly #sizes = new Map<EndpointId, Size>()
   readonly #answers = new Map<string, boolean>()
 
-  note (info: EndpointInfo): void {
+  /** Returns false for an announcement of an incarnation that a newer one has replaced, also after the newer one went down. */
+  note (info: EndpointInfo): boolean {
     const known = this.#sizes.get(info.id)
-    if (known && known.rack === info.rack && known.accelerators === info.accelerators && known.slots === info.slots) return
+    if (known && info.incarnation < known.incarnation) return false
+    if (known && known.incarnation === info.incarnation && known.rack === info.rack && known.accelerators === info.accelerators && known.slots === info.slots) return true
     if (!known && this.#sizes.size >= MAX_ENDPOINTS) this.#sizes.delete(this.#sizes.keys().next().value!)
-    this.#sizes.set(info.id, { rack: info.rack, accelerators: info.accelerators, slots: info.slots })
+    this.#sizes.set(info.id, { incarnation: info.incarnation, rack: info.rack, accelerators: info.accelerators, slots: info.slots })
     this.#answers.clear()
+    return true
   }
 
   couldHold (shape: Shape): boolean {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -222,7 +222,7 @@
   }
 
   #putEndpoint (info: EndpointInfo): void {
-    this.#capacity.note(info)
+    if (!this.#capacity.note(info)) return
     const known = this.#fleet.get(info.id)
     const worker = this.#fleet.put(info)
     if (!known || known === worker) return
--- a/packages/scheduler/tests/lifecycle.test.ts
+++ b/packages/scheduler/tests/lifecycle.test.ts
@@ -1,7 +1,7 @@
 import { asId } from '@ibisstair/common'
 import type { EndpointId, JobId, TaskId } from '@ibisstair/common'
 import t from 'tap'
-import { Harness, metadata, shape } from './support.ts'
+import { Harness, endpoint, metadata, shape } from './support.ts'
 
 t.test('a job is placed whole, started, and frees its slots when it ends', async (t) => {
   const h = new Harness()
@@ -89,3 +89,17 @@
   h.up('r1-1')
   t.ok(h.lastPlace(waiting))
 })
+
+t.test('an old incarnation does not come back after the newer one went down', async (t) => {
+  const h = new Harness()
+  h.up('r1-1')
+  // Its task may still hold the slots of the old incarnation.
+  h.start(h.submit({ shape: shape(1, 8) }))
+  const id = asId<EndpointId>('r1-1')
+  h.send({ type: 'endpoint-up', endpoint: endpoint('r1-1', { incarnation: 2 }) })
+  h.send({ type: 'endpoint-down', endpointId: id })
+  h.send({ type: 'endpoint-up', endpoint: endpoint('r1-1', { incarnation: 1 }) })
+  t.equal(h.scheduler.getStats().totalAccelerators, 0)
+  h.send({ type: 'endpoint-up', endpoint: endpoint('r1-1', { incarnation: 3 }) })
+  t.equal(h.scheduler.getStats().freeAccelerators, 8)
+})
