--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -222,7 +222,7 @@
   }
 
   #putEndpoint (info: EndpointInfo): void {
-    this.#capacity.note(info)
+    if (!this.#capacity.note(info)) return
     const known = this.#fleet.get(info.id)
     const worker = this.#fleet.put(info)
     if (!known || known === worker) return
@@ -777,7 +777,8 @@
       this.#queues.add(job, true, this.#workOf(job))
     }
     const seated: Job[] = []
-    for (const account of this.#guaranteed) {
+    // Also of customers that have lost their guarantees: their work is borrowed from now on.
+    for (const account of this.#queues.customers) {
       for (const job of account.running) {
         if (!job.isHome) continue
         seated.push(job)
