--- a/packages/control/src/session.ts
+++ b/packages/control/src/session.ts
@@ -323,8 +323,9 @@
       this.#handleRecorded(gang, result)
     } catch (err) {
       // The gang has not been started and its members get fenced, so "not run" is true in any case.
-      const { message } = IbisError.from(err)
-      this.#gangs.handle(gang, { type: 'recorded', ok: false, error: toErrorBody('no-quorum', `the start was not recorded: ${message}`) })
+      const { kind, message } = IbisError.from(err)
+      const reported = kind === 'disk-full' || kind === 'body-too-large' ? kind : 'no-quorum'
+      this.#gangs.handle(gang, { type: 'recorded', ok: false, error: toErrorBody(reported, `the start was not recorded: ${message}`) })
     }
   }
 
