--- a/scripts/capacity/idle.ts
+++ b/scripts/capacity/idle.ts
@@ -5,7 +5,8 @@
 const SPREAD_CHANGES = 12
 
 export interface ControlUsage extends Usage {
-  readonly led: number
+  /** Replicas to which the groups led here send heartbeats. */
+  readonly replicas: number
   readonly followed: number
   readonly peers: number
   readonly heapMb: number
@@ -84,9 +85,10 @@
 
 const toControlUsage = async (measured: MeasuredDeployment, usage: Usage): Promise<ControlUsage> => {
   const { groups } = await measured.getControlStatus(usage.node)
-  const led = groups.filter(({ role }) => role === 'leader').length
+  const led = groups.filter(({ role }) => role === 'leader')
+  const replicas = led.reduce((sum, { members }) => sum + members.length - 1, 0)
   const [heapMb] = await measured.measureHeap([usage.node])
-  return { ...usage, led, followed: groups.length - led, peers: measured.nodes.length - 1, heapMb: heapMb! }
+  return { ...usage, replicas, followed: groups.length - led.length, peers: measured.nodes.length - 1, heapMb: heapMb! }
 }
 
 /** A deployment without endpoints and work, with the projected configuration. */
--- a/scripts/capacity/load.ts
+++ b/scripts/capacity/load.ts
@@ -1,4 +1,5 @@
 import { Agent, request as httpRequest } from 'node:http'
+import { send } from '../callers.ts'
 import type { Address } from '../deployment.ts'
 import { StandInEndpoint } from '../stand-in-endpoint.ts'
 import { createFleetChange, SLOTS_PER_WORKER, WORKERS_PER_RACK } from './fleet.ts'
@@ -6,7 +7,7 @@
 
 const TASKS_PER_GANG = 16
 const RUN_MS = 1_800_000
-const SETTLE_MS = 4_000
+const SETTLE_MS = 3_000
 
 export interface Level {
   readonly endpoints: number
@@ -22,6 +23,7 @@
   /** CPU of all stand-ins together, which run in the measuring process. */
   readonly standInCpuPercent: number
   readonly startWaitMs: number
+  readonly urgentMs: readonly number[]
 }
 
 /** The endpoints and the held callers of one failure domain. */
@@ -31,6 +33,7 @@
   readonly #endpoints: StandInEndpoint[] = []
   readonly #agent = new Agent({ keepAlive: true, maxSockets: Infinity })
   #jobs = 0
+  #urgent = 0
 
   constructor (measured: MeasuredDeployment, domain: string) {
     this.#measured = measured
@@ -76,6 +79,29 @@
     return timers.now() - startedAtMs
   }
 
+  /** Time from the request of an urgent single task until its outcome; the task itself runs for a millisecond. */
+  async measureUrgent (count: number): Promise<Array<{ readonly waitMs: number, readonly outcome: string }>> {
+    const waits: Array<{ readonly waitMs: number, readonly outcome: string }> = []
+    for (let i = 0; i < count; i++) {
+      const startedAtMs = timers.now()
+      const { error } = await send(this.#entries.map(({ callers }) => callers), {
+        key: `${this.#domain}-urgent-${this.#urgent++}`,
+        customer: 'customer-0',
+        caller: 'operator',
+        kind: 'kind-0',
+        idempotent: true,
+        shape: { tasks: 1, acceleratorsPerTask: 1, slotsPerTask: 1, adjacency: 'any' },
+        runMs: 1
+      }, i)
+      waits.push({ waitMs: timers.now() - startedAtMs, outcome: error?.kind ?? 'answered' })
+    }
+    return waits
+  }
+
+  get runningTasks (): number {
+    return this.#countRunning()
+  }
+
   stop (): void {
     for (const endpoint of this.#endpoints) endpoint.kill()
     this.#agent.destroy()
@@ -112,25 +138,72 @@
   }
 }
 
+export interface FailoverCost {
+  readonly tasksBefore: number
+  /** Endpoints of the other domain, to which the entries may turn. */
+  readonly otherEndpoints: number
+  /** An urgent request that arrives as the leader is killed. */
+  readonly urgentMs: number
+  readonly outcome: string
+  /** Tasks still running after more than a lease term under the new leader. */
+  readonly tasksAfter: number
+  /** CPU of the new leader from the loss of the old one until then. */
+  readonly newLeaderCpuMs: number
+  readonly newLeaderPeakRssMb: number
+}
+
+/** More than a lease (8 s). */
+const ADOPTED_MS = 12_000
+const OTHER_ENDPOINTS = 12
+
+/** Kills the leader of the loaded domain, and starts its process again at the end. */
+const measureFailover = async (measured: MeasuredDeployment, load: DomainLoad, otherEndpoints: number): Promise<FailoverCost> => {
+  const leader = (await load.findLeader())!
+  const follower = load.controls.find((node) => node !== leader)!
+  const tasksBefore = load.runningTasks
+  const before = await measured.sample(follower)
+  await measured.kill(leader)
+  const [urgent] = await load.measureUrgent(1)
+  await timers.delay(ADOPTED_MS)
+  const after = await measured.sample(follower)
+  const tasksAfter = load.runningTasks
+  measured.startProcess(leader)
+  await waitUntil(`${leader} answers`, async () => await measured.getVersion(leader) > 0)
+  return {
+    tasksBefore,
+    otherEndpoints,
+    urgentMs: urgent!.waitMs,
+    outcome: urgent!.outcome,
+    tasksAfter,
+    newLeaderCpuMs: after.cpuMs - before.cpuMs,
+    newLeaderPeakRssMb: after.peakRssBytes / 1048576
+  }
+}
+
 const getCpuMs = (): number => {
   const { user, system } = process.cpuUsage()
   return (user + system) / 1000
 }
 
 /** One failure domain of two at rising numbers of endpoints and running tasks. */
-export const measureLoad = async (folder: string, levels: readonly Level[], windowMs: number): Promise<LoadCost[]> => {
+export const measureLoad = async (folder: string, levels: readonly Level[], windowMs: number): Promise<{ readonly costs: readonly LoadCost[], readonly failovers: readonly FailoverCost[] }> => {
   const domain = 'domain-0'
   const names = [domain, 'domain-1']
   const measured = await MeasuredDeployment.create(folder, names)
   const load = new DomainLoad(measured, domain)
+  const other = new DomainLoad(measured, names[1]!)
   try {
     await measured.start()
     await measured.waitForVersion(await measured.propose(createFleetChange(1, names)))
     const costs: LoadCost[] = []
     for (const level of levels) costs.push(await measureLevel(measured, load, domain, level, windowMs))
-    return costs
+    const alone = await measureFailover(measured, load, 0)
+    await other.reach({ endpoints: OTHER_ENDPOINTS, tasks: 0 })
+    const beside = await measureFailover(measured, load, OTHER_ENDPOINTS)
+    return { costs, failovers: [alone, beside] }
   } finally {
     load.stop()
+    other.stop()
     await measured.stop()
   }
 }
@@ -154,7 +227,8 @@
     leaderHeapMb: leaderHeapMb!,
     entryHeapMb: entryHeapMb!,
     standInCpuPercent,
-    startWaitMs
+    startWaitMs,
+    urgentMs: (await load.measureUrgent(10)).map(({ waitMs, outcome }) => outcome === 'answered' ? waitMs : NaN)
   }
 }
 
--- a/scripts/capacity/processes.ts
+++ b/scripts/capacity/processes.ts
@@ -26,6 +26,7 @@
   readonly heapBytes: number
   readonly heapAfterGc: number | null
   readonly rssBytes: number
+  readonly peakRssBytes: number
 }
 
 /** What one process used in a window, for each second. */
@@ -42,7 +43,7 @@
 
 export interface ControlStatus {
   readonly configVersion: number
-  readonly groups: ReadonlyArray<{ readonly group: string, readonly role: string }>
+  readonly groups: ReadonlyArray<{ readonly group: string, readonly role: string, readonly members: readonly unknown[] }>
   readonly session: { readonly totalAccelerators: number, readonly recovering: boolean, readonly running: number, readonly queued: number } | null
 }
 
@@ -139,7 +140,8 @@
     process.kill(pid!, isCollecting ? 'SIGHUP' : 'SIGUSR2')
     while (!existsSync(path)) await timers.delay(2)
     const rssBytes = Number(readFileSync(`/proc/${pid}/statm`, 'utf8').split(' ')[1]) * PAGE_BYTES
-    return { ...JSON.parse(readFileSync(path, 'utf8')) as Sample, atMs: timers.now(), rssBytes }
+    const peakKb = /^VmHWM:\s+(\d+)/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))![1]
+    return { ...JSON.parse(readFileSync(path, 'utf8')) as Sample, atMs: timers.now(), rssBytes, peakRssBytes: Number(peakKb) * 1024 }
   }
 
   async measure (windowMs: number, nodes: readonly string[] = this.nodes): Promise<Usage[]> {
