capacity: measure silent domains, tasks at an endpoint and the takeover time

A listener's port can be taken by an outgoing connection between its choice and the start of the process, so the command starts a process that has ended again.

--- a/scripts/capacity/idle.ts
+++ b/scripts/capacity/idle.ts
@@ -37,6 +37,13 @@
   readonly entryHeapMb: readonly number[]
   readonly spread: SpreadCost
   readonly restart: RestartCost
+  /** The others while the last domains are silent, as if their region were cut off. */
+  readonly cut: CutCost
+}
+
+export interface CutCost {
+  readonly controls: readonly Usage[]
+  readonly entries: readonly Usage[]
 }
 
 const isControl = ({ node }: { readonly node: string }): boolean => node.includes('-control-')
@@ -83,6 +90,20 @@
   return { receivedBytes: received, requestsSent, cpuMs, readyMs }
 }
 
+const CUT_WINDOW_MS = 5_000
+
+/** Freezes the processes of a part of the domains, so that their open connections go silent. */
+const measureCut = async (measured: MeasuredDeployment, isCut: (node: string) => boolean): Promise<CutCost> => {
+  const frozen = measured.nodes.filter(isCut)
+  for (const node of frozen) measured.signal(node, 'SIGSTOP')
+  try {
+    const usage = await measured.measure(CUT_WINDOW_MS, measured.nodes.filter((node) => !isCut(node)))
+    return { controls: usage.filter(isControl), entries: usage.filter((item) => !isControl(item)) }
+  } finally {
+    for (const node of frozen) measured.signal(node, 'SIGCONT')
+  }
+}
+
 const toControlUsage = async (measured: MeasuredDeployment, usage: Usage): Promise<ControlUsage> => {
   const { groups } = await measured.getControlStatus(usage.node)
   const led = groups.filter(({ role }) => role === 'leader')
@@ -106,7 +127,9 @@
     const controls = await Promise.all(usage.filter(isControl).map((item) => toControlUsage(measured, item)))
     const entries = usage.filter((item) => !isControl(item))
     const entryHeapMb = await measured.measureHeap(entries.map(({ node }) => node))
-    return { processes: measured.nodes.length, controls, entries, entryHeapMb, spread, restart }
+    const cutNames = names.slice(Math.ceil(domains / 2))
+    const cut = await measureCut(measured, (node) => cutNames.some((name) => node.startsWith(`${name}-`)))
+    return { processes: measured.nodes.length, controls, entries, entryHeapMb, spread, restart, cut }
   } finally {
     await measured.stop()
   }
--- a/scripts/capacity/load.ts
+++ b/scripts/capacity/load.ts
@@ -8,6 +8,7 @@
 const TASKS_PER_GANG = 16
 const RUN_MS = 1_800_000
 const SETTLE_MS = 3_000
+const RESUBMIT_MS = 4_000
 
 export interface Level {
   readonly endpoints: number
@@ -75,7 +76,16 @@
       (await this.#getSession())?.totalAccelerators === endpoints * SLOTS_PER_WORKER)
     const startedAtMs = timers.now()
     while (this.#jobs * TASKS_PER_GANG < tasks) this.#submit()
-    await waitUntil(`${tasks} tasks run`, async () => (await this.#getSession())?.running === this.#jobs && this.#countRunning() >= tasks)
+    let submittedAtMs = startedAtMs
+    await waitUntil(`${tasks} tasks run`, async () => {
+      if (this.#countRunning() >= tasks) return true
+      // A gang that was submitted during a change of leader runs in another domain.
+      if (timers.now() - submittedAtMs > RESUBMIT_MS) {
+        this.#submit()
+        submittedAtMs = timers.now()
+      }
+      return false
+    })
     return timers.now() - startedAtMs
   }
 
@@ -145,6 +155,8 @@
   /** An urgent request that arrives as the leader is killed. */
   readonly urgentMs: number
   readonly outcome: string
+  /** From the loss until the new leader places work. */
+  readonly takeoverMs: number
   /** Tasks still running after more than a lease term under the new leader. */
   readonly tasksAfter: number
   /** CPU of the new leader from the loss of the old one until then. */
@@ -163,7 +175,13 @@
   const tasksBefore = load.runningTasks
   const before = await measured.sample(follower)
   await measured.kill(leader)
+  const lostAtMs = timers.now()
+  const takeover = waitUntil(`${follower} schedules`, async () => {
+    const { session } = await measured.getControlStatus(follower)
+    return session !== null && !session.recovering
+  }).then(() => timers.now() - lostAtMs)
   const [urgent] = await load.measureUrgent(1)
+  const takeoverMs = await takeover
   await timers.delay(ADOPTED_MS)
   const after = await measured.sample(follower)
   const tasksAfter = load.runningTasks
@@ -174,6 +192,7 @@
     otherEndpoints,
     urgentMs: urgent!.waitMs,
     outcome: urgent!.outcome,
+    takeoverMs,
     tasksAfter,
     newLeaderCpuMs: after.cpuMs - before.cpuMs,
     newLeaderPeakRssMb: after.peakRssBytes / 1048576
@@ -234,6 +253,9 @@
 
 export interface FlagCost {
   readonly flags: readonly string[]
+  /** Log groups of the two control processes, which differ by the position of the domain. */
+  readonly leaderGroups: number
+  readonly followerGroups: number
   readonly leader: Usage
   readonly follower: Usage
   readonly entries: readonly Usage[]
@@ -252,11 +274,15 @@
     const usage = await measured.measure(windowMs)
     return await Promise.all(variants.map(async (flags, i) => {
       const leader = await loads[i]!.findLeader()
+      const follower = loads[i]!.controls.find((node) => node !== leader)!
+      const countGroups = async (node: string): Promise<number> => (await measured.getControlStatus(node)).groups.length
       const own = usage.filter(({ node }) => node.startsWith(`${names[i]}-`))
       return {
         flags,
+        leaderGroups: await countGroups(leader!),
+        followerGroups: await countGroups(follower),
         leader: own.find(({ node }) => node === leader)!,
-        follower: own.find(({ node }) => node !== leader && node.includes('-control-'))!,
+        follower: own.find(({ node }) => node === follower)!,
         entries: own.filter(({ node }) => node.includes('-entry-'))
       }
     }))
--- a/scripts/capacity/processes.ts
+++ b/scripts/capacity/processes.ts
@@ -108,6 +108,10 @@
       if (i % MAX_STARTING === MAX_STARTING - 1) await timers.delay(STARTING_MS)
     }
     await waitUntil('every process answers', async () => {
+      // A free port that was chosen for a listener can meanwhile serve an outgoing connection.
+      for (const [node, { exitCode }] of this.#children) {
+        if (exitCode !== null) this.startProcess(node, getFlags(node))
+      }
       await Promise.all(this.nodes.map((node) => this.rpc.call(this.getTarget(node), 'config.version', {}, 500)))
       return true
     })
@@ -120,6 +124,10 @@
     ], { stdio: ['ignore', log, log], env: { ...process.env, UV_USE_IO_URING: '0', CAPACITY_FOLDER: this.#folder } }))
   }
 
+  signal (node: string, signal: NodeJS.Signals): void {
+    this.#children.get(node)?.kill(signal)
+  }
+
   async kill (node: string): Promise<void> {
     const child = this.#children.get(node)
     if (!child || child.exitCode !== null || child.signalCode !== null) return
--- a/scripts/capacity/units.ts
+++ b/scripts/capacity/units.ts
@@ -6,6 +6,7 @@
 import { asId, type CallerId, type CustomerId, type DomainId, type EndpointId, type JobId, type KindOfWork, type NodeId, type RackId, type RequestKey, type TaskId } from '@ibisstair/common'
 import { ReplicaDriver, type Member } from '@ibisstair/consensus'
 import { JobEntry, JobTable } from '@ibisstair/control'
+import { TaskTable } from '@ibisstair/endpoint-tasks'
 import { getDomainShare, parseConfig, toMetadata, type Assignment, type Config, type JobRequest, type Shape } from '@ibisstair/model'
 import { ConfigRegister, JobRegister, type JobCommand, type JobResult, type RecordStart } from '@ibisstair/registers'
 import { MessageSender, RpcClient, RpcServer, type MessageBatch, type Target } from '@ibisstair/rpc'
@@ -177,6 +178,36 @@
   return { queued, heapBytesEach, submitMicroseconds: 1000 * submitMs / queued, tickMicroseconds: 1000 * tickMs / ticks }
 }
 
+export interface TaskTableCost {
+  readonly tasks: number
+  readonly heapBytesEach: number
+  readonly renewMicrosecondsEach: number
+}
+
+const TABLES = 40
+
+const createTaskTable = (taskIds: readonly TaskId[]): TaskTable => {
+  const table = new TaskTable({ endpointId: asId<EndpointId>('endpoint'), incarnation: 1, slots: taskIds.length, accelerators: taskIds.length })
+  for (const [i, taskId] of taskIds.entries()) {
+    const { payload, ...request } = createRequest(i, createShape(1), true)
+    const grant = { jobId: asId<JobId>(`domain-0-0123456789ab-${i}`), attempt: 1, index: 0, reservationMs: 2_000, leaseMs: 8_000, request }
+    const { result } = table.handle({ taskId, incarnation: 1, operation: 'run', grant, payload }, 0)
+    if (result.status !== 'ok') throw new Error(`task ${i}: ${result.status}`)
+  }
+  return table
+}
+
+/** State that an endpoint keeps for the tasks it runs; their payload belongs to the executor. */
+export const measureTaskTable = (tasks: number): TaskTableCost => {
+  const taskIds = Array.from({ length: tasks }, (_, i) => asId<TaskId>(`domain-0-0123456789ab-${i}.1.0`))
+  const renewals = taskIds.map((taskId) => ({ taskId, incarnation: 1, termMs: 8_000 }))
+  const before = getHeapBytes()
+  const tables = Array.from({ length: TABLES }, () => createTaskTable(taskIds))
+  const heapBytesEach = (getHeapBytes() - before) / tasks / TABLES
+  const renewMs = getMedian(tables.map((table, i) => timeOf(() => { table.renew(renewals, i) })))
+  return { tasks, heapBytesEach, renewMicrosecondsEach: 1000 * renewMs / tasks }
+}
+
 // Log groups
 
 interface Voter {
