--- a/scripts/capacity/load.ts
+++ b/scripts/capacity/load.ts
@@ -169,7 +169,7 @@
 const OTHER_ENDPOINTS = 12
 
 /** Kills the leader of the loaded domain, and starts its process again at the end. */
-const measureFailover = async (measured: MeasuredDeployment, load: DomainLoad, otherEndpoints: number): Promise<FailoverCost> => {
+const measureFailover = async (measured: MeasuredDeployment, load: DomainLoad, otherEndpoints: number, flags: readonly string[]): Promise<FailoverCost> => {
   const leader = (await load.findLeader())!
   const follower = load.controls.find((node) => node !== leader)!
   const tasksBefore = load.runningTasks
@@ -185,7 +185,7 @@
   await timers.delay(ADOPTED_MS)
   const after = await measured.sample(follower)
   const tasksAfter = load.runningTasks
-  measured.startProcess(leader)
+  measured.startProcess(leader, flags)
   await waitUntil(`${leader} answers`, async () => await measured.getVersion(leader) > 0)
   return {
     tasksBefore,
@@ -205,20 +205,20 @@
 }
 
 /** One failure domain of two at rising numbers of endpoints and running tasks. */
-export const measureLoad = async (folder: string, levels: readonly Level[], windowMs: number): Promise<{ readonly costs: readonly LoadCost[], readonly failovers: readonly FailoverCost[] }> => {
+export const measureLoad = async (folder: string, levels: readonly Level[], windowMs: number, flags: readonly string[]): Promise<{ readonly costs: readonly LoadCost[], readonly failovers: readonly FailoverCost[] }> => {
   const domain = 'domain-0'
   const names = [domain, 'domain-1']
   const measured = await MeasuredDeployment.create(folder, names)
   const load = new DomainLoad(measured, domain)
   const other = new DomainLoad(measured, names[1]!)
   try {
-    await measured.start()
+    await measured.start(() => flags)
     await measured.waitForVersion(await measured.propose(createFleetChange(1, names)))
     const costs: LoadCost[] = []
     for (const level of levels) costs.push(await measureLevel(measured, load, domain, level, windowMs))
-    const alone = await measureFailover(measured, load, 0)
+    const alone = await measureFailover(measured, load, 0, flags)
     await other.reach({ endpoints: OTHER_ENDPOINTS, tasks: 0 })
-    const beside = await measureFailover(measured, load, OTHER_ENDPOINTS)
+    const beside = await measureFailover(measured, load, OTHER_ENDPOINTS, flags)
     return { costs, failovers: [alone, beside] }
   } finally {
     load.stop()
--- a/scripts/measure-capacity.ts
+++ b/scripts/measure-capacity.ts
@@ -1,6 +1,6 @@
 // Measures what each process, voter, endpoint, task, record and configuration costs, at three sizes
 // or more, and prints the tables that docs/CAPACITY.md is worked out from:
-// node scripts/build.mjs entry control && node --import=tsx scripts/measure-capacity.ts [--part units|idle|load|flags] [--rotate N]
+// node scripts/build.mjs entry control && node --import=tsx scripts/measure-capacity.ts [--part units|idle|load|flags] [--rotate N] [--flag=--lite-mode]
 import { rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -109,7 +109,7 @@
 }
 
 const reportLoad = async (): Promise<void> => {
-  const { costs, failovers } = await measureLoad(FOLDER, LEVELS, WINDOW_MS)
+  const { costs, failovers } = await measureLoad(FOLDER, LEVELS, WINDOW_MS, values.flag)
   for (const role of ['leader', 'follower'] as const) {
     print(`Loaded domain: ${role}`, costs.map((cost) => ({ endpoints: cost.endpoints, tasks: cost.tasks, ...toRow([cost[role]]), ...(role === 'leader' && { heapMb: round(cost.leaderHeapMb), startedMs: round(cost.startWaitMs, 0), urgentMs: describeSpread(cost.urgentMs) }) })))
   }
@@ -128,10 +128,10 @@
   ]))
 }
 
-// `--rotate` gives each set of flags to another domain, because the first domains host more log groups.
+// `--flag` is for the processes of the load part. `--rotate` gives each set of flags to another domain, because the first domains host more log groups.
 const PARTS = { units: reportUnits, idle: reportIdle, load: reportLoad, flags: reportFlags } as const
 
-const { values } = parseArgs({ options: { part: { type: 'string', multiple: true }, rotate: { type: 'string', default: '0' } } })
+const { values } = parseArgs({ options: { part: { type: 'string', multiple: true }, rotate: { type: 'string', default: '0' }, flag: { type: 'string', multiple: true, default: [] } } })
 const startedAtMs = performance.now()
 console.log(`Node.js ${process.version}, ${process.platform} ${process.arch}`)
 try {
