--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -24,29 +24,37 @@
 }
 
 const wanted = process.argv.slice(2)
-const files = wanted.length > 0 ? wanted : [...findTests('packages'), ...findTests('apps'), ...findTests('tests')]
 const knownRed = readKnownRed()
-
-const tap = spawn(`${root}node_modules/.bin/tap`, [
-  '--plugin=!@tapjs/typescript', '--node-arg=--import=tsx', '--disable-coverage', '--allow-empty-coverage',
-  '--reporter=tap', '--jobs=4', '--timeout=150', ...files
-], { cwd: root, stdio: ['ignore', 'pipe', 'inherit'] })
+// The end-to-end tests start some ten processes each and check times, so they run one by one.
+const isEndToEnd = (name) => name.startsWith('tests/')
+const files = wanted.length > 0 ? wanted : [...findTests('packages'), ...findTests('apps'), ...findTests('tests')]
 
 const passed = []
 const failed = []
-const recent = []
-for await (const line of createInterface({ input: tap.stdout })) {
-  const top = /^(not )?ok \d+ - (\S+\.test\.ts)/.exec(line)
-  recent.push(line)
-  if (!top) continue
-  const ok = !top[1]
-  const list = ok ? passed : failed
-  list.push(top[2])
-  console.log(`${ok ? 'pass' : 'FAIL'} ${top[2]}`)
-  if (!ok) console.log(recent.filter((l) => !/^\s*(ok|#)/.test(l)).slice(-200).join('\n'))
-  recent.length = 0
+
+const run = async (names, jobs) => {
+  if (names.length === 0) return
+  const tap = spawn(`${root}node_modules/.bin/tap`, [
+    '--plugin=!@tapjs/typescript', '--node-arg=--import=tsx', '--disable-coverage', '--allow-empty-coverage',
+    '--reporter=tap', `--jobs=${jobs}`, '--timeout=150', ...names
+  ], { cwd: root, stdio: ['ignore', 'pipe', 'inherit'] })
+  const recent = []
+  for await (const line of createInterface({ input: tap.stdout })) {
+    const top = /^(not )?ok \d+ - (\S+\.test\.ts)/.exec(line)
+    recent.push(line)
+    if (!top) continue
+    const ok = !top[1]
+    const list = ok ? passed : failed
+    list.push(top[2])
+    console.log(`${ok ? 'pass' : 'FAIL'} ${top[2]}`)
+    if (!ok) console.log(recent.filter((l) => !/^\s*(ok|#)/.test(l)).slice(-200).join('\n'))
+    recent.length = 0
+  }
 }
 
+await run(files.filter((name) => !isEndToEnd(name)), 4)
+await run(files.filter(isEndToEnd), 1)
+
 const isKnown = (name) => knownRed.some((known) => name.endsWith(known))
 for (const name of failed.filter(isKnown)) console.log(`known red: ${name}`)
 const fresh = failed.filter((name) => !isKnown(name))
