--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -43,8 +43,10 @@
   snapshotsTaken: number
   snapshotFailures: number
   compactions: number
+  compactionFailures: number
   applied: number
   applyFailures: number
+  listenerFailures: number
 }
 
 type StorageEffect = Extract<Effect, { type: 'save-hard-state' | 'append' | 'reset-log' | 'save-snapshot' | 'send' }>
@@ -73,16 +75,18 @@
   readonly #proposals: Proposals<Result | undefined>
   readonly #listeners = new Set<(status: ReplicaStatus) => void>()
   readonly #counters: DriverCounters = {
-    invalidMessages: 0, droppedMessages: 0, overloadedProposals: 0, oversizedCommands: 0, diskFull: 0, snapshotsTaken: 0, snapshotFailures: 0, compactions: 0, applied: 0, applyFailures: 0
+    invalidMessages: 0, droppedMessages: 0, overloadedProposals: 0, oversizedCommands: 0, diskFull: 0, snapshotsTaken: 0, snapshotFailures: 0, compactions: 0, compactionFailures: 0, applied: 0, applyFailures: 0, listenerFailures: 0
   }
 
   readonly #events: ReplicaEvent[] = []
   #isStepping = false
   #queue: StorageEffect[] = []
   #flushing: Promise<void> | null = null
-  /** A term or vote that a full disk did not take; no message leaves before it is stored. */
-  #unsavedHardState: HardState | null = null
+  #latestHardState: HardState | null = null
+  /** A full disk did not take the newest term or vote; no message leaves before it is stored. */
+  #isHardStateUnsaved = false
   #isRetryPlanned = false
+  #diskFullAt = -Infinity
   #isTakingSnapshot = false
   #snapshotAfter = -Infinity
   #appliedIndex: number
@@ -115,13 +119,17 @@
     return driver
   }
 
-  /** Commands are plain JSON. Callers must not change a command after the call. */
-  async propose (command: Command, timeoutMs: number): Promise<Result> {
+  /** Commands are plain JSON. */
+  async propose (proposed: Command, timeoutMs: number): Promise<Result> {
     this.#checkRoom()
-    if (JSON.stringify(command).length > MAX_COMMAND_BYTES) {
+    const text: string | undefined = JSON.stringify(proposed)
+    if (text === undefined) throw new IbisError('invalid-request', 'a command is a JSON value')
+    if (Buffer.byteLength(text) > MAX_COMMAND_BYTES) {
       this.#counters.oversizedCommands += 1
       throw new IbisError('body-too-large', `a command takes at most ${MAX_COMMAND_BYTES} bytes`)
     }
+    // The copy has what followers receive, so that all replicas apply the same value.
+    const command: unknown = JSON.parse(text)
     return await this.#proposals.add(timeoutMs, (id) => this.#dispatch({ type: 'propose', id, command })) as Result
   }
 
@@ -223,7 +231,11 @@
       case 'refused': return this.#proposals.refuse(effect.id, effect.reason, this.getStatus().leader)
       case 'dropped': return this.#proposals.drop(effect.fromIndex)
       case 'send': return this.#send(effect)
-      case 'save-hard-state':
+      case 'save-hard-state': {
+        this.#latestHardState = effect.state
+        this.#queue.push(effect)
+        return
+      }
       case 'append':
       case 'reset-log':
       case 'save-snapshot': {
@@ -240,7 +252,16 @@
     this.#status = status
     const isSame = previous.role === status.role && previous.leader === status.leader && previous.hasQuorum === status.hasQuorum
     if (isSame) return
-    for (const listener of this.#listeners) listener(status)
+    for (const listener of this.#listeners) this.#notify(listener, status)
+  }
+
+  #notify (listener: (status: ReplicaStatus) => void, status: ReplicaStatus): void {
+    try {
+      listener(status)
+    } catch (err) {
+      this.#counters.listenerFailures += 1
+      this.#options.log?.('error', 'a status listener failed', { group: this.#options.group, node: this.#options.node, err: String(err) })
+    }
   }
 
   // ---- state machine ----
@@ -294,7 +315,7 @@
   // ---- storage ----
 
   #send (effect: Extract<Effect, { type: 'send' }>): void {
-    if (this.#unsavedHardState || this.#queue.length >= MAX_QUEUED_EFFECTS) {
+    if (this.#isHardStateUnsaved || this.#queue.length >= MAX_QUEUED_EFFECTS) {
       this.#counters.droppedMessages += 1
       return
     }
@@ -304,7 +325,12 @@
   }
 
   #transmit (effect: Extract<Effect, { type: 'send' }>): void {
-    this.#options.transport.send(this.#options.group, effect.to, effect.message)
+    try {
+      this.#options.transport.send(this.#options.group, effect.to, effect.message)
+    } catch {
+      // The protocol allows for lost messages; a failing transport must not stop the replica.
+      this.#counters.droppedMessages += 1
+    }
   }
 
   async #flush (): Promise<void> {
@@ -333,6 +359,7 @@
     // The term goes first: a stored entry must not have a higher one.
     if (hardState) {
       await this.#storage.saveHardState(hardState.state)
+      if (hardState.state === this.#latestHardState) this.#isHardStateUnsaved = false
       stored.done.add(hardState)
     }
     let entries: LogEntry[] = []
@@ -368,8 +395,7 @@
   async #saveSnapshot (snapshot: EncodedSnapshot): Promise<ReplicaEvent> {
     try {
       await this.#storage.saveSnapshot(snapshot)
-      await this.#storage.compact()
-      this.#counters.compactions += 1
+      await this.#compact()
       return { type: 'snapshot-saved', snapshot }
     } catch (err) {
       if (!isDiskFull(err)) throw err
@@ -379,11 +405,22 @@
     }
   }
 
+  /** Without room for the shorter log the longer one stays until the next snapshot. */
+  async #compact (): Promise<void> {
+    try {
+      await this.#storage.compact()
+      this.#counters.compactions += 1
+    } catch (err) {
+      if (!isDiskFull(err)) throw err
+      this.#counters.compactionFailures += 1
+    }
+  }
+
   /** Nothing of the batch leaves; the replica drops what was not stored, and a term is tried again. */
   #handleDiskFull (batch: readonly StorageEffect[], stored: StoredPart): void {
     const rest = [...batch.filter((effect) => !stored.done.has(effect)), ...this.#queue]
     this.#counters.diskFull += 1
-    this.#unsavedHardState = rest.findLast((effect) => effect.type === 'save-hard-state')?.state ?? this.#unsavedHardState
+    this.#isHardStateUnsaved ||= rest.some((effect) => effect.type === 'save-hard-state')
     this.#queue = rest.filter((effect) => effect.type === 'reset-log')
     this.#counters.droppedMessages += rest.filter((effect) => effect.type === 'send').length
     this.#dispatch({ type: 'append-failed' })
@@ -393,17 +430,19 @@
 
   #planRetry (): void {
     this.#isRetryPlanned = true
-    this.#options.log?.('warn', 'the disk is full; new proposals are refused', { group: this.#options.group, node: this.#options.node })
+    const now = this.#options.timers.now()
+    // Failing retries continue the same state and are only counted.
+    if (now - this.#diskFullAt > 2 * DISK_RETRY_MS) this.#options.log?.('warn', 'the disk is full; new proposals are refused', { group: this.#options.group, node: this.#options.node })
+    this.#diskFullAt = now
     this.#options.timers.subscribe(DISK_RETRY_MS, () => { this.#retryDisk() })
   }
 
   #retryDisk (): void {
     this.#isRetryPlanned = false
     if (this.#isStopped) return
-    const state = this.#unsavedHardState
-    this.#unsavedHardState = null
-    if (state) {
-      this.#queue.push({ type: 'save-hard-state', state })
+    // The newest state, as an older one must not replace it.
+    if (this.#isHardStateUnsaved && this.#latestHardState) {
+      this.#queue.push({ type: 'save-hard-state', state: this.#latestHardState })
       this.#flushing ??= this.#flush()
     }
     this.#dispatch({ type: 'disk-writable' })
--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -1,6 +1,9 @@
 import { invariant } from '@ibisstair/common'
 import type { LogEntry, Member } from './types.ts'
 
+/** Index, term and punctuation of an entry in a message. */
+const ENTRY_OVERHEAD_BYTES = 40
+
 interface Configuration {
   readonly index: number
   readonly members: readonly Member[]
@@ -12,7 +15,7 @@
   readonly members: readonly Member[]
 }
 
-const estimateBytes = (entry: LogEntry): number => JSON.stringify(entry.body).length + 40
+const estimateBytes = (entry: LogEntry): number => Buffer.byteLength(JSON.stringify(entry.body)) + ENTRY_OVERHEAD_BYTES
 
 /** The entries in memory, behind a base that a snapshot covers, and the configurations in them. */
 export class ReplicaLog {
@@ -62,6 +65,12 @@
     return found.members
   }
 
+  /** The configuration at the index and all later ones. */
+  listMembersFrom (index: number): (readonly Member[])[] {
+    const later = this.#configurations.filter((configuration) => configuration.index > index)
+    return [this.membersAt(index), ...later.map((configuration) => configuration.members)]
+  }
+
   append (entry: LogEntry): void {
     invariant(entry.index === this.lastIndex + 1, 'the log has no gap', { entry: entry.index, last: this.lastIndex })
     invariant(entry.term >= this.lastTerm, 'terms do not decrease along the log', { entry: entry.term, last: this.lastTerm })
--- a/packages/consensus/tests/driver.test.ts
+++ b/packages/consensus/tests/driver.test.ts
@@ -45,6 +45,17 @@
   t.equal(await second, 2)
 })
 
+t.test('all replicas apply the same value, also when JSON has no form for a part of it', async (t) => {
+  const cluster = await start(3, 12)
+  const given = { kept: 1, dropped: undefined, at: new Date(0) }
+  const promise = leaderOf(cluster).driver!.propose(given as unknown as string, 1000)
+  given.kept = 2
+  await cluster.run(1000)
+  t.equal(await promise, 1)
+  for (const node of cluster.nodes) t.strictSame(node.machine.commands, [{ kept: 1, at: '1970-01-01T00:00:00.000Z' }])
+  await expectRejection(t, cluster, leaderOf(cluster).driver!.propose(undefined as unknown as string, 1000), { kind: 'invalid-request' })
+})
+
 t.test('a follower names the leader, and input beyond the limits is refused', async (t) => {
   const cluster = await start(3, 2)
   const leader = leaderOf(cluster)
@@ -219,6 +230,64 @@
   cluster.checkMachines()
 })
 
+t.test('a term that a full disk did not take does not replace a later one that was stored', async (t) => {
+  const timers = new ManualTimerService()
+  const disk = new MemoryDisk()
+  const members: Member[] = ['n0', 'n1', 'n2'].map((name) => ({ node: asId<NodeId>(name), incarnation: '1', role: 'voter', witness: false }))
+  await DataFolder.init(disk.attach(), '/data')
+  const sent: unknown[] = []
+  const open = async (): Promise<ReplicaDriver<string, number>> => await ReplicaDriver.open<string, number>({
+    group: 'g',
+    node: asId<NodeId>('n0'),
+    folder: await DataFolder.open(disk.attach(), '/data', new RandomSource(1)),
+    timers,
+    random: new RandomSource(1),
+    transport: { send: (_group, _to, message) => sent.push(message) },
+    machine: new ListMachine(),
+    initialMembers: members
+  })
+  const driver = await open()
+  const askForVote = async (from: string, term: number): Promise<void> => {
+    driver.handleMessage(asId<NodeId>(from), { type: 'vote', term, fromIncarnation: '1', toIncarnation: '1', lastIndex: 0, lastTerm: 0, transfer: false })
+    for (let i = 0; i < 200; i++) await Promise.resolve()
+  }
+  disk.setCapacity(disk.usedBytes)
+  await askForVote('n1', 5)
+  t.same(sent, [], 'a vote that was not stored is not sent')
+  disk.setCapacity(Infinity)
+  await askForVote('n2', 6)
+  timers.advance(1100)
+  for (let i = 0; i < 200; i++) await Promise.resolve()
+  disk.crash(new RandomSource(1))
+  const reopened = await open()
+  t.equal(reopened.getStatus().term, 6)
+  await reopened.stop()
+})
+
+t.test('a failing transport or listener does not stop the replica', async (t) => {
+  const timers = new ManualTimerService()
+  const node = asId<NodeId>('n0')
+  const members: Member[] = ['n0', 'n1', 'n2'].map((name) => ({ node: asId<NodeId>(name), incarnation: '1', role: 'voter', witness: false }))
+  const fatal: IbisError[] = []
+  const driver = await ReplicaDriver.open<string, number>({
+    group: 'g',
+    node,
+    folder: await DataFolder.init(new MemoryDisk().attach(), '/data'),
+    timers,
+    random: new RandomSource(1),
+    transport: { send: () => { throw new Error('no route') } },
+    machine: new ListMachine(),
+    initialMembers: members,
+    onFatal: (err) => fatal.push(err)
+  })
+  driver.onStatus(() => { throw new Error('listener') })
+  timers.advance(10_000)
+  t.same(fatal, [])
+  const { droppedMessages = 0, listenerFailures = 0 } = driver.getCounters()
+  t.ok(droppedMessages > 0 && listenerFailures > 0)
+  await driver.stop()
+})
+
 t.test('listeners hear of changes of role, leader and quorum, and stop ends what is pending', async (t) => {
   const timers = new ManualTimerService()
   const disk = new MemoryDisk()
--- a/packages/consensus/tests/replica.test.ts
+++ b/packages/consensus/tests/replica.test.ts
@@ -79,6 +79,18 @@
   t.ok(sent.includes('pre-vote'))
 })
 
+t.test('a restarted voter campaigns when only a configuration between the snapshot and its removal has it', async (t) => {
+  const members = createMembers(3)
+  const entries: LogEntry[] = [
+    { index: 1, term: 1, body: { type: 'members', members: members.slice(0, 2) } },
+    { index: 2, term: 1, body: { type: 'members', members: members.slice(1, 2) } }
+  ]
+  const replica = createReplica(members.slice(1), 1, entries)
+  const sent: string[] = []
+  for (let at = 100; at <= 2000; at += 100) sent.push(...typesSent(replica.step({ type: 'tick' }, at)))
+  t.ok(sent.includes('pre-vote'))
+})
+
 t.test('a received snapshot keeps entries that are stored and not applied yet', async (t) => {
   const members = createMembers(3)
   const replica = createReplica(members, 1, [command(1, 1), command(2, 1), command(3, 1)])
@@ -281,6 +293,22 @@
   t.equal(cluster.statusOf(follower)!.commitIndex, cluster.history.lastIndex)
 })
 
+t.test('a follower with a full disk is asked once per heartbeat, and catches up when it has room', async (t) => {
+  const cluster = new ReplicaCluster({ voters: 3, witnesses: 0, seed: 15 })
+  cluster.run(5000)
+  const follower = cluster.node(indexOfLeader(cluster) + 1)
+  cluster.setFull(follower, true)
+  cluster.propose(cluster.leaders[0]!, 'first')
+  cluster.run(1000)
+  const before = cluster.sentMessages
+  cluster.run(3000)
+  t.ok(cluster.sentMessages - before <= 4 * 11, `${cluster.sentMessages - before} messages in 3 s`)
+  t.equal(cluster.history.acknowledgedCount, 1)
+  cluster.setFull(follower, false)
+  cluster.run(1000)
+  t.equal(cluster.statusOf(follower)!.commitIndex, cluster.history.lastIndex)
+})
+
 t.test('only one membership change is in flight, and it keeps an active majority', async (t) => {
   const replica = createReplica(createMembers(3), 2, [])
   elect(replica, 3)
--- a/packages/consensus/tests/support/driver-actions.ts
+++ b/packages/consensus/tests/support/driver-actions.ts
@@ -21,8 +21,8 @@
   { weight: 3, arbitrary: onNode('crash') },
   { weight: 4, arbitrary: onNode('start') },
   { weight: 3, arbitrary: onNode('lose') },
-  { weight: 2, arbitrary: onNode('fill') },
-  { weight: 1, arbitrary: onNode('free') },
+  { weight: 4, arbitrary: onNode('fill') },
+  { weight: 4, arbitrary: onNode('free') },
   { weight: 1, arbitrary: onNode('transfer') },
   { weight: 2, arbitrary: fc.record({ type: type('partition'), parts: fc.array(fc.nat({ max: 1 }), { minLength: 5, maxLength: 5 }) }) },
   { weight: 1, arbitrary: fc.record({ type: type('isolate-leader') }) },
@@ -88,7 +88,8 @@
   cluster.checkMachines()
   const status = cluster.statusOf(leader)!
   for (const node of cluster.nodes) {
-    const own = cluster.statusOf(node)!
+    const own = cluster.statusOf(node)
+    if (!own) throw new SafetyError(`${node.id} does not run`)
     const member = status.members.find((member) => member.node === node.id)
     if (member?.incarnation !== own.incarnation || member.role !== 'voter') throw new SafetyError(`${node.id} did not return to the group`)
     if (own.commitIndex !== status.commitIndex) throw new SafetyError(`${node.id} has not caught up`)
@@ -104,10 +105,10 @@
   readonly actions: readonly DriverAction[]
 }
 
-export const driverCaseArbitrary: fc.Arbitrary<DriverCase> = fc.record({
+export const createDriverCaseArbitrary = (length = { minLength: 5, maxLength: 40 }): fc.Arbitrary<DriverCase> => fc.record({
   seed: fc.nat(),
   shape: fc.constantFrom(...SHAPES),
-  actions: fc.array(driverActionArbitrary, { minLength: 5, maxLength: 40, size: 'max' })
+  actions: fc.array(driverActionArbitrary, { ...length, size: 'max' })
 }).map(({ shape, ...rest }) => ({ ...rest, voters: shape[0], witnesses: shape[1] }))
 
 export const runDriverCase = async (driverCase: DriverCase, options: Partial<DriverClusterOptions> = {}): Promise<DriverCluster> => {
--- a/packages/consensus/tests/support/replica-cluster.ts
+++ b/packages/consensus/tests/support/replica-cluster.ts
@@ -66,7 +66,7 @@
   /** Nodes in different parts cannot reach each other. */
   #parts = new Map<NodeId, number>()
   #nextId = 0
-  maxTerm = 0
+  sentMessages = 0
 
   constructor (options: ClusterOptions) {
     this.#options = options
@@ -111,8 +111,11 @@
   /** The process and the VM die: what was not synced is lost, or kept in part. */
   crash (node: Node): void {
     if (!node.replica) return
-    const kept = this.#random.int(0, node.pending.length)
-    for (const effect of node.pending.slice(0, kept)) this.#storeTorn(node, effect)
+    const kept = node.pending.slice(0, this.#random.int(0, node.pending.length))
+    const last = kept.pop()
+    for (const effect of kept) this.#store(node, effect)
+    // Nothing after a torn record is readable, so only the last write can be torn.
+    if (last) this.#storeTorn(node, last)
     node.replica = null
     node.pending = []
     node.isFlushing = false
@@ -248,7 +251,6 @@
     const after = node.replica.getStatus(this.#timeOf(node))
     if (after.commitIndex < before.commitIndex) throw new SafetyError(`${node.id} went back from commit index ${before.commitIndex} to ${after.commitIndex}`)
     if (after.role === 'leader') this.history.recordLeader(`${node.id}/${node.incarnation}`, after.term)
-    this.maxTerm = Math.max(this.maxTerm, after.term)
     for (const effect of effects) this.#take(node, effect)
     if (node.pending.length > 0 && !node.isFlushing) this.#scheduleFlush(node)
   }
@@ -375,6 +377,7 @@
 
   #transmit (node: Node, effect: Extract<Effect, { type: 'send' }>): void {
     const { message, to } = effect
+    this.sentMessages += 1
     if (message.type === 'vote-reply' && message.granted) this.history.recordVote(`${node.id}/${node.incarnation}`, message.term, `${to}/${message.toIncarnation}`)
     const target = this.nodes.find((other) => other.id === to)
     if (!target || this.#parts.get(node.id) !== this.#parts.get(to)) return
--- a/packages/control/src/session.ts
+++ b/packages/control/src/session.ts
@@ -10,7 +10,7 @@
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { groupIntoGangs, type FoundGang, type FoundTask } from './adoption.ts'
 import {
-  ACKNOWLEDGE_BYTES, ADOPTION_MS, CHECKPOINT_GRACE_MS, ENDPOINT_CALL_MS, LEASE_TTL_MS, RENEW_PERIOD_MS, RESERVATION_TTL_MS,
+  ADOPTION_MS, CHECKPOINT_GRACE_MS, ENDPOINT_CALL_MS, LEASE_TTL_MS, RENEW_PERIOD_MS, RESERVATION_TTL_MS,
   RESOLVE_PERIOD_MS, SCHEDULER_TICK_MS
 } from './constants.ts'
 import { GangRunner } from './gang-runner.ts'
@@ -118,16 +118,22 @@
 
   async submit (request: JobRequest, waitMs: number): Promise<JobStatus> {
     await this.#recovered
-    this.#checkOpen()
-    const entry = this.#findOrCreate(request)
-    return await this.#waitFor(entry, waitMs)
+    const endMs = this.#timers.now() + waitMs
+    for (;;) {
+      this.#checkOpen()
+      const entry = this.#findOrCreate(request)
+      const status = await this.#waitFor(entry, endMs - this.#timers.now())
+      // A forgotten job is found in the record now, or starts again with the payload of this call.
+      if (!entry.isForgotten) return status
+    }
   }
 
   async wait (customer: CustomerId, key: RequestKey, waitMs: number): Promise<JobStatus> {
     await this.#recovered
     this.#checkOpen()
     const entry = this.#jobs.find(customer, key)
-    if (entry) return await this.#waitFor(entry, waitMs)
+    const status = entry && await this.#waitFor(entry, waitMs)
+    if (status && !entry.isForgotten) return status
     const record = this.#options.register.get(customer, key)
     if (record) return toRecordStatus(record)
     throw new IbisError('not-found', `failure domain ${this.#options.domain} knows no request ${key} of customer ${customer}`)
@@ -161,7 +167,6 @@
     // A refusal says "not run", so after the end of this session only work that was never placed gets one.
     const isPlaced = entry.state !== 'queued' || entry.everStarted
     if (!entry.isFinished && !isPlaced) this.#checkOpen()
-    if (entry.isForgotten) throw new IbisError('not-found', `job ${entry.jobId} was lost and its payload is not known here`)
     if (entry.outcome && !entry.request.idempotent) this.#acknowledge(entry)
     return entry.getStatus()
   }
@@ -212,6 +217,7 @@
   }
 
   #create (request: JobRequest, fingerprint: string): JobEntry {
+    if (this.#links.size === 0) throw new IbisError('overloaded', `no endpoint has announced itself in failure domain ${this.#options.domain}`, { retryAfterMs: 1_000 })
     const entry = new JobEntry(asId<JobId>(`${this.#options.sessionId}-${this.#nextJob++}`), request, fingerprint, this.#timers.now())
     this.#jobs.add(entry)
     this.#options.metrics.increment('jobs.submitted')
@@ -227,7 +233,7 @@
 
   #acknowledge (entry: JobEntry): void {
     const { propose } = this.#options
-    if (!propose || entry.isAcknowledged || entry.outcomeBytes < ACKNOWLEDGE_BYTES) return
+    if (!propose || entry.isAcknowledged) return
     entry.isAcknowledged = true
     const { customer, key } = entry.request
     propose({ type: 'acknowledge', customer, key, jobId: entry.jobId, atMs: this.#timers.wallClock() }).catch(() => {})
@@ -317,16 +323,21 @@
       this.#handleRecorded(gang, result)
     } catch (err) {
       // The gang has not been started and its members get fenced, so "not run" is true in any case.
-      const { message } = IbisError.from(err)
-      this.#gangs.handle(gang, { type: 'recorded', ok: false, error: toErrorBody('no-quorum', `the start was not recorded: ${message}`) })
+      const { kind, message } = IbisError.from(err)
+      const reported = kind === 'disk-full' || kind === 'body-too-large' ? kind : 'no-quorum'
+      this.#gangs.handle(gang, { type: 'recorded', ok: false, error: toErrorBody(reported, `the start was not recorded: ${message}`) })
     }
   }
 
   #handleRecorded (gang: Gang, result: JobResult): void {
     if (result.status === 'recorded') return this.#gangs.handle(gang, { type: 'recorded', ok: true })
-    // The other start may have run, so its key must not be reported as "not run".
-    const error = result.status === 'refused' ? result.error : toErrorBody('outcome-unknown', `key ${gang.spec.request.key} was started before as job ${result.record.jobId}`)
-    this.#gangs.handle(gang, { type: 'recorded', ok: false, error })
+    const entry = this.#jobs.get(gang.spec.jobId)
+    if (result.status === 'exists') {
+      // A previous leader recorded a start that this replica had not applied when the request arrived.
+      if (entry) entry.isStartedElsewhere = true
+      return this.#gangs.handle(gang, { type: 'recorded', ok: false })
+    }
+    this.#gangs.handle(gang, { type: 'recorded', ok: false, error: result.error })
   }
 
   #handleStarted (gang: Gang): void {
@@ -336,6 +347,7 @@
     entry.everStarted = true
     entry.startedAfterMs ??= Math.round(this.#timers.now() - entry.arrivedMs)
     this.#options.metrics.timing('jobs.start-wait', entry.startedAfterMs)
+    if (this.#resolving.has(entry.jobId)) this.#renewLeases()
     this.#schedule({ type: 'started', jobId: entry.jobId })
   }
 
@@ -348,6 +360,7 @@
     const outcome: JobOutcome = { state: 'failed', error: error ?? toErrorBody('gang-not-started', 'a member refused or did not answer') }
     if (this.#hasOpenRecord(entry, attempt)) await this.#recordOutcome(entry, attempt, outcome)
     if (this.#isClosed) return
+    if (entry.isStartedElsewhere) return this.#forget(entry)
     if (!error && !wasResolving) {
       entry.state = 'queued'
       return this.#schedule({ type: 'start-failed', jobId, refusedBy })
@@ -377,7 +390,7 @@
     this.#schedule({ type: 'finished', jobId, result: toFinishResult(result), tasks: toReports(gang, result) })
   }
 
-  /** The payload is known to the caller's entry only, which submits again when it finds the job unknown. */
+  /** Callers of a forgotten job are answered from the record, or submit the request again. */
   #forget (entry: JobEntry): void {
     this.#schedule({ type: 'finished', jobId: entry.jobId, result: 'cancelled', tasks: [] })
     this.#jobs.forget(entry)
@@ -394,7 +407,8 @@
     const { customer, key } = entry.request
     while (!this.#isClosed && this.#options.propose) {
       try {
-        await this.#options.propose({ type: 'record-outcome', customer, key, jobId: entry.jobId, attempt, outcome, atMs: this.#timers.wallClock() })
+        const result = await this.#options.propose({ type: 'record-outcome', customer, key, jobId: entry.jobId, attempt, outcome, atMs: this.#timers.wallClock() })
+        if (result.status === 'refused') this.#options.logger.error('the record refused an outcome', { jobId: entry.jobId, kind: result.error.kind, detail: result.error.detail })
         return
       } catch {
         this.#options.metrics.increment('records.outcome-retries')
@@ -438,7 +452,7 @@
     known?.close()
     const link = new EndpointLink(info, this.#timers, {
       handleFinished: (_id, finished) => this.#handleFinishedTasks(finished),
-      handleViews: (views) => this.#gangs.handleViews(views),
+      handleViews: (views, askedMs) => this.#gangs.handleViews(views, askedMs),
       handleUsage: (endpointId, acceleratorsBusy, lagMs) => this.#schedule({ type: 'usage', endpointId, acceleratorsBusy, lagMs }),
       handleContact: (endpointId, isOk) => this.#handleContact(endpointId, isOk)
     })
@@ -453,7 +467,8 @@
   async #learnTasks (link: EndpointLink): Promise<void> {
     try {
       const { id, incarnation } = link.info
-      const found = (await link.listTasks()).map((listing) => ({ endpointId: id, incarnation, listing }))
+      const askedMs = this.#timers.now()
+      const found = (await link.listTasks()).map((listing) => ({ endpointId: id, incarnation, listing, askedMs }))
       if (this.#isRecovering) this.#found.push(...found)
       else this.#adoptAll(found)
     } catch {
@@ -497,6 +512,8 @@
     this.#found = []
     this.#adoptAll(found)
     this.#resolveOpenRecords()
+    // Leases were last renewed before the change of leader, so the next period may be too late.
+    this.#renewLeases()
     this.#options.logger.info('scheduling the failure domain', { domain: this.#options.domain, endpoints: this.#links.size, gangs: this.#gangs.size, degraded: this.isDegraded })
     this.#schedule({ type: 'tick' })
   }
@@ -510,7 +527,7 @@
     }
   }
 
-  #adopt ({ jobId, attempt, job, assignments, views }: FoundGang): void {
+  #adopt ({ jobId, attempt, job, assignments, views, askedMs }: FoundGang): void {
     const request: JobRequest = { ...job, payload: null }
     const entry = new JobEntry(jobId, request, null, this.#timers.now())
     entry.state = 'running'
@@ -518,9 +535,9 @@
     entry.startedAfterMs = 0
     this.#jobs.add(entry)
     this.#options.metrics.increment('gangs.adopted')
-    // A gang that is done ends within `add`, and the scheduler has to know the job before its end.
+    // The scheduler learns of the gang first: one whose members are all done ends within `add`.
     this.#schedule({ type: 'adopt', jobId, job, assignments })
-    this.#gangs.add(Gang.adopt(this.#toSpec(jobId, attempt, request, assignments), views))
+    this.#gangs.add(Gang.adopt(this.#toSpec(jobId, attempt, request, assignments), views, { askedMs }))
   }
 
   /** Recorded work is resolved from its record, which names all members. */
--- a/packages/gang/tests/support/world.ts
+++ b/packages/gang/tests/support/world.ts
@@ -3,9 +3,10 @@
 import type { JobRequest, TaskAnswer } from '@ibisstair/model'
 import { ManualTimerService, RandomSource } from '@ibisstair/timers'
 import type { GangEffect, GangProtection, GangSpec } from '../../src/index.ts'
-import { FakeEndpoint, type Execution, type Work } from './endpoint.ts'
+import { FakeEndpoint, MAX_DRIFT_PER_MILLE, type Execution, type Work } from './endpoint.ts'
 import { FakeNetwork, type NetworkOptions } from './network.ts'
 import { FakeScheduler } from './scheduler.ts'
+import type { Job, SchedulerHost, StartRecord } from './types.ts'
 
 export interface JobPlan {
   readonly atMs: number
@@ -19,6 +20,7 @@
   | { readonly type: 'kill-leader', readonly atStep: number, readonly electionMs: number }
   | { readonly type: 'freeze-leader', readonly atStep: number, readonly freezeMs: number, readonly electionMs: number, readonly deposedAfterMs: number }
   | { readonly type: 'second-leader', readonly atStep: number, readonly electionMs: number, readonly deposedAfterMs: number }
+  | { readonly type: 'kill-leader-at', readonly atMs: number, readonly electionMs: number }
   | { readonly type: 'kill-endpoint', readonly atMs: number, readonly endpoint: number, readonly downMs: number }
   | { readonly type: 'hang-endpoint', readonly atMs: number, readonly endpoint: number, readonly hangMs: number }
   | { readonly type: 'cut', readonly atMs: number, readonly endpoint: number, readonly cutMs: number }
@@ -29,6 +31,9 @@
   readonly endpoints: number
   readonly slots: number
   readonly leaseMs: number
+  readonly renewMs?: number
+  /** Whether the clocks of the endpoints run at different rates. */
+  readonly drifts?: boolean
   readonly network: NetworkOptions
   readonly jobs: readonly JobPlan[]
   readonly faults: readonly Fault[]
@@ -41,18 +46,6 @@
   readonly noTerms?: boolean
 }
 
-export interface Job {
-  readonly id: string
-  readonly request: JobRequest
-  isSubmitted: boolean
-  outcome: string | undefined
-}
-
-interface StartRecord {
-  readonly spec: GangSpec
-  outcome: string | undefined
-}
-
 /** The domain group's record of non-idempotent starts: accepts proposals of the newest term only. */
 class FakeRegister {
   readonly #records = new Map<string, StartRecord>()
@@ -103,9 +96,10 @@
 }
 
 const END_MS = 120_000
+const RENEW_MS = 1_000
 
 /** Gangs and task tables on virtual time with faults; `run` returns what it found wrong. */
-export class World {
+export class World implements SchedulerHost {
   readonly timers = new ManualTimerService()
   readonly random: RandomSource
   readonly network: FakeNetwork
@@ -114,7 +108,10 @@
   readonly jobs: readonly Job[]
   readonly executions: Execution[] = []
   readonly reports: Report[] = []
+  readonly findings: string[] = []
+  readonly #specs = new Map<string, GangSpec>()
   readonly leaseMs: number
+  readonly renewMs: number
   readonly unsafeGang: Partial<Record<GangProtection, boolean>>
   readonly #scenario: Scenario
   readonly #schedulers: FakeScheduler[] = []
@@ -125,12 +122,13 @@
   constructor (scenario: Scenario, unsafe: Unsafe = {}) {
     this.#scenario = scenario
     this.leaseMs = scenario.leaseMs
+    this.renewMs = scenario.renewMs ?? RENEW_MS
     this.unsafeGang = unsafe.gang ?? {}
     this.random = new RandomSource(scenario.seed)
     this.network = new FakeNetwork(scenario.network, this.timers, this.random)
     this.register = new FakeRegister(this.timers, this.random, unsafe.noTerms ?? false)
     this.endpoints = Array.from({ length: scenario.endpoints }, (_, i) =>
-      new FakeEndpoint(`e${i}`, scenario.slots, this.executions, this.timers, this.random, unsafe.table ?? {}))
+      new FakeEndpoint(`e${i}`, scenario.slots, this.executions, this.timers, this.random, scenario.drifts ?? false, unsafe.table ?? {}, (taskId) => this.#checkArmed(taskId)))
     this.jobs = scenario.jobs.map((plan, i) => ({ id: `j${i}`, request: World.#toRequest(plan, i), isSubmitted: false, outcome: undefined }))
     this.#leader = this.#elect()
   }
@@ -158,6 +156,24 @@
     job.outcome ??= outcome
   }
 
+  onOpened (spec: GangSpec): void {
+    const { taskId } = spec.assignments[0]!
+    const prefix = taskId.slice(0, taskId.lastIndexOf('.'))
+    if (!this.#specs.has(prefix)) this.#specs.set(prefix, spec)
+  }
+
+  /** When a task starts, every member of its gang has been armed. */
+  #checkArmed (taskId: string): void {
+    const spec = this.#specs.get(taskId.slice(0, taskId.lastIndexOf('.')))
+    if (!spec || spec.assignments.length === 1) return
+    for (const member of spec.assignments) {
+      const endpoint = this.getEndpoint(member.endpointId)
+      if (!endpoint.isUp || endpoint.incarnation !== member.incarnation) continue
+      const { phase } = endpoint.table.getView(member.taskId)
+      if (phase === 'absent' || phase === 'reserved') this.findings.push(`armed: ${taskId} starts while ${member.taskId} is ${phase}`)
+    }
+  }
+
   onReported (spec: GangSpec, effects: readonly GangEffect[]): void {
     for (const effect of effects) {
       if (effect.type === 'finished' || effect.type === 'not-started') this.reports.push({ spec, effect })
@@ -165,8 +181,8 @@
   }
 
   /** Counts the effects of leaders, so that a fault can strike after each of them. */
-  onStep (scheduler: FakeScheduler): void {
-    if (scheduler !== this.#leader || this.#isElecting) return
+  onStep (schedulerId: number): void {
+    if (schedulerId !== this.#leader.id || this.#isElecting) return
     this.#steps += 1
     for (const fault of this.#scenario.faults) {
       if ('atStep' in fault && fault.atStep === this.#steps) this.#strikeLeader(fault)
@@ -225,6 +241,10 @@
 
   #strike (fault: Fault & { atMs: number }): void {
     switch (fault.type) {
+      case 'kill-leader-at':
+        this.#leader.kill()
+        this.#replaceLeader(fault.electionMs, 0)
+        return
       case 'kill-endpoint': {
         const endpoint = this.endpoints[fault.endpoint % this.endpoints.length]!
         endpoint.kill()
@@ -255,6 +275,7 @@
 
   #check (): string[] {
     return [
+      ...new Set(this.findings),
       ...this.#checkWhole(),
       ...this.#checkResults(),
       ...this.#checkNotRun(),
@@ -270,7 +291,8 @@
       const gang = execution.taskId.slice(0, execution.taskId.lastIndexOf('.'))
       gangs.set(gang, [...gangs.get(gang) ?? [], execution])
     }
-    const bound = this.leaseMs + 2 * this.network.worstDelayMs + 10
+    const drift = this.#scenario.drifts ? 2 * MAX_DRIFT_PER_MILLE / 1_000 : 0
+    const bound = this.leaseMs * (1 + drift) + 2 * this.network.worstDelayMs + 10
     return [...gangs].flatMap(([gang, executions]) => {
       const tasks = this.jobs.find(({ id }) => id === executions[0]!.jobId)!.request.shape.tasks
       if (tasks === 1) return []
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -22,8 +22,13 @@
 export const WAIT_POLL_MS = 10_000
 /** A submit waits this long for the outcome, so that short work needs one call. */
 export const SUBMIT_WAIT_MS = 1_000
-/** Short, so that a domain which is cut off leaves time to submit to another one before the deadline. */
-export const REPEAT_CALL_MS = 500
+/**
+ * A domain that may have taken idempotent work and does not say so is given up after this time: it
+ * covers detection, election and adoption, and leaves time to start elsewhere within 8.7 s.
+ */
+export const UNCONFIRMED_SILENCE_MS = 4_500
+/** Deadline of a probe; short, so that a silent connection is left soon. */
+export const PROBE_CALL_MS = 500
 export const CONTROL_CALL_MS = 2_000
 /** How long a caller's connection is held without an outcome before it gets status 202. */
 export const MAX_HELD_MS = 600_000
--- a/packages/model/src/request.ts
+++ b/packages/model/src/request.ts
@@ -1,6 +1,6 @@
 import { checkValue, type CustomerId, type DomainId, IbisError, rankByRendezvous, type RequestKey } from '@ibisstair/common'
 import { createHash } from 'node:crypto'
-import { MAX_PAYLOAD_DEPTH, URGENCIES } from './constants.ts'
+import { DEFAULT_DEADLINE_FACTOR, MAX_DEADLINE_MS, MAX_PAYLOAD_DEPTH, URGENCIES } from './constants.ts'
 import { encodeCanonical, exceedsDepth } from './canonical.ts'
 import { JobRequestSchema } from './schemas.ts'
 import { describeShape, largestGang } from './shape.ts'
@@ -86,7 +86,7 @@
     urgency: fields.urgency ?? kind.urgency,
     idempotent: fields.idempotent ?? kind.idempotent,
     expectedRunMs: fields.expectedRunMs ?? kind.expectedRunMs,
-    deadlineMs: fields.deadlineMs ?? kind.objective.startWithinMs
+    deadlineMs: fields.deadlineMs ?? Math.min(MAX_DEADLINE_MS, DEFAULT_DEADLINE_FACTOR * kind.objective.startWithinMs)
   }
   checkUrgency(request.urgency, kind)
   checkIdempotent(request.idempotent, kind)
@@ -96,7 +96,7 @@
 }
 
 export const toMetadata = (request: JobRequest): JobMetadata => {
-  const { payload, ...metadata } = request
+  const { payload, resend, ...metadata } = request
   return metadata
 }
 
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -103,11 +103,16 @@
   readonly expectedRunMs: number
   readonly idempotent: boolean
   readonly homeDomain?: DomainId
+  /**
+   * False: nothing was submitted under this key before, so a refusal can say "not run" even where the
+   * record can't be asked. True: the key was submitted before. Absent: not known.
+   */
+  readonly resend?: boolean
   readonly payload: unknown
 }
 
 /** What travels with a reservation so that a new leader can adopt the job. */
-export type JobMetadata = Omit<JobRequest, 'payload'>
+export type JobMetadata = Omit<JobRequest, 'payload' | 'resend'>
 
 export interface TaskAnswer {
   readonly index: number
--- a/packages/scheduler/src/fleet.ts
+++ b/packages/scheduler/src/fleet.ts
@@ -85,6 +85,21 @@
     this.#noteLayout()
   }
 
+  setQuarantined (id: EndpointId, quarantined: boolean): void {
+    const worker = this.#workers.get(id)
+    if (!worker || worker.quarantined === quarantined) return
+    worker.quarantined = quarantined
+    this.reindex(worker)
+    this.#noteLayout()
+  }
+
+  /** A short pause: the index leaves the worker out, and homes stay where they are. */
+  setRefusing (worker: Worker, refusing: boolean): void {
+    worker.refusing = refusing
+    this.reindex(worker)
+    if (!refusing) this.epoch += 1
+  }
+
   allocate (job: Job, allocations: readonly Allocation[]): void {
     for (const { worker, tasks } of allocations) {
       worker.freeAccelerators -= tasks * job.shape.acceleratorsPerTask
@@ -108,7 +123,7 @@
     this.epoch += 1
   }
 
-  /** Promises capacity to a queued job (`sign` 1) or takes the promise back (-1). */
+  /** Promises capacity that victims leave to a queued job (`sign` 1) or takes the promise back (-1). */
   claim (job: Job, allocations: readonly Allocation[], sign: 1 | -1): void {
     for (const { worker, tasks } of allocations) {
       worker.claimedAccelerators += sign * tasks * job.shape.acceleratorsPerTask
@@ -118,6 +133,16 @@
     if (sign === -1) this.epoch += 1
   }
 
+  /** Collects capacity for a planned start (`sign` 1) or gives it up (-1). */
+  collect (job: Job, allocations: readonly Allocation[], sign: 1 | -1): void {
+    for (const { worker, tasks } of allocations) {
+      worker.collectedAccelerators += sign * tasks * job.shape.acceleratorsPerTask
+      worker.collectedSlots += sign * tasks * job.shape.slotsPerTask
+      this.reindex(worker)
+    }
+    if (sign === -1) this.epoch += 1
+  }
+
   /** Brings the index and the sums up to date after a change of one worker. */
   reindex (worker: Worker): void {
     const usable = worker.isUsable && this.#workers.get(worker.id) === worker
--- a/scripts/callers.ts
+++ b/scripts/callers.ts
@@ -57,7 +57,7 @@
     const entry = entries[turn % entries.length]!
     try {
       // The caller's key makes a resend after a lost connection safe.
-      const reply = await call(entry, 'POST', `/v1/requests?waitMs=${giveUpMs}`, body, {}, giveUpMs)
+      const reply = await call(entry, 'POST', `/v1/requests?waitMs=${giveUpMs}`, { ...body, resend: turn > first }, {}, giveUpMs)
       if (reply.status === 202) continue
       const { answer, error } = reply.body
       const isRefusedForNow = error?.execution === 'not-run' && (reply.status === 503 || reply.status === 429) && Date.now() + RETRY_MS < end
--- a/scripts/stand-in-endpoint.ts
+++ b/scripts/stand-in-endpoint.ts
@@ -26,7 +26,7 @@
 export interface Faults {
   /** Every task fails as soon as it starts. */
   fail?: boolean
-  /** Tasks never finish. */
+  /** Tasks do not finish while this is set. */
   hang?: boolean
   /** No request gets an answer, and no announcement is sent. */
   silent?: boolean
@@ -70,6 +70,7 @@
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024
 const MAX_RECORDS = 100_000
+const HANG_CHECK_MS = 200
 
 export class StandInEndpoint {
   readonly #options: StandInOptions
@@ -104,6 +105,10 @@
     return (this.#server.address() as AddressInfo).port
   }
 
+  get freeAccelerators (): number {
+    return this.#table.getStats().freeAccelerators
+  }
+
   async start (): Promise<void> {
     await new Promise<void>((resolve) => { this.#server.listen(0, '127.0.0.1', resolve) })
     this.#stops.push(this.#timers.every(this.#options.announceMs ?? 1000, () => this.announce()))
@@ -261,19 +266,21 @@
     const record: StartRecord = { taskId, customer, key, kind, index: grant.index, tasks: shape.tasks, atMs: this.#timers.wallClock() }
     if (this.records.length < MAX_RECORDS) this.records.push(record)
     const isFailing = this.faults.fail === true || fail
-    const stop = this.faults.hang
-      ? () => {}
-      : this.#timers.subscribe(isFailing ? 1 : runMs, () => {
-        this.#running.delete(taskId)
-        Object.assign(record, { endMs: this.#timers.wallClock(), end: isFailing ? 'failed' : 'done' })
-        const outcome = isFailing
-          ? { state: 'failed', error: 'told to fail' } as const
-          : { state: 'done', answer: answer ?? { key, index: grant.index } } as const
-        this.#apply(this.#table.complete(taskId, outcome, this.#timers.now()))
-        this.#finished.push(taskId)
-        for (const wake of [...this.#waiting]) wake()
-      })
-    this.#running.set(taskId, { stop, record })
+    const finish = (): void => {
+      if (this.faults.hang) {
+        this.#running.set(taskId, { stop: this.#timers.subscribe(HANG_CHECK_MS, finish), record })
+        return
+      }
+      this.#running.delete(taskId)
+      Object.assign(record, { endMs: this.#timers.wallClock(), end: isFailing ? 'failed' : 'done' })
+      const outcome = isFailing
+        ? { state: 'failed', error: 'told to fail' } as const
+        : { state: 'done', answer: answer ?? { key, index: grant.index } } as const
+      this.#apply(this.#table.complete(taskId, outcome, this.#timers.now()))
+      this.#finished.push(taskId)
+      for (const wake of [...this.#waiting]) wake()
+    }
+    this.#running.set(taskId, { stop: this.#timers.subscribe(isFailing ? 1 : runMs, finish), record })
   }
 
   #kill (taskId: TaskId): void {
