timers: never fire before the requested time

Conclusion: the guard in GangRunner stays as its test demands; no other user of the service needs one.

--- a/packages/timers/src/system.ts
+++ b/packages/timers/src/system.ts
@@ -10,7 +10,15 @@
   }
 
   subscribe (delayMs: number, fn: () => void): Unsubscribe {
-    const handle = setTimeout(fn, Math.max(0, delayMs))
+    const dueMs = this.now() + Math.max(0, delayMs)
+    // Node's timers count whole milliseconds and can fire up to one early by this clock; a caller that
+    // compares the time with its deadline would then wait for a timer that has already fired.
+    const fire = (): void => {
+      const leftMs = dueMs - this.now()
+      if (leftMs <= 0) return fn()
+      handle = setTimeout(fire, Math.ceil(leftMs))
+    }
+    let handle = setTimeout(fire, Math.max(0, delayMs))
     return () => clearTimeout(handle)
   }
 
