--- a/scripts/stand-in-endpoint.ts
+++ b/scripts/stand-in-endpoint.ts
@@ -2,8 +2,9 @@
 // over the TaskTable, "runs" tasks by waiting, and can be told to misbehave through POST /control.
 import { createServer, request as httpRequest, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { asId, type EndpointId, type TaskId } from '@ibisstair/common'
+import { asId, type DomainId, type EndpointId, type RackId, type TaskId } from '@ibisstair/common'
 import { TaskTable, type TaskEffect, type TaskRenewal, type TaskRequest } from '@ibisstair/endpoint-tasks'
+import type { EndpointInfo } from '@ibisstair/model'
 import { parseJson, readBody, sendJson } from '@ibisstair/rpc'
 import { SystemTimerService, type Unsubscribe } from '@ibisstair/timers'
 
@@ -105,6 +106,24 @@
     return (this.#server.address() as AddressInfo).port
   }
 
+  /** Itself as its last announcement described it. */
+  get info (): EndpointInfo {
+    const { domain, rack, connections } = this.#options
+    return {
+      id: this.id,
+      incarnation: this.#incarnation,
+      sequence: this.#sequence,
+      address: '127.0.0.1',
+      port: (this.#server.address() as AddressInfo).port,
+      domain: asId<DomainId>(domain),
+      rack: asId<RackId>(rack),
+      slots: this.#slots,
+      connections: connections ?? 64,
+      accelerators: this.#accelerators,
+      leaving: this.#leaving
+    }
+  }
+
   get freeAccelerators (): number {
     return this.#table.getStats().freeAccelerators
   }
