--- a/packages/control/src/constants.ts
+++ b/packages/control/src/constants.ts
@@ -21,6 +21,8 @@
 /** Without a leader and without a majority for this long, a process schedules idempotent work alone. */
 export const DEGRADED_AFTER_MS = 5_000
 export const PROPOSE_MS = 1_500
+/** Pause before an outcome that was not committed is proposed again. */
+export const RECORD_RETRY_MS = 100
 /** How often records without an outcome are looked through. */
 export const RESOLVE_PERIOD_MS = 1_000
 /** Finished jobs that are kept for callers who ask by key. */
--- /dev/null
+++ b/packages/control/src/records.ts
@@ -0,0 +1,93 @@
+import { IbisError, type ErrorBody, type JobId } from '@ibisstair/common'
+import type { GangSpec } from '@ibisstair/gang'
+import { toMetadata, type JobOutcome, type JobRequest } from '@ibisstair/model'
+import type { JobCommand, JobRegister, JobResult } from '@ibisstair/registers'
+import type { Logger, Metrics } from '@ibisstair/telemetry'
+import type { TimerService } from '@ibisstair/timers'
+import { RECORD_RETRY_MS } from './constants.ts'
+import { toErrorBody, type JobEntry } from './jobs.ts'
+
+export interface RecordKeeperOptions {
+  readonly register: JobRegister
+  /** Null in degraded mode: without a quorum no non-idempotent work is started. */
+  readonly propose: ((command: JobCommand) => Promise<JobResult>) | null
+  readonly timers: TimerService
+  readonly metrics: Metrics
+  readonly logger: Logger
+}
+
+export type StartRecording =
+  | { readonly state: 'recorded' }
+  /** The record names another job that was started under the same key. */
+  | { readonly state: 'started-elsewhere' }
+  | { readonly state: 'refused', readonly error: ErrorBody }
+
+/** Writes the starts and outcomes of non-idempotent work to the domain's replicated record. */
+export class RecordKeeper {
+  readonly #options: RecordKeeperOptions
+  #isClosed = false
+
+  constructor (options: RecordKeeperOptions) {
+    this.#options = options
+  }
+
+  /** Ends repeated attempts: another leader resolves what is left open. */
+  close (): void {
+    this.#isClosed = true
+  }
+
+  get canRecord (): boolean {
+    return this.#options.propose !== null
+  }
+
+  /** Never rejects. After a refusal the gang must not start, which keeps "not run" true. */
+  async recordStart ({ jobId, attempt, assignments, request }: GangSpec, fingerprint: string | null): Promise<StartRecording> {
+    const { propose, timers } = this.#options
+    if (!propose || fingerprint === null) return { state: 'refused', error: toErrorBody('no-quorum', 'the start cannot be recorded without a majority') }
+    try {
+      const { customer, key } = request
+      const result = await propose({
+        type: 'record-start', customer, key, jobId, attempt, fingerprint, metadata: toMetadata(request), assignments, atMs: timers.wallClock()
+      })
+      if (result.status === 'refused') return { state: 'refused', error: result.error }
+      return { state: result.status === 'exists' ? 'started-elsewhere' : 'recorded' }
+    } catch (err) {
+      const { kind, message } = IbisError.from(err)
+      const reported = kind === 'disk-full' || kind === 'body-too-large' ? kind : 'no-quorum'
+      return { state: 'refused', error: toErrorBody(reported, `the start was not recorded: ${message}`) }
+    }
+  }
+
+  /** Whether this attempt has a start without an outcome in the record. */
+  isOpen (jobId: JobId, { idempotent, customer, key }: JobRequest, attempt: number): boolean {
+    if (idempotent) return false
+    const record = this.#options.register.get(customer, key)
+    return record !== undefined && record.jobId === jobId && record.attempt === attempt && !record.outcome
+  }
+
+  /** Repeats until the outcome is committed or this process leads no more. */
+  async recordOutcome (entry: JobEntry, attempt: number, outcome: JobOutcome): Promise<void> {
+    const { propose, timers, metrics, logger } = this.#options
+    const { customer, key } = entry.request
+    if (!propose) return
+    while (!this.#isClosed) {
+      try {
+        const result = await propose({ type: 'record-outcome', customer, key, jobId: entry.jobId, attempt, outcome, atMs: timers.wallClock() })
+        if (result.status === 'refused') logger.error('the record refused an outcome', { jobId: entry.jobId, kind: result.error.kind, detail: result.error.detail })
+        return
+      } catch {
+        metrics.increment('records.outcome-retries')
+        await timers.delay(RECORD_RETRY_MS)
+      }
+    }
+  }
+
+  /** The answer went out, so the record may release it when room is short. */
+  acknowledge (entry: JobEntry): void {
+    const { propose, timers } = this.#options
+    if (!propose || entry.isAcknowledged) return
+    entry.isAcknowledged = true
+    const { customer, key } = entry.request
+    propose({ type: 'acknowledge', customer, key, jobId: entry.jobId, atMs: timers.wallClock() }).catch(() => {})
+  }
+}
--- a/packages/control/src/session.ts
+++ b/packages/control/src/session.ts
@@ -1,11 +1,11 @@
-import { asId, assertNever, IbisError, type CustomerId, type DomainId, type EndpointId, type ErrorBody, type JobId, type RequestKey, type TaskId } from '@ibisstair/common'
+import { asId, assertNever, IbisError, type CustomerId, type DomainId, type EndpointId, type JobId, type RequestKey, type TaskId } from '@ibisstair/common'
 import type { FinishedTask } from '@ibisstair/endpoint-client'
 import type { TaskView } from '@ibisstair/endpoint-tasks'
 import { Gang, type GangEffect, type GangResult, type GangSpec } from '@ibisstair/gang'
 import type { EndpointChange, EndpointDirectory } from '@ibisstair/membership'
 import { fingerprintRequest, getDomainShare, toMetadata, type Assignment, type Config, type EndpointInfo, type JobOutcome, type JobRequest, type JobStatus } from '@ibisstair/model'
 import type { JobCommand, JobRecord, JobRegister, JobResult } from '@ibisstair/registers'
-import type { Decision, DomainScheduler, Explanation, FinishResult, TaskReport } from '@ibisstair/scheduler'
+import type { Decision, DomainScheduler, Explanation } from '@ibisstair/scheduler'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { groupIntoGangs, type FoundGang, type FoundTask } from './adoption.ts'
@@ -16,6 +16,8 @@
 import { GangRunner } from './gang-runner.ts'
 import { isNotRun, JobEntry, JobTable, toErrorBody, toFailure } from './jobs.ts'
 import { EndpointLink } from './link.ts'
+import { mayRunAgain, toFinishResult, toOutcome, toRecordStatus, toReports } from './outcomes.ts'
+import { RecordKeeper } from './records.ts'
 
 export interface SessionOptions {
   readonly domain: DomainId
@@ -39,6 +41,7 @@
   readonly #options: SessionOptions
   readonly #timers: TimerService
   readonly #jobs: JobTable
+  readonly #records: RecordKeeper
   readonly #gangs: GangRunner
   readonly #links = new Map<EndpointId, EndpointLink>()
   readonly #stops: Unsubscribe[] = []
@@ -53,6 +56,7 @@
     this.#options = options
     this.#timers = options.timers
     this.#jobs = new JobTable(options.timers)
+    this.#records = new RecordKeeper(options)
     this.#gangs = new GangRunner(options.timers, {
       getLink: (endpointId) => this.#links.get(endpointId),
       recordStart: (gang) => { this.#recordStart(gang).catch((err: Error) => this.#logUnexpected(err)) },
@@ -74,6 +78,7 @@
 
   close (): void {
     this.#isClosed = true
+    this.#records.close()
     for (const stop of this.#stops) stop()
     this.#gangs.depose()
     for (const link of this.#links.values()) link.close()
@@ -82,7 +87,7 @@
   }
 
   get isDegraded (): boolean {
-    return this.#options.propose === null
+    return !this.#records.canRecord
   }
 
   getStats (): object {
@@ -167,7 +172,7 @@
     // A refusal says "not run", so after the end of this session only work that was never placed gets one.
     const isPlaced = entry.state !== 'queued' || entry.everStarted
     if (!entry.isFinished && !isPlaced) this.#checkOpen()
-    if (entry.outcome && !entry.request.idempotent) this.#acknowledge(entry)
+    if (entry.outcome && !entry.request.idempotent) this.#records.acknowledge(entry)
     return entry.getStatus()
   }
 
@@ -231,14 +236,6 @@
     this.#options.metrics.increment(outcome.state === 'done' ? 'jobs.done' : `jobs.failed.${outcome.error.kind}`)
   }
 
-  #acknowledge (entry: JobEntry): void {
-    const { propose } = this.#options
-    if (!propose || entry.isAcknowledged) return
-    entry.isAcknowledged = true
-    const { customer, key } = entry.request
-    propose({ type: 'acknowledge', customer, key, jobId: entry.jobId, atMs: this.#timers.wallClock() }).catch(() => {})
-  }
-
   // Decisions
 
   #schedule (event: Parameters<DomainScheduler['handle']>[0]): void {
@@ -302,42 +299,17 @@
   // Gangs
 
   async #recordStart (gang: Gang): Promise<void> {
-    const { jobId, attempt, assignments, request } = gang.spec
-    const entry = this.#jobs.get(jobId)
-    const { propose } = this.#options
-    if (!entry?.fingerprint || !propose) {
-      return this.#gangs.handle(gang, { type: 'recorded', ok: false, error: toErrorBody('no-quorum', 'the start cannot be recorded without a majority') })
-    }
-    try {
-      const result = await propose({
-        type: 'record-start',
-        customer: request.customer,
-        key: request.key,
-        jobId,
-        attempt,
-        fingerprint: entry.fingerprint,
-        metadata: toMetadata(request),
-        assignments,
-        atMs: this.#timers.wallClock()
-      })
-      this.#handleRecorded(gang, result)
-    } catch (err) {
-      // The gang has not been started and its members get fenced, so "not run" is true in any case.
-      const { kind, message } = IbisError.from(err)
-      const reported = kind === 'disk-full' || kind === 'body-too-large' ? kind : 'no-quorum'
-      this.#gangs.handle(gang, { type: 'recorded', ok: false, error: toErrorBody(reported, `the start was not recorded: ${message}`) })
-    }
-  }
-
-  #handleRecorded (gang: Gang, result: JobResult): void {
-    if (result.status === 'recorded') return this.#gangs.handle(gang, { type: 'recorded', ok: true })
     const entry = this.#jobs.get(gang.spec.jobId)
-    if (result.status === 'exists') {
-      // A previous leader recorded a start that this replica had not applied when the request arrived.
-      if (entry) entry.isStartedElsewhere = true
-      return this.#gangs.handle(gang, { type: 'recorded', ok: false })
+    const recording = await this.#records.recordStart(gang.spec, entry?.fingerprint ?? null)
+    switch (recording.state) {
+      case 'recorded': return this.#gangs.handle(gang, { type: 'recorded', ok: true })
+      case 'refused': return this.#gangs.handle(gang, { type: 'recorded', ok: false, error: recording.error })
+      case 'started-elsewhere':
+        // A previous leader recorded a start that this replica had not applied when the request arrived.
+        if (entry) entry.isStartedElsewhere = true
+        return this.#gangs.handle(gang, { type: 'recorded', ok: false })
+      default: return assertNever(recording)
     }
-    this.#gangs.handle(gang, { type: 'recorded', ok: false, error: result.error })
   }
 
   #handleStarted (gang: Gang): void {
@@ -358,7 +330,7 @@
     this.#options.metrics.increment('gangs.not-started')
     const wasResolving = this.#resolving.delete(jobId)
     const outcome: JobOutcome = { state: 'failed', error: error ?? toErrorBody('gang-not-started', 'a member refused or did not answer') }
-    if (this.#hasOpenRecord(entry, attempt)) await this.#recordOutcome(entry, attempt, outcome)
+    if (this.#records.isOpen(jobId, entry.request, attempt)) await this.#records.recordOutcome(entry, attempt, outcome)
     if (this.#isClosed) return
     if (entry.isStartedElsewhere) return this.#forget(entry)
     if (!error && !wasResolving) {
@@ -379,7 +351,7 @@
     if (!entry) return
     if (result.state !== 'cancelled' || result.everStarted) entry.everStarted = true
     const outcome = toOutcome(result, request.idempotent)
-    if (outcome && this.#hasOpenRecord(entry, attempt)) await this.#recordOutcome(entry, attempt, outcome)
+    if (outcome && this.#records.isOpen(jobId, entry.request, attempt)) await this.#records.recordOutcome(entry, attempt, outcome)
     if (this.#isClosed) return
     this.#gangs.handle(gang, { type: 'delivered' })
     if (result.state === 'failed') entry.lastError = result.error
@@ -396,27 +368,6 @@
     this.#jobs.forget(entry)
   }
 
-  #hasOpenRecord ({ request }: JobEntry, attempt: number): boolean {
-    if (request.idempotent) return false
-    const record = this.#options.register.get(request.customer, request.key)
-    return record !== undefined && record.attempt === attempt && !record.outcome
-  }
-
-  /** Repeats until the outcome is committed or this process leads no more. */
-  async #recordOutcome (entry: JobEntry, attempt: number, outcome: JobOutcome): Promise<void> {
-    const { customer, key } = entry.request
-    while (!this.#isClosed && this.#options.propose) {
-      try {
-        const result = await this.#options.propose({ type: 'record-outcome', customer, key, jobId: entry.jobId, attempt, outcome, atMs: this.#timers.wallClock() })
-        if (result.status === 'refused') this.#options.logger.error('the record refused an outcome', { jobId: entry.jobId, kind: result.error.kind, detail: result.error.detail })
-        return
-      } catch {
-        this.#options.metrics.increment('records.outcome-retries')
-        await this.#timers.delay(SCHEDULER_TICK_MS)
-      }
-    }
-  }
-
   // Records without an outcome
 
   #resolveOpenRecords (): void {
@@ -562,50 +513,3 @@
     this.#options.logger.error('unexpected error in the scheduling session', { detail: err.message, stack: err.stack ?? '' })
   }
 }
-
-const toRecordStatus = ({ jobId, key, customer, outcome }: JobRecord): JobStatus => {
-  const common = { jobId, key, customer }
-  if (!outcome) return { ...common, state: 'running' }
-  if (outcome.state !== 'released') return { ...common, state: outcome.state, outcome }
-  const err = new IbisError('not-found', 'the work ran to its end; its answer was released after it had been delivered', { execution: 'ran' })
-  return { ...common, state: 'failed', outcome: { state: 'failed', error: err.toBody() } }
-}
-
-const mayRunAgain = (result: GangResult, isIdempotent: boolean): boolean =>
-  isIdempotent && (result.state === 'failed' || result.state === 'lost' || result.state === 'preempted')
-
-const toOutcome = (result: GangResult, isIdempotent: boolean): JobOutcome | null => {
-  const fail = (error: ErrorBody): JobOutcome => ({ state: 'failed', error })
-  switch (result.state) {
-    case 'done': return { state: 'done', answers: result.answers }
-    case 'failed':
-    case 'unknown': return fail(result.error)
-    case 'cancelled': return fail(result.everStarted
-      ? toErrorBody('cancelled-running', 'cancelled while it ran')
-      : toErrorBody('cancelled', 'cancelled before it ran'))
-    case 'preempted': return fail(toErrorBody('preempted', 'stopped to give a guaranteed shape back to its customer'))
-    case 'lost': return isIdempotent ? null : fail(toErrorBody('outcome-unknown', 'a member was lost'))
-    case 'deposed': return null
-    default: return assertNever(result)
-  }
-}
-
-const toFinishResult = (result: GangResult): FinishResult => {
-  switch (result.state) {
-    case 'done': return 'ok'
-    case 'failed': return 'failed'
-    case 'lost':
-    case 'unknown': return 'lost'
-    case 'cancelled': return 'cancelled'
-    case 'preempted': return 'preempted'
-    case 'deposed': return 'lost'
-    default: return assertNever(result)
-  }
-}
-
-const toReports = (gang: Gang, result: GangResult): TaskReport[] => {
-  if (result.state !== 'done' && result.state !== 'failed') return []
-  const failedBy = new Set(result.state === 'failed' ? result.failedBy : [])
-  const runMs = result.state === 'done' ? result.runMs : 0
-  return gang.spec.assignments.map(({ index, endpointId }) => ({ index, endpointId, ok: !failedBy.has(endpointId), runMs }))
-}
