gateway, control: match on unions with ts-pattern, reuse the health of peers, bound bodies by bytes

Cause: the read-through found that no package used ts-pattern, that DomainClient kept its own list of silent processes beside PeerDirectory, and that the bound on waiting callers was applied before a request was known, so that its refusal could not be qualified. Change: routes of the HTTP interfaces, decisions, effects and results are matched exhaustively; DomainClient orders control processes by PeerDirectory; bodies in progress are bounded by 32 MiB.

--- a/packages/control/src/gang-runner.ts
+++ b/packages/control/src/gang-runner.ts
@@ -1,7 +1,8 @@
-import { assertNever, type EndpointId, type JobId, type TaskId } from '@ibisstair/common'
+import type { EndpointId, JobId, TaskId } from '@ibisstair/common'
 import type { CallResult, TaskRenewal, TaskView } from '@ibisstair/endpoint-tasks'
 import { buildTaskRequest, type Gang, type GangEffect, type GangEvent, type GangResult } from '@ibisstair/gang'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
+import { match } from 'ts-pattern'
 import type { EndpointLink } from './link.ts'
 
 export interface GangOwner {
@@ -94,15 +95,14 @@
   }
 
   #carryOut (gang: Gang, effect: GangEffect): void {
-    switch (effect.type) {
-      case 'call': return this.#call(gang, effect)
-      case 'wake': return this.#wake(gang, effect.atMs)
-      case 'record-start': return this.#owner.recordStart(gang)
-      case 'started': return this.#owner.handleStarted(gang)
-      case 'not-started': return this.#owner.handleNotStarted(gang, effect)
-      case 'finished': return this.#owner.handleResult(gang, effect.result)
-      default: assertNever(effect)
-    }
+    match(effect)
+      .with({ type: 'call' }, (call) => this.#call(gang, call))
+      .with({ type: 'wake' }, ({ atMs }) => this.#wake(gang, atMs))
+      .with({ type: 'record-start' }, () => this.#owner.recordStart(gang))
+      .with({ type: 'started' }, () => this.#owner.handleStarted(gang))
+      .with({ type: 'not-started' }, (notStarted) => this.#owner.handleNotStarted(gang, notStarted))
+      .with({ type: 'finished' }, ({ result }) => this.#owner.handleResult(gang, result))
+      .exhaustive()
   }
 
   #call (gang: Gang, effect: GangEffect & { type: 'call' }): void {
--- a/packages/control/src/outcomes.ts
+++ b/packages/control/src/outcomes.ts
@@ -1,8 +1,9 @@
-import { assertNever, IbisError, type ErrorBody } from '@ibisstair/common'
+import { IbisError, type ErrorBody } from '@ibisstair/common'
 import type { Gang, GangResult } from '@ibisstair/gang'
 import type { JobOutcome, JobStatus } from '@ibisstair/model'
 import type { JobRecord } from '@ibisstair/registers'
 import type { FinishResult, TaskReport } from '@ibisstair/scheduler'
+import { match } from 'ts-pattern'
 import { toErrorBody } from './jobs.ts'
 
 /** A request as the domain's record knows it. */
@@ -18,36 +19,27 @@
 export const mayRunAgain = (result: GangResult, isIdempotent: boolean): boolean =>
   isIdempotent && (result.state === 'failed' || result.state === 'lost' || result.state === 'preempted')
 
+const fail = (error: ErrorBody): JobOutcome => ({ state: 'failed', error })
+
 /** What the caller is told, or null when the job runs again or another leader answers. */
-export const toOutcome = (result: GangResult, isIdempotent: boolean): JobOutcome | null => {
-  const fail = (error: ErrorBody): JobOutcome => ({ state: 'failed', error })
-  switch (result.state) {
-    case 'done': return { state: 'done', answers: result.answers }
-    case 'failed':
-    case 'unknown': return fail(result.error)
-    case 'cancelled': return fail(result.everStarted
-      ? toErrorBody('cancelled-running', 'cancelled while it ran')
-      : toErrorBody('cancelled', 'cancelled before it ran'))
-    case 'preempted': return fail(toErrorBody('preempted', 'stopped to give a guaranteed shape back to its customer'))
-    case 'lost': return isIdempotent ? null : fail(toErrorBody('outcome-unknown', 'a member was lost'))
-    case 'deposed': return null
-    default: return assertNever(result)
-  }
-}
+export const toOutcome = (result: GangResult, isIdempotent: boolean): JobOutcome | null =>
+  match<GangResult, JobOutcome | null>(result)
+    .with({ state: 'done' }, ({ answers }) => ({ state: 'done', answers }))
+    .with({ state: 'failed' }, { state: 'unknown' }, ({ error }) => fail(error))
+    .with({ state: 'cancelled', everStarted: true }, () => fail(toErrorBody('cancelled-running', 'cancelled while it ran')))
+    .with({ state: 'cancelled', everStarted: false }, () => fail(toErrorBody('cancelled', 'cancelled before it ran')))
+    .with({ state: 'preempted' }, () => fail(toErrorBody('preempted', 'stopped to give a guaranteed shape back to its customer')))
+    .with({ state: 'lost' }, () => isIdempotent ? null : fail(toErrorBody('outcome-unknown', 'a member was lost')))
+    .with({ state: 'deposed' }, () => null)
+    .exhaustive()
 
 /** How the scheduler counts this end. */
-export const toFinishResult = (result: GangResult): FinishResult => {
-  switch (result.state) {
-    case 'done': return 'ok'
-    case 'failed': return 'failed'
-    case 'lost':
-    case 'unknown': return 'lost'
-    case 'cancelled': return 'cancelled'
-    case 'preempted': return 'preempted'
-    case 'deposed': return 'lost'
-    default: return assertNever(result)
-  }
-}
+export const toFinishResult = (result: GangResult): FinishResult =>
+  match<GangResult['state'], FinishResult>(result.state)
+    .with('done', () => 'ok')
+    .with('lost', 'unknown', 'deposed', () => 'lost')
+    .with('failed', 'cancelled', 'preempted', (state) => state)
+    .exhaustive()
 
 /** Which workers did well; an end that says nothing about them has no reports. */
 export const toReports = (gang: Gang, result: GangResult): TaskReport[] => {
--- a/packages/control/src/session.ts
+++ b/packages/control/src/session.ts
@@ -8,6 +8,7 @@
 import type { Decision, DomainScheduler, Explanation } from '@ibisstair/scheduler'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
+import { match } from 'ts-pattern'
 import { groupIntoGangs, type FoundGang, type FoundTask } from './adoption.ts'
 import {
   ADOPTION_MS, CHECKPOINT_GRACE_MS, ENDPOINT_CALL_MS, LEASE_TTL_MS, RENEW_PERIOD_MS, RESERVATION_TTL_MS,
@@ -250,21 +251,16 @@
     const entry = this.#jobs.get(decision.jobId)
     if (!entry) return
     const gang = this.#gangs.get(decision.jobId)
-    switch (decision.type) {
-      case 'place': return this.#place(entry, decision.attempt, decision.assignments)
-      case 'refuse': return this.#refuse(entry, decision)
-      case 'preempt':
+    match(decision)
+      .with({ type: 'place' }, ({ attempt, assignments }) => this.#place(entry, attempt, assignments))
+      .with({ type: 'refuse' }, (refusal) => this.#refuse(entry, refusal))
+      .with({ type: 'preempt' }, () => {
         this.#options.metrics.increment('gangs.preempted')
         if (gang) this.#gangs.handle(gang, { type: 'preempt' })
-        return
-      case 'throttle':
-        if (gang) this.#gangs.handle(gang, { type: 'throttle', fraction: decision.fraction })
-        return
-      case 'stop':
-        if (gang) this.#gangs.handle(gang, { type: 'cancel' })
-        return
-      default: assertNever(decision)
-    }
+      })
+      .with({ type: 'throttle' }, ({ fraction }) => { if (gang) this.#gangs.handle(gang, { type: 'throttle', fraction }) })
+      .with({ type: 'stop' }, () => { if (gang) this.#gangs.handle(gang, { type: 'cancel' }) })
+      .exhaustive()
   }
 
   #place (entry: JobEntry, attempt: number, assignments: readonly Assignment[]): void {
--- a/packages/gateway/src/caller-api.ts
+++ b/packages/gateway/src/caller-api.ts
@@ -1,10 +1,13 @@
+import type { IncomingMessage } from 'node:http'
 import { asId, IbisError, type CustomerId, type RequestKey } from '@ibisstair/common'
 import type { ConfigCache } from '@ibisstair/config-sync'
 import { MAX_REQUEST_BYTES, parseJobRequest, type JobRequest, type JobStatus } from '@ibisstair/model'
 import { parseJson, readBody, sendJson } from '@ibisstair/rpc'
-import { MAX_HELD_MS } from './constants.ts'
+import { match, P } from 'ts-pattern'
+import { MAX_BODY_BYTES_IN_PROGRESS, MAX_HELD_MS } from './constants.ts'
 import type { HttpCallContext } from './listener.ts'
 import type { KeyParams } from './messages.ts'
+import { qualifyRefusal } from './route.ts'
 import type { RequestRunner } from './runner.ts'
 
 export interface CallerApiOptions {
@@ -23,6 +26,7 @@
 export class CallerApi {
   readonly #options: CallerApiOptions
   #pending = 0
+  #bodyBytes = 0
 
   constructor (options: CallerApiOptions) {
     this.#options = options
@@ -34,57 +38,63 @@
 
   async handle (call: HttpCallContext): Promise<void> {
     const { req, res, url, parts } = call
-    const route = `${req.method} /${parts.slice(0, 2).join('/')}${parts.length > 2 ? `/…${parts.length}` : ''}`
-    switch (route) {
-      case 'GET /livez':
-        sendJson(res, 200, { alive: true })
-        return
-      case 'GET /readyz':
-        sendJson(res, this.#options.isReady() ? 200 : 503, { ready: this.#options.isReady() })
-        return
-      case 'POST /v1/requests':
-        await this.#hold(() => this.#submit(call))
-        return
-      case 'GET /v1/requests/…4':
-        await this.#hold(() => this.#fetch(call, toKey(parts)))
-        return
-      case 'DELETE /v1/requests/…4':
-        sendStatus(call, await this.#options.runner.cancel(toKey(parts), this.#options.cache.getConfig()))
-        return
-      case 'GET /v1/requests/…5':
-        if (parts[4] !== 'explain') break
-        sendJson(res, 200, await this.#options.runner.explain(toKey(parts), this.#options.cache.getConfig()))
-        return
-      default:
-    }
-    throw new IbisError('invalid-request', `no such call: ${req.method} ${url.pathname}`)
+    const { runner, cache, isReady } = this.#options
+    await match([req.method, ...parts])
+      .with(['GET', 'livez'], () => sendJson(res, 200, { alive: true }))
+      .with(['GET', 'readyz'], () => sendJson(res, isReady() ? 200 : 503, { ready: isReady() }))
+      .with(['POST', 'v1', 'requests'], () => this.#submit(call))
+      .with(['GET', 'v1', 'requests', P.string, P.string], async ([,,, customer, key]) =>
+        await this.#hold(() => this.#fetch(call, toKey(customer, key))))
+      .with(['DELETE', 'v1', 'requests', P.string, P.string], async ([,,, customer, key]) =>
+        sendStatus(call, await runner.cancel(toKey(customer, key), cache.getConfig())))
+      .with(['GET', 'v1', 'requests', P.string, P.string, 'explain'], async ([,,, customer, key]) =>
+        sendJson(res, 200, await runner.explain(toKey(customer, key), cache.getConfig())))
+      .otherwise(() => { throw new IbisError('invalid-request', `no such call: ${req.method} ${url.pathname}`) })
   }
 
   async #submit (call: HttpCallContext): Promise<void> {
     const { cache, runner, onOutcome } = this.#options
-    const maxBytes = this.#options.maxBodyBytes ?? MAX_REQUEST_BYTES
-    const body = parseJson(await readBody(call.req, maxBytes), 'request')
+    const body = parseJson(await this.#readBody(call.req), 'request')
     const config = cache.getConfig()
     const request = parseJobRequest(body, config)
+    const holdMs = getHoldMs(call.url)
     try {
-      const status = await runner.run(request, config, getHoldMs(call.url))
-      onOutcome(request, status)
-      sendStatus(call, status)
+      await this.#hold(async () => {
+        const status = await runner.run(request, config, holdMs)
+        onOutcome(request, status)
+        sendStatus(call, status)
+      }, request)
     } catch (err) {
       onOutcome(request, IbisError.from(err))
       throw err
     }
   }
 
+  /** Bounds the bytes of bodies that are being read; a body of unknown length counts as the largest. */
+  async #readBody (req: IncomingMessage): Promise<Buffer> {
+    const maxBytes = this.#options.maxBodyBytes ?? MAX_REQUEST_BYTES
+    const bytes = Math.min(Number(req.headers['content-length'] ?? maxBytes), maxBytes)
+    if (this.#bodyBytes + bytes > MAX_BODY_BYTES_IN_PROGRESS) {
+      throw new IbisError('overloaded', `bodies of ${this.#bodyBytes} bytes are being read at this entry`, { retryAfterMs: RETRY_PENDING_MS, execution: 'unknown' })
+    }
+    this.#bodyBytes += bytes
+    try {
+      return await readBody(req, maxBytes)
+    } finally {
+      this.#bodyBytes -= bytes
+    }
+  }
+
   async #fetch (call: HttpCallContext, key: KeyParams): Promise<void> {
     const waitMs = parseMs(call.url, 'waitMs', 0, MAX_HELD_MS)
     sendStatus(call, await this.#options.runner.fetch({ ...key, waitMs }, this.#options.cache.getConfig()))
   }
 
   /** Bounds the callers that wait at this entry. */
-  async #hold (fn: () => Promise<void>): Promise<void> {
+  async #hold (fn: () => Promise<void>, request?: JobRequest): Promise<void> {
     if (this.#pending >= this.#options.maxPending) {
-      throw new IbisError('overloaded', `${this.#pending} callers wait at this entry, the limit is ${this.#options.maxPending}`, { retryAfterMs: RETRY_PENDING_MS })
+      const err = new IbisError('overloaded', `${this.#pending} callers wait at this entry, the limit is ${this.#options.maxPending}`, { retryAfterMs: RETRY_PENDING_MS })
+      throw request ? qualifyRefusal(request, err, 'entry', false) : err
     }
     this.#pending += 1
     try {
@@ -95,10 +105,7 @@
   }
 }
 
-const toKey = (parts: readonly string[]): KeyParams => ({
-  customer: asId<CustomerId>(parts[2]!),
-  key: asId<RequestKey>(parts[3]!)
-})
+const toKey = (customer: string, key: string): KeyParams => ({ customer: asId<CustomerId>(customer), key: asId<RequestKey>(key) })
 
 const parseMs = (url: URL, name: string, fallback: number, max: number): number => {
   const text = url.searchParams.get(name)
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -32,13 +32,13 @@
 export const CONTROL_CALL_MS = 2_000
 /** How long a caller's connection is held without an outcome before it gets status 202. */
 export const MAX_HELD_MS = 600_000
+/** Bodies of callers that are being read at the same time. */
+export const MAX_BODY_BYTES_IN_PROGRESS = 32 * 1024 * 1024
 /** Announcements are collected for this time; one that says `leaving` is sent at once. */
 export const ANNOUNCE_FLUSH_MS = 200
 export const MAX_ANNOUNCED_ENDPOINTS = 4_096
 export const MAX_ANNOUNCEMENTS_PER_CALL = 256
 /** A process that lost its configuration at restart asks again this often. */
 export const CONFIG_RETRY_MS = 500
-/** Connections of callers that may wait for an outcome at the same time. */
-export const DEFAULT_MAX_PENDING = 10_000
 /** A configuration change waits for a quorum at most this long at one control process. */
 export const CONFIG_CALL_MS = 3_000
--- a/packages/gateway/src/domains.ts
+++ b/packages/gateway/src/domains.ts
@@ -1,6 +1,7 @@
 import { IbisError, type DomainId, type NodeId } from '@ibisstair/common'
 import type { RpcClient, Target } from '@ibisstair/rpc'
-import type { TimerService } from '@ibisstair/timers'
+import { PeerDirectory } from '@ibisstair/membership'
+import type { RandomSource, TimerService } from '@ibisstair/timers'
 
 export interface ControlTarget extends Target {
   readonly node: NodeId
@@ -8,8 +9,6 @@
 }
 
 const MIN_CALL_MS = 100
-/** Calls to a node that last timed out go to the other node of the domain first for this time. */
-const AVOID_SILENT_MS = 2_000
 
 const isRefusedByFollower = (err: IbisError): boolean => err.kind === 'not-leader' || err.kind === 'no-leader'
 const isNotDelivered = (err: IbisError): boolean => err.details?.reason === 'connect'
@@ -20,11 +19,13 @@
   readonly #timers: TimerService
   readonly #controls = new Map<DomainId, ControlTarget[]>()
   readonly #leaders = new Map<DomainId, NodeId>()
-  readonly #silentUntilMs = new Map<NodeId, number>()
+  readonly #health: PeerDirectory
 
-  constructor (rpc: RpcClient, timers: TimerService, controls: readonly ControlTarget[]) {
+  constructor (rpc: RpcClient, timers: TimerService, random: RandomSource, controls: readonly ControlTarget[]) {
     this.#rpc = rpc
     this.#timers = timers
+    this.#health = new PeerDirectory(random)
+    this.#health.handle({ type: 'peers', peers: controls.map(({ node }) => node) }, timers.now())
     for (const control of controls) this.#controls.set(control.domain, [...this.getControls(control.domain), control])
   }
 
@@ -46,12 +47,15 @@
     for (const control of this.#getOrder(domain)) {
       const remainingMs = deadline - this.#timers.now()
       if (remainingMs < MIN_CALL_MS) break
+      this.#health.handle({ type: 'call-started', peer: control.node }, this.#timers.now())
       try {
         const result = await this.#rpc.call<T>(control, method, params, remainingMs)
+        this.#health.handle({ type: 'call-ended', peer: control.node, ok: true }, this.#timers.now())
         this.#leaders.set(domain, control.node)
         return result
       } catch (err) {
         last = IbisError.from(err)
+        this.#health.handle({ type: 'call-ended', peer: control.node, ok: last.kind !== 'unreachable' }, this.#timers.now())
         this.#handleFailure(control, last)
         if (!isRefusedByFollower(last) && !isNotDelivered(last)) throw last
       }
@@ -60,17 +64,19 @@
   }
 
   #handleFailure (control: ControlTarget, err: IbisError): void {
-    if (err.kind === 'unreachable') this.#silentUntilMs.set(control.node, this.#timers.now() + AVOID_SILENT_MS)
     if (this.#leaders.get(control.domain) === control.node && (err.kind === 'unreachable' || isRefusedByFollower(err))) this.#leaders.delete(control.domain)
   }
 
+  /** The last leader first, then healthy processes, then the others: a failing one is tried when nothing else is left. */
   #getOrder (domain: DomainId): ControlTarget[] {
     const leader = this.#leaders.get(domain)
-    const now = this.#timers.now()
+    const controls = this.getControls(domain)
+    const healthy = this.#health.rank(controls.map(({ node }) => node), this.#timers.now())
     const rank = ({ node }: ControlTarget): number => {
-      if (node === leader) return 0
-      return (this.#silentUntilMs.get(node) ?? 0) > now ? 2 : 1
+      if (node === leader) return -1
+      const position = healthy.indexOf(node)
+      return position < 0 ? controls.length : position
     }
-    return [...this.getControls(domain)].sort((a, b) => rank(a) - rank(b))
+    return [...controls].sort((a, b) => rank(a) - rank(b))
   }
 }
--- a/packages/gateway/src/entry.ts
+++ b/packages/gateway/src/entry.ts
@@ -63,7 +63,7 @@
     const { cache, rpc, timers, random, controls, entries } = options
     this.#sync = new ConfigSync({ cache, peers: [...controls, ...entries], client: rpc, timers, random, parse: parseConfig })
     this.#sender = new AnnouncementSender(rpc, timers, controls)
-    this.#runner = new RequestRunner({ domains: new DomainClient(rpc, timers, controls), timers, ownDomain: options.domain })
+    this.#runner = new RequestRunner({ domains: new DomainClient(rpc, timers, random, controls), timers, ownDomain: options.domain })
     this.#callerApi = this.#createCallerApi()
     const endpointApi = new EndpointApi(this.#sender)
     const operatorApi = this.#createOperatorApi()
--- a/packages/gateway/src/operator-api.ts
+++ b/packages/gateway/src/operator-api.ts
@@ -3,6 +3,7 @@
 import type { MetricsBody } from '@ibisstair/telemetry'
 import { checkBearer, parseJson, readBody, sendError, sendJson, type RpcClient } from '@ibisstair/rpc'
 import { asId, IbisError, type CustomerId, type NodeId, type RequestKey } from '@ibisstair/common'
+import { match, P } from 'ts-pattern'
 import { CONFIG_CALL_MS, CONTROL_CALL_MS } from './constants.ts'
 import type { ControlTarget } from './domains.ts'
 import type { HttpCallContext } from './listener.ts'
@@ -32,32 +33,20 @@
 
   async handle (call: HttpCallContext): Promise<void> {
     const { req, res, url, parts } = call
-    checkBearer(req, this.#options.secret)
-    if (parts[1] === 'requests' && parts.length === 5 && parts[4] === 'explain' && req.method === 'GET') {
-      const key = { customer: asId<CustomerId>(parts[2]!), key: asId<RequestKey>(parts[3]!) }
-      sendJson(res, 200, await this.#options.runner.explain(key, this.#options.cache.getConfig()))
-      return
-    }
-    switch (`${req.method} ${url.pathname}`) {
-      case 'GET /v1/config':
-        // Before the first change there is version 0, against which an operator makes that change.
-        sendJson(res, 200, this.#options.cache.current ?? EMPTY_CONFIG)
-        return
-      case 'POST /v1/config/changes':
-        await this.#propose(call, 'config.propose', 'change')
-        return
-      case 'POST /v1/config/import':
-        await this.#propose(call, 'config.import', 'import')
-        return
-      case 'GET /v1/status':
-        sendJson(res, 200, await this.#getStatus())
-        return
-      case 'GET /v1/metrics':
-        sendJson(res, 200, this.#options.readMetrics())
-        return
-      default:
-        throw new IbisError('invalid-request', `no such call: ${req.method} ${url.pathname}`)
-    }
+    const { secret, runner, cache, readMetrics } = this.#options
+    checkBearer(req, secret)
+    await match([req.method, ...parts])
+      // Before the first change there is version 0, against which an operator makes that change.
+      .with(['GET', 'v1', 'config'], () => sendJson(res, 200, cache.current ?? EMPTY_CONFIG))
+      .with(['POST', 'v1', 'config', 'changes'], () => this.#propose(call, 'config.propose', 'change'))
+      .with(['POST', 'v1', 'config', 'import'], () => this.#propose(call, 'config.import', 'import'))
+      .with(['GET', 'v1', 'status'], async () => sendJson(res, 200, await this.#getStatus()))
+      .with(['GET', 'v1', 'metrics'], () => sendJson(res, 200, readMetrics()))
+      .with(['GET', 'v1', 'requests', P.string, P.string, 'explain'], async ([,,, customer, key]) => {
+        const params = { customer: asId<CustomerId>(customer), key: asId<RequestKey>(key) }
+        sendJson(res, 200, await runner.explain(params, cache.getConfig()))
+      })
+      .otherwise(() => { throw new IbisError('invalid-request', `no such call: ${req.method} ${url.pathname}`) })
   }
 
   async #propose (call: HttpCallContext, method: string, what: string): Promise<void> {
--- a/packages/gateway/tests/route.test.ts
+++ b/packages/gateway/tests/route.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap'
 import { asId, IbisError, type CallerId, type CustomerId, type DomainId, type ErrorKind, type JobId, type KindOfWork, type RequestKey } from '@ibisstair/common'
 import type { JobRequest, JobStatus } from '@ibisstair/model'
-import { RequestRoute, RetryBudget, MIN_SILENCE_MS, type RouteResult } from '../src/index.ts'
+import { MIN_SILENCE_MS, qualifyRefusal, RequestRoute, RetryBudget, type RouteResult } from '../src/index.ts'
 
 const SEED = Number(process.env.SEED ?? 20261204)
 const RUNS = Number(process.env.RUNS ?? 2000)
@@ -179,3 +179,37 @@
   while (budget.trySpend(0, 'normal'));
   t.equal(budget.trySpend(0, 'urgent'), true)
 })
+
+t.test('only the record, or a caller who sends for the first time, supports "not run" for non-idempotent work', async (t) => {
+  const request = createRequest(false)
+  const getExecution = (kind: ErrorKind, source: 'entry' | 'domain', resend?: boolean, isAmbiguous = false): string =>
+    qualifyRefusal({ ...request, ...(resend !== undefined && { resend }) }, new IbisError(kind, kind), source, isAmbiguous).execution
+  t.equal(getExecution('queue-full', 'domain'), 'not-run')
+  t.equal(getExecution('no-quorum', 'domain'), 'unknown')
+  t.equal(getExecution('deadline-passed', 'entry'), 'unknown')
+  t.equal(getExecution('no-leader', 'entry', false), 'not-run')
+  t.equal(getExecution('no-leader', 'entry', false, true), 'unknown')
+  t.equal(getExecution('no-leader', 'entry', true), 'unknown')
+})
+
+t.test('a resend of idempotent work does not claim that it never ran', async (t) => {
+  const request = createRequest(true)
+  t.equal(qualifyRefusal(request, new IbisError('queue-full', 'full'), 'domain', false).execution, 'not-run')
+  t.equal(qualifyRefusal({ ...request, resend: true }, new IbisError('queue-full', 'full'), 'domain', false).execution, 'unknown')
+})
+
+t.test('a submission without an answer is asked for at the same domain before another one is tried', async (t) => {
+  const route = createRoute(true)
+  t.match(route.handle(toError('unreachable', { reason: 'timeout' }), 1_000), { type: 'wait', domain: domains[0], isProbe: true })
+  route.handle(toError('not-found'), 1_500)
+  t.match(route.handlePauseOver(1_500), { type: 'submit', domain: domains[0] })
+  route.handle(toError('unreachable', { reason: 'timeout' }), 3_000)
+  let now = 3_000
+  while (route.step.type !== 'submit') {
+    now += 500
+    if (route.step.type === 'pause') route.handlePauseOver(now)
+    else route.handle(toError('unreachable', { reason: 'timeout' }), now)
+  }
+  t.not(route.step.domain, domains[0])
+  t.ok(now - 3_000 <= 6_000, `went elsewhere after ${now - 3_000} ms`)
+})
