tests: kill the scheduler itself in the cut domain

Cause: the test killed one of two control processes whatever its role, so it took two different paths. Change: it kills the leader, the harder case; a candidate's former leader does not count as a leader for degraded mode.

--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -203,7 +203,8 @@
       this.#withoutLeaderSinceMs = null
       return status.hasQuorum && this.#hasAppliedEarlierTerms(status) ? 'leader' : 'none'
     }
-    if (status.leader !== null) {
+    // A candidate still names the leader that it lost, so only a follower's leader counts.
+    if (status.role === 'follower' && status.leader !== null) {
       this.#withoutLeaderSinceMs = null
       return 'none'
     }
--- a/tests/failover.test.ts
+++ b/tests/failover.test.ts
@@ -112,6 +112,7 @@
   await processes.waitForEndpoints('cr-sj', 2)
   const others = processes.nodes.map(({ node }) => node).filter((node) => !node.startsWith('cr-sj'))
   for (const node of others) deployment.signal(node, 'SIGSTOP')
+  let victim = ''
 
   // A frozen process keeps its connections open and answers nothing, as behind a silent partition.
   t.test('goes on serving both idempotent and non-idempotent requests', async (t) => {
@@ -123,7 +124,9 @@
 
   // Guards promise 4: without a majority nothing can be recorded, so nothing non-idempotent may start.
   t.test('with one control process left it serves idempotent requests and truthfully refuses the others', async (t) => {
-    await deployment.kill('cr-sj-control-2')
+    // The process that remains is the follower, which has to notice that its leader is gone.
+    victim = await processes.findScheduler('cr-sj')
+    await deployment.kill(victim)
     let check: Reply | undefined
     await waitUntil('an idempotent request is answered', async () => {
       check = await processes.submit(entry, 'alone-check', 20, inHome)
@@ -135,7 +138,7 @@
   })
 
   t.test('records again once it is whole, and the refused request then runs once', async (t) => {
-    deployment.startProcess('cr-sj-control-2')
+    deployment.startProcess(victim)
     for (const node of others) deployment.signal(node, 'SIGCONT')
     let pickup: Reply | undefined
     await waitUntil('the refused request runs', async () => {
