--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,7 +1,7 @@
 const ORDER = [
   'common', 'timers', 'telemetry', 'settings', 'model', 'questionnaire', 'storage', 'consensus',
   'registers', 'membership', 'scheduler', 'endpoint-tasks', 'gang', 'rpc', 'operator-client', 'endpoint-client', 'config-sync', 'gateway',
-  'control'
+  'control', 'jobs', 'dispatch', 'cluster'
 ]
 
 const layered = ORDER.map((name, i) => ({
@@ -27,7 +27,7 @@
       name: 'no-app-imports',
       severity: 'error',
       from: { path: '^packages/' },
-      to: { path: '^(apps|scripts)/' }
+      to: { path: '^(apps|platform|scripts)/' }
     }
   ],
   options: {
--- /dev/null
+++ b/packages/cluster/src/core-node.ts
@@ -0,0 +1,190 @@
+import { asId, IbisError, type NodeId } from '@ibisstair/common'
+import { ReplicaDriver, type Member, type ReplicaStatus } from '@ibisstair/consensus'
+import { Dispatcher, type EndpointPort } from '@ibisstair/dispatch'
+import { SchedulingState, type StateCommand, type StateResult } from '@ibisstair/jobs'
+import { MessageSender, type MessageBatch, type RpcClient, type RpcServer, type Target } from '@ibisstair/rpc'
+import type { DataFolder } from '@ibisstair/storage'
+import type { Logger, Metrics } from '@ibisstair/telemetry'
+import type { RandomSource, TimerService, Unsubscribe } from '@ibisstair/timers'
+import { MESSAGE_TIMEOUT_MS, ROLE_TICK_MS, STATE_GROUP } from './constants.ts'
+import { LeaderFinder } from './leader-finder.ts'
+import { LeaderService } from './leader-service.ts'
+import type { ClusterView, LeaderMethod } from './types.ts'
+
+export interface CoreNodeOptions {
+  /** The node's address, by which the others know it. */
+  readonly node: NodeId
+  /** Control processes to find the others from; the first members when the system is installed. */
+  readonly seeds: readonly NodeId[]
+  readonly maxVoters: number
+  readonly folder: DataFolder
+  readonly rpc: RpcClient
+  readonly server: RpcServer
+  readonly toTarget: (node: NodeId) => Target
+  readonly endpoints: EndpointPort
+  readonly leaseMaxMs: number
+  readonly timers: TimerService
+  readonly random: RandomSource
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly onFatal: (err: IbisError) => void
+}
+
+const LEADER_METHODS: readonly LeaderMethod[] = [
+  'job.submit', 'job.status', 'job.cancel', 'queue.pending', 'config.put', 'config.get', 'endpoint.announce', 'endpoint.leave'
+]
+
+interface Leadership {
+  readonly term: number
+  readonly dispatcher: Dispatcher
+  readonly service: LeaderService
+}
+
+/** One control process: its replica of the scheduling state and, while it leads, the scheduler. */
+export class CoreNode {
+  readonly #options: CoreNodeOptions
+  readonly #state = new SchedulingState()
+  readonly #finder: LeaderFinder
+  readonly #stops: Unsubscribe[] = []
+  #replica: ReplicaDriver<StateCommand, StateResult> | null = null
+  #leadership: Leadership | null = null
+  /** End of the log when this node was elected: what earlier terms have committed is known from there on. */
+  #election: { readonly term: number, readonly lastIndex: number } | null = null
+  #isStopping = false
+
+  constructor (options: CoreNodeOptions) {
+    this.#options = options
+    const { rpc, timers, random, seeds, toTarget, logger } = options
+    this.#finder = new LeaderFinder({
+      rpc, timers, random, seeds, toTarget, onChange: (leader, term) => logger.info('leader known', { leader, term })
+    })
+  }
+
+  get finder (): LeaderFinder {
+    return this.#finder
+  }
+
+  get state (): SchedulingState {
+    return this.#state
+  }
+
+  async start (): Promise<void> {
+    const { server, timers, node, folder, random, seeds, maxVoters, rpc, logger, toTarget, onFatal } = this.#options
+    const sender = new MessageSender(rpc, { get: toTarget }, MESSAGE_TIMEOUT_MS)
+    const initialMembers = seeds.map((seed): Member => ({ node: seed, incarnation: '1', role: 'voter', witness: false }))
+    this.#replica = await ReplicaDriver.open({
+      group: STATE_GROUP,
+      node,
+      folder,
+      timers,
+      random,
+      transport: sender,
+      machine: this.#state,
+      initialMembers,
+      peers: this.#finder.nodes,
+      maxVoters,
+      log: (level, message, info) => logger[level](message, info),
+      onFatal
+    })
+    this.#registerHandlers(server)
+    this.#finder.start()
+    this.#stops.push(this.#replica.onStatus((status) => this.#handleStatus(status)))
+    this.#stops.push(timers.every(ROLE_TICK_MS, () => this.#updateRole()))
+  }
+
+  /** Hands leadership over, so that the others go on without an election timeout. */
+  async stop (): Promise<void> {
+    this.#isStopping = true
+    this.#replica?.transferLeadership()
+    this.#resign()
+    for (const stop of this.#stops) stop()
+    this.#finder.stop()
+    await this.#options.timers.delay(ROLE_TICK_MS)
+    await this.#replica?.stop()
+  }
+
+  /** Carries out a call as the leader. Throws `not-leader` in any other process. */
+  async handleCall (method: LeaderMethod, params: unknown): Promise<unknown> {
+    const { service } = this.#getLeadership()
+    const result = await service.handle(method, params)
+    // What was read may be out of date if the quorum was lost meanwhile.
+    this.#getLeadership()
+    return result
+  }
+
+  getView (): ClusterView {
+    const { leader, term, members, hasQuorum } = this.#getStatus()
+    const { node } = this.#options
+    const isLeading = leader === node && this.#leadership?.term === term && hasQuorum
+    const known = members.map((member) => member.node)
+    return { leader: leader === node && !isLeading ? null : leader, term, members: known.length > 0 ? known : this.#finder.nodes }
+  }
+
+  getStats (): Readonly<Record<string, number>> {
+    return { ...this.#replica?.getCounters(), jobs: this.#state.jobs.size, endpoints: this.#state.endpoints.size, configVersion: this.#state.config.version }
+  }
+
+  #getStatus (): ReplicaStatus {
+    if (!this.#replica) throw new IbisError('no-leader', 'this process is starting')
+    return this.#replica.getStatus()
+  }
+
+  #registerHandlers (server: RpcServer): void {
+    server.register('raft.message', (params, { from }) => this.#handleMessages(params as MessageBatch, from))
+    server.register('cluster.view', () => this.getView())
+    for (const method of LEADER_METHODS) server.register(method, (params) => this.handleCall(method, params))
+  }
+
+  #handleMessages ({ messages }: MessageBatch, from: NodeId): void {
+    if (!Array.isArray(messages)) throw new IbisError('invalid-request', 'a batch has a list of messages')
+    for (const { message } of messages) this.#replica?.handleMessage(asId<NodeId>(from), message)
+  }
+
+  // Leadership
+
+  #getLeadership (): Leadership {
+    const { leader, term, hasQuorum } = this.#getStatus()
+    const leadership = this.#leadership
+    if (leadership && leadership.term === term && hasQuorum) return leadership
+    if (leader !== null && leader !== this.#options.node) throw new IbisError('not-leader', `the leader is ${leader}`, { info: { leader } })
+    throw new IbisError('no-leader', 'this control process knows no leader')
+  }
+
+  #handleStatus ({ role, term, leader, members }: ReplicaStatus): void {
+    this.#options.logger.info('replica status', { role, term, leader, members: members.map((member) => `${member.node}:${member.role}`).join(' ') })
+    this.#updateRole()
+  }
+
+  #updateRole (): void {
+    if (this.#isStopping || !this.#replica) return
+    const status = this.#replica.getStatus()
+    if (this.#leadership && (status.role !== 'leader' || status.term !== this.#leadership.term)) this.#resign()
+    if (!this.#leadership && status.role === 'leader' && status.hasQuorum && this.#hasAppliedEarlierTerms(status)) this.#lead(status.term)
+  }
+
+  #hasAppliedEarlierTerms ({ term, lastIndex, commitIndex }: ReplicaStatus): boolean {
+    if (this.#election?.term !== term) this.#election = { term, lastIndex }
+    return commitIndex >= this.#election.lastIndex
+  }
+
+  #lead (term: number): void {
+    const { timers, logger, metrics, endpoints, leaseMaxMs } = this.#options
+    const replica = this.#replica!
+    const propose = (command: StateCommand, timeoutMs: number): Promise<StateResult> => replica.propose(command, timeoutMs)
+    const isLeading = (): boolean => {
+      const status = replica.getStatus()
+      return status.role === 'leader' && status.term === term && status.hasQuorum
+    }
+    logger.info('begins to lead', { term, jobs: this.#state.jobs.size, endpoints: this.#state.endpoints.size, configVersion: this.#state.config.version })
+    const dispatcher = new Dispatcher({ state: this.#state, propose, isLeading, port: endpoints, timers, logger, metrics, fence: term, leaseMaxMs })
+    this.#leadership = { term, dispatcher, service: new LeaderService({ state: this.#state, dispatcher, propose, timers, logger, metrics }) }
+    dispatcher.start()
+  }
+
+  #resign (): void {
+    if (!this.#leadership) return
+    this.#options.logger.info('no longer leads', { term: this.#leadership.term })
+    this.#leadership.dispatcher.close()
+    this.#leadership = null
+  }
+}
--- /dev/null
+++ b/packages/cluster/src/leader-service.ts
@@ -0,0 +1,153 @@
+import { asId, assertNever, IbisError, type CustomerId, type EndpointId, type JobId } from '@ibisstair/common'
+import type { JobSpec, JobStatus, QueueConfig, SchedulingState, StateCommand, StateResult } from '@ibisstair/jobs'
+import type { Dispatcher } from '@ibisstair/dispatch'
+import type { Logger, Metrics } from '@ibisstair/telemetry'
+import type { TimerService } from '@ibisstair/timers'
+import { COMMAND_TIMEOUT_MS, RETRY_AFTER_MS } from './constants.ts'
+import type {
+  AnnounceParams, ConfigAnswer, ConfigureParams, JobAnswer, JobSubmission, LeaderMethod, LeaveParams, PendingAnswer, QueueAddress, SubmitParams
+} from './types.ts'
+
+export interface LeaderServiceOptions {
+  readonly state: SchedulingState
+  readonly dispatcher: Dispatcher
+  readonly propose: (command: StateCommand, timeoutMs: number) => Promise<StateResult>
+  readonly timers: TimerService
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
+
+const JOB_ID = /^[0-9a-fA-F]{1,64}$/
+
+/** What the leader answers to callers, operators and endpoints. Every answer reflects all committed commands. */
+export class LeaderService {
+  readonly #options: LeaderServiceOptions
+
+  constructor (options: LeaderServiceOptions) {
+    this.#options = options
+  }
+
+  async handle (method: LeaderMethod, params: unknown): Promise<unknown> {
+    switch (method) {
+      case 'job.submit': return await this.#submit(params as SubmitParams)
+      case 'job.status': return this.#getStatus(params as QueueAddress)
+      case 'job.cancel': return await this.#cancel(params as QueueAddress)
+      case 'queue.pending': return this.#countPending(params as QueueAddress)
+      case 'config.put': return await this.#configure(params as ConfigureParams)
+      case 'config.get': return await this.#readConfig()
+      case 'endpoint.announce': return await this.#announce(params as AnnounceParams)
+      case 'endpoint.leave': return this.#leave(params as LeaveParams)
+      default: return assertNever(method)
+    }
+  }
+
+  // Jobs
+
+  async #submit (params: SubmitParams): Promise<JobAnswer> {
+    const { state, timers, logger, metrics } = this.#options
+    const { queue, customer, job } = this.#resolve(params)
+    const known = state.jobs.get(job)
+    if (known) return { status: known.status }
+    const atMs = timers.wallClock()
+    const result = await this.#propose({ type: 'accept', spec: toSpec(job, queue, customer, params.submission), atMs })
+    if (result.type === 'refused') throw new IbisError('overloaded', 'too many jobs are known', { retryAfterMs: RETRY_AFTER_MS })
+    if (result.type !== 'accepted') throw new IbisError('internal', `unexpected result ${result.type}`)
+    if (result.isNew) {
+      metrics.increment('jobs.accepted')
+      const { steps } = params.submission
+      logger.info('job accepted', { job, queue: queue.name, customer, priority: queue.priority, tasks: steps.reduce((sum, { count }) => sum + count, 0), accelerators: steps[0]?.resources.accelerators, configVersion: state.config.version })
+    }
+    return { status: result.status }
+  }
+
+  #getStatus (params: QueueAddress): JobAnswer {
+    const { job } = this.#resolve(params)
+    const known = this.#options.state.jobs.get(job)
+    if (!known) throw new IbisError('unknown-job', `job ${job} is not known`)
+    return { status: known.status }
+  }
+
+  async #cancel (params: QueueAddress): Promise<JobAnswer> {
+    const { state, timers, logger, metrics } = this.#options
+    const { job } = this.#resolve(params)
+    if (!state.jobs.get(job)) throw new IbisError('unknown-job', `job ${job} is not known`)
+    const result = await this.#propose({ type: 'cancel', job, atMs: timers.wallClock() })
+    const status: JobStatus | null = result.type === 'cancelled' ? result.status : null
+    if (status === null) throw new IbisError('unknown-job', `job ${job} is not known`)
+    metrics.increment('jobs.cancelled')
+    logger.info('job cancelled', { job, status })
+    return { status }
+  }
+
+  #countPending (params: QueueAddress): PendingAnswer {
+    const { queue } = this.#authorise(params)
+    if (params.path !== queue.pathPrefix) throw new IbisError('unknown-queue', `no queue has the path ${params.path}`)
+    return { pending: this.#options.state.jobs.countPending(queue.name) }
+  }
+
+  #authorise ({ host, path, credential }: QueueAddress): { readonly queue: QueueConfig, readonly customer: CustomerId | null } {
+    const { config } = this.#options.state
+    if (!config.config) throw new IbisError('stale-config', 'no configuration was applied yet', { retryAfterMs: RETRY_AFTER_MS })
+    const queue = config.findQueue(host, path)
+    if (!queue) throw new IbisError('unknown-queue', `no queue has the host ${host} and the path ${path}`, { info: { configVersion: config.version } })
+    const customer = credential === null ? undefined : config.findCustomer(credential)
+    if (customer === undefined && !queue.isPublic) throw new IbisError('bad-credential', 'the key is not known', { info: { configVersion: config.version } })
+    return { queue, customer: customer ?? null }
+  }
+
+  #resolve (params: QueueAddress): { readonly queue: QueueConfig, readonly customer: CustomerId | null, readonly job: JobId } {
+    const { queue, customer } = this.#authorise(params)
+    const id = params.path.slice(queue.pathPrefix.length)
+    if (!JOB_ID.test(id)) throw new IbisError('unknown-queue', `${params.path} names no job of queue ${queue.name}`)
+    return { queue, customer, job: asId<JobId>(id) }
+  }
+
+  // Configuration
+
+  async #configure ({ config }: ConfigureParams): Promise<object> {
+    const { state, logger } = this.#options
+    const before = state.config.version
+    const result = await this.#propose({ type: 'configure', config })
+    if (result.type !== 'configured') throw new IbisError('internal', `unexpected result ${result.type}`)
+    if (result.isChanged) logger.info('configuration in force', { version: config.version, before, queues: config.queues.length, customers: config.customers.length })
+    return { version: result.version }
+  }
+
+  /** A commit shows that no newer leader has accepted a configuration. */
+  async #readConfig (): Promise<ConfigAnswer> {
+    await this.#propose({ type: 'barrier' })
+    const { config } = this.#options.state.config
+    if (!config) throw new IbisError('stale-config', 'no configuration was applied yet', { retryAfterMs: RETRY_AFTER_MS })
+    return { document: config.document, version: config.version }
+  }
+
+  // Endpoints
+
+  async #announce ({ endpoint, clockMs }: AnnounceParams): Promise<object> {
+    await this.#options.dispatcher.announce(endpoint, clockMs)
+    return {}
+  }
+
+  #leave ({ endpointId }: LeaveParams): object {
+    this.#options.dispatcher.leave(asId<EndpointId>(endpointId))
+    return {}
+  }
+
+  async #propose (command: StateCommand): Promise<StateResult> {
+    return await this.#options.propose(command, COMMAND_TIMEOUT_MS)
+  }
+}
+
+const toSpec = (id: JobId, queue: QueueConfig, customer: CustomerId | null, { payload, steps, recurrence }: JobSubmission): JobSpec => ({
+  id,
+  queue: queue.name,
+  service: queue.service,
+  customer,
+  priority: queue.priority,
+  maxAttempts: queue.maxAttempts,
+  stretch: queue.stretch,
+  targetLatencyMs: queue.targetLatencyMs,
+  payload,
+  steps,
+  recurrence
+})
--- a/packages/consensus/src/constants.ts
+++ b/packages/consensus/src/constants.ts
@@ -5,6 +5,15 @@
 /** A witness lets the other voters try first, because it has to hand leadership over again. */
 export const WITNESS_TIMEOUT_FACTOR = 3
 
+/**
+ * With automatic membership a voter that was silent for this time is replaced by a learner. Shorter
+ * than the time after which a second machine may be lost, longer than a restart of a process.
+ */
+export const VOTER_SILENCE_MS = 2500
+
+/** A learner that was silent for this time is forgotten; it asks to join again. */
+export const LEARNER_SILENCE_MS = 10_000
+
 /** Period at which the driver lets the replica look at the time. */
 export const TICK_MS = 50
 
--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -25,6 +25,10 @@
   readonly machine: StateMachine<Command, Result>
   /** The members at installation, all with incarnation "1". */
   readonly initialMembers: readonly Member[]
+  /** Nodes that are asked for admission; the initial members when left out. Read at each attempt. */
+  readonly peers?: readonly NodeId[]
+  /** Turns on automatic membership with at most this many voters. */
+  readonly maxVoters?: number
   /** Called for changes of state that an operator should see. */
   readonly log?: (level: 'info' | 'warn' | 'error', message: string, info: Readonly<Record<string, unknown>>) => void
   /** The replica has stopped for good, for example because its files failed. */
@@ -100,7 +104,13 @@
     this.#proposals = new Proposals(options.timers)
     const { group, node, folder, random, initialMembers } = options
     this.#replica = new Replica({
-      group, node, random, incarnation: folder.incarnation, peers: initialMembers.map((member) => member.node), disabled: options.disabled ?? []
+      group,
+      node,
+      random,
+      incarnation: folder.incarnation,
+      peers: options.peers ?? initialMembers.map((member) => member.node),
+      disabled: options.disabled ?? [],
+      ...(options.maxVoters !== undefined && { maxVoters: options.maxVoters })
     }, opened.state, options.timers.now())
     const { snapshot } = opened.state
     this.#appliedIndex = snapshot.index
--- a/packages/consensus/src/replica-types.ts
+++ b/packages/consensus/src/replica-types.ts
@@ -24,6 +24,11 @@
   /** Nodes that are asked to admit this one while it is in no configuration. */
   readonly peers: readonly NodeId[]
   readonly random: RandomSource
+  /**
+   * Turns on automatic membership: nodes that nobody configured are admitted as learners, at most this
+   * many members vote, and a learner that has caught up takes the place of a silent voter.
+   */
+  readonly maxVoters?: number
   readonly trailingEntries?: number
   readonly snapshotChunkChars?: number
   readonly maxBatchEntries?: number
@@ -91,6 +96,7 @@
   memberChanges: number
   refusedProposals: number
   refusedJoins: number
+  replacedVoters: number
   droppedEntries: number
   transfers: number
 }
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -4,7 +4,7 @@
 import {
   ELECTION_TIMEOUT_MAX_MS, ELECTION_TIMEOUT_MIN_MS, HEARTBEAT_MS, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_LOG_ENTRIES,
   MAX_SNAPSHOT_CHARS, MAX_UNCOMMITTED_BYTES, MAX_UNCOMMITTED_ENTRIES, SNAPSHOT_CHUNK_CHARS,
-  TRAILING_BYTES, TRAILING_ENTRIES, WITNESS_TIMEOUT_FACTOR
+  LEARNER_SILENCE_MS, TRAILING_BYTES, TRAILING_ENTRIES, VOTER_SILENCE_MS, WITNESS_TIMEOUT_FACTOR
 } from './constants.ts'
 import { ReplicaLog } from './log.ts'
 import { countVoterChanges, findMember, isMajority, isSameMember, listVoters, majorityValue, withLearner, withoutNode, withVoter } from './members.ts'
@@ -51,6 +51,7 @@
     memberChanges: 0,
     refusedProposals: 0,
     refusedJoins: 0,
+    replacedVoters: 0,
     droppedEntries: 0,
     transfers: 0
   }
@@ -217,7 +218,8 @@
     this.#leader = null
     this.#incoming = null
     // A learner asks again, because the change that admitted it may have been lost with its leader.
-    if (this.#self?.role !== 'voter') this.#askToJoin()
+    // With automatic membership a voter may have been replaced while it was away.
+    if (this.#self?.role !== 'voter' || this.#options.maxVoters !== undefined) this.#askToJoin()
     // A vote for itself could not be stored, so a candidacy would fail.
     if (!this.#isEligible() || this.#diskFull) {
       this.#role = 'follower'
@@ -741,7 +743,8 @@
   /** A node whose state was lost returns as a learner and is promoted when it has caught up. */
   #handleJoin (from: NodeId, incarnation: string): void {
     const old = findMember(this.#members, from)
-    if (this.#role !== 'leader' || !old || old.incarnation === incarnation) return
+    if (this.#role !== 'leader' || old?.incarnation === incarnation) return
+    if (!old) return this.#admit(from, incarnation)
     const isAlive = this.#now - (this.#progress.get(from)?.contactAt ?? -Infinity) < ELECTION_TIMEOUT_MAX_MS
     const rest = withoutNode(this.#members, from)
     if (from === this.#options.node || isAlive || this.#findRefusal() || !this.#canChangeMembers() || !this.#hasActiveMajority(rest)) {
@@ -751,12 +754,41 @@
     this.#appendMembers(withLearner(this.#members, { node: from, incarnation, witness: old.witness }))
   }
 
+  /** Admits a node that nobody configured, as a learner that has no part in majorities. */
+  #admit (node: NodeId, incarnation: string): void {
+    if (this.#options.maxVoters === undefined) return
+    if (this.#findRefusal() || !this.#canChangeMembers()) {
+      this.counters.refusedJoins += 1
+      return
+    }
+    this.#appendMembers(withLearner(this.#members, { node, incarnation, witness: false }))
+  }
+
   #promoteLearners (): void {
     if (this.#diskFull || this.#now < this.#transferUntil || !this.#canChangeMembers()) return
-    for (const progress of this.#progress.values()) {
-      if (progress.member.role !== 'learner' || progress.mode !== 'replicate') continue
-      if (!progress.isCaughtUp || this.#now - progress.contactAt >= ELECTION_TIMEOUT_MIN_MS) continue
-      this.#appendMembers(withVoter(this.#members, progress.member.node))
+    const ready = [...this.#progress.values()].find((progress) => this.#canVote(progress))
+    if (ready && listVoters(this.#members).length < (this.#options.maxVoters ?? Infinity)) {
+      this.#appendMembers(withVoter(this.#members, ready.member.node))
+      return
+    }
+    if (this.#options.maxVoters !== undefined) this.#removeSilentMember(ready !== undefined)
+  }
+
+  #canVote (progress: Progress): boolean {
+    if (progress.member.role !== 'learner' || progress.mode !== 'replicate') return false
+    return progress.isCaughtUp && this.#now - progress.contactAt < ELECTION_TIMEOUT_MIN_MS
+  }
+
+  /** A silent voter leaves only when a learner can take its place. */
+  #removeSilentMember (hasSubstitute: boolean): void {
+    for (const { member, contactAt } of this.#progress.values()) {
+      const silentMs = this.#now - Math.max(contactAt, this.#electedAt)
+      const isVoter = member.role === 'voter'
+      if (isVoter ? !hasSubstitute || silentMs < VOTER_SILENCE_MS : silentMs < LEARNER_SILENCE_MS) continue
+      const rest = withoutNode(this.#members, member.node)
+      if (!this.#hasActiveMajority(rest)) continue
+      if (isVoter) this.counters.replacedVoters += 1
+      this.#appendMembers(rest)
       return
     }
   }
--- /dev/null
+++ b/packages/dispatch/src/constants.ts
@@ -0,0 +1,38 @@
+/** Most time that an endpoint grants a lease for; it shortens a longer one. */
+export const DEFAULT_LEASE_MAX_MS = 6_000
+
+/** Kept below the longest lease, as the endpoint's clock is known a little late. */
+export const LEASE_SLACK_MS = 200
+
+/** An endpoint's clock may run this much slower than ours. */
+export const CLOCK_DRIFT = 0.02
+
+/** Added to the end of a lease before its runs count as lost. */
+export const LEASE_END_MARGIN_MS = 300
+
+/** A deposed leader may renew leases until it has missed its quorum for this time. */
+export const DEPOSED_LEADER_MS = 2_500
+
+export const ORDER_TIMEOUT_MS = 800
+export const RENEW_WAIT_MS = 1_500
+/** Beyond the wait, before a connection counts as silent. */
+export const RENEW_GRACE_MS = 700
+export const RETRY_MS = 250
+export const SESSION_TICK_MS = 250
+
+/** Starts that follow a change of the state are decided together after this time. */
+export const PASS_DELAY_MS = 4
+/** Longest time between two passes. */
+export const PASS_PERIOD_MS = 250
+
+/** Time that a command may take to be committed. */
+export const COMMIT_TIMEOUT_MS = 3_000
+
+/** An endpoint that has not announced itself for this time takes no new work. */
+export const ANNOUNCEMENT_EXPIRY_MS = 4_000
+
+/** Between the announcement that an endpoint has left and its runs counting as ended. */
+export const LEAVE_GRACE_MS = 500
+
+/** Without an announcement or an answer for this time an endpoint without runs is removed. */
+export const ENDPOINT_EXPIRY_MS = 30_000
--- /dev/null
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -0,0 +1,384 @@
+import { asId, IbisError, type TaskId } from '@ibisstair/common'
+import type { ActiveRun, EndpointRecord, RunEnd } from '@ibisstair/jobs'
+import type { TimerService } from '@ibisstair/timers'
+import {
+  CLOCK_DRIFT, DEPOSED_LEADER_MS, LEASE_END_MARGIN_MS, LEASE_SLACK_MS, ORDER_TIMEOUT_MS, RENEW_GRACE_MS, RENEW_WAIT_MS, RETRY_MS
+} from './constants.ts'
+import type { EndpointPort, EndpointReport, OrderResult, RenewResult, RunReport } from './ports.ts'
+
+/**
+ * What this leader knows of a run on the endpoint:
+ * `inherited` was ordered by an earlier leader, `starting` awaits the answer, `unconfirmed` got none,
+ * `present` was confirmed by the endpoint, `stopping` is to end.
+ */
+type RunPhase = 'inherited' | 'starting' | 'unconfirmed' | 'present' | 'stopping'
+
+interface TrackedRun {
+  readonly task: TaskId
+  readonly run: number
+  phase: RunPhase
+  /** Since when the phase holds; a report that was asked for earlier does not speak of it. */
+  sinceMs: number
+  percent: number
+  /** When `percent` last rose. */
+  progressAtMs: number
+  isStopAcked: boolean
+}
+
+export interface RunProgress {
+  readonly task: TaskId
+  readonly run: number
+  readonly percent: number
+  readonly progressAtMs: number
+}
+
+/** What a session tells its owner. */
+export interface SessionEvents {
+  /** Runs are over. The reports are acknowledged once the returned promise resolves. */
+  handleEnds (endpoint: EndpointRecord, ends: readonly RunEnd[]): Promise<void>
+  /** The address belongs to another life: nothing of this one is left. */
+  handleReplaced (endpoint: EndpointRecord): void
+  /** The endpoint obeys a newer leader. */
+  handleFenced (endpoint: EndpointRecord): void
+  handleStartRefused (endpoint: EndpointRecord, task: TaskId, reason: string): void
+  /** Whether this process may still give orders. */
+  isLeading (): boolean
+  log (message: string, fields: Readonly<Record<string, unknown>>): void
+}
+
+export interface SessionOptions {
+  readonly endpoint: EndpointRecord
+  readonly port: EndpointPort
+  readonly timers: TimerService
+  readonly fence: number
+  readonly leaseMaxMs: number
+  readonly events: SessionEvents
+}
+
+/** Leases, orders and reports of one life of an endpoint, during the term of one leader. */
+export class EndpointSession {
+  readonly #options: SessionOptions
+  readonly #runs = new Map<TaskId, TrackedRun>()
+  readonly #openedAtMs: number
+  #endpoint: EndpointRecord
+  /** A reading of the endpoint's clock and our time of its arrival. */
+  #clock: { readonly valueMs: number, readonly atMs: number } | null = null
+  /** Latest lease end that was ever sent. */
+  #leaseUntilMs = 0
+  #contactAtMs: number | null = null
+  #ackedUpto = 0
+  #committedUpto = 0
+  #submittedUpto = 0
+  #failures = 0
+  #isPolling = false
+  #pollAgain = false
+  #isClosed = false
+
+  constructor (options: SessionOptions) {
+    this.#options = options
+    this.#endpoint = options.endpoint
+    this.#openedAtMs = options.timers.now()
+  }
+
+  get endpoint (): EndpointRecord {
+    return this.#endpoint
+  }
+
+  set endpoint (endpoint: EndpointRecord) {
+    this.#endpoint = endpoint
+  }
+
+  /** Consecutive calls without an answer. */
+  get failures (): number {
+    return this.#failures
+  }
+
+  get trackedRuns (): number {
+    return this.#runs.size
+  }
+
+  listProgress (): RunProgress[] {
+    return [...this.#runs.values()].filter(({ phase }) => phase === 'present')
+  }
+
+  close (): void {
+    this.#isClosed = true
+    this.#options.port.forget(this.#endpoint)
+  }
+
+  /** A clock reading from an announcement; it may be late, never early. */
+  noteClock (valueMs: number, atMs: number): void {
+    if (this.#clock && this.#estimateClock(atMs)! >= valueMs) return
+    this.#clock = { valueMs, atMs }
+  }
+
+  /** Takes over a run that an earlier leader ordered. */
+  inherit (run: ActiveRun): void {
+    this.#track(run.task, run.run, 'inherited')
+    this.poll()
+  }
+
+  start (run: ActiveRun, payload: string, checkpoint: string): void {
+    const tracked = this.#track(run.task, run.run, 'starting')
+    this.#sendStart(tracked, payload, checkpoint).catch((err: unknown) => this.#options.events.log('start order failed', { task: run.task, err }))
+  }
+
+  /** Stops a run and makes sure that it cannot start later. Idempotent. */
+  stop (task: TaskId): void {
+    const tracked = this.#runs.get(task)
+    if (!tracked || tracked.phase === 'stopping' || tracked.phase === 'starting') return
+    this.#setPhase(tracked, 'stopping')
+    this.#sendStop(tracked).catch((err: unknown) => this.#options.events.log('stop order failed', { task, err }))
+  }
+
+  /** Whether a stop of the run is under way. */
+  isStopping (task: TaskId): boolean {
+    return this.#runs.get(task)?.phase === 'stopping'
+  }
+
+  /** The log says that the run is over. */
+  release (task: TaskId, run: number): void {
+    if (this.#runs.get(task)?.run === run) this.#runs.delete(task)
+  }
+
+  /** Renews and reads, at once or after the present call. */
+  poll (): void {
+    if (this.#isClosed) return
+    this.#pollAgain = true
+    if (this.#isPolling) return
+    this.#isPolling = true
+    this.#pollLoop().catch((err: unknown) => this.#options.events.log('renewal failed', { endpoint: this.#endpoint.id, err })).finally(() => { this.#isPolling = false })
+  }
+
+  /** Declares runs lost whose lease has certainly ended while the endpoint was out of reach. */
+  tick (): void {
+    if (this.#isClosed || this.#runs.size === 0) return
+    this.poll()
+    if (this.#failures === 0 || this.#options.timers.now() < this.#getLeaseEndMs()) return
+    const ends = [...this.#runs.values()].filter(({ phase }) => phase !== 'starting').map(({ task, run }): RunEnd => ({ task, run, outcome: 'lost', checkpoint: '' }))
+    if (ends.length === 0) return
+    this.#options.events.log('lease ended at an endpoint out of reach', { endpoint: this.#endpoint.id, runs: ends.length, failures: this.#failures })
+    this.#submit(ends).catch(() => {})
+  }
+
+  // Orders
+
+  async #sendStart (tracked: TrackedRun, payload: string, checkpoint: string): Promise<void> {
+    const { port, fence, events } = this.#options
+    if (!this.#clock) await this.#renew(0, false)
+    const leaseUntilMs = this.#extendLease()
+    if (this.#isClosed || leaseUntilMs === null || !events.isLeading()) return this.#setPhase(tracked, 'unconfirmed')
+    const order = { task: tracked.task, run: tracked.run, payload, checkpoint, fence, leaseUntilMs }
+    const result = await port.start(this.#endpoint, order, ORDER_TIMEOUT_MS).catch(IbisError.from)
+    if (this.#isClosed) return
+    if (result instanceof IbisError) {
+      events.log('no answer to a start', { task: tracked.task, run: tracked.run, endpoint: this.#endpoint.id, detail: result.message })
+      this.#failures += 1
+      this.#setPhase(tracked, 'unconfirmed')
+    } else if (result.type === 'ok') {
+      this.#noteContact(result.clockMs)
+      this.#setPhase(tracked, 'present')
+    } else if (result.type === 'refused') {
+      events.handleStartRefused(this.#endpoint, tracked.task, result.reason)
+      await this.#submit([{ task: tracked.task, run: tracked.run, outcome: 'not-started', checkpoint: '' }]).catch(() => this.#setPhase(tracked, 'stopping'))
+    } else {
+      this.#setPhase(tracked, 'unconfirmed')
+      this.#handleRejection(result)
+    }
+    this.poll()
+  }
+
+  async #sendStop (tracked: TrackedRun): Promise<void> {
+    const { port, fence, events, timers } = this.#options
+    while (!this.#isClosed && this.#runs.get(tracked.task) === tracked && !tracked.isStopAcked && events.isLeading()) {
+      const result = await port.stop(this.#endpoint, { task: tracked.task, run: tracked.run, fence }, ORDER_TIMEOUT_MS).catch(IbisError.from)
+      if (this.#isClosed) return
+      if (result instanceof IbisError) {
+        this.#failures += 1
+        await timers.delay(RETRY_MS)
+      } else if (result.type === 'ok') {
+        this.#noteContact(result.clockMs)
+        tracked.isStopAcked = true
+        tracked.sinceMs = timers.now()
+      } else if (result.type === 'refused') {
+        await timers.delay(RETRY_MS)
+      } else {
+        return this.#handleRejection(result)
+      }
+    }
+    this.poll()
+  }
+
+  #handleRejection (result: Extract<OrderResult | RenewResult, { type: 'fenced' | 'other-life' | 'refused' }>): void {
+    const { events } = this.#options
+    if (result.type === 'refused') return
+    this.#isClosed = true
+    if (result.type === 'fenced') events.handleFenced(this.#endpoint)
+    else events.handleReplaced(this.#endpoint)
+  }
+
+  // Renewals and reports
+
+  async #pollLoop (): Promise<void> {
+    const { timers, events } = this.#options
+    while (!this.#isClosed && events.isLeading() && (this.#pollAgain || this.#needsPoll())) {
+      this.#pollAgain = false
+      const isSettled = [...this.#runs.values()].every(({ phase }) => phase === 'present')
+      const canWait = this.#runs.size > 0 && isSettled && this.#ackedUpto >= this.#committedUpto
+      const answered = await this.#renew(canWait ? RENEW_WAIT_MS : 0, true)
+      if (!answered) await timers.delay(RETRY_MS)
+      else if (!canWait && this.#runs.size > 0) await timers.delay(this.#getPauseMs())
+    }
+  }
+
+  /** Stops take some time to be reported, and asking more often would not speed them up. */
+  #getPauseMs (): number {
+    return [...this.#runs.values()].some(({ phase }) => phase === 'stopping' || phase === 'unconfirmed') ? 100 : 0
+  }
+
+  #needsPoll (): boolean {
+    return this.#runs.size > 0 || this.#ackedUpto < this.#committedUpto
+  }
+
+  /** Returns whether the endpoint answered. */
+  async #renew (waitMs: number, mayExtend: boolean): Promise<boolean> {
+    const { port, fence, timers } = this.#options
+    // While the endpoint is out of reach its lease is not extended, so that its end stays certain.
+    const leaseUntilMs = mayExtend && this.#failures === 0 && this.#runs.size > 0 ? this.#extendLease() : null
+    const ackedUpto = this.#committedUpto
+    const sentAtMs = timers.now()
+    const result = await port.renew(this.#endpoint, { fence, ackedUpto, leaseUntilMs, waitMs }, waitMs + RENEW_GRACE_MS).catch(IbisError.from)
+    if (this.#isClosed) return true
+    if (result instanceof IbisError) {
+      this.#failures += 1
+      if (this.#failures === 1) this.#options.events.log('endpoint does not answer', { endpoint: this.#endpoint.id, address: this.#endpoint.address, runs: this.#runs.size, detail: result.message })
+      return false
+    }
+    if (result.type !== 'report') {
+      this.#handleRejection(result)
+      return result.type !== 'refused'
+    }
+    if (this.#failures > 0) this.#pollAgain = true
+    this.#noteContact(result.report.clockMs)
+    this.#ackedUpto = Math.max(this.#ackedUpto, ackedUpto)
+    this.#handleReport(result.report, sentAtMs)
+    return true
+  }
+
+  #handleReport (report: EndpointReport, askedAtMs: number): void {
+    const fresh = report.ended.filter(({ number }) => number > this.#submittedUpto)
+    const ends: RunEnd[] = fresh.map(({ task, run, outcome, checkpoint }) => ({ task, run, outcome, checkpoint }))
+    const endedHere = new Set(report.ended.map(({ task, run }) => `${task}#${run}`))
+    const running = new Map(report.running.map((run) => [run.task, run] as const))
+    for (const tracked of this.#runs.values()) {
+      const isEnded = endedHere.has(`${tracked.task}#${tracked.run}`)
+      if (isEnded) continue
+      const seen = running.get(tracked.task)
+      if (seen?.run === tracked.run) this.#noteProgress(tracked, seen)
+      else if (!report.hasMore && tracked.sinceMs < askedAtMs) this.#handleAbsent(tracked, ends)
+    }
+    for (const { task, run } of report.running) if (this.#runs.get(task)?.run !== run) this.#stopUnknown(task, run)
+    const upto = fresh.reduce((max, { number }) => Math.max(max, number), this.#submittedUpto)
+    if (ends.length > 0) this.#submit(ends, upto).catch(() => {})
+  }
+
+  #noteProgress (tracked: TrackedRun, { percent }: RunReport): void {
+    if (percent > tracked.percent) {
+      tracked.percent = percent
+      tracked.progressAtMs = this.#options.timers.now()
+    }
+    if (tracked.phase === 'inherited' || tracked.phase === 'unconfirmed') this.#setPhase(tracked, 'present')
+  }
+
+  /** A run that was asked about and is neither running nor among the ended ones. */
+  #handleAbsent (tracked: TrackedRun, ends: RunEnd[]): void {
+    const notStarted: RunEnd = { task: tracked.task, run: tracked.run, outcome: 'not-started', checkpoint: '' }
+    switch (tracked.phase) {
+      case 'starting': return
+      // Our fence keeps a late order of the earlier leader from being carried out.
+      case 'inherited': {
+        ends.push(notStarted)
+        return
+      }
+      case 'unconfirmed': return this.stop(tracked.task)
+      case 'stopping': {
+        if (tracked.isStopAcked) ends.push(notStarted)
+        return
+      }
+      case 'present': {
+        this.#options.events.log('a run vanished from its endpoint', { task: tracked.task, run: tracked.run, endpoint: this.#endpoint.id })
+        ends.push({ ...notStarted, outcome: 'lost' })
+      }
+    }
+  }
+
+  /** A run that this system has given up runs on there. */
+  #stopUnknown (task: TaskId, run: number): void {
+    const tracked = this.#runs.get(task)
+    if (tracked && tracked.run > run) return
+    const { port, fence, events } = this.#options
+    events.log('stops a run that is not known to be active', { task, run, endpoint: this.#endpoint.id })
+    port.stop(this.#endpoint, { task, run, fence }, ORDER_TIMEOUT_MS)
+      .then(() => this.poll())
+      .catch(() => { /* The next report lists it again. */ })
+  }
+
+  async #submit (ends: readonly RunEnd[], upto?: number): Promise<void> {
+    if (upto !== undefined) this.#submittedUpto = upto
+    try {
+      await this.#options.events.handleEnds(this.#endpoint, ends)
+      if (upto !== undefined) this.#committedUpto = Math.max(this.#committedUpto, upto)
+      this.poll()
+    } catch (err) {
+      // The endpoint lists what was not acknowledged again.
+      if (upto !== undefined) this.#submittedUpto = this.#committedUpto
+      throw err
+    }
+  }
+
+  // Clock and lease
+
+  #noteContact (clockMs: number): void {
+    const now = this.#options.timers.now()
+    this.#failures = 0
+    this.#clock = { valueMs: clockMs, atMs: now }
+    // An earlier leader may have granted the longest lease just before.
+    if (this.#contactAtMs === null) this.#leaseUntilMs = Math.max(this.#leaseUntilMs, clockMs + this.#options.leaseMaxMs)
+    this.#contactAtMs = now
+  }
+
+  /** A lower bound: the reading was taken before it arrived, and the clock may be slow. */
+  #estimateClock (atMs: number): number | null {
+    return this.#clock && this.#clock.valueMs + (atMs - this.#clock.atMs) * (1 - CLOCK_DRIFT)
+  }
+
+  #extendLease (): number | null {
+    const now = this.#options.timers.now()
+    const clockMs = this.#estimateClock(now)
+    if (clockMs === null) return null
+    const untilMs = Math.floor(clockMs + this.#options.leaseMaxMs - LEASE_SLACK_MS)
+    this.#leaseUntilMs = Math.max(this.#leaseUntilMs, untilMs)
+    return untilMs
+  }
+
+  /** Our time by which every lease that this or an earlier leader has given is over. */
+  #getLeaseEndMs (): number {
+    const { leaseMaxMs } = this.#options
+    if (!this.#clock || this.#contactAtMs === null) return this.#openedAtMs + DEPOSED_LEADER_MS + leaseMaxMs / (1 - CLOCK_DRIFT) + LEASE_END_MARGIN_MS
+    return this.#clock.atMs + Math.max(0, this.#leaseUntilMs - this.#clock.valueMs) / (1 - CLOCK_DRIFT) + LEASE_END_MARGIN_MS
+  }
+
+  // Tracking
+
+  #track (task: TaskId, run: number, phase: RunPhase): TrackedRun {
+    const now = this.#options.timers.now()
+    const tracked: TrackedRun = { task: asId<TaskId>(task), run, phase, sinceMs: now, percent: 0, progressAtMs: now, isStopAcked: false }
+    this.#runs.set(task, tracked)
+    return tracked
+  }
+
+  #setPhase (tracked: TrackedRun, phase: RunPhase): void {
+    tracked.phase = phase
+    tracked.sinceMs = this.#options.timers.now()
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/planner.ts
@@ -0,0 +1,187 @@
+import type { CustomerId, TaskId } from '@ibisstair/common'
+import type { ActiveRun, EndpointLife, EndpointRecord, JobEntry, Resources, SchedulingState, StartGroup } from '@ibisstair/jobs'
+import { mustParseTaskId, subtractResources } from '@ibisstair/jobs'
+import { couldEverFit, placeTasks, type Assignment, type Candidate } from './placement.ts'
+import { planPreemption, type Victim } from './preemption.ts'
+import { listReadyWork, type ReadyWork } from './ready-work.ts'
+
+/** What the planner needs to know beyond the replicated state. */
+export interface FleetView {
+  /** Whether the endpoint may be given new work. */
+  isUsable (endpoint: EndpointRecord): boolean
+  /** Higher is used later. */
+  getPenalty (endpoint: EndpointRecord): number
+}
+
+export interface PlanInput {
+  readonly state: SchedulingState
+  readonly fleet: FleetView
+  readonly nowMs: number
+  readonly wallMs: number
+}
+
+export interface Plan {
+  readonly starts: readonly StartGroup[]
+  /** Runs to stop so that more urgent work fits. */
+  readonly preempted: readonly TaskId[]
+}
+
+/** Capacity that victims leave to urgent work. */
+interface Claim {
+  readonly assignments: readonly Assignment[]
+  readonly untilMs: number
+}
+
+/** Victims have reported their end by then, or the claim is made anew. */
+const CLAIM_MS = 1_500
+
+/** An accelerator counts as this many cores when thrown-away work is compared. */
+const CORES_PER_ACCELERATOR = 8
+const CHECKPOINT_INTERVAL_MS = 2_000
+
+/** Cost factors by priority: work of a higher priority is harder to give up. */
+const PRIORITY_COST = [8, 2, 1]
+
+const toKey = ({ job, occurrence, step }: ReadyWork): string => `${job.spec.id}.${occurrence}.${step}`
+
+const coresOf = ({ cpuMilli, accelerators }: Resources): number => cpuMilli / 1_000 + accelerators * CORES_PER_ACCELERATOR
+
+/** Accelerators that the unfinished steps of the job need at a time. */
+const countNeed = (job: JobEntry): number =>
+  Math.max(...job.spec.steps.map(({ count, resources }) => count * resources.accelerators))
+
+/**
+ * Decides what starts where and what is preempted for it. The decisions depend on the replicated
+ * state, on the health of endpoints and on claims of earlier passes; it performs no I/O.
+ */
+export class Planner {
+  readonly #claims = new Map<string, Claim>()
+
+  plan (input: PlanInput): Plan {
+    const candidates = this.#listCandidates(input)
+    const endpoints = candidates.map(({ endpoint }) => endpoint)
+    const needs = this.#sumUrgentNeeds(input.state)
+    const starts: StartGroup[] = []
+    const preempted: TaskId[] = []
+    const claimed = new Set<string>()
+    for (const work of this.#listWork(input, needs)) {
+      claimed.add(toKey(work))
+      const group = this.#place(work, candidates, endpoints, input, needs, preempted)
+      if (group) starts.push(group)
+    }
+    for (const key of this.#claims.keys()) if (!claimed.has(key)) this.#claims.delete(key)
+    return { starts, preempted }
+  }
+
+  #listCandidates ({ state, fleet }: PlanInput): Candidate[] {
+    return [...state.endpoints.list()].filter((endpoint) => fleet.isUsable(endpoint)).map((endpoint) => ({
+      endpoint,
+      free: subtractResources(endpoint.capacity, state.jobs.getUsage(endpoint.life)),
+      penalty: fleet.getPenalty(endpoint)
+    }))
+  }
+
+  /** Most urgent first; among equals those within their customer's guarantee, then the oldest. */
+  #listWork ({ state, wallMs }: PlanInput, needs: ReadonlyMap<CustomerId | null, number>): ReadyWork[] {
+    const ready = [...state.jobs.listActive()].flatMap((job) => listReadyWork(job, wallMs))
+    const rank = ({ job }: ReadyWork): number => 2 * job.spec.priority + (job.spec.priority === 0 && !isGuaranteed(state, job, needs) ? 1 : 0)
+    return ready.sort((a, b) => rank(a) - rank(b) || a.job.acceptedAtMs - b.job.acceptedAtMs)
+  }
+
+  #sumUrgentNeeds (state: SchedulingState): Map<CustomerId | null, number> {
+    const needs = new Map<CustomerId | null, number>()
+    for (const job of state.jobs.listActive()) {
+      if (job.spec.priority !== 0) continue
+      needs.set(job.spec.customer, (needs.get(job.spec.customer) ?? 0) + countNeed(job))
+    }
+    return needs
+  }
+
+  #place (work: ReadyWork, candidates: Candidate[], endpoints: readonly EndpointRecord[], input: PlanInput, needs: ReadonlyMap<CustomerId | null, number>, preempted: TaskId[]): StartGroup | null {
+    const { spec, indexes } = work
+    const claim = this.#claims.get(toKey(work))
+    if (claim && input.nowMs < claim.untilMs) return this.#placeClaimed(work, claim, candidates)
+    this.#claims.delete(toKey(work))
+    const countOn = this.#createCounter(work, input.state)
+    const acceptFar = !couldEverFit(spec, endpoints, { acceptFar: false })
+    const assignments = placeTasks(spec, indexes, candidates, countOn, { acceptFar })
+    const isWhole = assignments.length === indexes.length
+    if (!isWhole && work.job.spec.priority === 0) this.#preemptFor(work, assignments, candidates, input, needs, acceptFar, preempted)
+    return assignments.length > 0 ? toGroup(work, assignments) : null
+  }
+
+  #placeClaimed (work: ReadyWork, { assignments }: Claim, candidates: readonly Candidate[]): StartGroup | null {
+    const byLife = new Map(candidates.map((candidate) => [candidate.endpoint.life, candidate]))
+    for (const { endpoint } of assignments) {
+      const candidate = byLife.get(endpoint)
+      // Below zero while the victims are still there, which keeps others out.
+      if (candidate) candidate.free = subtractResources(candidate.free, work.spec.resources)
+    }
+    const isFree = assignments.every(({ endpoint }) => {
+      const free = byLife.get(endpoint)?.free
+      return free !== undefined && Math.min(free.cpuMilli, free.memMb, free.accelerators) >= 0
+    })
+    if (!isFree) return null
+    this.#claims.delete(toKey(work))
+    return toGroup(work, assignments)
+  }
+
+  #preemptFor (work: ReadyWork, placed: readonly Assignment[], candidates: Candidate[], input: PlanInput, needs: ReadonlyMap<CustomerId | null, number>, acceptFar: boolean, preempted: TaskId[]): void {
+    const indexes = work.indexes.filter((index) => !placed.some((assignment) => assignment.index === index))
+    const countOn = this.#createCounter(work, input.state)
+    const victims = this.#listVictims(work, input, needs, new Set(preempted))
+    const plan = planPreemption({ spec: work.spec, indexes, candidates, countOn, acceptFar }, victims)
+    if (!plan) return
+    for (const { runs } of plan.victims) preempted.push(...runs.map(({ task }) => task))
+    this.#claims.set(toKey(work), { assignments: plan.assignments, untilMs: input.nowMs + CLAIM_MS })
+    const byLife = new Map(candidates.map((candidate) => [candidate.endpoint.life, candidate]))
+    for (const { endpoint } of plan.assignments) {
+      const candidate = byLife.get(endpoint)!
+      candidate.free = subtractResources(candidate.free, work.spec.resources)
+    }
+  }
+
+  #listVictims (work: ReadyWork, { state, wallMs }: PlanInput, needs: ReadonlyMap<CustomerId | null, number>, taken: ReadonlySet<TaskId>): Victim[] {
+    const mayTakeUrgent = isGuaranteed(state, work.job, needs)
+    const groups = new Map<string, ActiveRun[]>()
+    for (const life of state.jobs.listOccupied()) {
+      for (const run of state.jobs.listRuns(life).values()) {
+        const ref = mustParseTaskId(run.task)
+        const job = state.jobs.get(ref.job)!
+        if (job.spec.id === work.job.spec.id || taken.has(run.task)) continue
+        const isLower = job.spec.priority > 0 || (mayTakeUrgent && !isGuaranteed(state, job, needs))
+        if (!isLower) continue
+        const isGang = job.spec.steps[ref.step]!.gang
+        const key = isGang ? `${ref.job}.${ref.occurrence}.${ref.step}` : run.task
+        groups.set(key, [...groups.get(key) ?? [], run])
+      }
+    }
+    return [...groups.values()].map((runs) => toVictim(runs, state, wallMs))
+  }
+
+  #createCounter ({ job, occurrence, step }: ReadyWork, state: SchedulingState): (life: EndpointLife) => number {
+    const { maxPerEndpoint } = job.spec.steps[step]!
+    if (maxPerEndpoint === null) return () => 0
+    return (life) => [...state.jobs.listRuns(life).keys()].filter((task) => {
+      const ref = mustParseTaskId(task)
+      return ref.job === job.spec.id && ref.occurrence === occurrence && ref.step === step
+    }).length
+  }
+}
+
+/** Whether all urgent jobs of the customer together stay within its guarantee. */
+const isGuaranteed = (state: SchedulingState, { spec }: JobEntry, needs: ReadonlyMap<CustomerId | null, number>): boolean =>
+  spec.priority === 0 && (needs.get(spec.customer) ?? 0) <= state.config.getGuarantee(spec.customer)
+
+const toGroup = ({ job, occurrence, step, run }: ReadyWork, members: readonly Assignment[]): StartGroup =>
+  ({ job: job.spec.id, occurrence, step, run, members })
+
+const toVictim = (runs: readonly ActiveRun[], state: SchedulingState, wallMs: number): Victim => {
+  const { job: id, step } = mustParseTaskId(runs[0]!.task)
+  const { spec } = state.jobs.get(id)!
+  const { resources, checkpointing } = spec.steps[step]!
+  const workedMs = Math.max(0, wallMs - runs[0]!.startedAtMs)
+  const lostMs = checkpointing ? Math.min(workedMs, CHECKPOINT_INTERVAL_MS) : workedMs
+  const factor = PRIORITY_COST[Math.min(spec.priority, PRIORITY_COST.length - 1)]!
+  return { runs, resources, cost: runs.length * coresOf(resources) * (lostMs + 500) * factor }
+}
--- /dev/null
+++ b/packages/dispatch/src/ports.ts
@@ -0,0 +1,77 @@
+import type { TaskId } from '@ibisstair/common'
+import type { EndpointRecord, RunOutcome } from '@ibisstair/jobs'
+
+/** What an order to an endpoint came to. No answer at all is an `IbisError` of kind `unreachable`. */
+export type OrderResult =
+  | { readonly type: 'ok', readonly clockMs: number }
+  /** A newer leader has given orders to the endpoint. */
+  | { readonly type: 'fenced' }
+  /** The address belongs to another life of an endpoint. */
+  | { readonly type: 'other-life' }
+  /** Nothing was or will be started. */
+  | { readonly type: 'refused', readonly reason: string }
+
+export interface StartOrder {
+  readonly task: TaskId
+  readonly run: number
+  readonly payload: string
+  readonly checkpoint: string
+  /** Fencing token: the term of the leader. */
+  readonly fence: number
+  /** End of the lease on the endpoint's clock. */
+  readonly leaseUntilMs: number
+}
+
+export interface StopOrder {
+  readonly task: TaskId
+  readonly run: number
+  readonly fence: number
+}
+
+export interface RenewOrder {
+  readonly fence: number
+  /** Reports up to this number are in the log and may be forgotten by the endpoint. */
+  readonly ackedUpto: number
+  /** Null renews nothing. */
+  readonly leaseUntilMs: number | null
+  /** Whole milliseconds that the answer may wait for the end of a run. */
+  readonly waitMs: number
+}
+
+export interface RunReport {
+  readonly task: TaskId
+  readonly run: number
+  /** Share of the work that is done, 0 to 100. */
+  readonly percent: number
+}
+
+export interface EndReport {
+  readonly number: number
+  readonly task: TaskId
+  readonly run: number
+  readonly outcome: RunOutcome
+  readonly checkpoint: string
+}
+
+export interface EndpointReport {
+  readonly clockMs: number
+  readonly running: readonly RunReport[]
+  /** Not acknowledged yet; the oldest ones when there are many. */
+  readonly ended: readonly EndReport[]
+  /** More reports follow once these are acknowledged. */
+  readonly hasMore: boolean
+}
+
+export type RenewResult =
+  | { readonly type: 'report', readonly report: EndpointReport }
+  | Extract<OrderResult, { type: 'fenced' | 'other-life' | 'refused' }>
+
+/** Calls to endpoints. All reject with `unreachable` when there was no answer in time: the order may still be carried out. */
+export interface EndpointPort {
+  start (endpoint: EndpointRecord, order: StartOrder, timeoutMs: number): Promise<OrderResult>
+  stop (endpoint: EndpointRecord, order: StopOrder, timeoutMs: number): Promise<OrderResult>
+  /** Extends the lease of everything that runs there and reads what runs and what has ended. */
+  renew (endpoint: EndpointRecord, order: RenewOrder, timeoutMs: number): Promise<RenewResult>
+  /** Closes the connections to an endpoint that is gone. */
+  forget (endpoint: EndpointRecord): void
+}
--- /dev/null
+++ b/packages/dispatch/src/preemption.ts
@@ -0,0 +1,84 @@
+import type { ActiveRun, EndpointLife, Resources, StepSpec } from '@ibisstair/jobs'
+import { addResources } from '@ibisstair/jobs'
+import type { TaskId } from '@ibisstair/common'
+import { placeTasks, type Assignment, type Candidate, type CountOnEndpoint } from './placement.ts'
+
+/** Runs that end together when one of them is stopped: the members of a gang, or a single task. */
+export interface Victim {
+  readonly runs: readonly ActiveRun[]
+  readonly resources: Resources
+  /** What stopping it throws away; victims of lower cost are taken first. */
+  readonly cost: number
+}
+
+export interface PreemptionPlan {
+  readonly victims: readonly Victim[]
+  readonly assignments: readonly Assignment[]
+}
+
+interface Search {
+  readonly spec: StepSpec
+  readonly indexes: readonly number[]
+  readonly candidates: readonly Candidate[]
+  readonly countOn: CountOnEndpoint
+  readonly acceptFar: boolean
+}
+
+const copy = (candidates: readonly Candidate[]): Candidate[] => candidates.map((candidate) => ({ ...candidate }))
+
+const freeVictim = (candidates: readonly Candidate[], { runs, resources }: Victim): void => {
+  const byLife = new Map(candidates.map((candidate) => [candidate.endpoint.life, candidate]))
+  for (const { endpoint } of runs) {
+    const candidate = byLife.get(endpoint)
+    if (candidate) candidate.free = addResources(candidate.free, resources)
+  }
+}
+
+const tryPlace = (search: Search, taken: readonly Victim[]): Assignment[] => {
+  const candidates = copy(search.candidates)
+  for (const victim of taken) freeVictim(candidates, victim)
+  return placeTasks(search.spec, search.indexes, candidates, search.countOn, { acceptFar: search.acceptFar })
+}
+
+/** Leaves out victims, dearest first, without which the tasks still fit. */
+const prune = (search: Search, taken: readonly Victim[]): Victim[] => {
+  let kept = [...taken]
+  for (const victim of [...taken].reverse()) {
+    const rest = kept.filter((other) => other !== victim)
+    if (tryPlace(search, rest).length === search.indexes.length) kept = rest
+  }
+  return kept
+}
+
+const planWithin = (search: Search, victims: readonly Victim[]): PreemptionPlan | null => {
+  const lives = new Set<EndpointLife>(search.candidates.map(({ endpoint }) => endpoint.life))
+  const useful = victims.filter(({ runs }) => runs.some(({ endpoint }) => lives.has(endpoint)))
+  const taken: Victim[] = []
+  for (const victim of useful) {
+    taken.push(victim)
+    if (tryPlace(search, taken).length < search.indexes.length) continue
+    const kept = prune(search, taken)
+    return { victims: kept, assignments: tryPlace(search, kept) }
+  }
+  return null
+}
+
+const sumCost = ({ victims }: PreemptionPlan): number => victims.reduce((sum, { cost }) => sum + cost, 0)
+
+/**
+ * The cheapest set of victims, found greedily, after whose end all tasks fit. A tightly coupled step
+ * is tried in each rack.
+ */
+export const planPreemption = (search: Search, victims: readonly Victim[]): PreemptionPlan | null => {
+  const ordered = [...victims].sort((a, b) => a.cost - b.cost)
+  const { spec, candidates } = search
+  const racks = spec.tightlyCoupled ? [...new Set(candidates.map(({ endpoint }) => endpoint.rack))] : []
+  const plans = racks.flatMap((rack) => {
+    const inRack = candidates.filter(({ endpoint }) => endpoint.rack === rack)
+    return planWithin({ ...search, candidates: inRack, acceptFar: false }, ordered) ?? []
+  })
+  if (plans.length > 0) return plans.reduce((best, plan) => sumCost(plan) < sumCost(best) ? plan : best)
+  return planWithin(search, ordered)
+}
+
+export const listVictimTasks = ({ victims }: PreemptionPlan): TaskId[] => victims.flatMap(({ runs }) => runs.map(({ task }) => task))
--- a/packages/gateway/src/route.ts
+++ b/packages/gateway/src/route.ts
@@ -42,6 +42,9 @@
     case 'body-too-large':
     case 'unauthorized':
     case 'wrong-deployment':
+    case 'unknown-queue':
+    case 'unknown-job':
+    case 'bad-credential':
     case 'unknown-customer':
     case 'unknown-kind':
     case 'key-conflict':
--- /dev/null
+++ b/packages/jobs/src/config-store.ts
@@ -0,0 +1,52 @@
+import type { CustomerId } from '@ibisstair/common'
+import type { QueueConfig, ServiceConfig } from './types.ts'
+
+/** The configuration in force, with the look-ups that requests need. */
+export class ConfigStore {
+  #config: ServiceConfig | null = null
+  #queuesByHost = new Map<string, QueueConfig[]>()
+  #customerByKey = new Map<string, CustomerId>()
+  #guarantees = new Map<CustomerId, number>()
+
+  get config (): ServiceConfig | null {
+    return this.#config
+  }
+
+  get version (): number {
+    return this.#config?.version ?? 0
+  }
+
+  /** Only a higher version takes effect. */
+  put (config: ServiceConfig): boolean {
+    if (this.#config && config.version <= this.#config.version) return false
+    this.#config = config
+    this.#index(config)
+    return true
+  }
+
+  restore (config: ServiceConfig | null): void {
+    this.#config = config
+    if (config) this.#index(config)
+  }
+
+  findQueue (host: string, path: string): QueueConfig | undefined {
+    return this.#queuesByHost.get(host)?.find((queue) => path.startsWith(queue.pathPrefix))
+  }
+
+  findCustomer (key: string): CustomerId | undefined {
+    return this.#customerByKey.get(key)
+  }
+
+  getGuarantee (customer: CustomerId | null): number {
+    return customer === null ? 0 : this.#guarantees.get(customer) ?? 0
+  }
+
+  #index ({ queues, customers }: ServiceConfig): void {
+    this.#queuesByHost = new Map()
+    for (const queue of queues) this.#queuesByHost.set(queue.host, [...this.#queuesByHost.get(queue.host) ?? [], queue])
+    // The first match is then the longest prefix.
+    for (const list of this.#queuesByHost.values()) list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+    this.#customerByKey = new Map(customers.flatMap(({ name, keys }) => keys.map((key) => [key, name] as const)))
+    this.#guarantees = new Map(customers.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]))
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/job-entry.ts
@@ -0,0 +1,210 @@
+import type { ActiveRun, JobSpec, JobState, JobStatus, RunEnd, StepSpec } from './types.ts'
+
+/** Progress of one task of one occurrence. */
+export interface TaskEntry {
+  isDone: boolean
+  failures: number
+  lastRun: number
+  checkpoint: string
+  active: ActiveRun | null
+}
+
+/** Progress of one step of one occurrence. Attempts and checkpoints of a gang belong to the step. */
+export interface StepEntry {
+  readonly tasks: TaskEntry[]
+  doneTasks: number
+  activeTasks: number
+  gangFailures: number
+  /** A gang's run counts as one failure, however many members report it. */
+  lastFailedRun: number
+  lastRun: number
+  checkpoint: string
+}
+
+export interface OccurrenceEntry {
+  readonly steps: StepEntry[]
+}
+
+export interface JobSnapshot {
+  readonly spec: JobSpec
+  readonly acceptedAtMs: number
+  readonly state: JobState
+  readonly endedAtMs: number
+  readonly hasBegun: boolean
+  readonly occurrences: ReadonlyArray<readonly [number, OccurrenceEntry]>
+}
+
+const createTask = (): TaskEntry => ({ isDone: false, failures: 0, lastRun: 0, checkpoint: '', active: null })
+
+const createStep = ({ count }: StepSpec): StepEntry => ({
+  tasks: Array.from({ length: count }, createTask),
+  doneTasks: 0,
+  activeTasks: 0,
+  gangFailures: 0,
+  lastFailedRun: 0,
+  lastRun: 0,
+  checkpoint: ''
+})
+
+/** One accepted job. It changes only through commands of the log. */
+export class JobEntry {
+  readonly spec: JobSpec
+  readonly acceptedAtMs: number
+  readonly #occurrences = new Map<number, OccurrenceEntry>()
+  #state: JobState = 'active'
+  #endedAtMs = 0
+  #hasBegun = false
+  #doneTasks = 0
+  #activeRuns = 0
+
+  constructor (spec: JobSpec, acceptedAtMs: number) {
+    this.spec = spec
+    this.acceptedAtMs = acceptedAtMs
+  }
+
+  static restore (snapshot: JobSnapshot): JobEntry {
+    const job = new JobEntry(snapshot.spec, snapshot.acceptedAtMs)
+    job.#state = snapshot.state
+    job.#endedAtMs = snapshot.endedAtMs
+    job.#hasBegun = snapshot.hasBegun
+    for (const [occurrence, entry] of snapshot.occurrences) {
+      job.#occurrences.set(occurrence, entry)
+      for (const step of entry.steps) {
+        job.#doneTasks += step.doneTasks
+        job.#activeRuns += step.activeTasks
+      }
+    }
+    return job
+  }
+
+  toSnapshot (): JobSnapshot {
+    return { spec: this.spec, acceptedAtMs: this.acceptedAtMs, state: this.#state, endedAtMs: this.#endedAtMs, hasBegun: this.#hasBegun, occurrences: [...this.#occurrences] }
+  }
+
+  get state (): JobState {
+    return this.#state
+  }
+
+  get endedAtMs (): number {
+    return this.#endedAtMs
+  }
+
+  get isActive (): boolean {
+    return this.#state === 'active'
+  }
+
+  get hasBegun (): boolean {
+    return this.#hasBegun
+  }
+
+  get activeRuns (): number {
+    return this.#activeRuns
+  }
+
+  get status (): JobStatus {
+    if (this.#state !== 'active') return this.#state
+    return this.#hasBegun ? 'running' : 'queued'
+  }
+
+  get occurrenceCount (): number {
+    return this.spec.recurrence?.occurrences ?? 1
+  }
+
+  /** Unix milliseconds before which an occurrence must not start. */
+  getDueAtMs (occurrence: number): number {
+    const { recurrence } = this.spec
+    return recurrence ? recurrence.startAtMs + occurrence * recurrence.intervalMs : 0
+  }
+
+  getOccurrence (occurrence: number): OccurrenceEntry {
+    const known = this.#occurrences.get(occurrence)
+    if (known) return known
+    const entry = { steps: this.spec.steps.map(createStep) }
+    this.#occurrences.set(occurrence, entry)
+    return entry
+  }
+
+  findTask (occurrence: number, step: number, index: number): TaskEntry | undefined {
+    if (occurrence >= this.occurrenceCount || step >= this.spec.steps.length) return undefined
+    return this.getOccurrence(occurrence).steps[step]?.tasks[index]
+  }
+
+  isStepDone (occurrence: number, step: number): boolean {
+    const { doneTasks, tasks } = this.getOccurrence(occurrence).steps[step]!
+    return doneTasks === tasks.length
+  }
+
+  areDependenciesDone (occurrence: number, step: number): boolean {
+    return this.spec.steps[step]!.dependsOn.every((earlier) => this.isStepDone(occurrence, earlier))
+  }
+
+  /** Whether a later run could still count for the task of this run. */
+  isRunWanted (occurrence: number, step: number, index: number): boolean {
+    return this.isActive && this.findTask(occurrence, step, index)?.isDone === false
+  }
+
+  startRun (occurrence: number, step: number, index: number, run: ActiveRun): void {
+    const stepEntry = this.getOccurrence(occurrence).steps[step]!
+    const task = stepEntry.tasks[index]!
+    task.active = run
+    task.lastRun = run.run
+    stepEntry.lastRun = Math.max(stepEntry.lastRun, run.run)
+    stepEntry.activeTasks += 1
+    this.#activeRuns += 1
+    this.#hasBegun = true
+  }
+
+  cancel (atMs: number): void {
+    if (this.isActive) this.#end('cancelled', atMs)
+  }
+
+  /** Returns the run that the report ends, if it was active. */
+  endRun (occurrence: number, step: number, index: number, end: RunEnd, atMs: number): ActiveRun | null {
+    const task = this.findTask(occurrence, step, index)
+    if (!task) return null
+    const stepEntry = this.getOccurrence(occurrence).steps[step]!
+    const ended = task.active?.run === end.run ? task.active : null
+    if (ended) {
+      task.active = null
+      stepEntry.activeTasks -= 1
+      this.#activeRuns -= 1
+    }
+    if (!this.isActive || task.isDone) return ended
+    // The result of a run that was given up counts, too: the task has been done once.
+    if (end.outcome === 'done') this.#finishTask(stepEntry, step, task, atMs)
+    else this.#failTask(stepEntry, step, task, end, atMs)
+    return ended
+  }
+
+  #finishTask (stepEntry: StepEntry, step: number, task: TaskEntry, atMs: number): void {
+    const spec = this.spec.steps[step]!
+    if (spec.longRunning) return
+    // The members of a gang end together, so that one report stands for all.
+    const finished = spec.gang ? stepEntry.tasks.filter(({ isDone }) => !isDone) : [task]
+    for (const entry of finished) entry.isDone = true
+    stepEntry.doneTasks += finished.length
+    this.#doneTasks += finished.length
+    const total = this.occurrenceCount * this.spec.steps.reduce((sum, { count }) => sum + count, 0)
+    if (this.#doneTasks === total) this.#end('completed', atMs)
+  }
+
+  #failTask (stepEntry: StepEntry, step: number, task: TaskEntry, end: RunEnd, atMs: number): void {
+    const { gang, longRunning } = this.spec.steps[step]!
+    if (end.checkpoint !== '') {
+      if (gang) stepEntry.checkpoint = end.checkpoint
+      else task.checkpoint = end.checkpoint
+    }
+    if (end.outcome !== 'failed' || longRunning) return
+    task.failures += 1
+    if (gang && end.run > stepEntry.lastFailedRun) {
+      stepEntry.lastFailedRun = end.run
+      stepEntry.gangFailures += 1
+    }
+    if ((gang ? stepEntry.gangFailures : task.failures) >= this.spec.maxAttempts) this.#end('failed', atMs)
+  }
+
+  #end (state: JobState, atMs: number): void {
+    this.#state = state
+    this.#endedAtMs = atMs
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/state.ts
@@ -0,0 +1,82 @@
+import { assertNever } from '@ibisstair/common'
+import type { StateMachine } from '@ibisstair/consensus'
+import { ConfigStore } from './config-store.ts'
+import { EndpointStore } from './endpoint-store.ts'
+import type { JobSnapshot } from './job-entry.ts'
+import { JobStore } from './job-store.ts'
+import type { EndpointRecord, ServiceConfig, StateCommand, StateResult } from './types.ts'
+
+interface StateSnapshot {
+  readonly config: ServiceConfig | null
+  readonly endpoints: readonly EndpointRecord[]
+  readonly jobs: readonly JobSnapshot[]
+}
+
+export type StateListener = (command: StateCommand, result: StateResult) => void
+
+/** The replicated state: configuration, endpoints and jobs, changed by commands in the order of the log. */
+export class SchedulingState implements StateMachine<StateCommand, StateResult> {
+  readonly config = new ConfigStore()
+  readonly endpoints = new EndpointStore()
+  readonly jobs = new JobStore()
+  readonly #listeners = new Set<StateListener>()
+
+  /** Called after each command that was applied. */
+  onApplied (listener: StateListener): () => void {
+    this.#listeners.add(listener)
+    return () => { this.#listeners.delete(listener) }
+  }
+
+  apply (command: StateCommand): StateResult {
+    const result = this.#apply(command)
+    for (const listener of this.#listeners) listener(command, result)
+    return result
+  }
+
+  toSnapshot (): StateSnapshot {
+    return { config: this.config.config, endpoints: [...this.endpoints.list()], jobs: this.jobs.toSnapshot() }
+  }
+
+  restore (snapshot: unknown): void {
+    const { config, endpoints, jobs } = snapshot as StateSnapshot
+    this.config.restore(config)
+    this.endpoints.restore(endpoints)
+    this.jobs.restore(jobs)
+  }
+
+  #apply (command: StateCommand): StateResult {
+    switch (command.type) {
+      case 'configure': {
+        const isChanged = this.config.put(command.config)
+        return { type: 'configured', version: this.config.version, isChanged }
+      }
+      case 'accept': {
+        const accepted = this.jobs.accept(command.spec, command.atMs)
+        if (!accepted) return { type: 'refused', reason: 'too-many-jobs' }
+        return { type: 'accepted', isNew: accepted.isNew, status: accepted.job.status }
+      }
+      case 'cancel': return { type: 'cancelled', status: this.jobs.cancel(command.job, command.atMs)?.status ?? null }
+      case 'start': {
+        // An endpoint that was replaced or removed in the meantime takes no run.
+        const groups = command.groups.filter(({ members }) => members.every(({ endpoint }) => this.endpoints.get(endpoint)))
+        return { type: 'started', groups: this.jobs.start(groups, command.atMs) }
+      }
+      case 'end': {
+        this.jobs.end(command.endpoint, command.ends, command.atMs)
+        return { type: 'ended' }
+      }
+      case 'register-endpoint': {
+        const replaced = this.endpoints.put(command.endpoint)
+        for (const life of replaced ?? []) this.jobs.loseEndpoint(life, command.atMs)
+        return { type: 'registered', isChanged: replaced !== null }
+      }
+      case 'remove-endpoint': {
+        this.endpoints.remove(command.life)
+        this.jobs.loseEndpoint(command.life, command.atMs)
+        return { type: 'removed' }
+      }
+      case 'barrier': return { type: 'passed' }
+      default: return assertNever(command)
+    }
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/types.ts
@@ -0,0 +1,165 @@
+import type { CustomerId, DomainId, EndpointId, JobId, RackId, TaskId } from '@ibisstair/common'
+
+/** One life of an endpoint: its id together with the time of its start. */
+export type EndpointLife = string & { readonly _brand: 'EndpointLife' }
+
+export interface Resources {
+  /** Thousandths of a processor core. */
+  readonly cpuMilli: number
+  readonly memMb: number
+  readonly accelerators: number
+}
+
+export interface StepSpec {
+  /** Number of tasks. */
+  readonly count: number
+  /** What each task occupies. */
+  readonly resources: Resources
+  /** The submitter's guess of the run time of one task; often wrong by half. */
+  readonly estimateMs: number
+  /** Indexes of earlier steps whose tasks must all be done first. */
+  readonly dependsOn: readonly number[]
+  readonly checkpointing: boolean
+  /** The tasks work only while all of them are present. */
+  readonly gang: boolean
+  /** The tasks are slower by a factor when they are spread over racks. */
+  readonly tightlyCoupled: boolean
+  readonly requiredLabel: string | null
+  /** Tasks are slower by a factor on other racks. */
+  readonly dataRack: RackId | null
+  /** Most tasks of the step in one occurrence on one endpoint. */
+  readonly maxPerEndpoint: number | null
+  /** The tasks run until the job is cancelled and are restarted however they end. */
+  readonly longRunning: boolean
+}
+
+/** The steps run several times, each time due a fixed interval after the one before. */
+export interface Recurrence {
+  readonly occurrences: number
+  /** Unix milliseconds at which occurrence 0 is due. */
+  readonly startAtMs: number
+  readonly intervalMs: number
+}
+
+export interface JobSpec {
+  readonly id: JobId
+  /** Name of the queue that took the job. */
+  readonly queue: string
+  readonly service: string
+  /** Null for a public queue. */
+  readonly customer: CustomerId | null
+  /** 0 is served first and may preempt the others. */
+  readonly priority: number
+  /** Failed runs of one task, or of one gang, after which the job has failed. */
+  readonly maxAttempts: number
+  /** Accepted ratio of completion time to the time of the longest chain of work. */
+  readonly stretch: number
+  readonly targetLatencyMs: number
+  /** Passed to every task unchanged. */
+  readonly payload: string
+  readonly steps: readonly StepSpec[]
+  readonly recurrence: Recurrence | null
+}
+
+export type JobState = 'active' | 'completed' | 'failed' | 'cancelled'
+
+/** What callers are shown. */
+export type JobStatus = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled'
+
+/** Why a run is over. `not-started` and `lost` are conclusions of this system; the endpoint reports the others. */
+export type RunOutcome = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'not-started' | 'lost'
+
+export interface RunEnd {
+  readonly task: TaskId
+  readonly run: number
+  readonly outcome: RunOutcome
+  /** State from which a later run resumes; empty when there is none. */
+  readonly checkpoint: string
+}
+
+/** A run that was ordered and is not known to be over. It occupies its endpoint. */
+export interface ActiveRun {
+  readonly task: TaskId
+  readonly run: number
+  readonly endpoint: EndpointLife
+  readonly startedAtMs: number
+}
+
+/** Tasks of one step that start together under one run number; a gang is started whole or not at all. */
+export interface StartGroup {
+  readonly job: JobId
+  readonly occurrence: number
+  readonly step: number
+  readonly run: number
+  readonly members: ReadonlyArray<{ readonly index: number, readonly endpoint: EndpointLife }>
+}
+
+export interface EndpointRecord {
+  readonly life: EndpointLife
+  readonly id: EndpointId
+  /** Unix milliseconds of its start; orders the lives at one address. */
+  readonly bornMs: number
+  /** `IP:PORT` */
+  readonly address: string
+  readonly domain: DomainId
+  readonly service: string
+  readonly rack: RackId
+  readonly labels: readonly string[]
+  readonly capacity: Resources
+  /** Announced that it will leave; takes no new work. */
+  readonly draining: boolean
+}
+
+export interface QueueConfig {
+  readonly name: string
+  readonly host: string
+  /** Longest matching prefix of the path selects the queue. */
+  readonly pathPrefix: string
+  readonly service: string
+  readonly priority: number
+  readonly maxAttempts: number
+  readonly stretch: number
+  readonly targetLatencyMs: number
+  readonly timeoutMs: number
+  /** No key is needed. */
+  readonly isPublic: boolean
+}
+
+export interface CustomerConfig {
+  readonly name: CustomerId
+  readonly keys: readonly string[]
+  /** Accelerators that belong to the customer's jobs of priority 0 at all times. */
+  readonly guaranteedAccelerators: number
+}
+
+/** One version of what operators configure. The highest version is in force. */
+export interface ServiceConfig {
+  readonly version: number
+  readonly queues: readonly QueueConfig[]
+  readonly services: readonly string[]
+  readonly customers: readonly CustomerConfig[]
+  /** The text as the operator sent it, which a read returns unchanged. */
+  readonly document: string
+}
+
+export type StateCommand =
+  | { readonly type: 'configure', readonly config: ServiceConfig }
+  | { readonly type: 'accept', readonly spec: JobSpec, readonly atMs: number }
+  | { readonly type: 'cancel', readonly job: JobId, readonly atMs: number }
+  | { readonly type: 'start', readonly groups: readonly StartGroup[], readonly atMs: number }
+  | { readonly type: 'end', readonly endpoint: EndpointLife, readonly ends: readonly RunEnd[], readonly atMs: number }
+  | { readonly type: 'register-endpoint', readonly endpoint: EndpointRecord, readonly atMs: number }
+  | { readonly type: 'remove-endpoint', readonly life: EndpointLife, readonly atMs: number }
+  /** Orders reads after all earlier commands. */
+  | { readonly type: 'barrier' }
+
+export type StateResult =
+  | { readonly type: 'configured', readonly version: number, readonly isChanged: boolean }
+  | { readonly type: 'accepted', readonly isNew: boolean, readonly status: JobStatus }
+  | { readonly type: 'refused', readonly reason: 'too-many-jobs' }
+  | { readonly type: 'cancelled', readonly status: JobStatus | null }
+  | { readonly type: 'started', readonly groups: readonly StartGroup[] }
+  | { readonly type: 'ended' }
+  | { readonly type: 'registered', readonly isChanged: boolean }
+  | { readonly type: 'removed' }
+  | { readonly type: 'passed' }
--- a/packages/rpc/src/messages.ts
+++ b/packages/rpc/src/messages.ts
@@ -8,6 +8,11 @@
   readonly message: unknown
 }
 
+/** Where a node listens; a map of configured nodes, or a rule for nodes that are found at run time. */
+export interface TargetLookup {
+  get (node: NodeId): Target | undefined
+}
+
 interface Lane {
   readonly queue: Queued[]
   inFlight: number
@@ -24,12 +29,12 @@
  */
 export class MessageSender {
   readonly #client: RpcClient
-  readonly #targets: ReadonlyMap<NodeId, Target>
+  readonly #targets: TargetLookup
   readonly #timeoutMs: number
   readonly #onFailure: (to: NodeId, err: IbisError) => void
   readonly #lanes = new Map<NodeId, Lane>()
 
-  constructor (client: RpcClient, targets: ReadonlyMap<NodeId, Target>, timeoutMs: number, onFailure: (to: NodeId, err: IbisError) => void = () => {}) {
+  constructor (client: RpcClient, targets: TargetLookup, timeoutMs: number, onFailure: (to: NodeId, err: IbisError) => void = () => {}) {
     this.#client = client
     this.#targets = targets
     this.#timeoutMs = timeoutMs
@@ -37,7 +42,7 @@
   }
 
   send (group: string, to: NodeId, message: unknown): void {
-    if (!this.#targets.has(to)) return
+    if (!this.#targets.get(to)) return
     const lane = this.#getLane(to)
     lane.queue.push({ group, message })
     if (lane.queue.length > MAX_QUEUED_MESSAGES) {
@@ -58,7 +63,8 @@
 
   #flush (to: NodeId, lane: Lane): void {
     if (lane.queue.length === 0 || lane.inFlight >= MAX_MESSAGE_BATCHES_IN_FLIGHT) return
-    const target = this.#targets.get(to)!
+    const target = this.#targets.get(to)
+    if (!target) return
     const messages = lane.queue.splice(0, MAX_MESSAGES_PER_BATCH)
     lane.inFlight += 1
     this.#client.call(target, 'raft.message', { messages } satisfies MessageBatch, this.#timeoutMs)
--- a/packages/storage/src/data-folder.ts
+++ b/packages/storage/src/data-folder.ts
@@ -39,6 +39,14 @@
     return new DataFolder(fs, path, identity, false)
   }
 
+  /** Opens the folder; an empty or missing one becomes that of a first member at installation. */
+  static async openOrInit (fs: FileSystem, path: string): Promise<DataFolder> {
+    const identity = await DataFolder.#identityFile(fs, path).read()
+    if (identity) return new DataFolder(fs, path, identity, false)
+    await fs.makeFolder(path)
+    return new DataFolder(fs, path, await DataFolder.#create(fs, path, FIRST_INCARNATION), false)
+  }
+
   /** Draws a new incarnation when the folder is missing or empty, and then says that it is new. */
   static async open (fs: FileSystem, path: string, random: RandomSource): Promise<DataFolder> {
     const identity = await DataFolder.#identityFile(fs, path).read()
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -3,13 +3,18 @@
 
 const CONSOLA_LEVELS: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 3, debug: 4 }
 
+export interface LineSink {
+  write (line: string): unknown
+  readonly isTTY?: boolean
+}
+
 export interface LoggerOptions {
   readonly level: LogLevel
   readonly node: string
   /** Defaults to JSON lines when the output is not a terminal. */
   readonly json?: boolean
   /** Defaults to the standard output. */
-  readonly output?: NodeJS.WritableStream & { readonly isTTY?: boolean }
+  readonly output?: LineSink
 }
 
 /** JSON text of any value; a cyclic or otherwise unprintable one becomes its string form. */
@@ -35,7 +40,7 @@
 const formatFields = (fields: LogFields | undefined): string =>
   Object.entries(fields ?? {}).map(([name, value]) => ` ${name}=${toSafeJson(value)}`).join('')
 
-const createReporter = (node: string, json: boolean, output: NodeJS.WritableStream): ConsolaReporter => ({
+const createReporter = (node: string, json: boolean, output: LineSink): ConsolaReporter => ({
   log: ({ date, type, args: [message, fields] }) => {
     const time = date.toISOString()
     const line = json
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,5 @@
-// Bundles every binary into dist/ibisstair-<name>.mjs, or those named on the command line.
+// Bundles every binary into dist/ibisstair-<name>.mjs, or those named on the command line. With
+// --platform it bundles the programs of platform/ into target/.
 import { build } from 'esbuild'
 import { chmodSync, existsSync, readdirSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
@@ -16,11 +17,11 @@
 const findApps = () => readdirSync(`${root}apps`).filter((name) => existsSync(`${root}apps/${name}/src/main.ts`))
 
 /** Returns the path of the bundle. */
-export const buildApp = async (name, outDir = `${root}dist`) => {
+export const buildApp = async (name, outDir = `${root}dist`, entryPoint = `apps/${name}/src/main.ts`) => {
   const outfile = `${outDir}/ibisstair-${name}.mjs`
   await build({
     absWorkingDir: root,
-    entryPoints: [`apps/${name}/src/main.ts`],
+    entryPoints: [entryPoint],
     outfile,
     bundle: true,
     platform: 'node',
@@ -37,7 +38,14 @@
   return outfile
 }
 
+const PLATFORM_PROGRAMS = ['entry', 'control']
+
+/** Returns the paths of the platform's programs. */
+export const buildPlatform = async () =>
+  await Promise.all(PLATFORM_PROGRAMS.map((name) => buildApp(`platform-${name}`, `${root}target`, `platform/src/${name}/main.ts`)))
+
 if (process.argv[1] === fileURLToPath(import.meta.url)) {
   const wanted = process.argv.slice(2)
-  for (const name of wanted.length > 0 ? wanted : findApps()) console.log(await buildApp(name))
+  if (wanted[0] === '--platform') for (const path of await buildPlatform()) console.log(path)
+  else for (const name of wanted.length > 0 ? wanted : findApps()) console.log(await buildApp(name))
 }
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -27,7 +27,7 @@
 const knownRed = readKnownRed()
 // The end-to-end tests start some ten processes each and check times, so they run one by one.
 const isEndToEnd = (name) => name.startsWith('tests/')
-const files = wanted.length > 0 ? wanted : [...findTests('packages'), ...findTests('apps'), ...findTests('tests')]
+const files = wanted.length > 0 ? wanted : [...findTests('packages'), ...findTests('apps'), ...findTests('platform'), ...findTests('tests')]
 
 const passed = []
 const failed = []
