cluster: say "not run" only for a leader that has looked at its record

Change: a call that no leader answered ends as outcome-unknown (502); the leader's bound on jobs is queue-full (429). Conclusion: a refusal as not-run comes from the record only.

--- a/packages/cluster/src/leader-client.ts
+++ b/packages/cluster/src/leader-client.ts
@@ -1,12 +1,12 @@
-import { asId, ERROR_TABLE, IbisError, type ErrorKind, type NodeId } from '@ibisstair/common'
+import { asId, IbisError, type ErrorKind, type NodeId } from '@ibisstair/common'
 import type { RpcClient, Target } from '@ibisstair/rpc'
 import type { TimerService } from '@ibisstair/timers'
-import { LEADER_ATTEMPT_MS, LEADER_RETRY_MS, MIN_ATTEMPT_MS } from './constants.ts'
+import { LEADER_ATTEMPT_MS, LEADER_RETRY_MS, MIN_ATTEMPT_MS, RETRY_AFTER_MS } from './constants.ts'
 import type { LeaderFinder } from './leader-finder.ts'
 import type { LeaderMethod } from './types.ts'
 
 /** Another process, or the same one a little later, may carry out the call. */
-const RETRIED: ReadonlySet<ErrorKind> = new Set(['not-leader', 'no-leader', 'no-quorum', 'unreachable', 'outcome-unknown', 'shutting-down', 'stale-config', 'disk-full'])
+const RETRIED: ReadonlySet<ErrorKind> = new Set(['not-leader', 'no-leader', 'no-quorum', 'unreachable', 'outcome-unknown', 'shutting-down', 'overloaded', 'disk-full'])
 
 /** Handles a call in this process; rejects with `not-leader` when it does not lead. */
 export type LocalCall = (method: LeaderMethod, params: unknown) => Promise<unknown>
@@ -22,7 +22,8 @@
 
 /**
  * Calls the leader wherever it is. All its calls are idempotent, so that they are repeated until the
- * deadline. The error says whether any attempt may have been carried out.
+ * deadline. Only a leader that has looked at its record can say that work never runs: an earlier
+ * attempt through another process may have been carried out. Any other failure is `outcome-unknown`.
  */
 export class LeaderClient {
   readonly #options: LeaderClientOptions
@@ -35,10 +36,9 @@
     const { timers, finder } = this.#options
     const deadline = timers.now() + timeoutMs
     let last = new IbisError('no-leader', 'no leader is known')
-    let isUncertain = false
     for (;;) {
       const remainingMs = deadline - timers.now()
-      if (remainingMs < MIN_ATTEMPT_MS) throw this.#summarise(last, isUncertain)
+      if (remainingMs < MIN_ATTEMPT_MS) throw new IbisError('outcome-unknown', last.message, { cause: last, retryAfterMs: RETRY_AFTER_MS })
       const leader = finder.leader
       if (leader === null) {
         finder.refresh()
@@ -50,7 +50,6 @@
       } catch (err) {
         last = IbisError.from(err)
         if (!RETRIED.has(last.kind)) throw last
-        isUncertain ||= last.execution === 'unknown' && last.details?.reason !== 'connect'
         finder.noteFailure(leader, last.kind === 'not-leader' ? asId<NodeId>(String(last.details?.leader ?? '')) || null : null)
         await timers.delay(Math.min(LEADER_RETRY_MS, Math.max(0, deadline - timers.now())))
       }
@@ -75,9 +74,4 @@
       throw known
     }
   }
-
-  #summarise (last: IbisError, isUncertain: boolean): IbisError {
-    if (isUncertain && ERROR_TABLE[last.kind].execution !== 'unknown') return new IbisError('outcome-unknown', last.message)
-    return last
-  }
 }
--- a/packages/cluster/src/leader-service.ts
+++ b/packages/cluster/src/leader-service.ts
@@ -50,7 +50,7 @@
     if (known) return { status: known.status }
     const atMs = timers.wallClock()
     const result = await this.#propose({ type: 'accept', spec: toSpec(job, queue, customer, params.submission), atMs })
-    if (result.type === 'refused') throw new IbisError('overloaded', 'too many jobs are known', { retryAfterMs: RETRY_AFTER_MS })
+    if (result.type === 'refused') throw new IbisError('queue-full', 'too many jobs are known', { retryAfterMs: RETRY_AFTER_MS })
     if (result.type !== 'accepted') throw new IbisError('internal', `unexpected result ${result.type}`)
     if (result.isNew) {
       metrics.increment('jobs.accepted')
--- /dev/null
+++ b/packages/cluster/tests/leader-client.test.ts
@@ -0,0 +1,74 @@
+import { asId, IbisError, type NodeId } from '@ibisstair/common'
+import type { RpcClient } from '@ibisstair/rpc'
+import { ManualTimerService, RandomSource } from '@ibisstair/timers'
+import t from 'tap'
+import { LeaderClient, LeaderFinder } from '../src/index.ts'
+
+const node = asId<NodeId>('10.0.0.1')
+const toTarget = (address: NodeId) => ({ address, port: 1 })
+
+/** Lets promises settle between steps of virtual time. */
+const runUntilSettled = async <T>(timers: ManualTimerService, promise: Promise<T>): Promise<T> => {
+  const progress = { isSettled: false }
+  const settled = promise.finally(() => { progress.isSettled = true })
+  settled.catch(() => {})
+  while (!progress.isSettled) {
+    for (let i = 0; i < 20; i++) await Promise.resolve()
+    timers.advance(10)
+  }
+  return await settled
+}
+
+const createClient = (call: (method: string) => Promise<unknown>) => {
+  const timers = new ManualTimerService()
+  const rpc = { call: async (_target: unknown, method: string) => await call(method) } as unknown as RpcClient
+  const finder = new LeaderFinder({ rpc, timers, random: new RandomSource(1), seeds: [node], toTarget })
+  finder.start()
+  return { timers, client: new LeaderClient({ rpc, timers, finder, toTarget }) }
+}
+
+const getError = async (promise: Promise<unknown>): Promise<IbisError> => {
+  try {
+    await promise
+  } catch (err) {
+    return IbisError.from(err)
+  }
+  throw new Error('the call was expected to fail')
+}
+
+t.test('does not claim that work never runs when no leader was reached', async (t) => {
+  // A refusal as "not run" was given for a job that an earlier attempt at another entry had handed in.
+  const { timers, client } = createClient(async () => { throw new IbisError('unreachable', 'cut off', { info: { reason: 'connect' } }) })
+  const err = await getError(runUntilSettled(timers, client.call('job.submit', {}, 1_000)))
+  t.equal(err.kind, 'outcome-unknown')
+  t.equal(err.execution, 'unknown')
+})
+
+t.test('does not claim that work never runs when the deadline has passed before the first attempt', async (t) => {
+  const { timers, client } = createClient(async () => ({ leader: null, term: 0, members: [] }))
+  const err = await getError(runUntilSettled(timers, client.call('job.submit', {}, 0)))
+  t.equal(err.execution, 'unknown')
+})
+
+t.test('passes on a refusal of the leader, which knows the record', async (t) => {
+  const { timers, client } = createClient(async (method) => {
+    if (method === 'cluster.view') return { leader: node, term: 1, members: [node] }
+    throw new IbisError('queue-full', 'too many jobs')
+  })
+  const err = await getError(runUntilSettled(timers, client.call('job.submit', {}, 1_000)))
+  t.equal(err.kind, 'queue-full')
+  t.equal(err.execution, 'not-run')
+})
+
+t.test('tries again at the leader that another process names', async (t) => {
+  const other = asId<NodeId>('10.0.0.2')
+  let attempts = 0
+  const { timers, client } = createClient(async (method) => {
+    if (method === 'cluster.view') return { leader: node, term: 1, members: [node, other] }
+    attempts += 1
+    if (attempts === 1) throw new IbisError('not-leader', 'another leads', { info: { leader: other } })
+    return { status: 'queued' }
+  })
+  t.same(await runUntilSettled(timers, client.call('job.submit', {}, 1_000)), { status: 'queued' })
+  t.equal(attempts, 2)
+})
