--- /dev/null
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -0,0 +1,178 @@
+import { IbisError, type TaskId } from '@ibisstair/common'
+import { addResources, countFits, mustParseTaskId, NO_RESOURCES, type EndpointLife, type EndpointRecord, type RunOutcome, type SchedulingState } from '@ibisstair/jobs'
+import type { ManualTimerService, RandomSource } from '@ibisstair/timers'
+import type { EndpointPort, EndReport, OrderResult, RenewOrder, RenewResult, StartOrder, StopOrder } from '../../src/index.ts'
+
+interface FakeRun {
+  readonly task: TaskId
+  readonly run: number
+  readonly stopTimer: () => void
+}
+
+export interface FakeFaults {
+  /** Share of the orders that get no answer; half of these are carried out later. */
+  lost: number
+  /** Endpoints that cannot be reached. */
+  readonly cut: Set<EndpointLife>
+  readonly runMs: number
+  /** Share of the runs that fail. */
+  failing: number
+}
+
+const LATE_MIN_MS = 2_000
+const LATE_MAX_MS = 12_000
+
+/** The endpoint's side of the protocol: fences, leases, run numbers and reports. */
+class FakeEndpoint {
+  readonly record: EndpointRecord
+  readonly runs = new Map<TaskId, FakeRun>()
+  readonly #fleet: FakeFleet
+  readonly #highest = new Map<TaskId, number>()
+  #ended: EndReport[] = []
+  #number = 0
+  #fence = 0
+  #leaseUntilMs = 0
+  #stopLease = (): void => {}
+
+  constructor (record: EndpointRecord, fleet: FakeFleet) {
+    this.record = record
+    this.#fleet = fleet
+  }
+
+  get clockMs (): number {
+    return this.#fleet.timers.now() + 1_000
+  }
+
+  start (order: StartOrder): OrderResult {
+    if (!this.#accept(order.fence)) return { type: 'fenced' }
+    if (this.runs.get(order.task)?.run === order.run) return { type: 'ok', clockMs: this.clockMs }
+    if (order.run <= (this.#highest.get(order.task) ?? 0)) return { type: 'refused', reason: 'old' }
+    if (order.leaseUntilMs <= this.clockMs) return { type: 'refused', reason: 'late' }
+    this.#extend(order.leaseUntilMs)
+    this.#highest.set(order.task, order.run)
+    const outcome: RunOutcome = this.#fleet.random.float() < this.#fleet.faults.failing ? 'failed' : 'done'
+    const stopTimer = this.#fleet.timers.subscribe(this.#fleet.faults.runMs, () => this.#end(order.task, outcome))
+    this.runs.set(order.task, { task: order.task, run: order.run, stopTimer })
+    this.#fleet.noteStart(this, order)
+    return { type: 'ok', clockMs: this.clockMs }
+  }
+
+  stop ({ task, run, fence }: StopOrder): OrderResult {
+    if (!this.#accept(fence)) return { type: 'fenced' }
+    this.#highest.set(task, Math.max(run, this.#highest.get(task) ?? 0))
+    if ((this.runs.get(task)?.run ?? Infinity) <= run) this.#fleet.timers.subscribe(100, () => this.#end(task, 'stopped'))
+    return { type: 'ok', clockMs: this.clockMs }
+  }
+
+  renew ({ fence, ackedUpto, leaseUntilMs }: RenewOrder): RenewResult {
+    if (!this.#accept(fence)) return { type: 'fenced' }
+    if (leaseUntilMs !== null) this.#extend(leaseUntilMs)
+    for (const { task, number } of this.#ended) if (number <= ackedUpto) this.#fleet.noteAck(task)
+    this.#ended = this.#ended.filter(({ number }) => number > ackedUpto)
+    const running = [...this.runs.values()].map(({ task, run }) => ({ task, run, percent: 50 }))
+    return { type: 'report', report: { clockMs: this.clockMs, running, ended: [...this.#ended], hasMore: false } }
+  }
+
+  #accept (fence: number): boolean {
+    if (fence < this.#fence) return false
+    this.#fence = fence
+    return true
+  }
+
+  #extend (untilMs: number): void {
+    if (untilMs <= this.#leaseUntilMs) return
+    this.#leaseUntilMs = untilMs
+    this.#stopLease()
+    this.#stopLease = this.#fleet.timers.subscribe(untilMs - this.clockMs, () => {
+      for (const task of [...this.runs.keys()]) this.#end(task, 'lapsed')
+      this.#fleet.noteLapse(this)
+    })
+  }
+
+  #end (task: TaskId, outcome: RunOutcome): void {
+    const run = this.runs.get(task)
+    if (!run) return
+    run.stopTimer()
+    this.runs.delete(task)
+    this.#ended.push({ number: ++this.#number, task, run: run.run, outcome, checkpoint: '' })
+    if (outcome === 'done') this.#fleet.noteDone(this, task)
+  }
+}
+
+/** A fleet of endpoints behind an unreliable network, which checks what must never happen there. */
+export class FakeFleet implements EndpointPort {
+  readonly timers: ManualTimerService
+  readonly random: RandomSource
+  readonly faults: FakeFaults
+  readonly violations: string[] = []
+  starts = 0
+  readonly #endpoints = new Map<EndpointLife, FakeEndpoint>()
+  /** Tasks that were done, with the endpoint until its lease lapses before the end was acknowledged. */
+  readonly #done = new Map<TaskId, { readonly endpoint: FakeEndpoint, readonly atMs: number, isAcked: boolean }>()
+  readonly #state: SchedulingState
+
+  constructor (timers: ManualTimerService, random: RandomSource, records: readonly EndpointRecord[], state: SchedulingState, faults: Partial<FakeFaults> = {}) {
+    this.timers = timers
+    this.random = random
+    this.#state = state
+    this.faults = { lost: 0, cut: new Set(), runMs: 1_000, failing: 0, ...faults }
+    for (const record of records) this.#endpoints.set(record.life, new FakeEndpoint(record, this))
+  }
+
+  async start (endpoint: EndpointRecord, order: StartOrder, timeoutMs: number): Promise<OrderResult> {
+    return await this.#call(endpoint, timeoutMs, (fake) => fake.start(order))
+  }
+
+  async stop (endpoint: EndpointRecord, order: StopOrder, timeoutMs: number): Promise<OrderResult> {
+    return await this.#call(endpoint, timeoutMs, (fake) => fake.stop(order))
+  }
+
+  async renew (endpoint: EndpointRecord, order: RenewOrder, timeoutMs: number): Promise<RenewResult> {
+    await this.timers.delay(Math.min(order.waitMs, 200))
+    return await this.#call(endpoint, timeoutMs, (fake) => fake.renew(order))
+  }
+
+  forget (): void {}
+
+  noteStart (endpoint: FakeEndpoint, { task, run }: StartOrder): void {
+    this.starts += 1
+    const holders = [...this.#endpoints.values()].filter((other) => other.runs.has(task))
+    if (holders.length > 1) this.violations.push(`${task} runs twice, started as run ${run} at ${this.timers.now()} ms`)
+    if (this.#done.has(task)) this.violations.push(`${task} starts after it was done`)
+    const used = [...endpoint.runs.keys()].reduce((sum, name) => addResources(sum, this.#resourcesOf(name)), NO_RESOURCES)
+    if (countFits(endpoint.record.capacity, used) < 1) this.violations.push(`${endpoint.record.id} is over its capacity`)
+  }
+
+  noteDone (endpoint: FakeEndpoint, task: TaskId): void {
+    this.#done.set(task, { endpoint, atMs: this.timers.now(), isAcked: false })
+  }
+
+  noteAck (task: TaskId): void {
+    const done = this.#done.get(task)
+    if (done) done.isAcked = true
+  }
+
+  /** An end that was not acknowledged before the lease lapsed does not bind the scheduler. */
+  noteLapse (endpoint: FakeEndpoint): void {
+    for (const [task, done] of this.#done) if (done.endpoint === endpoint && !done.isAcked) this.#done.delete(task)
+  }
+
+  #resourcesOf (task: TaskId) {
+    const { job, step } = mustParseTaskId(task)
+    return this.#state.jobs.get(job)!.spec.steps[step]!.resources
+  }
+
+  async #call<T> ({ life }: EndpointRecord, timeoutMs: number, carryOut: (fake: FakeEndpoint) => T): Promise<T> {
+    const fake = this.#endpoints.get(life)!
+    await this.timers.delay(1)
+    if (this.faults.cut.has(life)) return await this.#loseAnswer(timeoutMs)
+    if (this.random.float() >= this.faults.lost) return carryOut(fake)
+    if (this.random.float() < 0.5) this.timers.subscribe(this.random.int(LATE_MIN_MS, LATE_MAX_MS), () => { if (!this.faults.cut.has(life)) carryOut(fake) })
+    return await this.#loseAnswer(timeoutMs)
+  }
+
+  async #loseAnswer (timeoutMs: number): Promise<never> {
+    await this.timers.delay(timeoutMs)
+    throw new IbisError('unreachable', 'no answer', { info: { reason: 'timeout' } })
+  }
+}
--- /dev/null
+++ b/packages/jobs/tests/support/samples.ts
@@ -0,0 +1,64 @@
+import { asId, type CustomerId, type DomainId, type EndpointId, type JobId, type RackId } from '@ibisstair/common'
+import { toEndpointLife, toTaskId, type EndpointRecord, type JobSpec, type RunEnd, type RunOutcome, type StateCommand, type StepSpec } from '../../src/index.ts'
+
+export const createStep = (part: Partial<StepSpec> = {}): StepSpec => ({
+  count: 1,
+  resources: { cpuMilli: 1_000, memMb: 100, accelerators: 1 },
+  estimateMs: 1_000,
+  dependsOn: [],
+  checkpointing: false,
+  gang: false,
+  tightlyCoupled: false,
+  requiredLabel: null,
+  dataRack: null,
+  maxPerEndpoint: null,
+  longRunning: false,
+  ...part
+})
+
+export const createSpec = (id: string, steps: readonly StepSpec[], part: Partial<JobSpec> = {}): JobSpec => ({
+  id: asId<JobId>(id),
+  queue: 'q',
+  service: 's',
+  customer: asId<CustomerId>('clinics'),
+  priority: 1,
+  maxAttempts: 2,
+  stretch: 2,
+  targetLatencyMs: 1_000,
+  payload: 'p',
+  steps,
+  recurrence: null,
+  ...part
+})
+
+export const createEndpoint = (id: string, part: Partial<EndpointRecord> = {}): EndpointRecord => {
+  const bornMs = part.bornMs ?? 1
+  return {
+    life: toEndpointLife(asId<EndpointId>(id), bornMs),
+    id: asId<EndpointId>(id),
+    bornMs,
+    address: `10.0.0.${id.length}:${8000 + [...id].reduce((sum, char) => sum + char.charCodeAt(0), 0)}`,
+    domain: asId<DomainId>('cr-sj'),
+    service: 's',
+    rack: asId<RackId>('r1'),
+    labels: ['a', 'r1'],
+    capacity: { cpuMilli: 32_000, memMb: 131_072, accelerators: 8 },
+    draining: false,
+    ...part
+  }
+}
+
+export const accept = (spec: JobSpec, atMs = 0): StateCommand => ({ type: 'accept', spec, atMs })
+
+export const register = (endpoint: EndpointRecord, atMs = 0): StateCommand => ({ type: 'register-endpoint', endpoint, atMs })
+
+export const start = (job: string, step: number, run: number, endpoints: readonly EndpointRecord[], atMs = 0): StateCommand => ({
+  type: 'start',
+  groups: [{ job: asId<JobId>(job), occurrence: 0, step, run, members: endpoints.map(({ life }, index) => ({ index, endpoint: life })) }],
+  atMs
+})
+
+export const toEnd = (job: string, step: number, index: number, run: number, outcome: RunOutcome, checkpoint = ''): RunEnd =>
+  ({ task: toTaskId({ job: asId<JobId>(job), occurrence: 0, step, index }), run, outcome, checkpoint })
+
+export const end = (endpoint: EndpointRecord, ends: readonly RunEnd[], atMs = 0): StateCommand => ({ type: 'end', endpoint: endpoint.life, ends, atMs })
