--- a/scripts/build.d.mts
+++ b/scripts/build.d.mts
@@ -1,1 +1,1 @@
-export declare const buildApp: (name: string, outDir?: string) => Promise<string>
+export declare const buildApp: (name: string, outDir?: string, entryPoint?: string) => Promise<string>
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -26,7 +26,7 @@
 const wanted = process.argv.slice(2)
 const knownRed = readKnownRed()
 // The end-to-end tests start some ten processes each and check times, so they run one by one.
-const isEndToEnd = (name) => name.startsWith('tests/')
+const isEndToEnd = (name) => name.startsWith('tests/') || name.includes('end-to-end')
 const files = wanted.length > 0 ? wanted : [...findTests('packages'), ...findTests('apps'), ...findTests('platform'), ...findTests('tests')]
 
 const passed = []
