consensus: test automatic membership

Cause: nodes on the platform are in no list, and a machine that is replaced must be a full member within 4 s, before a second disk may be lost. Change: tests of admission, replacement of a silent voter and return of a replaced one.

--- /dev/null
+++ b/packages/consensus/tests/automatic-membership.test.ts
@@ -0,0 +1,61 @@
+import t from 'tap'
+import { ReplicaCluster } from './support/replica-cluster.ts'
+
+const votersOf = (cluster: ReplicaCluster): string[] =>
+  cluster.statusOf(cluster.leaders[0]!)!.members.filter(({ role }) => role === 'voter').map(({ node }) => node).sort()
+
+const learnersOf = (cluster: ReplicaCluster): string[] =>
+  cluster.statusOf(cluster.leaders[0]!)!.members.filter(({ role }) => role === 'learner').map(({ node }) => node).sort()
+
+const createCluster = (seed: number): ReplicaCluster => {
+  const cluster = new ReplicaCluster({ voters: 3, witnesses: 0, joiners: 1, maxVoters: 3, seed })
+  cluster.run(6_000)
+  return cluster
+}
+
+/** A voter that does not lead. */
+const findFollower = (cluster: ReplicaCluster) =>
+  cluster.nodes.find((node) => node !== cluster.leaders[0] && votersOf(cluster).includes(node.id))!
+
+t.test('a node that nobody configured is admitted as a learner and does not vote', async (t) => {
+  const cluster = createCluster(1)
+  t.same(votersOf(cluster), ['n0', 'n1', 'n2'])
+  t.same(learnersOf(cluster), ['n3'])
+})
+
+t.test('a learner takes the place of a voter that is gone, before a second loss can come', async (t) => {
+  for (let seed = 1; seed <= 10; seed++) {
+    const cluster = createCluster(seed)
+    const gone = findFollower(cluster)
+    cluster.crash(gone)
+    cluster.run(4_000)
+    t.ok(votersOf(cluster).includes('n3'), `seed ${seed}`)
+    t.notOk(votersOf(cluster).includes(gone.id), `seed ${seed}`)
+    // A second voter loses its disk: without the replacement no majority would have the log.
+    const second = findFollower(cluster)
+    cluster.propose(cluster.leaders[0]!, 'kept')
+    cluster.run(500)
+    cluster.loseDisk(second)
+    cluster.start(second)
+    cluster.run(8_000)
+    t.equal(votersOf(cluster).length, 3, `seed ${seed}`)
+  }
+})
+
+t.test('a voter that was replaced while it was away returns as a learner', async (t) => {
+  const cluster = createCluster(3)
+  const away = findFollower(cluster)
+  cluster.crash(away)
+  cluster.run(5_000)
+  cluster.start(away)
+  cluster.run(8_000)
+  t.ok(learnersOf(cluster).includes(away.id))
+  t.equal(votersOf(cluster).length, 3)
+})
+
+t.test('no voter is replaced while all answer', async (t) => {
+  const cluster = createCluster(4)
+  const before = votersOf(cluster)
+  cluster.run(30_000)
+  t.same(votersOf(cluster), before)
+})
--- a/packages/consensus/tests/support/replica-cluster.ts
+++ b/packages/consensus/tests/support/replica-cluster.ts
@@ -37,6 +37,10 @@
   readonly witnesses: number
   readonly seed: number
   readonly snapshotEvery?: number
+  /** Nodes that nobody configured, which ask to be admitted. */
+  readonly joiners?: number
+  /** Turns on automatic membership. */
+  readonly maxVoters?: number
   /** Small batches make a follower lag within one leader's log. */
   readonly maxBatchEntries?: number
   readonly disabled?: readonly Mechanism[]
@@ -74,7 +78,8 @@
     const total = options.voters + options.witnesses
     this.#initialMembers = Array.from({ length: total }, (_, i) => ({ node: asId<NodeId>(`n${i}`), incarnation: '1', role: 'voter', witness: i >= options.voters }))
     this.history = new History(this.#initialMembers)
-    this.nodes = this.#initialMembers.map(({ node }) => this.#createNode(node))
+    const joiners = Array.from({ length: options.joiners ?? 0 }, (_, i) => this.#createJoiner(asId<NodeId>(`n${total + i}`)))
+    this.nodes = [...this.#initialMembers.map(({ node }) => this.#createNode(node)), ...joiners]
     for (const node of this.nodes) this.start(node)
   }
 
@@ -138,7 +143,8 @@
       trailingEntries: 5,
       snapshotChunkChars: 10,
       maxBatchEntries: this.#options.maxBatchEntries ?? 4,
-      disabled: this.#options.disabled ?? []
+      disabled: this.#options.disabled ?? [],
+      ...(this.#options.maxVoters !== undefined && { maxVoters: this.#options.maxVoters })
     }, { hardState: disk.hardState, snapshot: disk.snapshot, entries }, this.#timeOf(node))
     node.applied = disk.snapshot.index
     const { life } = node
@@ -220,6 +226,10 @@
     }
   }
 
+  #createJoiner (id: NodeId): Node {
+    return { ...this.#createNode(id), incarnation: `first-of-${id}`, disk: this.#createDisk([]) }
+  }
+
   #createDisk (members: readonly Member[]): Disk {
     return { hardState: { term: 0, votedFor: null }, snapshot: { index: 0, term: 0, members, data: '' }, entries: [], firstIndex: 1 }
   }
