docs, explain: describe the platform's design and operation, tell a job's story from logs

Cause: the platform's programs had no page, and an engineer on call no way from an id to its cause. Change: docs/platform.md, three decision records, a section of docs/OPERATIONS.md (renamed), ibisstair-explain, a lint rule for the platform's names.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,8 +10,16 @@
 }))
 const noProcesses = ['child_process', 'cluster', 'worker_threads'].flatMap((name) => [name, `node:${name}`])
 
+// Names on the wire of the users' platform; only platform/ knows them.
+const PLATFORM_FIELDS = '^(FenceToken|UntilMs|AckedUpto|BeatAddr|DrainRemainingMs|MaxPerServer)$'
+const PLATFORM_TEXTS = '(ibisstair.(run-|hold|Instances|Config)|x-ibisstair-(credential|expected)|IBISSTAIR_SETTINGS)'
+const noPlatformNames = [`Identifier[name=/${PLATFORM_FIELDS}/]`, `Literal[value=/${PLATFORM_TEXTS}/]`, `TemplateElement[value.raw=/${PLATFORM_TEXTS}/]`].map((selector) => ({
+  selector,
+  message: 'A name of the platform belongs into platform/.'
+}))
+
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', '.tap/**', '.demo/**', 'coverage/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'journal/**', '.tap/**', '.demo/**', 'coverage/**'] }),
   {
     rules: {
       // An interface may declare a method with the same name as a parameter type uses; TypeScript checks both.
@@ -19,7 +27,7 @@
     }
   },
   {
-    files: ['packages/*/src/**/*.ts', 'apps/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'apps/*/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: ['packages/timers/src/**'],
     rules: {
       'no-restricted-properties': ['error', ...noAmbientTime],
@@ -27,7 +35,11 @@
     }
   },
   {
-    files: ['packages/*/src/**/*.ts', 'apps/*/src/**/*.ts'],
+    files: ['packages/**/*.ts', 'apps/**/*.ts'],
+    rules: { 'no-restricted-syntax': ['error', ...noPlatformNames] }
+  },
+  {
+    files: ['packages/*/src/**/*.ts', 'apps/*/src/**/*.ts', 'platform/src/**/*.ts'],
     rules: { 'no-restricted-imports': ['error', { paths: noProcesses }] }
   }
 ]
--- a/packages/gateway/src/caller-api.ts
+++ b/packages/gateway/src/caller-api.ts
@@ -22,7 +22,7 @@
 
 const RETRY_PENDING_MS = 1_000
 
-/** The HTTP interface of callers; see docs/operations.md for examples. */
+/** The HTTP interface of callers; see docs/OPERATIONS.md for examples. */
 export class CallerApi {
   readonly #options: CallerApiOptions
   #pending = 0
