jobs: count a failed run once, however often it is reported

The report of the run was committed twice, because the first commit got no answer before the leader changed, and each commit counted as an attempt. Change: the runs that failed are kept by number, for a task or for a gang. Before/after: packages/jobs/tests/state.test.ts "a failed run that is reported twice" fails before, passes after. Conclusion: reports are idempotent.

--- a/packages/jobs/src/job-entry.ts
+++ b/packages/jobs/src/job-entry.ts
@@ -3,7 +3,8 @@
 /** Progress of one task of one occurrence. */
 export interface TaskEntry {
   isDone: boolean
-  failures: number
+  /** Runs that ended as failed; each counts once, however often it is reported. */
+  failedRuns: number[]
   lastRun: number
   checkpoint: string
   active: ActiveRun | null
@@ -14,9 +15,8 @@
   readonly tasks: TaskEntry[]
   doneTasks: number
   activeTasks: number
-  gangFailures: number
-  /** A gang's run counts as one failure, however many members report it. */
-  lastFailedRun: number
+  /** Runs of a gang that failed; one failure, however many members report it. */
+  failedRuns: number[]
   lastRun: number
   checkpoint: string
 }
@@ -34,14 +34,13 @@
   readonly occurrences: ReadonlyArray<readonly [number, OccurrenceEntry]>
 }
 
-const createTask = (): TaskEntry => ({ isDone: false, failures: 0, lastRun: 0, checkpoint: '', active: null })
+const createTask = (): TaskEntry => ({ isDone: false, failedRuns: [], lastRun: 0, checkpoint: '', active: null })
 
 const createStep = ({ count }: StepSpec): StepEntry => ({
   tasks: Array.from({ length: count }, createTask),
   doneTasks: 0,
   activeTasks: 0,
-  gangFailures: 0,
-  lastFailedRun: 0,
+  failedRuns: [],
   lastRun: 0,
   checkpoint: ''
 })
@@ -195,12 +194,9 @@
       else task.checkpoint = end.checkpoint
     }
     if (end.outcome !== 'failed' || longRunning) return
-    task.failures += 1
-    if (gang && end.run > stepEntry.lastFailedRun) {
-      stepEntry.lastFailedRun = end.run
-      stepEntry.gangFailures += 1
-    }
-    if ((gang ? stepEntry.gangFailures : task.failures) >= this.spec.maxAttempts) this.#end('failed', atMs)
+    const { failedRuns } = gang ? stepEntry : task
+    if (!failedRuns.includes(end.run)) failedRuns.push(end.run)
+    if (failedRuns.length >= this.spec.maxAttempts) this.#end('failed', atMs)
   }
 
   #end (state: JobState, atMs: number): void {
--- a/packages/jobs/tests/state.test.ts
+++ b/packages/jobs/tests/state.test.ts
@@ -67,6 +67,19 @@
   t.equal(statusOf(state), 'failed')
 })
 
+t.test('a failed run that is reported twice counts once, and one that is reported late counts', async (t) => {
+  // A report whose commit got no answer is committed again; the job was then shown as failed.
+  const state = createState(accept(createSpec('1', [createStep()])), start('1', 0, 1, [a]))
+  state.apply(end(a, [toEnd('1', 0, 0, 1, 'failed')]))
+  state.apply(end(a, [toEnd('1', 0, 0, 1, 'failed')]))
+  t.equal(statusOf(state), 'running')
+  state.apply(start('1', 0, 2, [a]))
+  state.apply(end(a, [toEnd('1', 0, 0, 2, 'lost')]))
+  state.apply(start('1', 0, 3, [b]))
+  state.apply(end(a, [toEnd('1', 0, 0, 2, 'failed')]))
+  t.equal(statusOf(state), 'failed')
+})
+
 t.test('a gang starts whole or not at all, and one end stands for all', async (t) => {
   const gang = createStep({ count: 2, gang: true })
   const state = createState(accept(createSpec('1', [gang])))
