dispatch: keep room for expected urgent work and collect room for gangs

Change: UrgentDemand estimates what urgent work occupies; single tasks of the lowest priority leave that free; up to three waiting gangs collect room.

--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -1,9 +1,10 @@
 import type { CustomerId, TaskId } from '@ibisstair/common'
 import type { ActiveRun, EndpointLife, EndpointRecord, JobEntry, Resources, SchedulingState, StartGroup } from '@ibisstair/jobs'
-import { mustParseTaskId, subtractResources } from '@ibisstair/jobs'
+import { countFits, mustParseTaskId, subtractResources } from '@ibisstair/jobs'
 import { couldEverFit, placeTasks, type Assignment, type Candidate } from './placement.ts'
 import { planPreemption, type Victim } from './preemption.ts'
 import { listReadyWork, type ReadyWork } from './ready-work.ts'
+import { countNeed, UrgentDemand } from './urgent-demand.ts'
 
 /** What the planner needs to know beyond the replicated state. */
 export interface FleetView {
@@ -42,20 +43,23 @@
 /** Cost factors by priority: work of a higher priority is harder to give up. */
 const PRIORITY_COST = [8, 2, 1]
 
+/** Work of this priority and above gives way to expected urgent work. */
+const DEFERRABLE_PRIORITY = 2
+
+/** Gangs for which room is collected at a time, the oldest ones first. */
+const MAX_COLLECTING = 3
+
 const toKey = ({ job, occurrence, step }: ReadyWork): string => `${job.spec.id}.${occurrence}.${step}`
 
 const coresOf = ({ cpuMilli, accelerators }: Resources): number => cpuMilli / 1_000 + accelerators * CORES_PER_ACCELERATOR
 
-/** Accelerators that the unfinished steps of the job need at a time. */
-const countNeed = (job: JobEntry): number =>
-  Math.max(...job.spec.steps.map(({ count, resources }) => count * resources.accelerators))
-
 /**
  * Decides what starts where and what is preempted for it. The decisions depend on the replicated
  * state, on the health of endpoints and on claims of earlier passes; it performs no I/O.
  */
 export class Planner {
   readonly #claims = new Map<string, Claim>()
+  readonly #demand = new UrgentDemand()
 
   plan (input: PlanInput): Plan {
     const candidates = this.#listCandidates(input)
@@ -64,10 +68,18 @@
     const starts: StartGroup[] = []
     const preempted: TaskId[] = []
     const claimed = new Set<string>()
+    const reserve = this.#getReserve(input)
+    let collecting = 0
     for (const work of this.#listWork(input, needs)) {
       claimed.add(toKey(work))
-      const group = this.#place(work, candidates, endpoints, input, needs, preempted)
+      const offered = work.job.spec.priority >= DEFERRABLE_PRIORITY ? this.#limitToReserve(work, candidates, reserve) : work
+      if (!offered) continue
+      const group = this.#place(offered, candidates, endpoints, input, needs, preempted)
       if (group) starts.push(group)
+      else if (work.spec.gang && work.job.spec.priority > 0 && collecting < MAX_COLLECTING) {
+        collecting += 1
+        this.#collect(work, candidates)
+      }
     }
     for (const key of this.#claims.keys()) if (!claimed.has(key)) this.#claims.delete(key)
     return { starts, preempted }
@@ -81,6 +93,42 @@
     }))
   }
 
+  /** Accelerators to keep free for urgent work that is expected: it would have to wait for victims to end. */
+  #getReserve ({ state, nowMs }: PlanInput): number {
+    let running = 0
+    for (const job of state.jobs.listActive()) {
+      this.#demand.note(job, nowMs)
+      if (job.spec.priority === 0 && job.activeRuns > 0) running += countNeed(job)
+    }
+    return Math.max(0, this.#demand.getAccelerators(nowMs) - running)
+  }
+
+  /** As many single tasks as leave the reserve free; null when none do. */
+  #limitToReserve (work: ReadyWork, candidates: readonly Candidate[], reserve: number): ReadyWork | null {
+    const { accelerators } = work.spec.resources
+    if (accelerators === 0) return work
+    const free = candidates.reduce((sum, candidate) => sum + Math.max(0, candidate.free.accelerators), 0)
+    const room = Math.floor((free - reserve) / accelerators)
+    if (room >= work.indexes.length) return work
+    if (room <= 0 || work.spec.gang) return null
+    return { ...work, indexes: work.indexes.slice(0, room) }
+  }
+
+  /** Keeps the most promising room from work that comes later in the order, so that a gang is not overtaken for ever. */
+  #collect ({ spec }: ReadyWork, candidates: Candidate[]): void {
+    const roomByRack = new Map<string, number>()
+    for (const { endpoint, free } of candidates) roomByRack.set(endpoint.rack, (roomByRack.get(endpoint.rack) ?? 0) + Math.max(0, free.accelerators))
+    const rackOf = ({ endpoint }: Candidate): string => spec.tightlyCoupled ? endpoint.rack : ''
+    const [best] = [...roomByRack].sort(([, a], [, b]) => b - a)
+    const useful = candidates.filter((candidate) => rackOf(candidate) === (spec.tightlyCoupled ? best?.[0] : ''))
+    let missing = spec.count
+    for (const candidate of useful.sort((a, b) => b.free.accelerators - a.free.accelerators)) {
+      const taken = Math.min(missing, countFits(candidate.free, spec.resources))
+      for (let i = 0; i < taken; i++) candidate.free = subtractResources(candidate.free, spec.resources)
+      missing -= taken
+    }
+  }
+
   /** Most urgent first; among equals those within their customer's guarantee, then the oldest. */
   #listWork ({ state, wallMs }: PlanInput, needs: ReadonlyMap<CustomerId | null, number>): ReadyWork[] {
     const ready = [...state.jobs.listActive()].flatMap((job) => listReadyWork(job, wallMs))
--- /dev/null
+++ b/packages/dispatch/src/urgent-demand.ts
@@ -0,0 +1,46 @@
+import type { JobId } from '@ibisstair/common'
+import type { JobEntry } from '@ibisstair/jobs'
+
+/** Arrivals of urgent work are averaged over this time. */
+const WINDOW_MS = 15_000
+/** Averages over a shorter time than this would follow single jobs. */
+const MIN_WINDOW_MS = 4_000
+
+interface Arrival {
+  readonly atMs: number
+  readonly accelerators: number
+  readonly estimateMs: number
+}
+
+/** Most accelerators that a step of the job needs at a time. */
+export const countNeed = (job: JobEntry): number =>
+  Math.max(...job.spec.steps.map(({ count, resources }) => count * resources.accelerators))
+
+/**
+ * Estimates how many accelerators urgent work occupies at a time, from what arrived lately: the mean
+ * and one standard deviation of a system in which every job starts at once.
+ */
+export class UrgentDemand {
+  readonly #arrivals = new Map<JobId, Arrival>()
+  #sinceMs: number | null = null
+
+  note (job: JobEntry, nowMs: number): void {
+    this.#sinceMs ??= nowMs
+    if (job.spec.priority !== 0 || this.#arrivals.has(job.spec.id)) return
+    const estimateMs = Math.max(...job.spec.steps.map((step) => step.estimateMs))
+    this.#arrivals.set(job.spec.id, { atMs: nowMs, accelerators: countNeed(job), estimateMs })
+  }
+
+  getAccelerators (nowMs: number): number {
+    const windowMs = Math.max(MIN_WINDOW_MS, Math.min(WINDOW_MS, nowMs - (this.#sinceMs ?? nowMs)))
+    let mean = 0
+    let variance = 0
+    for (const [id, { atMs, accelerators, estimateMs }] of this.#arrivals) {
+      if (nowMs - atMs > WINDOW_MS) this.#arrivals.delete(id)
+      const share = estimateMs / windowMs
+      mean += accelerators * share
+      variance += accelerators ** 2 * share
+    }
+    return mean + Math.sqrt(variance)
+  }
+}
