dispatch: give deferrable work a share of the fleet, on-time work first

Change: a fifth of the accelerators for deferrable work; jobs that can still end within their objective go before late ones.

--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -3,7 +3,7 @@
 import { countFits, mustParseTaskId, subtractResources } from '@ibisstair/jobs'
 import { couldEverFit, placeTasks, type Assignment, type Candidate } from './placement.ts'
 import { planPreemption, type Victim } from './preemption.ts'
-import { listReadyWork, type ReadyWork } from './ready-work.ts'
+import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
 import { countNeed, UrgentDemand } from './urgent-demand.ts'
 
 /** What the planner needs to know beyond the replicated state. */
@@ -46,6 +46,12 @@
 /** Work of this priority and above gives way to expected urgent work. */
 const DEFERRABLE_PRIORITY = 2
 
+/** Share of the fleet's accelerators that deferrable work gets whatever else is expected or waits. */
+const DEFERRABLE_SHARE = 0.2
+
+/** Share of the expected urgent work that is kept free; preemption covers the rest. */
+const RESERVE_SHARE = 0.8
+
 /** Gangs for which room is collected at a time, the oldest ones first. */
 const MAX_COLLECTING = 3
 
@@ -67,20 +73,21 @@
     const needs = this.#sumUrgentNeeds(input.state)
     const starts: StartGroup[] = []
     const preempted: TaskId[] = []
-    const claimed = new Set<string>()
-    const reserve = this.#getReserve(input)
-    let collecting = 0
-    for (const work of this.#listWork(input, needs)) {
-      claimed.add(toKey(work))
-      const offered = work.job.spec.priority >= DEFERRABLE_PRIORITY ? this.#limitToReserve(work, candidates, reserve) : work
-      if (!offered) continue
-      const group = this.#place(offered, candidates, endpoints, input, needs, preempted)
+    const ready = this.#listWork(input, needs)
+    const place = (work: ReadyWork): boolean => {
+      const group = this.#place(work, candidates, endpoints, input, needs, preempted)
       if (group) starts.push(group)
-      else if (work.spec.gang && work.job.spec.priority > 0 && collecting < MAX_COLLECTING) {
-        collecting += 1
-        this.#collect(work, candidates)
-      }
+      return group !== null
+    }
+    const waiting = ready.filter((work) => !isDeferrable(work) && !place(work))
+    const deferred = this.#placeShare(ready.filter(isDeferrable), candidates, input, place)
+    for (const work of waiting.filter(({ job, spec }) => spec.gang && job.spec.priority > 0).slice(0, MAX_COLLECTING)) this.#collect(work, candidates)
+    const reserve = this.#getReserve(input)
+    for (const work of deferred) {
+      const offered = limitTo(work, sumFree(candidates) - reserve)
+      if (offered) place(offered)
     }
+    const claimed = new Set(ready.map(toKey))
     for (const key of this.#claims.keys()) if (!claimed.has(key)) this.#claims.delete(key)
     return { starts, preempted }
   }
@@ -100,18 +107,20 @@
       this.#demand.note(job, nowMs)
       if (job.spec.priority === 0 && job.activeRuns > 0) running += countNeed(job)
     }
-    return Math.max(0, this.#demand.getAccelerators(nowMs) - running)
+    return Math.max(0, RESERVE_SHARE * this.#demand.getAccelerators(nowMs) - running)
   }
 
-  /** As many single tasks as leave the reserve free; null when none do. */
-  #limitToReserve (work: ReadyWork, candidates: readonly Candidate[], reserve: number): ReadyWork | null {
-    const { accelerators } = work.spec.resources
-    if (accelerators === 0) return work
-    const free = candidates.reduce((sum, candidate) => sum + Math.max(0, candidate.free.accelerators), 0)
-    const room = Math.floor((free - reserve) / accelerators)
-    if (room >= work.indexes.length) return work
-    if (room <= 0 || work.spec.gang) return null
-    return { ...work, indexes: work.indexes.slice(0, room) }
+  /** Gives deferrable work its share of the fleet and returns what has not been placed. */
+  #placeShare (works: readonly ReadyWork[], candidates: readonly Candidate[], { state }: PlanInput, place: (work: ReadyWork) => boolean): ReadyWork[] {
+    const total = candidates.reduce((sum, { endpoint }) => sum + endpoint.capacity.accelerators, 0)
+    let room = DEFERRABLE_SHARE * total
+    for (const job of state.jobs.listActive()) if (job.spec.priority >= DEFERRABLE_PRIORITY) room -= countOccupied(job)
+    return works.filter((work) => {
+      const offered = limitTo(work, room)
+      if (!offered || !place(offered)) return true
+      room -= offered.indexes.length * work.spec.resources.accelerators
+      return false
+    })
   }
 
   /** Keeps the most promising room from work that comes later in the order, so that a gang is not overtaken for ever. */
@@ -129,11 +138,12 @@
     }
   }
 
-  /** Most urgent first; among equals those within their customer's guarantee, then the oldest. */
+  /** Most urgent first; among equals those within their customer's guarantee, then those that can still be on time, then the oldest. */
   #listWork ({ state, wallMs }: PlanInput, needs: ReadonlyMap<CustomerId | null, number>): ReadyWork[] {
     const ready = [...state.jobs.listActive()].flatMap((job) => listReadyWork(job, wallMs))
     const rank = ({ job }: ReadyWork): number => 2 * job.spec.priority + (job.spec.priority === 0 && !isGuaranteed(state, job, needs) ? 1 : 0)
-    return ready.sort((a, b) => rank(a) - rank(b) || a.job.acceptedAtMs - b.job.acceptedAtMs)
+    const lateness = new Map(ready.map(({ job }) => [job, getLateness(job, wallMs)]))
+    return ready.sort((a, b) => rank(a) - rank(b) || lateness.get(a.job)! - lateness.get(b.job)! || a.job.acceptedAtMs - b.job.acceptedAtMs)
   }
 
   #sumUrgentNeeds (state: SchedulingState): Map<CustomerId | null, number> {
@@ -217,6 +227,24 @@
   }
 }
 
+const isDeferrable = ({ job }: ReadyWork): boolean => job.spec.priority >= DEFERRABLE_PRIORITY
+
+const sumFree = (candidates: readonly Candidate[]): number =>
+  candidates.reduce((sum, { free }) => sum + Math.max(0, free.accelerators), 0)
+
+/** As many single tasks as the accelerators allow; null when that is none, or not the whole gang. */
+const limitTo = (work: ReadyWork, accelerators: number): ReadyWork | null => {
+  const perTask = work.spec.resources.accelerators
+  const room = perTask === 0 ? Infinity : Math.floor(accelerators / perTask)
+  if (room >= work.indexes.length) return work
+  if (room <= 0 || work.spec.gang) return null
+  return { ...work, indexes: work.indexes.slice(0, room) }
+}
+
+/** Accelerators that the job occupies, about: steps of one job run one after the other. */
+const countOccupied = (job: JobEntry): number =>
+  job.activeRuns * Math.max(...job.spec.steps.map(({ resources }) => resources.accelerators))
+
 /** Whether all urgent jobs of the customer together stay within its guarantee. */
 const isGuaranteed = (state: SchedulingState, { spec }: JobEntry, needs: ReadonlyMap<CustomerId | null, number>): boolean =>
   spec.priority === 0 && (needs.get(spec.customer) ?? 0) <= state.config.getGuarantee(spec.customer)
--- a/packages/dispatch/src/ready-work.ts
+++ b/packages/dispatch/src/ready-work.ts
@@ -32,3 +32,22 @@
   }
   return ready
 }
+
+/** Estimated run time of the longest chain of steps that depend on each other. */
+export const estimateChainMs = (job: JobEntry): number => {
+  const ends: number[] = []
+  for (const { dependsOn, estimateMs } of job.spec.steps) ends.push(estimateMs + Math.max(0, ...dependsOn.map((earlier) => ends[earlier] ?? 0)))
+  return Math.max(...ends)
+}
+
+/** Completion within this multiple of the objective still has some worth. */
+const LATE_FACTOR = 3
+
+/** 0: can end within its objective if it starts now and runs as estimated; 1: late, but of some use; 2: too late. */
+export const getLateness = (job: JobEntry, wallMs: number): 0 | 1 | 2 => {
+  const chainMs = estimateChainMs(job)
+  const objectiveMs = job.spec.targetLatencyMs + job.spec.stretch * chainMs
+  const endMs = wallMs - job.acceptedAtMs + chainMs
+  if (endMs <= objectiveMs) return 0
+  return endMs <= LATE_FACTOR * objectiveMs ? 1 : 2
+}
