--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -2,7 +2,7 @@
 import type { ActiveRun, EndpointLife, EndpointRecord, JobEntry, Resources, SchedulingState, StartGroup } from '@ibisstair/jobs'
 import { countFits, mustParseTaskId, subtractResources } from '@ibisstair/jobs'
 import { couldEverFit, placeTasks, type Assignment, type Candidate } from './placement.ts'
-import { planPreemption, type Victim } from './preemption.ts'
+import { planPreemption, type PreemptionPlan, type Victim } from './preemption.ts'
 import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
 import { countNeed, UrgentDemand } from './urgent-demand.ts'
 
@@ -40,8 +40,14 @@
 const CORES_PER_ACCELERATOR = 8
 const CHECKPOINT_INTERVAL_MS = 2_000
 
+/** A run that is stopped loses this time in any case: its stop, its wait and its restart. */
+const RESTART_MS = 500
+
 /** Cost factors by priority: work of a higher priority is harder to give up. */
-const PRIORITY_COST = [8, 2, 1]
+const PRIORITY_COST = [8, 3, 1]
+
+/** Urgent work beyond its customer's guarantee throws away at most this multiple of its own work. */
+const MAX_THROWN_AWAY = 2
 
 /** Work of this priority and above gives way to expected urgent work. */
 const DEFERRABLE_PRIORITY = 2
@@ -189,7 +195,7 @@
     const countOn = this.#createCounter(work, input.state)
     const victims = this.#listVictims(work, input, needs, new Set(preempted))
     const plan = planPreemption({ spec: work.spec, indexes, candidates, countOn, acceptFar }, victims)
-    if (!plan) return
+    if (!plan || !this.#isWorthwhile(work, plan, input, needs)) return
     for (const { runs } of plan.victims) preempted.push(...runs.map(({ task }) => task))
     this.#claims.set(toKey(work), { assignments: plan.assignments, untilMs: input.nowMs + CLAIM_MS })
     const byLife = new Map(candidates.map((candidate) => [candidate.endpoint.life, candidate]))
@@ -199,6 +205,12 @@
     }
   }
 
+  #isWorthwhile ({ job, spec }: ReadyWork, { victims }: PreemptionPlan, { state }: PlanInput, needs: ReadonlyMap<CustomerId | null, number>): boolean {
+    if (isGuaranteed(state, job, needs)) return true
+    const lost = victims.reduce((sum, { thrownAway }) => sum + thrownAway, 0)
+    return lost <= MAX_THROWN_AWAY * spec.count * coresOf(spec.resources) * spec.estimateMs
+  }
+
   #listVictims (work: ReadyWork, { state, wallMs }: PlanInput, needs: ReadonlyMap<CustomerId | null, number>, taken: ReadonlySet<TaskId>): Victim[] {
     const mayTakeUrgent = isGuaranteed(state, work.job, needs)
     const groups = new Map<string, ActiveRun[]>()
@@ -259,5 +271,6 @@
   const workedMs = Math.max(0, wallMs - runs[0]!.startedAtMs)
   const lostMs = checkpointing ? Math.min(workedMs, CHECKPOINT_INTERVAL_MS) : workedMs
   const factor = PRIORITY_COST[Math.min(spec.priority, PRIORITY_COST.length - 1)]!
-  return { runs, resources, cost: runs.length * coresOf(resources) * (lostMs + 500) * factor }
+  const cores = runs.length * coresOf(resources)
+  return { runs, resources, thrownAway: cores * lostMs, cost: cores * (lostMs + RESTART_MS) * factor }
 }
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -1,13 +1,14 @@
 import type { ActiveRun, EndpointLife, Resources, StepSpec } from '@ibisstair/jobs'
 import { addResources } from '@ibisstair/jobs'
-import type { TaskId } from '@ibisstair/common'
 import { placeTasks, type Assignment, type Candidate, type CountOnEndpoint } from './placement.ts'
 
 /** Runs that end together when one of them is stopped: the members of a gang, or a single task. */
 export interface Victim {
   readonly runs: readonly ActiveRun[]
   readonly resources: Resources
-  /** What stopping it throws away; victims of lower cost are taken first. */
+  /** Work that is not in a checkpoint, in core milliseconds. */
+  readonly thrownAway: number
+  /** Victims of lower cost are taken first. */
   readonly cost: number
 }
 
@@ -80,5 +81,3 @@
   if (plans.length > 0) return plans.reduce((best, plan) => sumCost(plan) < sumCost(best) ? plan : best)
   return planWithin(search, ordered)
 }
-
-export const listVictimTasks = ({ victims }: PreemptionPlan): TaskId[] => victims.flatMap(({ runs }) => runs.map(({ task }) => task))
