dispatch: a least reserve for urgent work, three tenths for deferrable work

Change: a tenth of the fleet is kept free in any case; deferrable work may use three tenths whatever waits.

--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -53,11 +53,14 @@
 const DEFERRABLE_PRIORITY = 2
 
 /** Share of the fleet's accelerators that deferrable work gets whatever else is expected or waits. */
-const DEFERRABLE_SHARE = 0.2
+const DEFERRABLE_SHARE = 0.3
 
 /** Share of the expected urgent work that is kept free; preemption covers the rest. */
 const RESERVE_SHARE = 0.8
 
+/** Share of the fleet that is kept free for urgent work of which nothing is known yet. */
+const MIN_RESERVE_SHARE = 0.1
+
 /** Gangs for which room is collected at a time, the oldest ones first. */
 const MAX_COLLECTING = 3
 
@@ -88,7 +91,7 @@
     const waiting = ready.filter((work) => !isDeferrable(work) && !place(work))
     const deferred = this.#placeShare(ready.filter(isDeferrable), candidates, input, place)
     for (const work of waiting.filter(({ job, spec }) => spec.gang && job.spec.priority > 0).slice(0, MAX_COLLECTING)) this.#collect(work, candidates)
-    const reserve = this.#getReserve(input)
+    const reserve = this.#getReserve(input, candidates)
     for (const work of deferred) {
       const offered = limitTo(work, sumFree(candidates) - reserve)
       if (offered) place(offered)
@@ -107,19 +110,19 @@
   }
 
   /** Accelerators to keep free for urgent work that is expected: it would have to wait for victims to end. */
-  #getReserve ({ state, nowMs }: PlanInput): number {
+  #getReserve ({ state, nowMs }: PlanInput, candidates: readonly Candidate[]): number {
     let running = 0
     for (const job of state.jobs.listActive()) {
       this.#demand.note(job, nowMs)
       if (job.spec.priority === 0 && job.activeRuns > 0) running += countNeed(job)
     }
-    return Math.max(0, RESERVE_SHARE * this.#demand.getAccelerators(nowMs) - running)
+    const expected = Math.max(RESERVE_SHARE * this.#demand.getAccelerators(nowMs), MIN_RESERVE_SHARE * sumCapacity(candidates))
+    return Math.max(0, expected - running)
   }
 
   /** Gives deferrable work its share of the fleet and returns what has not been placed. */
   #placeShare (works: readonly ReadyWork[], candidates: readonly Candidate[], { state }: PlanInput, place: (work: ReadyWork) => boolean): ReadyWork[] {
-    const total = candidates.reduce((sum, { endpoint }) => sum + endpoint.capacity.accelerators, 0)
-    let room = DEFERRABLE_SHARE * total
+    let room = DEFERRABLE_SHARE * sumCapacity(candidates)
     for (const job of state.jobs.listActive()) if (job.spec.priority >= DEFERRABLE_PRIORITY) room -= countOccupied(job)
     return works.filter((work) => {
       const offered = limitTo(work, room)
@@ -241,6 +244,9 @@
 
 const isDeferrable = ({ job }: ReadyWork): boolean => job.spec.priority >= DEFERRABLE_PRIORITY
 
+const sumCapacity = (candidates: readonly Candidate[]): number =>
+  candidates.reduce((sum, { endpoint }) => sum + endpoint.capacity.accelerators, 0)
+
 const sumFree = (candidates: readonly Candidate[]): number =>
   candidates.reduce((sum, { free }) => sum + Math.max(0, free.accelerators), 0)
 
