dispatch: number the runs of a task from one; a quarter of the fleet for deferrable work

Change: single tasks of a step are started in groups of the same number. The share of deferrable work goes from 0.3 to 0.25.

--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -53,7 +53,7 @@
 const DEFERRABLE_PRIORITY = 2
 
 /** Share of the fleet's accelerators that deferrable work gets whatever else is expected or waits. */
-const DEFERRABLE_SHARE = 0.3
+const DEFERRABLE_SHARE = 0.25
 
 /** Share of the expected urgent work that is kept free; preemption covers the rest. */
 const RESERVE_SHARE = 0.8
@@ -84,9 +84,9 @@
     const preempted: TaskId[] = []
     const ready = this.#listWork(input, needs)
     const place = (work: ReadyWork): boolean => {
-      const group = this.#place(work, candidates, endpoints, input, needs, preempted)
-      if (group) starts.push(group)
-      return group !== null
+      const groups = this.#place(work, candidates, endpoints, input, needs, preempted)
+      starts.push(...groups)
+      return groups.length > 0
     }
     const waiting = ready.filter((work) => !isDeferrable(work) && !place(work))
     const deferred = this.#placeShare(ready.filter(isDeferrable), candidates, input, place)
@@ -164,7 +164,7 @@
     return needs
   }
 
-  #place (work: ReadyWork, candidates: Candidate[], endpoints: readonly EndpointRecord[], input: PlanInput, needs: ReadonlyMap<CustomerId | null, number>, preempted: TaskId[]): StartGroup | null {
+  #place (work: ReadyWork, candidates: Candidate[], endpoints: readonly EndpointRecord[], input: PlanInput, needs: ReadonlyMap<CustomerId | null, number>, preempted: TaskId[]): StartGroup[] {
     const { spec, indexes } = work
     const claim = this.#claims.get(toKey(work))
     if (claim && input.nowMs < claim.untilMs) return this.#placeClaimed(work, claim, candidates)
@@ -174,10 +174,10 @@
     const assignments = placeTasks(spec, indexes, candidates, countOn, { acceptFar })
     const isWhole = assignments.length === indexes.length
     if (!isWhole && work.job.spec.priority === 0) this.#preemptFor(work, assignments, candidates, input, needs, acceptFar, preempted)
-    return assignments.length > 0 ? toGroup(work, assignments) : null
+    return toGroups(work, assignments)
   }
 
-  #placeClaimed (work: ReadyWork, { assignments }: Claim, candidates: readonly Candidate[]): StartGroup | null {
+  #placeClaimed (work: ReadyWork, { assignments }: Claim, candidates: readonly Candidate[]): StartGroup[] {
     const byLife = new Map(candidates.map((candidate) => [candidate.endpoint.life, candidate]))
     for (const { endpoint } of assignments) {
       const candidate = byLife.get(endpoint)
@@ -188,9 +188,9 @@
       const free = byLife.get(endpoint)?.free
       return free !== undefined && Math.min(free.cpuMilli, free.memMb, free.accelerators) >= 0
     })
-    if (!isFree) return null
+    if (!isFree) return []
     this.#claims.delete(toKey(work))
-    return toGroup(work, assignments)
+    return toGroups(work, assignments)
   }
 
   #preemptFor (work: ReadyWork, placed: readonly Assignment[], candidates: Candidate[], input: PlanInput, needs: ReadonlyMap<CustomerId | null, number>, acceptFar: boolean, preempted: TaskId[]): void {
@@ -267,8 +267,16 @@
 const isGuaranteed = (state: SchedulingState, { spec }: JobEntry, needs: ReadonlyMap<CustomerId | null, number>): boolean =>
   spec.priority === 0 && (needs.get(spec.customer) ?? 0) <= state.config.getGuarantee(spec.customer)
 
-const toGroup = ({ job, occurrence, step, run }: ReadyWork, members: readonly Assignment[]): StartGroup =>
-  ({ job: job.spec.id, occurrence, step, run, members })
+/** A gang shares the number of its run; single tasks are numbered each by itself. */
+const toGroups = ({ job, occurrence, step, spec, run }: ReadyWork, members: readonly Assignment[]): StartGroup[] => {
+  const { tasks } = job.getOccurrence(occurrence).steps[step]!
+  const byRun = new Map<number, Assignment[]>()
+  for (const member of members) {
+    const number = spec.gang ? run : tasks[member.index]!.lastRun + 1
+    byRun.set(number, [...byRun.get(number) ?? [], member])
+  }
+  return [...byRun].map(([number, group]) => ({ job: job.spec.id, occurrence, step, run: number, members: group }))
+}
 
 const toVictim = (runs: readonly ActiveRun[], state: SchedulingState, wallMs: number): Victim => {
   const { job: id, step } = mustParseTaskId(runs[0]!.task)
--- a/packages/dispatch/src/ready-work.ts
+++ b/packages/dispatch/src/ready-work.ts
@@ -7,6 +7,7 @@
   readonly step: number
   readonly spec: StepSpec
   readonly indexes: readonly number[]
+  /** Number of the next run of a gang. */
   readonly run: number
 }
 
--- a/packages/dispatch/tests/planner.test.ts
+++ b/packages/dispatch/tests/planner.test.ts
@@ -114,3 +114,14 @@
   world.plan()
   t.equal(world.countRunning('new'), 8)
 })
+
+t.test('the runs of a task are numbered from one, those of a gang together', async (t) => {
+  const world = new World()
+  world.submit('f', { count: 2 }, { priority: 1 })
+  world.plan()
+  const [first] = [...world.state.jobs.listRuns(world.endpoints[0]!.life).values()]
+  world.state.apply({ type: 'end', endpoint: first!.endpoint, ends: [{ task: first!.task, run: 1, outcome: 'stopped', checkpoint: '' }], atMs: 0 })
+  world.submit('h', { count: 1 }, { priority: 1 })
+  const runs = world.plan().starts.map(({ job, run }) => `${job}#${run}`)
+  t.same(runs.sort(), ['f#2', 'h#1'])
+})
