--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -27,6 +27,14 @@
   readonly preempted: readonly TaskId[]
 }
 
+/** What was found out in one pass and holds for all work of the same shape. */
+interface PassMemory {
+  /** Whether the shape is only ever placed over distant racks. */
+  readonly acceptFar: Map<string, boolean>
+  /** Gangs that did not fit; room only shrinks during a pass. */
+  readonly failed: Set<string>
+}
+
 /** Capacity that victims leave to urgent work. */
 interface Claim {
   readonly assignments: readonly Assignment[]
@@ -36,6 +44,9 @@
 /** Victims have reported their end by then, or the claim is made anew. */
 const CLAIM_MS = 1_500
 
+/** A search for victims that failed is not repeated before: little ends in a shorter time. */
+const PREEMPTION_RETRY_MS = 100
+
 /** An accelerator counts as this many cores when thrown-away work is compared. */
 const CORES_PER_ACCELERATOR = 8
 const CHECKPOINT_INTERVAL_MS = 2_000
@@ -66,6 +77,11 @@
 
 const toKey = ({ job, occurrence, step }: ReadyWork): string => `${job.spec.id}.${occurrence}.${step}`
 
+const toShape = ({ spec, indexes }: ReadyWork): string => {
+  const { resources: { cpuMilli, memMb, accelerators }, gang, tightlyCoupled, requiredLabel, dataRack, maxPerEndpoint } = spec
+  return [spec.count, indexes.length, cpuMilli, memMb, accelerators, gang, tightlyCoupled, requiredLabel, dataRack, maxPerEndpoint].join()
+}
+
 const coresOf = ({ cpuMilli, accelerators }: Resources): number => cpuMilli / 1_000 + accelerators * CORES_PER_ACCELERATOR
 
 /**
@@ -75,6 +91,8 @@
 export class Planner {
   readonly #claims = new Map<string, Claim>()
   readonly #demand = new UrgentDemand()
+  /** By work for which no acceptable victims were found, when they are searched again. */
+  readonly #retryAtMs = new Map<string, number>()
 
   plan (input: PlanInput): Plan {
     const candidates = this.#listCandidates(input)
@@ -83,8 +101,9 @@
     const starts: StartGroup[] = []
     const preempted: TaskId[] = []
     const ready = this.#listWork(input, needs)
+    const memory: PassMemory = { acceptFar: new Map(), failed: new Set() }
     const place = (work: ReadyWork): boolean => {
-      const groups = this.#place(work, candidates, endpoints, input, needs, preempted)
+      const groups = this.#place(work, candidates, endpoints, input, needs, preempted, memory)
       starts.push(...groups)
       return groups.length > 0
     }
@@ -97,7 +116,7 @@
       if (offered) place(offered)
     }
     const claimed = new Set(ready.map(toKey))
-    for (const key of this.#claims.keys()) if (!claimed.has(key)) this.#claims.delete(key)
+    for (const memo of [this.#claims, this.#retryAtMs]) for (const key of memo.keys()) if (!claimed.has(key)) memo.delete(key)
     return { starts, preempted }
   }
 
@@ -164,16 +183,22 @@
     return needs
   }
 
-  #place (work: ReadyWork, candidates: Candidate[], endpoints: readonly EndpointRecord[], input: PlanInput, needs: ReadonlyMap<CustomerId | null, number>, preempted: TaskId[]): StartGroup[] {
+  #place (work: ReadyWork, candidates: Candidate[], endpoints: readonly EndpointRecord[], input: PlanInput, needs: ReadonlyMap<CustomerId | null, number>, preempted: TaskId[], memory: PassMemory): StartGroup[] {
     const { spec, indexes } = work
     const claim = this.#claims.get(toKey(work))
     if (claim && input.nowMs < claim.untilMs) return this.#placeClaimed(work, claim, candidates)
     this.#claims.delete(toKey(work))
+    const shape = toShape(work)
+    const isUrgent = work.job.spec.priority === 0
+    if (!isUrgent && memory.failed.has(shape)) return []
     const countOn = this.#createCounter(work, input.state)
-    const acceptFar = !couldEverFit(spec, endpoints, { acceptFar: false })
+    const acceptFar = memory.acceptFar.get(shape) ?? !couldEverFit(spec, endpoints, { acceptFar: false })
+    memory.acceptFar.set(shape, acceptFar)
     const assignments = placeTasks(spec, indexes, candidates, countOn, { acceptFar })
+    // The limit for each endpoint depends on the job, so that a failure of another job says nothing.
+    if (assignments.length === 0 && spec.maxPerEndpoint === null) memory.failed.add(shape)
     const isWhole = assignments.length === indexes.length
-    if (!isWhole && work.job.spec.priority === 0) this.#preemptFor(work, assignments, candidates, input, needs, acceptFar, preempted)
+    if (!isWhole && isUrgent) this.#preemptFor(work, assignments, candidates, input, needs, acceptFar, preempted)
     return toGroups(work, assignments)
   }
 
@@ -194,13 +219,18 @@
   }
 
   #preemptFor (work: ReadyWork, placed: readonly Assignment[], candidates: Candidate[], input: PlanInput, needs: ReadonlyMap<CustomerId | null, number>, acceptFar: boolean, preempted: TaskId[]): void {
+    const key = toKey(work)
+    if (input.nowMs < (this.#retryAtMs.get(key) ?? -Infinity)) return
     const indexes = work.indexes.filter((index) => !placed.some((assignment) => assignment.index === index))
     const countOn = this.#createCounter(work, input.state)
     const victims = this.#listVictims(work, input, needs, new Set(preempted))
     const plan = planPreemption({ spec: work.spec, indexes, candidates, countOn, acceptFar }, victims)
-    if (!plan || !this.#isWorthwhile(work, plan, input, needs)) return
+    if (!plan || !this.#isWorthwhile(work, plan, input, needs)) {
+      this.#retryAtMs.set(key, input.nowMs + PREEMPTION_RETRY_MS)
+      return
+    }
     for (const { runs } of plan.victims) preempted.push(...runs.map(({ task }) => task))
-    this.#claims.set(toKey(work), { assignments: plan.assignments, untilMs: input.nowMs + CLAIM_MS })
+    this.#claims.set(key, { assignments: plan.assignments, untilMs: input.nowMs + CLAIM_MS })
     const byLife = new Map(candidates.map((candidate) => [candidate.endpoint.life, candidate]))
     for (const { endpoint } of plan.assignments) {
       const candidate = byLife.get(endpoint)!
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -51,17 +51,28 @@
   return kept
 }
 
+/** The smallest number of victims, cheapest first, after whose end all tasks fit; null when not even all do. */
+const countNeeded = (search: Search, useful: readonly Victim[]): number | null => {
+  const fitsAfter = (count: number): boolean => tryPlace(search, useful.slice(0, count)).length === search.indexes.length
+  if (!fitsAfter(useful.length)) return null
+  let low = 0
+  let high = useful.length
+  // More victims leave more room, so that the border can be searched by halves.
+  while (low < high) {
+    const middle = (low + high) >> 1
+    if (fitsAfter(middle)) high = middle
+    else low = middle + 1
+  }
+  return high
+}
+
 const planWithin = (search: Search, victims: readonly Victim[]): PreemptionPlan | null => {
   const lives = new Set<EndpointLife>(search.candidates.map(({ endpoint }) => endpoint.life))
   const useful = victims.filter(({ runs }) => runs.some(({ endpoint }) => lives.has(endpoint)))
-  const taken: Victim[] = []
-  for (const victim of useful) {
-    taken.push(victim)
-    if (tryPlace(search, taken).length < search.indexes.length) continue
-    const kept = prune(search, taken)
-    return { victims: kept, assignments: tryPlace(search, kept) }
-  }
-  return null
+  const needed = countNeeded(search, useful)
+  if (needed === null) return null
+  const kept = prune(search, useful.slice(0, needed))
+  return { victims: kept, assignments: tryPlace(search, kept) }
 }
 
 const sumCost = ({ victims }: PreemptionPlan): number => victims.reduce((sum, { cost }) => sum + cost, 0)
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -27,9 +27,10 @@
     platform: 'node',
     target: 'node20',
     format: 'esm',
-    minify: true,
-    // Names of error classes appear in messages and logs.
-    keepNames: true,
+    // Identifiers keep their names: error classes appear in messages and logs, and the helper that
+    // would restore the names costs time at each creation of an inner function.
+    minifyWhitespace: true,
+    minifySyntax: true,
     sourcemap: true,
     banner: { js: BANNER },
     logLevel: 'warning'
