dispatch: use endpoints of the job's own service, send interrupted stops again

Change: candidates are those of the job's service; an interrupted stop is decided anew by the next report. Before/after: packages/dispatch/tests/planner.test.ts "a job runs on endpoints of its own service only" and dispatcher.test.ts "a stop that was interrupted …" fail before, pass after.

--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -180,7 +180,7 @@
       this.#setPhase(tracked, 'present')
     } else if (result.type === 'refused') {
       events.handleStartRefused(this.#endpoint, tracked.task, result.reason)
-      await this.#submit([{ task: tracked.task, run: tracked.run, outcome: 'not-started', checkpoint: '' }]).catch(() => this.#setPhase(tracked, 'stopping'))
+      await this.#submit([{ task: tracked.task, run: tracked.run, outcome: 'not-started', checkpoint: '' }]).catch(() => this.#setPhase(tracked, 'unconfirmed'))
     } else {
       this.#setPhase(tracked, 'unconfirmed')
       this.#handleRejection(result)
@@ -206,6 +206,8 @@
         return this.#handleRejection(result)
       }
     }
+    // Interrupted by a loss of the majority: the next report decides whether it is stopped again.
+    if (!tracked.isStopAcked) this.#setPhase(tracked, 'unconfirmed')
     this.poll()
   }
 
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -77,9 +77,9 @@
 
 const toKey = ({ job, occurrence, step }: ReadyWork): string => `${job.spec.id}.${occurrence}.${step}`
 
-const toShape = ({ spec, indexes }: ReadyWork): string => {
+const toShape = ({ job, spec, indexes }: ReadyWork): string => {
   const { resources: { cpuMilli, memMb, accelerators }, gang, tightlyCoupled, requiredLabel, dataRack, maxPerEndpoint } = spec
-  return [spec.count, indexes.length, cpuMilli, memMb, accelerators, gang, tightlyCoupled, requiredLabel, dataRack, maxPerEndpoint].join()
+  return [job.spec.service, spec.count, indexes.length, cpuMilli, memMb, accelerators, gang, tightlyCoupled, requiredLabel, dataRack, maxPerEndpoint].join()
 }
 
 const coresOf = ({ cpuMilli, accelerators }: Resources): number => cpuMilli / 1_000 + accelerators * CORES_PER_ACCELERATOR
@@ -96,20 +96,20 @@
 
   plan (input: PlanInput): Plan {
     const candidates = this.#listCandidates(input)
-    const endpoints = candidates.map(({ endpoint }) => endpoint)
     const needs = this.#sumUrgentNeeds(input.state)
     const starts: StartGroup[] = []
     const preempted: TaskId[] = []
     const ready = this.#listWork(input, needs)
     const memory: PassMemory = { acceptFar: new Map(), failed: new Set() }
     const place = (work: ReadyWork): boolean => {
-      const groups = this.#place(work, candidates, endpoints, input, needs, preempted, memory)
+      const own = listOfService(work, candidates)
+      const groups = this.#place(work, own, input, needs, preempted, memory)
       starts.push(...groups)
       return groups.length > 0
     }
     const waiting = ready.filter((work) => !isDeferrable(work) && !place(work))
     const deferred = this.#placeShare(ready.filter(isDeferrable), candidates, input, place)
-    for (const work of waiting.filter(({ job, spec }) => spec.gang && job.spec.priority > 0).slice(0, MAX_COLLECTING)) this.#collect(work, candidates)
+    for (const work of waiting.filter(({ job, spec }) => spec.gang && job.spec.priority > 0).slice(0, MAX_COLLECTING)) this.#collect(work, listOfService(work, candidates))
     const reserve = this.#getReserve(input, candidates)
     for (const work of deferred) {
       const offered = limitTo(work, sumFree(candidates) - reserve)
@@ -183,7 +183,7 @@
     return needs
   }
 
-  #place (work: ReadyWork, candidates: Candidate[], endpoints: readonly EndpointRecord[], input: PlanInput, needs: ReadonlyMap<CustomerId | null, number>, preempted: TaskId[], memory: PassMemory): StartGroup[] {
+  #place (work: ReadyWork, candidates: Candidate[], input: PlanInput, needs: ReadonlyMap<CustomerId | null, number>, preempted: TaskId[], memory: PassMemory): StartGroup[] {
     const { spec, indexes } = work
     const claim = this.#claims.get(toKey(work))
     if (claim && input.nowMs < claim.untilMs) return this.#placeClaimed(work, claim, candidates)
@@ -192,7 +192,7 @@
     const isUrgent = work.job.spec.priority === 0
     if (!isUrgent && memory.failed.has(shape)) return []
     const countOn = this.#createCounter(work, input.state)
-    const acceptFar = memory.acceptFar.get(shape) ?? !couldEverFit(spec, endpoints, { acceptFar: false })
+    const acceptFar = memory.acceptFar.get(shape) ?? !couldEverFit(spec, candidates.map(({ endpoint }) => endpoint), { acceptFar: false })
     memory.acceptFar.set(shape, acceptFar)
     const assignments = placeTasks(spec, indexes, candidates, countOn, { acceptFar })
     // The limit for each endpoint depends on the job, so that a failure of another job says nothing.
@@ -272,6 +272,10 @@
   }
 }
 
+/** The endpoints of the service that runs the job. */
+const listOfService = ({ job }: ReadyWork, candidates: readonly Candidate[]): Candidate[] =>
+  candidates.filter(({ endpoint }) => endpoint.service === job.spec.service)
+
 const isDeferrable = ({ job }: ReadyWork): boolean => job.spec.priority >= DEFERRABLE_PRIORITY
 
 const sumCapacity = (candidates: readonly Candidate[]): number =>
--- a/packages/dispatch/tests/dispatcher.test.ts
+++ b/packages/dispatch/tests/dispatcher.test.ts
@@ -16,6 +16,8 @@
   readonly state = new SchedulingState()
   readonly fleet: FakeFleet
   readonly endpoints: readonly EndpointRecord[]
+  /** False while the leader has lost its majority for a moment. */
+  hasQuorum = true
   #term = 0
   #dispatcher: Dispatcher | null = null
 
@@ -33,11 +35,11 @@
     const term = ++this.#term
     const propose = async (command: StateCommand): Promise<StateResult> => {
       await this.timers.delay(5)
-      if (this.#term !== term) throw new Error('not the leader')
+      if (this.#term !== term || !this.hasQuorum) throw new Error('not the leader')
       return this.state.apply(JSON.parse(JSON.stringify(command)) as StateCommand)
     }
     this.#dispatcher = new Dispatcher({
-      state: this.state, propose, isLeading: () => this.#term === term, port: this.fleet, timers: this.timers, logger, metrics: new Metrics({ node: 'n' }), fence: term, leaseMaxMs: 6_000
+      state: this.state, propose, isLeading: () => this.#term === term && this.hasQuorum, port: this.fleet, timers: this.timers, logger, metrics: new Metrics({ node: 'n' }), fence: term, leaseMaxMs: 6_000
     })
     this.#dispatcher.start()
   }
@@ -119,3 +121,38 @@
     for (let i = 0; i < 6; i++) t.equal(world.statusOf(`a${i}`), 'completed', `seed ${seed}, job ${i}`)
   }
 })
+
+t.test('a leader that loses its majority for moments finishes every order afterwards', async (t) => {
+  for (let seed = 201; seed <= 206; seed++) {
+    const world = new World(seed, { lost: 0.15, runMs: 2_500, failing: 0.05 })
+    world.elect()
+    for (let i = 0; i < 6; i++) world.submit(`a${i}`, [createStep({ count: 4 }), gang(3, 4, { dependsOn: [0] })], i % 3)
+    for (let round = 0; round < 12; round++) {
+      await world.run(world.random.int(200, 1_500))
+      world.hasQuorum = false
+      await world.run(world.random.int(100, 1_200))
+      world.hasQuorum = true
+    }
+    world.fleet.faults.lost = 0
+    await world.run(40_000)
+    t.same(world.fleet.violations, [], `seed ${seed}`)
+    for (let i = 0; i < 6; i++) t.equal(world.statusOf(`a${i}`), 'completed', `seed ${seed}, job ${i}`)
+  }
+})
+
+t.test('a stop that was interrupted by the loss of the majority is sent again', async (t) => {
+  // Its run held its room for the rest of the term.
+  const world = new World(3, { runMs: 60_000 })
+  world.elect()
+  world.submit('a1', [createStep({ count: 2 })])
+  await world.run(500)
+  for (const { life } of world.endpoints) world.fleet.faults.cut.add(life)
+  world.state.apply({ type: 'cancel', job: asId<JobId>('a1'), atMs: world.timers.now() })
+  await world.run(200)
+  world.hasQuorum = false
+  await world.run(1_500)
+  world.hasQuorum = true
+  world.fleet.faults.cut.clear()
+  await world.run(2_000)
+  t.equal(world.state.jobs.get(asId<JobId>('a1'))!.activeRuns, 0)
+})
--- a/packages/dispatch/tests/planner.test.ts
+++ b/packages/dispatch/tests/planner.test.ts
@@ -125,3 +125,12 @@
   const runs = world.plan().starts.map(({ job, run }) => `${job}#${run}`)
   t.same(runs.sort(), ['f#2', 'h#1'])
 })
+
+t.test('a job runs on endpoints of its own service only', async (t) => {
+  // The sites have one service each, so that no day there shows a start on another one.
+  const world = new World()
+  world.submit('x', { count: 2 }, { priority: 1, service: 'other' })
+  t.same(world.plan().starts, [])
+  world.submit('y', { count: 2 }, { priority: 1 })
+  t.equal(world.plan().starts.length, 1)
+})
