dispatch, jobs: count placed tasks in the limit for each endpoint; end a run by its own endpoint only

Change: the counter includes what was just placed; a run ends by a report of the endpoint that it was ordered at. Before/after: packages/dispatch/tests/planner.test.ts "what is placed and what waits …" and packages/jobs/tests/state.test.ts "a report of another endpoint …" fail before, pass after.

--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -222,7 +222,8 @@
     const key = toKey(work)
     if (input.nowMs < (this.#retryAtMs.get(key) ?? -Infinity)) return
     const indexes = work.indexes.filter((index) => !placed.some((assignment) => assignment.index === index))
-    const countOn = this.#createCounter(work, input.state)
+    const countRunning = this.#createCounter(work, input.state)
+    const countOn = (life: EndpointLife): number => countRunning(life) + placed.filter(({ endpoint }) => endpoint === life).length
     const victims = this.#listVictims(work, input, needs, new Set(preempted))
     const plan = planPreemption({ spec: work.spec, indexes, candidates, countOn, acceptFar }, victims)
     if (!plan || !this.#isWorthwhile(work, plan, input, needs)) {
--- a/packages/dispatch/tests/planner.test.ts
+++ b/packages/dispatch/tests/planner.test.ts
@@ -134,3 +134,20 @@
   world.submit('y', { count: 2 }, { priority: 1 })
   t.equal(world.plan().starts.length, 1)
 })
+
+t.test('what is placed and what waits for victims together keep the limit of tasks for each endpoint', async (t) => {
+  const world = new World(64)
+  world.submit('f', gang(7, 8), { priority: 1, customer: null })
+  world.plan()
+  world.nowMs += 100
+  world.submit('u', { count: 4, maxPerEndpoint: 1 }, { priority: 0 })
+  const { preempted } = world.plan()
+  t.equal(preempted.length, 7)
+  const stopped = preempted.map((task) => ({ task, run: 1, outcome: 'stopped' as const, checkpoint: '' }))
+  // Each endpoint is heard on all of them; only what ran there counts.
+  for (const { life } of world.endpoints) world.state.apply({ type: 'end', endpoint: life, ends: stopped, atMs: world.nowMs })
+  world.plan()
+  t.equal(world.countRunning('u'), 4)
+  const most = Math.max(...world.endpoints.map(({ life }) => [...world.state.jobs.listRuns(life).keys()].filter((task) => task.startsWith('u.')).length))
+  t.equal(most, 1)
+})
--- a/packages/jobs/src/job-entry.ts
+++ b/packages/jobs/src/job-entry.ts
@@ -1,4 +1,4 @@
-import type { ActiveRun, JobSpec, JobState, JobStatus, RunEnd, StepSpec } from './types.ts'
+import type { ActiveRun, EndpointLife, JobSpec, JobState, JobStatus, RunEnd, StepSpec } from './types.ts'
 
 /** Progress of one task of one occurrence. */
 export interface TaskEntry {
@@ -157,12 +157,12 @@
     if (this.isActive) this.#end('cancelled', atMs)
   }
 
-  /** Returns the run that the report ends, if it was active. */
-  endRun (occurrence: number, step: number, index: number, end: RunEnd, atMs: number): ActiveRun | null {
+  /** Returns the run that the report ends, if it was active at the endpoint that reports. */
+  endRun (endpoint: EndpointLife, occurrence: number, step: number, index: number, end: RunEnd, atMs: number): ActiveRun | null {
     const task = this.findTask(occurrence, step, index)
     if (!task) return null
     const stepEntry = this.getOccurrence(occurrence).steps[step]!
-    const ended = task.active?.run === end.run ? task.active : null
+    const ended = task.active?.run === end.run && task.active.endpoint === endpoint ? task.active : null
     if (ended) {
       task.active = null
       stepEntry.activeTasks -= 1
--- a/packages/jobs/src/job-store.ts
+++ b/packages/jobs/src/job-store.ts
@@ -81,8 +81,8 @@
       const job = ref && this.#jobs.get(ref.job)
       if (!job) continue
       this.#update(job, () => {
-        const ended = job.endRun(ref.occurrence, ref.step, ref.index, end, atMs)
-        if (ended?.endpoint === endpoint) this.#release(ended, job.spec.steps[ref.step]!.resources)
+        const ended = job.endRun(endpoint, ref.occurrence, ref.step, ref.index, end, atMs)
+        if (ended) this.#release(ended, job.spec.steps[ref.step]!.resources)
       })
     }
   }
--- a/packages/jobs/tests/state.test.ts
+++ b/packages/jobs/tests/state.test.ts
@@ -80,6 +80,15 @@
   t.equal(statusOf(state), 'failed')
 })
 
+t.test('a report of another endpoint does not end a run', async (t) => {
+  // The room of the run stayed occupied for ever, as the run was gone and its endpoint kept it.
+  const state = createState(accept(createSpec('1', [createStep()])), start('1', 0, 1, [a]))
+  state.apply(end(b, [toEnd('1', 0, 0, 1, 'stopped')]))
+  t.ok(state.jobs.get(job)!.findTask(0, 0, 0)!.active)
+  state.apply(end(a, [toEnd('1', 0, 0, 1, 'stopped')]))
+  t.equal(state.jobs.getUsage(a.life).accelerators, 0)
+})
+
 t.test('a gang starts whole or not at all, and one end stands for all', async (t) => {
   const gang = createStep({ count: 2, gang: true })
   const state = createState(accept(createSpec('1', [gang])))
