--- a/packages/cluster/src/types.ts
+++ b/packages/cluster/src/types.ts
@@ -1,4 +1,4 @@
-import type { CustomerId, JobId, NodeId } from '@ibisstair/common'
+import type { NodeId } from '@ibisstair/common'
 import type { EndpointRecord, JobStatus, Recurrence, ServiceConfig, StepSpec } from '@ibisstair/jobs'
 
 /** What a control process says of the cluster. */
@@ -53,11 +53,6 @@
   readonly version: number
 }
 
-export interface ResolvedJob {
-  readonly job: JobId
-  readonly customer: CustomerId | null
-}
-
 /** Calls that only the leader answers. */
 export type LeaderMethod =
   | 'job.submit' | 'job.status' | 'job.cancel' | 'queue.pending'
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -1,6 +1,3 @@
-/** Most time that an endpoint grants a lease for; it shortens a longer one. */
-export const DEFAULT_LEASE_MAX_MS = 6_000
-
 /** Kept below the longest lease, as the endpoint's clock is known a little late. */
 export const LEASE_SLACK_MS = 200
 
@@ -22,8 +19,6 @@
 
 /** Starts that follow a change of the state are decided together after this time. */
 export const PASS_DELAY_MS = 4
-/** Longest time between two passes. */
-export const PASS_PERIOD_MS = 250
 
 /** Time that a command may take to be committed. */
 export const COMMIT_TIMEOUT_MS = 3_000
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -87,11 +87,6 @@
     timers.subscribe(LEAVE_GRACE_MS, () => this.#remove(record))
   }
 
-  getStats (): object {
-    const { state } = this.#options
-    return { endpoints: state.endpoints.size, jobs: state.jobs.size, sessions: this.#sessions.size }
-  }
-
   // Events of sessions
 
   isLeading (): boolean {
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -1,10 +1,10 @@
-import { asId, IbisError, type TaskId } from '@ibisstair/common'
+import { IbisError, type TaskId } from '@ibisstair/common'
 import type { ActiveRun, EndpointRecord, RunEnd } from '@ibisstair/jobs'
 import type { TimerService } from '@ibisstair/timers'
 import {
   CLOCK_DRIFT, DEPOSED_LEADER_MS, LEASE_END_MARGIN_MS, LEASE_SLACK_MS, ORDER_TIMEOUT_MS, RENEW_GRACE_MS, RENEW_WAIT_MS, RETRY_MS
 } from './constants.ts'
-import type { EndpointPort, EndpointReport, OrderResult, RenewResult, RunReport } from './ports.ts'
+import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
 
 /**
  * What this leader knows of a run on the endpoint:
@@ -19,19 +19,9 @@
   phase: RunPhase
   /** Since when the phase holds; a report that was asked for earlier does not speak of it. */
   sinceMs: number
-  percent: number
-  /** When `percent` last rose. */
-  progressAtMs: number
   isStopAcked: boolean
 }
 
-export interface RunProgress {
-  readonly task: TaskId
-  readonly run: number
-  readonly percent: number
-  readonly progressAtMs: number
-}
-
 /** What a session tells its owner. */
 export interface SessionEvents {
   /** Runs are over. The reports are acknowledged once the returned promise resolves. */
@@ -93,14 +83,6 @@
     return this.#failures
   }
 
-  get trackedRuns (): number {
-    return this.#runs.size
-  }
-
-  listProgress (): RunProgress[] {
-    return [...this.#runs.values()].filter(({ phase }) => phase === 'present')
-  }
-
   close (): void {
     this.#isClosed = true
     this.#options.port.forget(this.#endpoint)
@@ -131,11 +113,6 @@
     this.#sendStop(tracked).catch((err: unknown) => this.#options.events.log('stop order failed', { task, err }))
   }
 
-  /** Whether a stop of the run is under way. */
-  isStopping (task: TaskId): boolean {
-    return this.#runs.get(task)?.phase === 'stopping'
-  }
-
   /** The log says that the run is over. */
   release (task: TaskId, run: number): void {
     if (this.#runs.get(task)?.run === run) this.#runs.delete(task)
@@ -276,7 +253,7 @@
       const isEnded = endedHere.has(`${tracked.task}#${tracked.run}`)
       if (isEnded) continue
       const seen = running.get(tracked.task)
-      if (seen?.run === tracked.run) this.#noteProgress(tracked, seen)
+      if (seen?.run === tracked.run) this.#notePresent(tracked)
       else if (!report.hasMore && tracked.sinceMs < askedAtMs) this.#handleAbsent(tracked, ends)
     }
     for (const { task, run } of report.running) if (this.#runs.get(task)?.run !== run) this.#stopUnknown(task, run)
@@ -284,11 +261,7 @@
     if (ends.length > 0) this.#submit(ends, upto).catch(() => {})
   }
 
-  #noteProgress (tracked: TrackedRun, { percent }: RunReport): void {
-    if (percent > tracked.percent) {
-      tracked.percent = percent
-      tracked.progressAtMs = this.#options.timers.now()
-    }
+  #notePresent (tracked: TrackedRun): void {
     if (tracked.phase === 'inherited' || tracked.phase === 'unconfirmed') this.#setPhase(tracked, 'present')
   }
 
@@ -374,7 +347,7 @@
 
   #track (task: TaskId, run: number, phase: RunPhase): TrackedRun {
     const now = this.#options.timers.now()
-    const tracked: TrackedRun = { task: asId<TaskId>(task), run, phase, sinceMs: now, percent: 0, progressAtMs: now, isStopAcked: false }
+    const tracked: TrackedRun = { task, run, phase, sinceMs: now, isStopAcked: false }
     this.#runs.set(task, tracked)
     return tracked
   }
