--- a/tests/support/tcp-proxy.ts
+++ b/tests/support/tcp-proxy.ts
@@ -3,24 +3,46 @@
 interface Pair {
   readonly near: Socket
   readonly far: Socket
+  /** Process that opened the connection, once its first bytes have named it. */
+  source: string
+  isSilent: boolean
 }
 
-/** A TCP proxy whose open connections can be made silent: they stay open and pass no more bytes. */
+interface Listener {
+  readonly address: string
+  readonly port: number
+}
+
+export type Direction = 'requests' | 'answers'
+
+const ANY_PORT: Listener = { address: '127.0.0.1', port: 0 }
+
+/** Calls between our processes name their sender in the header. */
+const SOURCE = /x-ibisstair-node: (\S+)/i
+
+/**
+ * A TCP proxy with faults. Open connections can be made silent (they stay open and pass no more
+ * bytes) or be reset; bytes can be delayed; and what one process sends, or is answered, can be cut.
+ */
 export class TcpProxy {
   readonly #server: Server
   readonly #pairs = new Set<Pair>()
-  readonly #silenced = new Set<Pair>()
-  #targetPort = 0
+  readonly #cuts = new Set<string>()
+  #target: Listener = { address: '127.0.0.1', port: 0 }
   #isSilentForNew = false
   accepted = 0
+  delayMs = 0
 
   private constructor () {
     this.#server = createServer((near) => this.#handle(near))
   }
 
-  static async start (): Promise<TcpProxy> {
+  static async start ({ address, port }: Listener = ANY_PORT): Promise<TcpProxy> {
     const proxy = new TcpProxy()
-    await new Promise<void>((resolve) => { proxy.#server.listen(0, '127.0.0.1', resolve) })
+    await new Promise<void>((resolve, reject) => {
+      proxy.#server.once('error', reject)
+      proxy.#server.listen(port, address, resolve)
+    })
     return proxy
   }
 
@@ -29,16 +51,16 @@
   }
 
   get silencedCount (): number {
-    return this.#silenced.size
+    return [...this.#pairs].filter(({ isSilent }) => isSilent).length
   }
 
-  setTarget (port: number): void {
-    this.#targetPort = port
+  setTarget (port: number, address = '127.0.0.1'): void {
+    this.#target = { address, port }
   }
 
   /** Silences every open connection for good; new ones work. Returns how many it silenced. */
   silenceOpen (): number {
-    const open = [...this.#pairs].filter((pair) => !this.#silenced.has(pair))
+    const open = [...this.#pairs].filter(({ isSilent }) => !isSilent)
     for (const pair of open) this.#silence(pair)
     return open.length
   }
@@ -52,18 +74,35 @@
   /** New connections work again; silenced ones stay silent. */
   restore (): void {
     this.#isSilentForNew = false
+    this.#cuts.clear()
   }
 
-  close (): void {
-    this.#server.close()
+  /** Drops what the process sends, or what it is answered, until `join` or `restore`. Dropped bytes do not come later. */
+  cut (source: string, direction: Direction): void {
+    this.#cuts.add(`${source} ${direction}`)
+  }
+
+  /** Connections that lost bytes are reset, as a stream with a gap can't be read on. */
+  join (source: string, direction: Direction): void {
+    this.#cuts.delete(`${source} ${direction}`)
+    for (const pair of this.#pairs) if (pair.source === source) destroyPair(pair)
+  }
+
+  /** Resets the open connections. */
+  reset (): void {
     for (const { near, far } of this.#pairs) {
-      near.destroy()
-      far.destroy()
+      near.resetAndDestroy()
+      far.resetAndDestroy()
     }
   }
 
+  close (): void {
+    this.#server.close()
+    for (const pair of this.#pairs) destroyPair(pair)
+  }
+
   #silence (pair: Pair): void {
-    this.#silenced.add(pair)
+    pair.isSilent = true
     for (const socket of [pair.near, pair.far]) {
       socket.removeAllListeners('data')
       socket.pause()
@@ -72,15 +111,18 @@
 
   #handle (near: Socket): void {
     this.accepted += 1
-    const far = connect(this.#targetPort, '127.0.0.1')
-    const pair = { near, far }
+    const far = connect(this.#target.port, this.#target.address)
+    const pair: Pair = { near, far, source: '', isSilent: false }
     this.#pairs.add(pair)
-    near.on('data', (data) => far.write(data))
-    far.on('data', (data) => near.write(data))
+    near.on('data', (data) => {
+      if (pair.source === '') pair.source = SOURCE.exec(data.toString('latin1'))?.[1] ?? ''
+      this.#forward(pair, far, data, 'requests')
+    })
+    far.on('data', (data) => this.#forward(pair, near, data, 'answers'))
     const handleEnd = (other: Socket) => (): void => {
       this.#pairs.delete(pair)
       // A silent path passes no end of the connection either.
-      if (!this.#silenced.has(pair)) other.destroy()
+      if (!pair.isSilent) other.destroy()
     }
     near.on('close', handleEnd(far))
     far.on('close', handleEnd(near))
@@ -88,4 +130,18 @@
     far.on('error', () => {})
     if (this.#isSilentForNew) this.#silence(pair)
   }
+
+  #forward (pair: Pair, to: Socket, data: Buffer, direction: Direction): void {
+    if (this.#cuts.has(`${pair.source} ${direction}`)) return
+    if (this.delayMs === 0) {
+      to.write(data)
+      return
+    }
+    setTimeout(() => { if (!pair.isSilent && !to.destroyed) to.write(data) }, this.delayMs)
+  }
+}
+
+const destroyPair = ({ near, far }: Pair): void => {
+  near.destroy()
+  far.destroy()
 }
