consensus: a removed leader hands over, a start campaigns early

A former voter, which had not stored that its removal was committed, won term 3 at 44.58 s, committed its own removal and stepped down 31 ms later; the voters then waited for a whole election timeout. The first timeout after a start was 1 to 2 s as well. Ruled out: slow starts (all four had read their logs at 43.45 s) and split votes (one candidate in each term). Change: a leader that is no voter any more tells an up-to-date voter to campaign. A replica that has heard of no leader since its start draws its timeouts from 0.4 to 1 s; the pre-vote keeps it from disturbing a leader that the others hear. Conclusion: callers that arrive during a restart of all find a leader in time.

--- a/packages/consensus/src/constants.ts
+++ b/packages/consensus/src/constants.ts
@@ -2,6 +2,10 @@
 export const ELECTION_TIMEOUT_MIN_MS = 1000
 export const ELECTION_TIMEOUT_MAX_MS = 2000
 
+/** Range of the timeout until the first leader is heard of after a start. */
+export const START_TIMEOUT_MIN_MS = 400
+export const START_TIMEOUT_MAX_MS = 1000
+
 /** A witness lets the other voters try first, because it has to hand leadership over again. */
 export const WITNESS_TIMEOUT_FACTOR = 3
 
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -4,7 +4,7 @@
 import {
   ELECTION_TIMEOUT_MAX_MS, ELECTION_TIMEOUT_MIN_MS, HEARTBEAT_MS, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_LOG_ENTRIES,
   MAX_SNAPSHOT_CHARS, MAX_UNCOMMITTED_BYTES, MAX_UNCOMMITTED_ENTRIES, SNAPSHOT_CHUNK_CHARS,
-  LEARNER_SILENCE_MS, TRAILING_BYTES, TRAILING_ENTRIES, VOTER_SILENCE_MS, WITNESS_TIMEOUT_FACTOR
+  LEARNER_SILENCE_MS, START_TIMEOUT_MAX_MS, START_TIMEOUT_MIN_MS, TRAILING_BYTES, TRAILING_ENTRIES, VOTER_SILENCE_MS, WITNESS_TIMEOUT_FACTOR
 } from './constants.ts'
 import { ReplicaLog } from './log.ts'
 import { countVoterChanges, findMember, isMajority, isSameMember, listVoters, majorityValue, withLearner, withoutNode, withVoter } from './members.ts'
@@ -89,6 +89,7 @@
   #electedAt = 0
   /** While leadership is handed over, proposals are refused until this time. */
   #transferUntil = -Infinity
+  #hasHeardOfLeader = false
 
   constructor (options: ReplicaOptions, state: ReplicaState, nowMs: number) {
     this.#options = options
@@ -237,9 +238,15 @@
     return this.#log.listMembersFrom(this.#commitIndex).some((members) => listVoters(members).some((member) => isSameMember(member, this.#options)))
   }
 
+  /**
+   * A replica that has heard of no leader since its start asks for votes early, as all may have
+   * started together. The others refuse the pre-vote while they hear from a leader.
+   */
   #drawTimeout (): number {
     const factor = this.#self?.witness ? WITNESS_TIMEOUT_FACTOR : 1
-    return factor * this.#options.random.int(ELECTION_TIMEOUT_MIN_MS, ELECTION_TIMEOUT_MAX_MS)
+    const isStarting = !this.#hasHeardOfLeader && this.#isOn('pre-vote')
+    const [min, max] = isStarting ? [START_TIMEOUT_MIN_MS, START_TIMEOUT_MAX_MS] : [ELECTION_TIMEOUT_MIN_MS, ELECTION_TIMEOUT_MAX_MS]
+    return factor * this.#options.random.int(min, max)
   }
 
   #askToJoin (): void {
@@ -364,11 +371,13 @@
     if (this.#role !== 'follower') this.#electionAt = this.#now + this.#drawTimeout()
     this.#role = 'follower'
     this.#leader = leader
+    if (leader !== null) this.#hasHeardOfLeader = true
     this.#progress.clear()
     this.#transferUntil = -Infinity
   }
 
   #becomeLeader (): void {
+    this.#hasHeardOfLeader = true
     this.#setLeaderOfTerm(this.#options.node)
     this.counters.elected += 1
     this.#role = 'leader'
@@ -700,9 +709,12 @@
     this.#leaveWhenRemoved()
   }
 
+  /** A leader that is no voter any more hands over, so that the voters need not wait for an election timeout. */
   #leaveWhenRemoved (): void {
     const { index } = this.#log.configuration
-    if (this.#self?.role !== 'voter' && index <= this.#commitIndex) this.#becomeFollower(this.#term, null)
+    if (this.#self?.role === 'voter' || index > this.#commitIndex) return
+    this.#transfer()
+    this.#becomeFollower(this.#term, null)
   }
 
   // ---- membership ----
--- a/packages/consensus/tests/automatic-membership.test.ts
+++ b/packages/consensus/tests/automatic-membership.test.ts
@@ -59,3 +59,23 @@
   cluster.run(30_000)
   t.same(votersOf(cluster), before)
 })
+
+t.test('after a restart of all, a leader that stays is there before callers give up', async (t) => {
+  // A former voter could win, find itself replaced and step down, so that an election timeout passed without a leader.
+  const CALLER_DEADLINE_MS = 3_000
+  const START_UP_MS = 1_000
+  for (let seed = 1; seed <= 20; seed++) {
+    const cluster = createCluster(seed)
+    const replaced = cluster.leaders[0]!
+    cluster.crash(replaced)
+    cluster.run(6_000)
+    cluster.start(replaced)
+    cluster.run(6_000)
+    t.ok(learnersOf(cluster).includes(replaced.id), `seed ${seed}`)
+    for (const node of cluster.nodes) cluster.crash(node)
+    for (const node of cluster.nodes) cluster.start(node)
+    cluster.run(CALLER_DEADLINE_MS - START_UP_MS)
+    t.equal(cluster.leaders.length, 1, `seed ${seed}`)
+    t.equal(cluster.statusOf(cluster.leaders[0]!)!.members.find(({ node }) => node === cluster.leaders[0]!.id)?.role, 'voter', `seed ${seed}`)
+  }
+})
