dispatch: ask an endpoint again only for news

An endpoint lists its ends again, at once, until they are acknowledged, and the acknowledgement needs a commit; until then, and while a start had no answer, the session asked in a loop without a pause. A busy leader commits and answers later, and so made itself ever busier. Ruled out: the planner (passes of 8 ms at this size) and the endpoints (the same ones answered in milliseconds before and after). Change: after a report that waits for its commit the session pauses until the commit wakes it; a start without an answer lets the endpoint hold its answer back for half a second. Conclusion: the load of a leader does not grow with its own delay.

--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -12,9 +12,15 @@
 
 export const ORDER_TIMEOUT_MS = 800
 export const RENEW_WAIT_MS = 1_500
+/** The same while a start has not been answered: its outcome is read soon after its timeout. */
+export const START_WAIT_MS = 500
 /** Beyond the wait, before a connection counts as silent. */
 export const RENEW_GRACE_MS = 700
 export const RETRY_MS = 250
+/** Between two questions while a run is being stopped. */
+export const STOP_PAUSE_MS = 100
+/** Leases are renewed again after this time even if a commit takes longer. */
+export const COMMIT_PAUSE_MS = 1_000
 export const SESSION_TICK_MS = 250
 
 /** Starts that follow a change of the state are decided together after this time. */
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -2,7 +2,7 @@
 import type { ActiveRun, EndpointRecord, RunEnd } from '@ibisstair/jobs'
 import type { TimerService } from '@ibisstair/timers'
 import {
-  CLOCK_DRIFT, DEPOSED_LEADER_MS, LEASE_END_MARGIN_MS, LEASE_SLACK_MS, ORDER_TIMEOUT_MS, RENEW_GRACE_MS, RENEW_WAIT_MS, RETRY_MS
+  CLOCK_DRIFT, COMMIT_PAUSE_MS, DEPOSED_LEADER_MS, LEASE_END_MARGIN_MS, LEASE_SLACK_MS, ORDER_TIMEOUT_MS, RENEW_GRACE_MS, RENEW_WAIT_MS, RETRY_MS, START_WAIT_MS, STOP_PAUSE_MS
 } from './constants.ts'
 import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
 
@@ -62,6 +62,7 @@
   #failures = 0
   #isPolling = false
   #pollAgain = false
+  #endPause: () => void = () => {}
   #isClosed = false
 
   constructor (options: SessionOptions) {
@@ -122,6 +123,7 @@
   poll (): void {
     if (this.#isClosed) return
     this.#pollAgain = true
+    this.#endPause()
     if (this.#isPolling) return
     this.#isPolling = true
     this.#pollLoop().catch((err: unknown) => this.#options.events.log('renewal failed', { endpoint: this.#endpoint.id, err })).finally(() => { this.#isPolling = false })
@@ -199,20 +201,42 @@
   // Renewals and reports
 
   async #pollLoop (): Promise<void> {
-    const { timers, events } = this.#options
+    const { events, timers } = this.#options
     while (!this.#isClosed && events.isLeading() && (this.#pollAgain || this.#needsPoll())) {
       this.#pollAgain = false
-      const isSettled = [...this.#runs.values()].every(({ phase }) => phase === 'present')
-      const canWait = this.#runs.size > 0 && isSettled && this.#ackedUpto >= this.#committedUpto
-      const answered = await this.#renew(canWait ? RENEW_WAIT_MS : 0, true)
-      if (!answered) await timers.delay(RETRY_MS)
-      else if (!canWait && this.#runs.size > 0) await timers.delay(this.#getPauseMs())
+      const answered = await this.#renew(this.#getWaitMs(), true)
+      if (answered) await this.#pause(this.#getPauseMs())
+      else await timers.delay(RETRY_MS)
     }
   }
 
-  /** Stops take some time to be reported, and asking more often would not speed them up. */
+  /** How long the endpoint may hold its answer back until a run ends. */
+  #getWaitMs (): number {
+    if (this.#runs.size === 0 || this.#ackedUpto < this.#committedUpto) return 0
+    const phases = new Set([...this.#runs.values()].map(({ phase }) => phase))
+    if (phases.has('inherited') || phases.has('unconfirmed') || phases.has('stopping')) return 0
+    // The answer to a start comes by itself; without one, the next report has to tell.
+    return phases.has('starting') ? START_WAIT_MS : RENEW_WAIT_MS
+  }
+
   #getPauseMs (): number {
-    return [...this.#runs.values()].some(({ phase }) => phase === 'stopping' || phase === 'unconfirmed') ? 100 : 0
+    // The endpoint lists what it has told again until that is acknowledged, which needs the commit.
+    if (this.#submittedUpto > this.#committedUpto) return COMMIT_PAUSE_MS
+    // Stops take some time to be reported, and asking more often would not speed them up.
+    return [...this.#runs.values()].some(({ phase }) => phase === 'stopping' || phase === 'unconfirmed') ? STOP_PAUSE_MS : 0
+  }
+
+  /** Ends early when there is a reason to ask again. */
+  async #pause (ms: number): Promise<void> {
+    if (ms === 0 || this.#pollAgain) return
+    await new Promise<void>((resolve) => {
+      const stopTimer = this.#options.timers.subscribe(ms, resolve)
+      this.#endPause = () => {
+        stopTimer()
+        resolve()
+      }
+    })
+    this.#endPause = () => {}
   }
 
   #needsPoll (): boolean {
--- a/packages/dispatch/tests/dispatcher.test.ts
+++ b/packages/dispatch/tests/dispatcher.test.ts
@@ -18,6 +18,7 @@
   readonly endpoints: readonly EndpointRecord[]
   /** False while the leader has lost its majority for a moment. */
   hasQuorum = true
+  commitMs = 5
   #term = 0
   #dispatcher: Dispatcher | null = null
 
@@ -34,7 +35,7 @@
     this.#dispatcher?.close()
     const term = ++this.#term
     const propose = async (command: StateCommand): Promise<StateResult> => {
-      await this.timers.delay(5)
+      await this.timers.delay(this.commitMs)
       if (this.#term !== term || !this.hasQuorum) throw new Error('not the leader')
       return this.state.apply(JSON.parse(JSON.stringify(command)) as StateCommand)
     }
@@ -156,3 +157,18 @@
   await world.run(2_000)
   t.equal(world.state.jobs.get(asId<JobId>('a1'))!.activeRuns, 0)
 })
+
+t.test('a leader whose commits are slow does not ask endpoints for what they have told it', async (t) => {
+  // Each answer listed the same ends again, at once, so that a busy leader made itself ever busier.
+  const world = new World(4, { runMs: 400 })
+  world.commitMs = 300
+  world.elect()
+  for (let i = 0; i < 6; i++) world.submit(`a${i}`, [createStep({ count: 4 }), createStep({ count: 4, dependsOn: [0] })])
+  const SECONDS = 6
+  await world.run(SECONDS * 1_000)
+  t.equal(world.fleet.starts, 48)
+  t.same(world.fleet.violations, [])
+  // Four endpoints answer five times a second when nothing ends, and twice for each end: when it comes and when it is acknowledged.
+  const expected = 4 * 5 * SECONDS + 2 * world.fleet.starts
+  t.ok(world.fleet.renewals <= expected, `${world.fleet.renewals} renewals, at most ${expected} expected`)
+})
--- a/packages/dispatch/tests/support/fake-fleet.ts
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -19,6 +19,7 @@
   failing: number
 }
 
+const MAX_FAKE_WAIT_MS = 200
 const LATE_MIN_MS = 2_000
 const LATE_MAX_MS = 12_000
 
@@ -43,6 +44,10 @@
     return this.#fleet.timers.now() + 1_000
   }
 
+  hasUnacknowledged (ackedUpto: number): boolean {
+    return this.#ended.some(({ number }) => number > ackedUpto)
+  }
+
   start (order: StartOrder): OrderResult {
     if (!this.#accept(order.fence)) return { type: 'fenced' }
     if (this.runs.get(order.task)?.run === order.run) return { type: 'ok', clockMs: this.clockMs }
@@ -106,6 +111,7 @@
   readonly faults: FakeFaults
   readonly violations: string[] = []
   starts = 0
+  renewals = 0
   readonly #endpoints = new Map<EndpointLife, FakeEndpoint>()
   /** Tasks that were done, with the endpoint until its lease lapses before the end was acknowledged. */
   readonly #done = new Map<TaskId, { readonly endpoint: FakeEndpoint, readonly atMs: number, isAcked: boolean }>()
@@ -128,7 +134,10 @@
   }
 
   async renew (endpoint: EndpointRecord, order: RenewOrder, timeoutMs: number): Promise<RenewResult> {
-    await this.timers.delay(Math.min(order.waitMs, 200))
+    this.renewals += 1
+    // The answer waits for an end; one that nobody took note of yet is listed at once.
+    const hasEnded = this.#endpoints.get(endpoint.life)!.hasUnacknowledged(order.ackedUpto)
+    await this.timers.delay(hasEnded ? 0 : Math.min(order.waitMs, MAX_FAKE_WAIT_MS))
     return await this.#call(endpoint, timeoutMs, (fake) => fake.renew(order))
   }
 
