--- a/packages/consensus/src/constants.ts
+++ b/packages/consensus/src/constants.ts
@@ -2,7 +2,10 @@
 export const ELECTION_TIMEOUT_MIN_MS = 1000
 export const ELECTION_TIMEOUT_MAX_MS = 2000
 
-/** Range of the timeout until the first leader is heard of after a start. */
+/**
+ * Range of the timeout until the first leader is heard of after a start. Together with the time in
+ * which a process comes back, it is about as long as a leader relies on an answer of a voter.
+ */
 export const START_TIMEOUT_MIN_MS = 400
 export const START_TIMEOUT_MAX_MS = 1000
 
