dispatch: honour claims of capacity before any other placement

A claim was honoured only at the job's place in the order of the pass; once the job could not be on time any more, newer urgent jobs went first and took what its victims had left, and the job claimed again, three times in all. Change: work with a claim goes first in each pass, in the order of the claims; a guaranteed job keeps that place when its claim expires and victims are searched again. Guaranteed work is ordered by age alone, since a guarantee does not end when the job is late. Before/after: two new planner tests fail on the code before and pass now. Conclusion: shown and mended on the pure decision code.

--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -68,7 +68,7 @@
   plan (input: PlanInput): Plan {
     const pass = new PlanningPass(input)
     this.#clearCacheOnFleetChange(pass)
-    const ready = pass.listWork()
+    const ready = this.#moveClaimantsToFront(pass.listWork(), pass)
     const starts: StartGroup[] = []
     const place = (work: ReadyWork): boolean => {
       const groups = this.#place(work, pass)
@@ -88,6 +88,18 @@
     return { starts, preempted: pass.preempted }
   }
 
+  /** Work that has claimed capacity goes first, so that no other work is placed there once the victims have ended. */
+  #moveClaimantsToFront (ready: readonly ReadyWork[], { state, needs, nowMs }: PlanningPass): ReadyWork[] {
+    const byKey = new Map(ready.map((work) => [toWorkKey(work), work]))
+    const claimants = new Set<ReadyWork>()
+    for (const [key, { untilMs }] of this.#claims) {
+      const work = byKey.get(key)
+      // Work beyond a guarantee competes with all other work again when its claim has expired.
+      if (work && (nowMs < untilMs || isGuaranteed(state, work.job, needs))) claimants.add(work)
+    }
+    return [...claimants, ...ready.filter((work) => !claimants.has(work))]
+  }
+
   #removeEntriesExcept (ready: readonly ReadyWork[]): void {
     const known = new Set(ready.map(toWorkKey))
     for (const entries of [this.#claims, this.#retryAtMs]) for (const key of entries.keys()) if (!known.has(key)) entries.delete(key)
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -52,17 +52,22 @@
     return this.#byService.get(job.spec.service) ?? NO_CANDIDATES
   }
 
-  /** Returns the most urgent work first; within a priority, urgent work within its customer's guarantee, then work that can still be on time, then the oldest. */
+  /**
+   * Returns the most urgent work first. Within a priority, urgent work within its customer's guarantee comes
+   * first, the oldest before newer ones; then work that can still be on time, the oldest first; then late work.
+   */
   listWork (): ReadyWork[] {
     const ready = [...this.state.jobs.listActive()].flatMap((job) => listReadyWork(job, this.wallMs))
-    const ranked = ready.map((work) => ({ work, rank: this.#getRank(work), lateness: getLateness(work.job, this.wallMs) }))
+    const ranked = ready.map((work) => ({ work, ...this.#getRank(work) }))
     ranked.sort((a, b) => a.rank - b.rank || a.lateness - b.lateness || a.work.job.acceptedAtMs - b.work.job.acceptedAtMs)
     return ranked.map(({ work }) => work)
   }
 
-  #getRank ({ job }: ReadyWork): number {
-    const isBeyondGuarantee = job.spec.priority === 0 && !isGuaranteed(this.state, job, this.needs)
-    return 2 * job.spec.priority + (isBeyondGuarantee ? 1 : 0)
+  /** A guarantee does not end when the job is late, so that the lateness of guaranteed work does not count. */
+  #getRank ({ job }: ReadyWork): { readonly rank: number, readonly lateness: number } {
+    if (isGuaranteed(this.state, job, this.needs)) return { rank: 0, lateness: 0 }
+    const rank = job.spec.priority === 0 ? 1 : 2 * job.spec.priority
+    return { rank, lateness: getLateness(job, this.wallMs) }
   }
 
   #addToService (candidate: Candidate): void {
--- a/packages/dispatch/tests/planner.test.ts
+++ b/packages/dispatch/tests/planner.test.ts
@@ -1,4 +1,4 @@
-import { asId, type CustomerId, type RackId } from '@ibisstair/common'
+import { asId, type CustomerId, type RackId, type TaskId } from '@ibisstair/common'
 import { SchedulingState, type EndpointRecord, type JobSpec, type StepSpec } from '@ibisstair/jobs'
 import t from 'tap'
 import { accept, createEndpoint, createSpec, createStep, register } from '../../jobs/tests/support/samples.ts'
@@ -39,6 +39,12 @@
     }
   }
 
+  /** Ends the runs as stopped. Every endpoint reports all of them; only those of its own runs take effect. */
+  endAsStopped (tasks: readonly TaskId[]): void {
+    const ends = tasks.map((task) => ({ task, run: 1, outcome: 'stopped' as const, checkpoint: '' }))
+    for (const { life: incarnation } of this.endpoints) this.state.apply({ type: 'end', endpoint: incarnation, ends, atMs: this.nowMs })
+  }
+
   countRunning (id: string): number {
     return this.state.jobs.get(asId(id))!.activeRuns
   }
@@ -107,6 +113,38 @@
   t.equal(fill(8).plan().preempted.length, 8, 'work within a guarantee preempts running work')
 })
 
+t.test('capacity that was claimed for a guaranteed job goes to no newer job, even once the claimant is late', async (t) => {
+  // The claimant was overtaken by newer jobs that could still be on time, and claimed again and again.
+  const urgent: Partial<JobSpec> = { priority: 0, stretch: 1.4, targetLatencyMs: 0 }
+  for (const victimsEndAtMs of [1_400, 1_600]) {
+    const fixture = new PlannerFixture(64)
+    fixture.submit('bulk', { count: 64 }, { priority: 1, customer: null })
+    fixture.plan()
+    fixture.submit('first', gang(5, 8), urgent)
+    const { preempted } = fixture.plan()
+    t.equal(preempted.length, 40)
+    fixture.nowMs = victimsEndAtMs
+    fixture.submit('newer', gang(3, 8), urgent)
+    fixture.endAsStopped(preempted)
+    fixture.plan()
+    t.equal(fixture.countRunning('first'), 5, `the claimant begins when its victims end after ${victimsEndAtMs} ms`)
+  }
+})
+
+t.test('guaranteed jobs start in the order of their acceptance, also when they are late', async (t) => {
+  // A guarantee has no end: a late job that always yields to newer ones is never served.
+  // The fleet has shrunk below what is guaranteed, so that not all of them fit at once.
+  const fixture = new PlannerFixture(100)
+  fixture.submit('bulk', gang(8, 8), { priority: 0 })
+  fixture.plan()
+  fixture.submit('old', gang(4, 8), { priority: 0, stretch: 1.1, targetLatencyMs: 10 })
+  fixture.nowMs = 8_000
+  fixture.submit('newer', gang(5, 8), { priority: 0 })
+  fixture.finishAll()
+  fixture.plan()
+  t.equal(fixture.countRunning('old'), 4)
+})
+
 t.test('work that can still be on time starts before work that is late', async (t) => {
   const fixture = new PlannerFixture()
   fixture.submit('old', gang(8, 8), { priority: 1, stretch: 1.1, targetLatencyMs: 10 })
@@ -144,9 +182,7 @@
   fixture.submit('u', { count: 4, maxPerEndpoint: 1 }, { priority: 0 })
   const { preempted } = fixture.plan()
   t.equal(preempted.length, 7)
-  const stopped = preempted.map((task) => ({ task, run: 1, outcome: 'stopped' as const, checkpoint: '' }))
-  // Every endpoint reports all ends; only those of its own runs take effect.
-  for (const { life: incarnation } of fixture.endpoints) fixture.state.apply({ type: 'end', endpoint: incarnation, ends: stopped, atMs: fixture.nowMs })
+  fixture.endAsStopped(preempted)
   fixture.plan()
   t.equal(fixture.countRunning('u'), 4)
   const most = Math.max(...fixture.endpoints.map(({ life: incarnation }) => [...fixture.state.jobs.listRuns(incarnation).keys()].filter((task) => task.startsWith('u.')).length))
