cluster: let calls that fail together share one search for the leader

The elected leader answers no-leader until it has applied its log; the caller then forgets it and asks every control process at once, the others name the elected leader again, and so on without a pause, in every process of the deployment. Change: a process starts a refresh at most every 100 ms (MIN_REFRESH_INTERVAL_MS); a refresh that is requested earlier is put off, not dropped. Conclusion: the search for a leader costs the same, however many calls wait for one.

--- a/packages/cluster/src/leader-finder.ts
+++ b/packages/cluster/src/leader-finder.ts
@@ -2,7 +2,7 @@
 import type { RpcClient, Target } from '@ibisstair/rpc'
 import type { RandomSource, TimerService, Unsubscribe } from '@ibisstair/timers'
 import * as v from 'valibot'
-import { MAX_KNOWN_NODES, VIEW_REFRESH_PERIOD_MS, LEADER_SEARCH_PERIOD_MS, VIEW_TIMEOUT_MS } from './constants.ts'
+import { LEADER_SEARCH_PERIOD_MS, MAX_KNOWN_NODES, MIN_REFRESH_INTERVAL_MS, VIEW_REFRESH_PERIOD_MS, VIEW_TIMEOUT_MS } from './constants.ts'
 import type { ClusterView } from './types.ts'
 
 const ViewSchema = v.object({
@@ -88,10 +88,17 @@
     if (successor === null) this.refresh()
   }
 
-  /** Asks every known control process for its view, unless a refresh is already in progress. */
+  /** Asks every known control process for its view: at once, or when the minimum interval since the last refresh has passed. */
   refresh (): void {
     if (this.#isRefreshing) return
     this.#isRefreshing = true
+    const { timers } = this.#options
+    const waitMs = this.#refreshStartedAtMs + MIN_REFRESH_INTERVAL_MS - timers.now()
+    if (waitMs > 0) timers.subscribe(waitMs, () => this.#fetchViews())
+    else this.#fetchViews()
+  }
+
+  #fetchViews (): void {
     this.#refreshStartedAtMs = this.#options.timers.now()
     Promise.allSettled(this.#nodes.map((node) => this.#fetchView(node)))
       .finally(() => { this.#isRefreshing = false })
--- a/packages/cluster/tests/leader-client.test.ts
+++ b/packages/cluster/tests/leader-client.test.ts
@@ -72,3 +72,31 @@
   t.same(await runUntilSettled(timers, client.call('job.submit', {}, 1_000)), { status: 'queued' })
   t.equal(attempts, 2)
 })
+
+t.test('calls that wait for an elected leader to begin share the searches for it', async (t) => {
+  // After a loss of all power each process asked every control process for its view about every 4 ms: the
+  // others named the elected leader, which answered that it does not lead until it had applied its log.
+  const READY_AT_MS = 500
+  const other = asId<NodeId>('10.0.0.2')
+  const timers = new ManualTimerService()
+  let views = 0
+  const call = async (target: NodeId, method: string): Promise<unknown> => {
+    const isReady = timers.now() >= READY_AT_MS
+    if (method !== 'cluster.view') {
+      if (!isReady) throw new IbisError('no-leader', 'the log is not applied yet')
+      return { status: 'queued' }
+    }
+    views += 1
+    return { leader: target === other || isReady ? node : null, term: 1, members: [node, other] }
+  }
+  const rpc = { call: async ({ address }: { readonly address: NodeId }, method: string) => await call(address, method) } as unknown as RpcClient
+  const finder = new LeaderFinder({ rpc, timers, random: new RandomSource(1), seeds: [node, other], toTarget })
+  finder.start()
+  const client = new LeaderClient({ rpc, timers, finder, toTarget })
+  const calls: Array<Promise<unknown>> = []
+  for (let i = 0; i < 50; i++) timers.subscribe(i * 10, () => { calls.push(client.call('job.submit', {}, 2_000)) })
+  await runUntilSettled(timers, timers.delay(READY_AT_MS))
+  await runUntilSettled(timers, Promise.all(calls))
+  t.equal(calls.length, 50)
+  t.ok(views <= 2 * (READY_AT_MS / 100 + 3), `${views} views were fetched`)
+})
