--- a/scripts/planner-bench/main.ts
+++ b/scripts/planner-bench/main.ts
@@ -1,15 +1,17 @@
 // Runs the planner on reproducible load patterns in virtual time and prints its scores.
-//   node --import=tsx scripts/planner-bench/main.ts --seeds 10 --fleet small
+//   node --import=tsx scripts/planner-bench/main.ts --seeds 10 --fleet small|cramped|large|huge
 import { parseArgs } from 'node:util'
 import { RandomSource } from '@ibisstair/timers'
 import { Simulation, type SimulationResult } from './simulate.ts'
-import { LARGE, PATTERNS, SMALL } from './workload.ts'
+import { FLEETS, PATTERNS } from './workload.ts'
 
 const { values } = parseArgs({
   options: { seeds: { type: 'string', default: '10' }, fleet: { type: 'string', default: 'small' } }
 })
-const fleet = values.fleet === 'large' ? LARGE : SMALL
+const fleet = FLEETS[values.fleet as keyof typeof FLEETS]
+if (!fleet) throw new Error(`--fleet ${values.fleet} is unknown; accepted are ${Object.keys(FLEETS).join(', ')}`)
 
+const all: SimulationResult[] = []
 const mean = (results: readonly SimulationResult[], select: (result: SimulationResult) => number): number =>
   results.reduce((sum, result) => sum + select(result), 0) / results.length
 
@@ -19,5 +21,7 @@
   const formatMean = (select: (result: SimulationResult) => number): string => mean(results, select).toFixed(3).padStart(8)
   const classColumns = fleet.classes.map(({ name }) => formatMean(({ creditByClass }) => creditByClass[name]!)).join('')
   const lostWorkColumn = mean(results, ({ lostWorkCoreS }) => lostWorkCoreS).toFixed(0).padStart(21)
+  all.push(...results)
   console.log(`${pattern.name.padEnd(46)}${formatMean(({ credit }) => credit)}${classColumns}${lostWorkColumn}${mean(results, ({ preemptedCount }) => preemptedCount).toFixed(0).padStart(11)}`)
 }
+console.log(`${'mean'.padEnd(46)}${mean(all, ({ credit }) => credit).toFixed(3).padStart(8)}`)
