cluster: find a leader that comes back while earlier calls to it hang

Cause: a refresh of the views waited for all calls of the one before. Change: a search starts every 200 ms, also beside calls that hang; a failure counts only if the node has not answered a later call. A view that can't be read is logged; it was an unhandled rejection swallowed by allSettled. With more seeds than the limit of known nodes the last one was dropped; seeds are kept now.

--- a/packages/cluster/src/constants.ts
+++ b/packages/cluster/src/constants.ts
@@ -1,9 +1,7 @@
-/** Period at which a process that knows no leader asks the control processes for one. */
+/** Period at which a process that knows no leader asks the control processes for one; calls that fail in between share one search. */
 export const LEADER_SEARCH_PERIOD_MS = 200
 /** Period at which a process that knows a leader refreshes its view, unless the leader has answered meanwhile. */
 export const VIEW_REFRESH_PERIOD_MS = 1_000
-/** Shortest time between two refreshes of one process: calls that fail together share one search for the leader. */
-export const MIN_REFRESH_INTERVAL_MS = 100
 export const VIEW_TIMEOUT_MS = 500
 
 /** Timeout of one attempt at a call to the leader; a call may take several attempts within its deadline. */
--- a/packages/cluster/src/core-node.ts
+++ b/packages/cluster/src/core-node.ts
@@ -56,7 +56,13 @@
     this.#options = options
     const { rpc, timers, random, seeds, toTarget, logger } = options
     this.#finder = new LeaderFinder({
-      rpc, timers, random, seeds, toTarget, onChange: (leader, term) => logger.info('leader known', { leader, term })
+      rpc,
+      timers,
+      random,
+      seeds,
+      toTarget,
+      onChange: (leader, term) => logger.info('leader known', { leader, term }),
+      onError: (from, err) => logger.warn('unreadable view of a control process', { from, err })
     })
   }
 
--- a/packages/cluster/src/leader-finder.ts
+++ b/packages/cluster/src/leader-finder.ts
@@ -2,7 +2,7 @@
 import type { RpcClient, Target } from '@ibisstair/rpc'
 import type { RandomSource, TimerService, Unsubscribe } from '@ibisstair/timers'
 import * as v from 'valibot'
-import { LEADER_SEARCH_PERIOD_MS, MAX_KNOWN_NODES, MIN_REFRESH_INTERVAL_MS, VIEW_REFRESH_PERIOD_MS, VIEW_TIMEOUT_MS } from './constants.ts'
+import { LEADER_SEARCH_PERIOD_MS, MAX_KNOWN_NODES, VIEW_REFRESH_PERIOD_MS, VIEW_TIMEOUT_MS } from './constants.ts'
 import type { ClusterView } from './types.ts'
 
 const ViewSchema = v.object({
@@ -19,6 +19,8 @@
   readonly toTarget: (node: NodeId) => Target
   /** Called when the known leader or its term changes; `leader` is null while no leader is known. */
   readonly onChange?: (leader: NodeId | null, term: number) => void
+  /** Called when a process answers with a view that can't be read. */
+  readonly onError?: (node: NodeId, err: IbisError) => void
 }
 
 /**
@@ -33,7 +35,7 @@
   #leader: NodeId | null = null
   #term = 0
   #confirmedAtMs = -Infinity
-  #isRefreshing = false
+  #isRefreshScheduled = false
   #refreshStartedAtMs = -Infinity
   #stopTimer: Unsubscribe = () => {}
 
@@ -88,27 +90,36 @@
     if (successor === null) this.refresh()
   }
 
-  /** Asks every known control process for its view: at once, or when the minimum interval since the last refresh has passed. */
+  /**
+   * Asks every known control process for its view: at once, or when a search period has passed since the last
+   * refresh. It does not wait for earlier calls, which hang at a VM that was down when they were sent.
+   */
   refresh (): void {
-    if (this.#isRefreshing) return
-    this.#isRefreshing = true
+    if (this.#isRefreshScheduled) return
     const { timers } = this.#options
-    const waitMs = this.#refreshStartedAtMs + MIN_REFRESH_INTERVAL_MS - timers.now()
-    if (waitMs > 0) timers.subscribe(waitMs, () => this.#fetchViews())
-    else this.#fetchViews()
+    const waitMs = this.#refreshStartedAtMs + LEADER_SEARCH_PERIOD_MS - timers.now()
+    if (waitMs <= 0) return this.#fetchViews()
+    this.#isRefreshScheduled = true
+    timers.subscribe(waitMs, () => {
+      this.#isRefreshScheduled = false
+      this.#fetchViews()
+    })
   }
 
   #fetchViews (): void {
-    this.#refreshStartedAtMs = this.#options.timers.now()
-    Promise.allSettled(this.#nodes.map((node) => this.#fetchView(node)))
-      .finally(() => { this.#isRefreshing = false })
+    const { timers, onError } = this.#options
+    this.#refreshStartedAtMs = timers.now()
+    for (const node of [...this.#nodes]) this.#fetchView(node).catch((err: unknown) => onError?.(node, IbisError.from(err)))
   }
 
   async #fetchView (node: NodeId): Promise<void> {
     const { rpc, toTarget, timers } = this.#options
+    const sentAtMs = timers.now()
     const response = await rpc.call<unknown>(toTarget(node), 'cluster.view', {}, VIEW_TIMEOUT_MS).catch((err: unknown) => {
       const { kind } = IbisError.from(err)
-      if (kind === 'unreachable') this.#removeNode(node)
+      // A leader that has answered a later call is reachable.
+      const isConfirmed = node === this.#leader && this.#confirmedAtMs > sentAtMs
+      if (kind === 'unreachable' && !isConfirmed) this.#removeNode(node)
       return null
     })
     if (response === null) return
@@ -138,7 +149,9 @@
     for (const node of nodes) {
       if (this.#nodes.includes(node)) continue
       this.#nodes.push(node)
-      if (this.#nodes.length > MAX_KNOWN_NODES) this.#nodes.splice(this.#nodes.findIndex((known) => !this.#seeds.includes(known)), 1)
+      if (this.#nodes.length <= MAX_KNOWN_NODES) continue
+      const oldest = this.#nodes.findIndex((known) => !this.#seeds.includes(known))
+      if (oldest >= 0) this.#nodes.splice(oldest, 1)
     }
   }
 
