dispatch: wait for runs that are about to end in place of stopping them

A stop takes half a second to a second at an endpoint, so that a run whose rest takes no longer was stopped for nothing. The progress that endpoints report was decoded and decided nothing. Change: a session keeps the rate of progress of each run (RunProgress; a stalled or overdue run has no estimate); a run that ends by itself within 800 ms is a victim without cost: its room is claimed and it is not stopped. If it does not end in time the claim expires and victims are searched again.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -230,7 +230,11 @@
       state,
       nowMs: timers.now(),
       wallMs: timers.wallClock(),
-      fleet: { isUsable: (endpoint) => this.#isUsable(endpoint), getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation) }
+      fleet: {
+        isUsable: (endpoint) => this.#isUsable(endpoint),
+        getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
+        estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null
+      }
     })
     for (const task of plan.preempted) {
       logger.info('run preempted', { task })
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -5,6 +5,7 @@
   MAX_CLOCK_DRIFT, COMMIT_POLL_INTERVAL_MS, DEPOSED_LEADER_GRACE_MS, LEASE_END_MARGIN_MS, LEASE_SAFETY_MARGIN_MS, ORDER_TIMEOUT_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS
 } from './constants.ts'
 import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
+import { RunProgress } from './run-progress.ts'
 
 /**
  * State of a run on the endpoint as far as this leader knows it:
@@ -20,6 +21,7 @@
   /** Start of the phase. A report that was requested earlier says nothing about this phase. */
   sinceMs: number
   isStopAcked: boolean
+  readonly progress: RunProgress
 }
 
 /** Callbacks of a session to its owner. */
@@ -119,6 +121,11 @@
     if (this.#runs.get(task)?.run === run) this.#runs.delete(task)
   }
 
+  /** Returns the estimated time until the run ends by itself; null when its progress is not known. */
+  estimateRemainingMs (task: TaskId): number | null {
+    return this.#runs.get(task)?.progress.estimateRemainingMs(this.#options.timers.now()) ?? null
+  }
+
   /** Renews the lease and reads a report, at once or after the current call. */
   poll (): void {
     if (this.#isClosed) return
@@ -277,7 +284,7 @@
       const isEnded = reportedEnds.has(`${tracked.task}#${tracked.run}`)
       if (isEnded) continue
       const reported = running.get(tracked.task)
-      if (reported?.run === tracked.run) this.#confirmRun(tracked)
+      if (reported?.run === tracked.run) this.#confirmRun(tracked, reported.percent)
       else if (!report.hasMore && tracked.sinceMs < requestedAtMs) this.#handleAbsent(tracked, ends)
     }
     for (const { task, run } of report.running) if (this.#runs.get(task)?.run !== run) this.#stopUnknown(task, run)
@@ -285,7 +292,8 @@
     if (ends.length > 0) this.#submit(ends, upto).catch(() => {})
   }
 
-  #confirmRun (tracked: TrackedRun): void {
+  #confirmRun (tracked: TrackedRun, percent: number): void {
+    tracked.progress.record(percent, this.#options.timers.now())
     if (tracked.phase === 'inherited' || tracked.phase === 'unconfirmed') this.#setPhase(tracked, 'present')
   }
 
@@ -371,7 +379,7 @@
 
   #track (task: TaskId, run: number, phase: RunPhase): TrackedRun {
     const now = this.#options.timers.now()
-    const tracked: TrackedRun = { task, run, phase, sinceMs: now, isStopAcked: false }
+    const tracked: TrackedRun = { task, run, phase, sinceMs: now, isStopAcked: false, progress: new RunProgress() }
     this.#runs.set(task, tracked)
     return tracked
   }
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -1,5 +1,5 @@
 import type { TaskId } from '@ibisstair/common'
-import type { EndpointIncarnation, EndpointRecord, SchedulingState, StartGroup } from '@ibisstair/jobs'
+import type { ActiveRun, EndpointIncarnation, EndpointRecord, SchedulingState, StartGroup } from '@ibisstair/jobs'
 import { countFits, mustParseTaskId, subtractResources } from '@ibisstair/jobs'
 import { isGuaranteed } from './guarantees.ts'
 import { couldEverFit, placeTasks, deductAssigned, type Assignment, type Candidate } from './placement.ts'
@@ -16,6 +16,8 @@
   isUsable (endpoint: EndpointRecord): boolean
   /** Endpoints with a higher penalty are used later. */
   getPenalty (endpoint: EndpointRecord): number
+  /** Returns the estimated time until a run ends by itself; null when its progress is not known. */
+  estimateRemainingMs (run: ActiveRun): number | null
 }
 
 export interface PlanInput {
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -5,7 +5,7 @@
 import { indexByIncarnation, type Candidate } from './placement.ts'
 import type { PlanInput } from './planner.ts'
 import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
-import { VictimList } from './victims.ts'
+import { VictimList, type EstimateRemaining } from './victims.ts'
 
 const NO_CANDIDATES: readonly Candidate[] = []
 
@@ -21,12 +21,14 @@
   /** Shapes that did not fit; free capacity only shrinks during a pass. */
   readonly failedShapes = new Set<string>()
   readonly #byService = new Map<string, Candidate[]>()
+  readonly #estimateRemaining: EstimateRemaining
   #victims: VictimList | null = null
 
   constructor ({ state, fleet, nowMs, wallMs }: PlanInput) {
     this.state = state
     this.nowMs = nowMs
     this.wallMs = wallMs
+    this.#estimateRemaining = (run) => fleet.estimateRemainingMs(run)
     this.needs = sumUrgentNeeds(state)
     this.candidates = [...state.endpoints.list()].filter((endpoint) => fleet.isUsable(endpoint)).map((endpoint) => ({
       endpoint,
@@ -39,11 +41,11 @@
 
   /** Runs that the pass has chosen to preempt. */
   get preempted (): TaskId[] {
-    return [...this.#victims?.selected ?? []]
+    return [...this.#victims?.stopped ?? []]
   }
 
   get victims (): VictimList {
-    this.#victims ??= new VictimList(this.state, this.needs, this.wallMs)
+    this.#victims ??= new VictimList(this.state, this.needs, this.wallMs, this.#estimateRemaining)
     return this.#victims
   }
 
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -6,6 +6,8 @@
 export interface Victim {
   readonly runs: readonly ActiveRun[]
   readonly resources: Resources
+  /** The runs end by themselves about as soon as a stop would end them. */
+  readonly endsSoon: boolean
   /** Work that is not in a checkpoint, in core milliseconds. */
   readonly lostWork: number
   /** Victims of lower cost are preempted first. */
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -13,6 +13,12 @@
 /** Cost factors by priority number: preempting more urgent work costs more. */
 const PRIORITY_COST = [8, 3, 1]
 
+/** A run that ends by itself within this time is not stopped: a stop takes about as long and loses its work. */
+const MAX_REMAINING_MS = 800
+
+/** Returns the estimated time until a run ends by itself; null when its progress is not known. */
+export type EstimateRemaining = (run: ActiveRun) => number | null
+
 interface Preemptible {
   readonly job: JobEntry
   readonly victim: Victim
@@ -24,17 +30,19 @@
   readonly #needs: ReadonlyMap<CustomerId | null, number>
   readonly #preemptible: readonly Preemptible[]
   readonly #selected = new Set<TaskId>()
+  readonly #stopped: TaskId[] = []
 
-  constructor (state: SchedulingState, needs: ReadonlyMap<CustomerId | null, number>, wallMs: number) {
+  constructor (state: SchedulingState, needs: ReadonlyMap<CustomerId | null, number>, wallMs: number, estimateRemaining: EstimateRemaining) {
     this.#state = state
     this.#needs = needs
     this.#preemptible = groupRunsByVictim(state)
-      .map(({ job, step, runs }) => ({ job, victim: toVictim(job, step, runs, wallMs) }))
+      .map(({ job, step, runs }) => ({ job, victim: toVictim(job, step, runs, wallMs, estimateRemaining) }))
       .sort((a, b) => a.victim.cost - b.victim.cost)
   }
 
-  get selected (): ReadonlySet<TaskId> {
-    return this.#selected
+  /** The selected runs that have to be stopped; the others end by themselves about as soon. */
+  get stopped (): readonly TaskId[] {
+    return this.#stopped
   }
 
   /** Returns the victims that the job may preempt: less urgent work, and for a job within its customer's guarantee also urgent work beyond one. */
@@ -49,7 +57,12 @@
 
   /** Marks the runs as selected, so that `listFor` offers them to no other work. */
   select (victims: readonly Victim[]): void {
-    for (const { runs } of victims) for (const { task } of runs) this.#selected.add(task)
+    for (const { runs, endsSoon } of victims) {
+      for (const { task } of runs) {
+        this.#selected.add(task)
+        if (!endsSoon) this.#stopped.push(task)
+      }
+    }
   }
 }
 
@@ -75,11 +88,13 @@
   return [...groups.values()]
 }
 
-const toVictim = ({ spec }: JobEntry, step: number, runs: readonly ActiveRun[], wallMs: number): Victim => {
+const toVictim = ({ spec }: JobEntry, step: number, runs: readonly ActiveRun[], wallMs: number, estimateRemaining: EstimateRemaining): Victim => {
   const { resources, checkpointing } = spec.steps[step]!
+  const cores = runs.length * toCoreEquivalents(resources)
+  const remainingMs = Math.max(...runs.map((run) => estimateRemaining(run) ?? Infinity))
+  if (remainingMs <= MAX_REMAINING_MS) return { runs, resources, endsSoon: true, lostWork: 0, cost: 0 }
   const workedMs = Math.max(0, wallMs - runs[0]!.startedAtMs)
   const lostMs = checkpointing ? Math.min(workedMs, CHECKPOINT_INTERVAL_MS) : workedMs
   const factor = PRIORITY_COST[Math.min(spec.priority, PRIORITY_COST.length - 1)]!
-  const cores = runs.length * toCoreEquivalents(resources)
-  return { runs, resources, lostWork: cores * lostMs, cost: cores * (lostMs + RESTART_MS) * factor }
+  return { runs, resources, endsSoon: false, lostWork: cores * lostMs, cost: cores * (lostMs + RESTART_MS) * factor }
 }
--- a/packages/dispatch/tests/planner.test.ts
+++ b/packages/dispatch/tests/planner.test.ts
@@ -1,5 +1,5 @@
 import { asId, type CustomerId, type RackId, type TaskId } from '@ibisstair/common'
-import { SchedulingState, type EndpointRecord, type JobSpec, type StepSpec } from '@ibisstair/jobs'
+import { SchedulingState, type ActiveRun, type EndpointRecord, type JobSpec, type StepSpec } from '@ibisstair/jobs'
 import t from 'tap'
 import { accept, createEndpoint, createSpec, createStep, register } from '../../jobs/tests/support/samples.ts'
 import { Planner, type Plan } from '../src/index.ts'
@@ -11,6 +11,8 @@
 class PlannerFixture {
   readonly state = new SchedulingState()
   readonly planner = new Planner()
+  /** Estimated time until runs end by themselves. */
+  readonly remainingMs = new Map<TaskId, number>()
   readonly endpoints: readonly EndpointRecord[]
   nowMs = 0
 
@@ -25,7 +27,7 @@
   }
 
   plan (): Plan {
-    const fleet = { isUsable: () => true, getPenalty: () => 0 }
+    const fleet = { isUsable: () => true, getPenalty: () => 0, estimateRemainingMs: ({ task }: ActiveRun) => this.remainingMs.get(task) ?? null }
     const plan = this.planner.plan({ state: this.state, fleet, nowMs: this.nowMs, wallMs: this.nowMs })
     this.state.apply({ type: 'start', groups: plan.starts, atMs: this.nowMs })
     return plan
@@ -131,6 +133,24 @@
   }
 })
 
+t.test('urgent work waits for a run that is about to end in place of stopping it', async (t) => {
+  // A stop takes about as long as the rest of such a run, and throws away nearly all of its work.
+  const fixture = new PlannerFixture(64)
+  fixture.submit('bulk', { count: 8, resources: { cpuMilli: 1_000, memMb: 100, accelerators: 8 } }, { priority: 1 })
+  fixture.plan()
+  const runs = fixture.endpoints.flatMap(({ life: incarnation }) => [...fixture.state.jobs.listRuns(incarnation).values()])
+  fixture.nowMs = 5_000
+  const ending = runs[5]!
+  fixture.remainingMs.set(ending.task, 300)
+  fixture.submit('u', gang(1, 8), { priority: 0 })
+  t.same(fixture.plan().preempted, [], 'no run is stopped')
+  fixture.submit('later', gang(1, 8), { priority: 0 })
+  t.equal(fixture.plan().preempted.length, 1, 'its room is claimed, so that other urgent work stops another run')
+  fixture.state.apply({ type: 'end', endpoint: ending.endpoint, ends: [{ task: ending.task, run: 1, outcome: 'done', checkpoint: '' }], atMs: fixture.nowMs })
+  fixture.plan()
+  t.equal(fixture.countRunning('u'), 1)
+})
+
 t.test('guaranteed jobs start in the order of their acceptance, also when they are late', async (t) => {
   // A guarantee has no end: a late job that always yields to newer ones is never served.
   // The fleet has shrunk below what is guaranteed, so that not all of them fit at once.
@@ -194,7 +214,7 @@
   const URGENT_OBJECTIVE_MS = 250
   const state = createLargeFleet(246, 446)
   const planner = new Planner()
-  const fleet = { isUsable: () => true, getPenalty: () => 0 }
+  const fleet = { isUsable: () => true, getPenalty: () => 0, estimateRemainingMs: () => null }
   const times: number[] = []
   for (let pass = 0; pass < 6; pass++) {
     const beganAtMs = performance.now()
--- a/scripts/measure-planner.ts
+++ b/scripts/measure-planner.ts
@@ -10,7 +10,7 @@
 for (const { endpoints, queued } of SIZES) {
   const state = createLargeFleet(endpoints, endpoints + queued)
   const planner = new Planner()
-  const fleet = { isUsable: () => true, getPenalty: () => 0 }
+  const fleet = { isUsable: () => true, getPenalty: () => 0, estimateRemainingMs: () => null }
   const times: number[] = []
   for (let pass = 0; pass < PASSES; pass++) {
     const began = performance.now()
--- a/scripts/planner-bench/simulate.ts
+++ b/scripts/planner-bench/simulate.ts
@@ -8,6 +8,8 @@
 const LATE_FACTOR = 3
 const SPEEDS = [0.8, 1, 1.25]
 const PASS_DELAY_MS = 8
+/** Time after its start from which the progress of a run is known. */
+const REPORT_DELAY_MS = 1_000
 const END_MS = ARRIVALS_MS + 30_000
 const CORES_PER_ACCELERATOR = 8
 const GUARANTEED_SHARE = 0.3
@@ -26,6 +28,7 @@
   readonly incarnation: EndpointIncarnation
   readonly startedAtMs: number
   readonly speed: number
+  readonly endsAtMs: number
   stopTimer: Unsubscribe
 }
 
@@ -91,7 +94,7 @@
 
   #runPass (): void {
     const nowMs = this.#timers.now()
-    const plan = this.#planner.plan({ state: this.#state, fleet: { isUsable: () => true, getPenalty: () => 0 }, nowMs, wallMs: nowMs })
+    const plan = this.#planner.plan({ state: this.#state, fleet: { isUsable: () => true, getPenalty: () => 0, estimateRemainingMs: ({ task }) => this.#estimateRemainingMs(task) }, nowMs, wallMs: nowMs })
     for (const task of plan.preempted) this.#preempt(task)
     if (plan.starts.length === 0) return
     const result = this.#state.apply({ type: 'start', groups: plan.starts, atMs: nowMs })
@@ -111,10 +114,17 @@
       const remainingMs = (taskMs[index]! - (this.#checkpointedMs.get(this.#toCheckpointKey(task)) ?? 0)) / speed
       const runMs = remainingMs + (gang ? stallMs : this.#getStallMs(endpoint))
       const stopTimer = this.#timers.subscribe(runMs, () => this.#endRun(task, 'done'))
-      this.#runs.set(task, { task, incarnation: endpoint, startedAtMs: this.#timers.now(), speed, stopTimer })
+      this.#runs.set(task, { task, incarnation: endpoint, startedAtMs: this.#timers.now(), speed, endsAtMs: this.#timers.now() + runMs, stopTimer })
     })
   }
 
+  /** Endpoints report progress now and then, so that a run is known only some time after its start. */
+  #estimateRemainingMs (task: TaskId): number | null {
+    const run = this.#runs.get(task)
+    const nowMs = this.#timers.now()
+    return run && nowMs - run.startedAtMs > REPORT_DELAY_MS ? run.endsAtMs - nowMs : null
+  }
+
   /** Estimates how long a run that starts now on the endpoint makes no progress. */
   #getStallMs (incarnation: EndpointIncarnation): number {
     const { stalled } = this.#pattern
