dispatch: read the endpoints' reports before a new leader preempts

Change: a new leader stops no run for other work until each endpoint with inherited runs has reported and the ends are committed, or a call to it has failed, or for one second (MAX_SURVEY_MS). Starts in free capacity, leases and stops of unwanted runs go on at once. A second test shows that an endpoint that does not report delays nothing for long.

--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -33,6 +33,9 @@
 /** Longest pause between two planning passes, which bounds the wait of urgent work. */
 export const MAX_PASS_DELAY_MS = 100
 
+/** Longest time for which a new leader waits for the first reports of endpoints before it preempts. */
+export const MAX_SURVEY_MS = 1_000
+
 /** Timeout for the commit of a command. */
 export const COMMIT_TIMEOUT_MS = 3_000
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -3,7 +3,7 @@
 import { mustParseTaskId, toTaskId } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
-import { ANNOUNCEMENT_EXPIRY_MS, COMMIT_TIMEOUT_MS, ENDPOINT_EXPIRY_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
+import { ANNOUNCEMENT_EXPIRY_MS, COMMIT_TIMEOUT_MS, ENDPOINT_EXPIRY_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
 import { EndpointHealth } from './endpoint-health.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
 import { Planner } from './planner.ts'
@@ -37,6 +37,9 @@
   readonly #lastSeenAtMs = new Map<EndpointIncarnation, number>()
   readonly #unwantedSinceMs = new Map<TaskId, number>()
   readonly #unsubscribes: Unsubscribe[] = []
+  /** Sessions with runs of earlier leaders whose first report is awaited. */
+  #unsurveyed: readonly EndpointSession[] = []
+  #surveyUntilMs = 0
   #isPassScheduled = false
   #passDelayMs = PASS_DELAY_MS
   #isProposing = false
@@ -55,6 +58,8 @@
       const session = this.#openSession(incarnation)
       for (const run of state.jobs.listRuns(incarnation).values()) session?.adopt(run)
     }
+    this.#unsurveyed = [...this.#sessions.values()]
+    this.#surveyUntilMs = now + MAX_SURVEY_MS
     this.#unsubscribes.push(state.onApplied((command, result) => this.#handleApplied(command, result)))
     this.#unsubscribes.push(timers.every(SESSION_TICK_MS, () => this.#tick()))
     this.#schedulePass()
@@ -230,6 +235,7 @@
       state,
       nowMs: timers.now(),
       wallMs: timers.wallClock(),
+      mayPreempt: this.#isSurveyDone(),
       fleet: {
         isUsable: (endpoint) => this.#isUsable(endpoint),
         getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
@@ -244,6 +250,14 @@
     if (plan.starts.length > 0) this.#commitStarts(plan.starts)
   }
 
+  /** Whether the endpoints have reported which runs ended while no leader received reports. */
+  #isSurveyDone (): boolean {
+    if (this.#unsurveyed.length === 0) return true
+    const isOver = this.#options.timers.now() >= this.#surveyUntilMs
+    this.#unsurveyed = isOver ? [] : this.#unsurveyed.filter(({ isSurveyed }) => !isSurveyed)
+    return this.#unsurveyed.length === 0
+  }
+
   #commitStarts (groups: readonly StartGroup[]): void {
     this.#isProposing = true
     this.#propose({ type: 'start', groups, atMs: this.#options.timers.wallClock() })
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -62,6 +62,7 @@
   #committedUpto = 0
   #submittedUpto = 0
   #failures = 0
+  #hasReported = false
   #isPolling = false
   #pollAgain = false
   #cancelPause: () => void = () => {}
@@ -86,6 +87,11 @@
     return this.#failures
   }
 
+  /** Whether the endpoint has reported its runs and the reported ends are committed, or a call to it has failed. */
+  get isSurveyed (): boolean {
+    return this.#failures > 0 || (this.#hasReported && this.#submittedUpto <= this.#committedUpto)
+  }
+
   close (): void {
     this.#isClosed = true
     this.#options.port.closeConnections(this.#endpoint)
@@ -272,6 +278,7 @@
     this.#recordContact(result.report.clockMs)
     this.#ackedUpto = Math.max(this.#ackedUpto, ackedUpto)
     this.#handleReport(result.report, sentAtMs)
+    this.#hasReported = true
     return true
   }
 
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -25,6 +25,8 @@
   readonly fleet: FleetView
   readonly nowMs: number
   readonly wallMs: number
+  /** False while it is not known which of the active runs have ended, so that no run is stopped in vain. */
+  readonly mayPreempt: boolean
 }
 
 export interface Plan {
@@ -138,7 +140,7 @@
     const assignments = placeTasks(spec, indexes, candidates, createCounter(work, pass.state), { acceptFar })
     // With a limit for each endpoint the outcome depends on the job, so that it does not hold for other jobs of this shape.
     if (assignments.length === 0 && spec.maxPerEndpoint === null) pass.failedShapes.add(shape)
-    if (assignments.length < indexes.length && isUrgent) this.#preemptFor(work, assignments, pass, acceptFar)
+    if (assignments.length < indexes.length && isUrgent && pass.mayPreempt) this.#preemptFor(work, assignments, pass, acceptFar)
     return toGroups(work, assignments)
   }
 
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -14,6 +14,7 @@
   readonly state: SchedulingState
   readonly nowMs: number
   readonly wallMs: number
+  readonly mayPreempt: boolean
   readonly candidates: readonly Candidate[]
   readonly byIncarnation: ReadonlyMap<EndpointIncarnation, Candidate>
   /** Accelerators that the urgent jobs of each customer need. */
@@ -24,10 +25,11 @@
   readonly #estimateRemaining: EstimateRemaining
   #victims: VictimList | null = null
 
-  constructor ({ state, fleet, nowMs, wallMs }: PlanInput) {
+  constructor ({ state, fleet, nowMs, wallMs, mayPreempt }: PlanInput) {
     this.state = state
     this.nowMs = nowMs
     this.wallMs = wallMs
+    this.mayPreempt = mayPreempt
     this.#estimateRemaining = (run) => fleet.estimateRemainingMs(run)
     this.needs = sumUrgentNeeds(state)
     this.candidates = [...state.endpoints.list()].filter((endpoint) => fleet.isUsable(endpoint)).map((endpoint) => ({
--- a/packages/dispatch/tests/dispatcher.test.ts
+++ b/packages/dispatch/tests/dispatcher.test.ts
@@ -90,6 +90,36 @@
   t.same(cluster.fleet.violations, [])
 })
 
+t.test('a new leader stops no run for urgent work before it knows which runs have ended meanwhile', async (t) => {
+  // After a change of leader, runs that had ended without a leader still occupied the fleet in the first pass.
+  const cluster = new TestCluster(3, { runMs: 2_000 })
+  cluster.elect()
+  cluster.submit('b1', [createStep({ count: 32 })], 1)
+  await cluster.run(500)
+  cluster.hasQuorum = false
+  await cluster.run(3_000)
+  cluster.submit('a1', [gang(2, 8, { estimateMs: 30_000 })], 0)
+  cluster.hasQuorum = true
+  cluster.elect()
+  await cluster.run(1_000)
+  t.equal(cluster.statusOf('a1'), 'running')
+  t.equal(cluster.fleet.stops, 0)
+  t.same(cluster.fleet.violations, [])
+})
+
+t.test('a new leader preempts for urgent work although an endpoint does not report', async (t) => {
+  const cluster = new TestCluster(4, { runMs: 20_000 })
+  cluster.elect()
+  cluster.submit('b1', [createStep({ count: 32 })], 1)
+  await cluster.run(500)
+  cluster.fleet.faults.unreachable.add(cluster.endpoints[0]!.life)
+  cluster.submit('a1', [gang(2, 8, { estimateMs: 30_000 })], 0)
+  cluster.elect()
+  await cluster.run(2_500)
+  t.equal(cluster.statusOf('a1'), 'running')
+  t.same(cluster.fleet.violations, [])
+})
+
 t.test('an unanswered order that is carried out late does not start a second run', async (t) => {
   for (let seed = 1; seed <= 6; seed++) {
     const cluster = new TestCluster(seed, { lostShare: 0.2, failingShare: 0.1 })
--- a/packages/dispatch/tests/planner.test.ts
+++ b/packages/dispatch/tests/planner.test.ts
@@ -28,7 +28,7 @@
 
   plan (): Plan {
     const fleet = { isUsable: () => true, getPenalty: () => 0, estimateRemainingMs: ({ task }: ActiveRun) => this.remainingMs.get(task) ?? null }
-    const plan = this.planner.plan({ state: this.state, fleet, nowMs: this.nowMs, wallMs: this.nowMs })
+    const plan = this.planner.plan({ state: this.state, fleet, nowMs: this.nowMs, wallMs: this.nowMs, mayPreempt: true })
     this.state.apply({ type: 'start', groups: plan.starts, atMs: this.nowMs })
     return plan
   }
@@ -218,7 +218,7 @@
   const times: number[] = []
   for (let pass = 0; pass < 6; pass++) {
     const beganAtMs = performance.now()
-    const { starts } = planner.plan({ state, fleet, nowMs: 10_000 + pass, wallMs: 10_000 + pass })
+    const { starts } = planner.plan({ state, fleet, nowMs: 10_000 + pass, wallMs: 10_000 + pass, mayPreempt: true })
     times.push(performance.now() - beganAtMs)
     state.apply({ type: 'start', groups: starts, atMs: 10_000 + pass })
   }
--- a/packages/dispatch/tests/support/fake-fleet.ts
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -111,6 +111,7 @@
   readonly faults: FakeFaults
   readonly violations: string[] = []
   starts = 0
+  stops = 0
   renewals = 0
   readonly #endpoints = new Map<EndpointIncarnation, FakeEndpoint>()
   /** Completed tasks. An unacknowledged one is removed when the lease of its endpoint lapses. */
@@ -130,6 +131,7 @@
   }
 
   async stop (endpoint: EndpointRecord, order: StopOrder, timeoutMs: number): Promise<OrderResult> {
+    this.stops += 1
     return await this.#call(endpoint, timeoutMs, (fake) => fake.stop(order))
   }
 
--- a/scripts/measure-planner.ts
+++ b/scripts/measure-planner.ts
@@ -14,7 +14,7 @@
   const times: number[] = []
   for (let pass = 0; pass < PASSES; pass++) {
     const began = performance.now()
-    const { starts } = planner.plan({ state, fleet, nowMs: 10_000 + pass, wallMs: 10_000 + pass })
+    const { starts } = planner.plan({ state, fleet, nowMs: 10_000 + pass, wallMs: 10_000 + pass, mayPreempt: true })
     times.push(performance.now() - began)
     state.apply({ type: 'start', groups: starts, atMs: 10_000 + pass })
   }
--- a/scripts/planner-bench/simulate.ts
+++ b/scripts/planner-bench/simulate.ts
@@ -94,7 +94,7 @@
 
   #runPass (): void {
     const nowMs = this.#timers.now()
-    const plan = this.#planner.plan({ state: this.#state, fleet: { isUsable: () => true, getPenalty: () => 0, estimateRemainingMs: ({ task }) => this.#estimateRemainingMs(task) }, nowMs, wallMs: nowMs })
+    const plan = this.#planner.plan({ state: this.#state, fleet: { isUsable: () => true, getPenalty: () => 0, estimateRemainingMs: ({ task }) => this.#estimateRemainingMs(task) }, nowMs, wallMs: nowMs, mayPreempt: true })
     for (const task of plan.preempted) this.#preempt(task)
     if (plan.starts.length === 0) return
     const result = this.#state.apply({ type: 'start', groups: plan.starts, atMs: nowMs })
