dispatch: end only the incarnation that leaves, and keep one that has left out of use

A message that a worker leaves named only its id: one that arrived after the worker had started again under that id removed the new incarnation after 500 ms, counted its running work as lost and started it elsewhere. And an announcement that arrived after its sender had left registered it again, so that it got new work. Change: the message's start time selects the incarnation; without one it counts only for an incarnation that has announced that it will leave, and the runs of any other end with their lease.

--- a/packages/cluster/src/leader-service.ts
+++ b/packages/cluster/src/leader-service.ts
@@ -128,8 +128,8 @@
     return {}
   }
 
-  #leave ({ endpointId }: LeaveParams): object {
-    this.#options.dispatcher.leave(asId<EndpointId>(endpointId))
+  #leave ({ endpointId, bornMs }: LeaveParams): object {
+    this.#options.dispatcher.leave(asId<EndpointId>(endpointId), bornMs ?? null)
     return {}
   }
 
--- a/packages/cluster/src/types.ts
+++ b/packages/cluster/src/types.ts
@@ -34,6 +34,8 @@
 
 export interface LeaveParams {
   readonly endpointId: string
+  /** Start time of the incarnation that leaves, in Unix milliseconds; null if the message does not tell. */
+  readonly bornMs: number | null
 }
 
 export interface ConfigureParams {
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -84,13 +84,19 @@
     this.#sessions.get(record.life)?.updateClock(clockMs, now)
   }
 
-  /** Handles the message that an endpoint shuts down: removes it after a grace period. */
-  leave (id: EndpointId): void {
+  /**
+   * Handles the message that an endpoint shuts down: removes it after a grace period. The message may arrive late,
+   * after another incarnation has registered under the id. Without a start time it counts only for an
+   * incarnation that has announced that it will leave; the runs of others end with their lease.
+   */
+  leave (id: EndpointId, bornMs: number | null): void {
     const { state, timers, logger } = this.#options
     const record = [...state.endpoints.list()].find((endpoint) => endpoint.id === id)
     if (!record) return
+    const hasLeft = bornMs === null ? record.draining : record.bornMs === bornMs
+    if (!hasLeft) return logger.info('message that an endpoint leaves is not of its present incarnation; ignored', { endpoint: id, life: record.life, bornMs })
     logger.info('endpoint leaves', { endpoint: id, life: record.life })
-    timers.subscribe(LEAVE_GRACE_MS, () => this.#remove(record))
+    timers.subscribe(LEAVE_GRACE_MS, () => this.#remove(record, true))
   }
 
   // Events of sessions
@@ -115,7 +121,7 @@
 
   handleReplaced (endpoint: EndpointRecord): void {
     this.#options.logger.warn('another incarnation answers at the endpoint\'s address; removing the endpoint', { endpoint: endpoint.id, life: endpoint.life })
-    this.#remove(endpoint)
+    this.#remove(endpoint, true)
   }
 
   handleFenced (endpoint: EndpointRecord): void {
@@ -179,9 +185,9 @@
     }
   }
 
-  #remove ({ life: incarnation, id }: EndpointRecord): void {
+  #remove ({ life: incarnation, id }: EndpointRecord, hasEnded: boolean): void {
     if (this.#isClosed || !this.#options.state.endpoints.get(incarnation)) return
-    this.#propose({ type: 'remove-endpoint', life: incarnation, atMs: this.#options.timers.wallClock() })
+    this.#propose({ type: 'remove-endpoint', life: incarnation, atMs: this.#options.timers.wallClock(), hasEnded })
       .then(() => this.#options.logger.info('endpoint removed', { endpoint: id, life: incarnation }))
       .catch((err: unknown) => this.#options.logger.warn('endpoint removal failed', { endpoint: id, err }))
   }
@@ -204,7 +210,7 @@
     const now = timers.now()
     for (const record of [...state.endpoints.list()]) {
       const seenAtMs = this.#lastSeenAtMs.get(record.life) ?? 0
-      if (now - seenAtMs > ENDPOINT_EXPIRY_MS && state.jobs.listRuns(record.life).size === 0) this.#remove(record)
+      if (now - seenAtMs > ENDPOINT_EXPIRY_MS && state.jobs.listRuns(record.life).size === 0) this.#remove(record, false)
     }
   }
 
--- a/packages/dispatch/tests/dispatcher.test.ts
+++ b/packages/dispatch/tests/dispatcher.test.ts
@@ -1,4 +1,4 @@
-import { asId, type JobId, type RackId } from '@ibisstair/common'
+import { asId, type EndpointId, type JobId, type RackId } from '@ibisstair/common'
 import { SchedulingState, type EndpointRecord, type StateCommand, type StateResult, type StepSpec } from '@ibisstair/jobs'
 import { Metrics } from '@ibisstair/telemetry'
 import { ManualTimerService, RandomSource } from '@ibisstair/timers'
@@ -61,6 +61,10 @@
     this.state.apply(accept(createSpec(id, steps, { priority, maxAttempts: 50 }), this.timers.now()))
   }
 
+  leave (id: string, bornMs: number | null): void {
+    this.#dispatcher?.leave(asId<EndpointId>(id), bornMs)
+  }
+
   statusOf (id: string): string | undefined {
     return this.state.jobs.get(asId<JobId>(id))?.status
   }
@@ -120,6 +124,20 @@
   t.same(cluster.fleet.violations, [])
 })
 
+t.test('a late message that an earlier incarnation leaves does not end the runs of the present one', async (t) => {
+  for (const bornMs of [0, null]) {
+    const cluster = new TestCluster(5, { runMs: 3_000 })
+    cluster.elect()
+    cluster.submit('a1', [createStep({ count: 32 })])
+    await cluster.run(500)
+    cluster.leave('w1', bornMs)
+    await cluster.run(4_000)
+    t.equal(cluster.statusOf('a1'), 'completed')
+    t.equal(cluster.fleet.starts, 32, 'no task runs again')
+    t.same(cluster.fleet.violations, [])
+  }
+})
+
 t.test('an unanswered order that is carried out late does not start a second run', async (t) => {
   for (let seed = 1; seed <= 6; seed++) {
     const cluster = new TestCluster(seed, { lostShare: 0.2, failingShare: 0.1 })
--- a/packages/jobs/src/endpoint-store.ts
+++ b/packages/jobs/src/endpoint-store.ts
@@ -1,5 +1,5 @@
 import type { EndpointId } from '@ibisstair/common'
-import { MAX_ENDPOINTS } from './constants.ts'
+import { MAX_ENDED_INCARNATIONS, MAX_ENDPOINTS } from './constants.ts'
 import type { EndpointIncarnation, EndpointRecord } from './types.ts'
 
 export const toEndpointIncarnation = (id: EndpointId, bornMs: number): EndpointIncarnation => `${id}@${bornMs}` as EndpointIncarnation
@@ -11,6 +11,8 @@
   readonly #byIncarnation = new Map<EndpointIncarnation, EndpointRecord>()
   readonly #byId = new Map<EndpointId, EndpointIncarnation>()
   readonly #byAddress = new Map<string, EndpointIncarnation>()
+  /** Incarnations that have left or were replaced, oldest first. Their late announcements are ignored. */
+  readonly #ended = new Set<EndpointIncarnation>()
 
   get size (): number {
     return this.#byIncarnation.size
@@ -24,8 +26,13 @@
     return this.#byIncarnation.values()
   }
 
+  listEnded (): IterableIterator<EndpointIncarnation> {
+    return this.#ended.values()
+  }
+
   /** Whether the announcement changes the store. A late one of an earlier incarnation does not. */
   wouldChange (record: EndpointRecord): boolean {
+    if (this.#ended.has(record.life)) return false
     const known = this.#byIncarnation.get(record.life)
     if (known) return !isSameRecord(this.#merge(known, record), known)
     return this.#listConflicting(record).every((conflicting) => conflicting.bornMs < record.bornMs)
@@ -37,7 +44,7 @@
     const known = this.#byIncarnation.get(record.life)
     if (!known && this.#byIncarnation.size >= MAX_ENDPOINTS) return null
     const replaced = known ? [] : this.#listConflicting(record).map(({ life: incarnation }) => incarnation)
-    for (const incarnation of replaced) this.remove(incarnation)
+    for (const incarnation of replaced) this.end(incarnation)
     this.#add(known ? this.#merge(known, record) : record)
     return replaced
   }
@@ -51,7 +58,17 @@
     return true
   }
 
-  restore (records: readonly EndpointRecord[]): void {
+  /** Removes an incarnation that never returns. */
+  end (incarnation: EndpointIncarnation): void {
+    this.remove(incarnation)
+    this.#ended.add(incarnation)
+    const [oldest] = this.#ended
+    if (this.#ended.size > MAX_ENDED_INCARNATIONS) this.#ended.delete(oldest!)
+  }
+
+  restore (records: readonly EndpointRecord[], ended: readonly EndpointIncarnation[]): void {
+    this.#ended.clear()
+    for (const incarnation of ended) this.#ended.add(incarnation)
     this.#byIncarnation.clear()
     this.#byId.clear()
     this.#byAddress.clear()
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -4,11 +4,13 @@
 import { EndpointStore } from './endpoint-store.ts'
 import type { JobSnapshot } from './job-entry.ts'
 import { JobStore } from './job-store.ts'
-import type { EndpointRecord, ServiceConfig, StateCommand, StateResult } from './types.ts'
+import type { EndpointIncarnation, EndpointRecord, ServiceConfig, StateCommand, StateResult } from './types.ts'
 
 interface StateSnapshot {
   readonly config: ServiceConfig | null
   readonly endpoints: readonly EndpointRecord[]
+  /** Absent in snapshots of builds that did not remember ended incarnations. */
+  readonly endedIncarnations?: readonly EndpointIncarnation[]
   readonly jobs: readonly JobSnapshot[]
 }
 
@@ -34,13 +36,13 @@
   }
 
   toSnapshot (): StateSnapshot {
-    return { config: this.config.config, endpoints: [...this.endpoints.list()], jobs: this.jobs.toSnapshot() }
+    return { config: this.config.config, endpoints: [...this.endpoints.list()], endedIncarnations: [...this.endpoints.listEnded()], jobs: this.jobs.toSnapshot() }
   }
 
   restore (snapshot: unknown): void {
-    const { config, endpoints, jobs } = snapshot as StateSnapshot
+    const { config, endpoints, endedIncarnations = [], jobs } = snapshot as StateSnapshot
     this.config.restore(config)
-    this.endpoints.restore(endpoints)
+    this.endpoints.restore(endpoints, endedIncarnations)
     this.jobs.restore(jobs)
   }
 
@@ -71,7 +73,8 @@
         return { type: 'registered', isChanged: replaced !== null }
       }
       case 'remove-endpoint': {
-        this.endpoints.remove(command.life)
+        if (command.hasEnded) this.endpoints.end(command.life)
+        else this.endpoints.remove(command.life)
         this.jobs.endRunsAsLost(command.life, command.atMs)
         return { type: 'removed' }
       }
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -149,7 +149,8 @@
   | { readonly type: 'start', readonly groups: readonly StartGroup[], readonly atMs: number }
   | { readonly type: 'end', readonly endpoint: EndpointIncarnation, readonly ends: readonly RunEnd[], readonly atMs: number }
   | { readonly type: 'register-endpoint', readonly endpoint: EndpointRecord, readonly atMs: number }
-  | { readonly type: 'remove-endpoint', readonly life: EndpointIncarnation, readonly atMs: number }
+  /** `hasEnded` is set when the incarnation has left or was replaced; one that was only silent may announce itself again. */
+  | { readonly type: 'remove-endpoint', readonly life: EndpointIncarnation, readonly atMs: number, readonly hasEnded?: boolean }
   /** Changes nothing; a read that waits for it sees all earlier commands. */
   | { readonly type: 'barrier' }
 
--- a/packages/jobs/tests/state.test.ts
+++ b/packages/jobs/tests/state.test.ts
@@ -132,6 +132,29 @@
   t.equal(state.endpoints.get(a.life), undefined)
 })
 
+t.test('a late announcement of an incarnation that has left or was replaced does not bring it back', async (t) => {
+  const state = new SchedulingState()
+  const old = createEndpoint('w1', { bornMs: 1 })
+  const successor = createEndpoint('w1', { bornMs: 2 })
+  for (const endpoint of [old, successor]) state.apply(register(endpoint))
+  state.apply({ type: 'remove-endpoint', life: successor.life, atMs: 0, hasEnded: true })
+  const restored = new SchedulingState()
+  restored.restore(JSON.parse(JSON.stringify(state.toSnapshot())))
+  for (const each of [state, restored]) {
+    for (const endpoint of [old, successor]) each.apply(register(endpoint))
+    t.equal(each.endpoints.size, 0)
+  }
+})
+
+t.test('an endpoint that was removed because it was silent may announce itself again', async (t) => {
+  const state = new SchedulingState()
+  const endpoint = createEndpoint('w1')
+  state.apply(register(endpoint))
+  state.apply({ type: 'remove-endpoint', life: endpoint.life, atMs: 0 })
+  state.apply(register(endpoint))
+  t.equal(state.endpoints.size, 1)
+})
+
 t.test('a draining endpoint does not return to service in the same incarnation', async (t) => {
   const state = createState(register({ ...a, draining: true }), register(a))
   t.ok(state.endpoints.get(a.life)?.draining)
