dispatch: stop a run that was waited for and did not end in time

A guaranteed job that waits for a run about to end could choose the same run again when its claim expired, if that endpoint had become slow, and so wait beyond the time in which a guarantee is due. Change: the search after an expired claim stops all its victims, also runs that are expected to end soon. Before/after: the new planner test fails before (no run stopped after 1.6 s) and passes now.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -96,7 +96,7 @@
     const hasLeft = bornMs === null ? record.draining : record.bornMs === bornMs
     if (!hasLeft) return logger.info('message that an endpoint leaves is not of its present incarnation; ignored', { endpoint: id, life: record.life, bornMs })
     logger.info('endpoint leaves', { endpoint: id, life: record.life })
-    timers.subscribe(LEAVE_GRACE_MS, () => this.#remove(record, true))
+    timers.subscribe(LEAVE_GRACE_MS, () => this.#remove(record, { hasEnded: true }))
   }
 
   // Events of sessions
@@ -121,7 +121,7 @@
 
   handleReplaced (endpoint: EndpointRecord): void {
     this.#options.logger.warn('another incarnation answers at the endpoint\'s address; removing the endpoint', { endpoint: endpoint.id, life: endpoint.life })
-    this.#remove(endpoint, true)
+    this.#remove(endpoint, { hasEnded: true })
   }
 
   handleFenced (endpoint: EndpointRecord): void {
@@ -185,7 +185,7 @@
     }
   }
 
-  #remove ({ life: incarnation, id }: EndpointRecord, hasEnded: boolean): void {
+  #remove ({ life: incarnation, id }: EndpointRecord, { hasEnded }: { readonly hasEnded: boolean }): void {
     if (this.#isClosed || !this.#options.state.endpoints.get(incarnation)) return
     this.#propose({ type: 'remove-endpoint', life: incarnation, atMs: this.#options.timers.wallClock(), hasEnded })
       .then(() => this.#options.logger.info('endpoint removed', { endpoint: id, life: incarnation }))
@@ -210,7 +210,7 @@
     const now = timers.now()
     for (const record of [...state.endpoints.list()]) {
       const seenAtMs = this.#lastSeenAtMs.get(record.life) ?? 0
-      if (now - seenAtMs > ENDPOINT_EXPIRY_MS && state.jobs.listRuns(record.life).size === 0) this.#remove(record, false)
+      if (now - seenAtMs > ENDPOINT_EXPIRY_MS && state.jobs.listRuns(record.life).size === 0) this.#remove(record, { hasEnded: false })
     }
   }
 
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -2,7 +2,7 @@
 import type { ActiveRun, EndpointIncarnation, EndpointRecord, SchedulingState, StartGroup } from '@ibisstair/jobs'
 import { countFits, mustParseTaskId, subtractResources } from '@ibisstair/jobs'
 import { isGuaranteed } from './guarantees.ts'
-import { couldEverFit, placeTasks, deductAssigned, type Assignment, type Candidate } from './placement.ts'
+import { couldEverFit, placeTasks, deductAssigned, type Assignment, type Candidate, type PlacementOptions } from './placement.ts'
 import { PlanningPass } from './planning-pass.ts'
 import { planPreemption, type PreemptionPlan } from './preemption.ts'
 import { toShape, toWorkKey, type ReadyWork } from './ready-work.ts'
@@ -41,6 +41,11 @@
   readonly untilMs: number
 }
 
+interface PreemptionOptions extends PlacementOptions {
+  /** Also stop runs that are expected to end soon: such a run was waited for, and it has not ended in time. */
+  readonly stopAll: boolean
+}
+
 /** A claim expires after this time if its victims have not ended; victims are then searched again. */
 const CLAIM_MS = 1_500
 
@@ -131,7 +136,7 @@
     const key = toWorkKey(work)
     const claim = this.#claims.get(key)
     if (claim && pass.nowMs < claim.untilMs) return this.#placeClaimed(work, claim, pass)
-    this.#claims.delete(key)
+    const hasClaimExpired = this.#claims.delete(key)
     const shape = toShape(work)
     const isUrgent = job.spec.priority === 0
     if (!isUrgent && pass.failedShapes.has(shape)) return []
@@ -140,7 +145,7 @@
     const assignments = placeTasks(spec, indexes, candidates, createCounter(work, pass.state), { acceptFar })
     // With a limit for each endpoint the outcome depends on the job, so that it does not hold for other jobs of this shape.
     if (assignments.length === 0 && spec.maxPerEndpoint === null) pass.failedShapes.add(shape)
-    if (assignments.length < indexes.length && isUrgent && pass.mayPreempt) this.#preemptFor(work, assignments, pass, acceptFar)
+    if (assignments.length < indexes.length && isUrgent && pass.mayPreempt) this.#preemptFor(work, assignments, pass, { acceptFar, stopAll: hasClaimExpired })
     return toGroups(work, assignments)
   }
 
@@ -156,7 +161,7 @@
     return toGroups(work, assignments)
   }
 
-  #preemptFor (work: ReadyWork, placed: readonly Assignment[], pass: PlanningPass, acceptFar: boolean): void {
+  #preemptFor (work: ReadyWork, placed: readonly Assignment[], pass: PlanningPass, { acceptFar, stopAll }: PreemptionOptions): void {
     const key = toWorkKey(work)
     if (pass.nowMs < (this.#retryAtMs.get(key) ?? -Infinity)) return
     const indexes = work.indexes.filter((index) => !placed.some((assignment) => assignment.index === index))
@@ -168,7 +173,7 @@
       this.#retryAtMs.set(key, pass.nowMs + PREEMPTION_RETRY_MS)
       return
     }
-    pass.victims.select(plan.victims)
+    pass.victims.select(plan.victims, { stopAll })
     this.#claims.set(key, { assignments: plan.assignments, untilMs: pass.nowMs + CLAIM_MS })
     deductAssigned(work.spec, plan.assignments, pass.byIncarnation)
   }
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -55,13 +55,12 @@
       .map(({ victim }) => victim)
   }
 
-  /** Marks the runs as selected, so that `listFor` offers them to no other work. */
-  select (victims: readonly Victim[]): void {
+  /** Marks the runs as selected, so that `listFor` offers them to no other work. With `stopAll`, runs that end soon are stopped, too. */
+  select (victims: readonly Victim[], { stopAll }: { readonly stopAll: boolean }): void {
     for (const { runs, endsSoon } of victims) {
-      for (const { task } of runs) {
-        this.#selected.add(task)
-        if (!endsSoon) this.#stopped.push(task)
-      }
+      const tasks = runs.map(({ task }) => task)
+      for (const task of tasks) this.#selected.add(task)
+      if (stopAll || !endsSoon) this.#stopped.push(...tasks)
     }
   }
 }
--- a/packages/dispatch/tests/planner.test.ts
+++ b/packages/dispatch/tests/planner.test.ts
@@ -151,6 +151,19 @@
   t.equal(fixture.countRunning('u'), 1)
 })
 
+t.test('a run that was expected to end and has not ended when the claim expires is stopped', async (t) => {
+  // Otherwise a guaranteed job waits again and again for an endpoint that has become slow.
+  const fixture = new PlannerFixture(64)
+  fixture.submit('bulk', { count: 8, resources: { cpuMilli: 1_000, memMb: 100, accelerators: 8 } }, { priority: 1 })
+  fixture.plan()
+  const tasks = fixture.endpoints.flatMap(({ life: incarnation }) => [...fixture.state.jobs.listRuns(incarnation).keys()])
+  for (const task of tasks) fixture.remainingMs.set(task, 300)
+  fixture.submit('u', gang(1, 8), { priority: 0 })
+  t.same(fixture.plan().preempted, [])
+  fixture.nowMs = 1_600
+  t.equal(fixture.plan().preempted.length, 1)
+})
+
 t.test('guaranteed jobs start in the order of their acceptance, also when they are late', async (t) => {
   // A guarantee has no end: a late job that always yields to newer ones is never served.
   // The fleet has shrunk below what is guaranteed, so that not all of them fit at once.
