--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,5 +1,5 @@
 import type { EndpointId, TaskId } from '@ibisstair/common'
-import type { EndpointIncarnation, EndpointRecord, JobEntry, RunEnd, SchedulingState, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
+import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, JobEntry, RunEnd, SchedulingState, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
 import { mustParseTaskId, toTaskId } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
@@ -140,10 +140,26 @@
     if (this.#isClosed) return
     if (result.type === 'started') for (const group of result.groups) this.#orderStarts(group)
     if (command.type === 'end') for (const { task, run } of command.ends) this.#sessions.get(command.endpoint)?.release(task, run)
+    if (result.type === 'registered') for (const ended of result.replaced) this.#reportEnded(ended)
+    if (result.type === 'removed' && result.ended) this.#reportEnded(result.ended)
     if (command.type === 'register-endpoint' || command.type === 'remove-endpoint') this.#closeStaleSessions()
     this.#schedulePass()
   }
 
+  /** Logs an incarnation that is gone for good and each run that ended with it. */
+  #reportEnded ({ endpoint, lostRuns }: EndedIncarnation): void {
+    const { logger, metrics, timers } = this.#options
+    const session = this.#sessions.get(endpoint.life)
+    const silentMs = session?.silentSinceMs == null ? null : Math.round(timers.now() - session.silentSinceMs)
+    metrics.increment('endpoints.ended')
+    logger.info('endpoint incarnation ended', { endpoint: endpoint.id, life: endpoint.life, address: endpoint.address, draining: endpoint.draining, silentMs, runs: lostRuns.length })
+    for (const { task, run, startedAtMs } of lostRuns) {
+      metrics.increment('runs.lost-with-endpoint')
+      const ranMs = silentMs === null ? null : Math.round(timers.wallClock() - silentMs - startedAtMs)
+      logger.info('run lost with its endpoint', { task, run, endpoint: endpoint.id, ranMs, isConfirmed: session?.isConfirmed(task) ?? false, runsBeside: lostRuns.length - 1 })
+    }
+  }
+
   #orderStarts ({ job: id, occurrence, step, run, members }: StartGroup): void {
     const { state, logger, metrics } = this.#options
     const job = state.jobs.get(id)
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -21,6 +21,8 @@
   /** Start of the phase. A report that was requested earlier says nothing about this phase. */
   sinceMs: number
   isStopAcked: boolean
+  /** Whether the endpoint has answered the order or has listed the run. */
+  isConfirmed: boolean
   readonly progress: RunProgress
 }
 
@@ -62,6 +64,7 @@
   #committedUpto = 0
   #submittedUpto = 0
   #failures = 0
+  #silentSinceMs: number | null = null
   #hasReported = false
   #isPolling = false
   #pollAgain = false
@@ -87,6 +90,16 @@
     return this.#failures
   }
 
+  /** Time of the first call of those that got no answer since the last answered one; null when the last call was answered. */
+  get silentSinceMs (): number | null {
+    return this.#silentSinceMs
+  }
+
+  /** Whether the endpoint has confirmed during this term that it carried out the order of a run. */
+  isConfirmed (task: TaskId): boolean {
+    return this.#runs.get(task)?.isConfirmed ?? false
+  }
+
   /** Whether the endpoint has reported its runs and the reported ends are committed, or a call to it has failed. */
   get isSurveyed (): boolean {
     return this.#failures > 0 || (this.#hasReported && this.#submittedUpto <= this.#committedUpto)
@@ -165,7 +178,7 @@
     if (this.#isClosed) return
     if (result instanceof IbisError) {
       events.log('endpoint did not answer a start order; reading its report', { task: tracked.task, run: tracked.run, endpoint: this.#endpoint.id, detail: result.message })
-      this.#failures += 1
+      this.#recordFailure()
       this.#setPhase(tracked, 'unconfirmed')
     } else if (result.type === 'ok') {
       this.#recordContact(result.clockMs)
@@ -186,7 +199,7 @@
       const result = await port.stop(this.#endpoint, { task: tracked.task, run: tracked.run, fencingToken }, ORDER_TIMEOUT_MS).catch(IbisError.from)
       if (this.#isClosed) return
       if (result instanceof IbisError) {
-        this.#failures += 1
+        this.#recordFailure()
         await timers.delay(RETRY_DELAY_MS)
       } else if (result.type === 'ok') {
         this.#recordContact(result.clockMs)
@@ -266,7 +279,7 @@
     const result = await port.renew(this.#endpoint, { fencingToken, ackedUpto, leaseUntilMs, waitMs }, waitMs + RENEW_TIMEOUT_MARGIN_MS).catch(IbisError.from)
     if (this.#isClosed) return true
     if (result instanceof IbisError) {
-      this.#failures += 1
+      this.#recordFailure()
       if (this.#failures === 1) this.#options.events.log('endpoint does not answer', { endpoint: this.#endpoint.id, address: this.#endpoint.address, runs: this.#runs.size, detail: result.message })
       return false
     }
@@ -352,9 +365,15 @@
 
   // Clock and lease
 
+  #recordFailure (): void {
+    this.#failures += 1
+    this.#silentSinceMs ??= this.#options.timers.now()
+  }
+
   #recordContact (clockMs: number): void {
     const now = this.#options.timers.now()
     this.#failures = 0
+    this.#silentSinceMs = null
     this.#clock = { valueMs: clockMs, atMs: now }
     // An earlier leader may have granted the longest lease just before this first contact.
     if (this.#contactAtMs === null) this.#leaseUntilMs = Math.max(this.#leaseUntilMs, clockMs + this.#options.leaseMaxMs)
@@ -386,12 +405,13 @@
 
   #track (task: TaskId, run: number, phase: RunPhase): TrackedRun {
     const now = this.#options.timers.now()
-    const tracked: TrackedRun = { task, run, phase, sinceMs: now, isStopAcked: false, progress: new RunProgress() }
+    const tracked: TrackedRun = { task, run, phase, sinceMs: now, isStopAcked: false, isConfirmed: false, progress: new RunProgress() }
     this.#runs.set(task, tracked)
     return tracked
   }
 
   #setPhase (tracked: TrackedRun, phase: RunPhase): void {
+    if (phase === 'present') tracked.isConfirmed = true
     tracked.phase = phase
     tracked.sinceMs = this.#options.timers.now()
   }
--- a/packages/jobs/src/endpoint-store.ts
+++ b/packages/jobs/src/endpoint-store.ts
@@ -38,13 +38,13 @@
     return this.#listConflicting(record).every((conflicting) => conflicting.bornMs < record.bornMs)
   }
 
-  /** Returns the incarnations that a new one replaces, or null when the announcement changes nothing. */
-  put (record: EndpointRecord): EndpointIncarnation[] | null {
+  /** Returns the records of incarnations that a new one replaces, or null when the announcement changes nothing. */
+  put (record: EndpointRecord): EndpointRecord[] | null {
     if (!this.wouldChange(record)) return null
     const known = this.#byIncarnation.get(record.life)
     if (!known && this.#byIncarnation.size >= MAX_ENDPOINTS) return null
-    const replaced = known ? [] : this.#listConflicting(record).map(({ life: incarnation }) => incarnation)
-    for (const incarnation of replaced) this.end(incarnation)
+    const replaced = known ? [] : this.#listConflicting(record)
+    for (const { life: incarnation } of replaced) this.end(incarnation)
     this.#add(known ? this.#merge(known, record) : record)
     return replaced
   }
--- a/packages/jobs/src/job-store.ts
+++ b/packages/jobs/src/job-store.ts
@@ -87,10 +87,11 @@
     }
   }
 
-  /** Ends all runs of a removed or replaced endpoint as lost. */
-  endRunsAsLost (endpoint: EndpointIncarnation, atMs: number): void {
+  /** Ends all runs of a removed or replaced endpoint as lost, and returns them. */
+  endRunsAsLost (endpoint: EndpointIncarnation, atMs: number): readonly ActiveRun[] {
     const runs = [...this.listRuns(endpoint).values()]
     this.end(endpoint, runs.map(({ task, run }) => ({ task, run, outcome: 'lost', checkpoint: '' })), atMs)
+    return runs
   }
 
   toSnapshot (): readonly JobSnapshot[] {
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -4,7 +4,7 @@
 import { EndpointStore } from './endpoint-store.ts'
 import type { JobSnapshot } from './job-entry.ts'
 import { JobStore } from './job-store.ts'
-import type { EndpointIncarnation, EndpointRecord, ServiceConfig, StateCommand, StateResult } from './types.ts'
+import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, ServiceConfig, StateCommand, StateResult } from './types.ts'
 
 interface StateSnapshot {
   readonly config: ServiceConfig | null
@@ -69,17 +69,20 @@
       }
       case 'register-endpoint': {
         const replaced = this.endpoints.put(command.endpoint)
-        for (const incarnation of replaced ?? []) this.jobs.endRunsAsLost(incarnation, command.atMs)
-        return { type: 'registered', isChanged: replaced !== null }
+        return { type: 'registered', isChanged: replaced !== null, replaced: (replaced ?? []).map((endpoint) => this.#endRuns(endpoint, command.atMs)) }
       }
       case 'remove-endpoint': {
+        const endpoint = this.endpoints.get(command.life)
         if (command.hasEnded) this.endpoints.end(command.life)
         else this.endpoints.remove(command.life)
-        this.jobs.endRunsAsLost(command.life, command.atMs)
-        return { type: 'removed' }
+        return { type: 'removed', ended: endpoint ? this.#endRuns(endpoint, command.atMs) : null }
       }
       case 'barrier': return { type: 'passed' }
       default: return assertNever(command)
     }
   }
+
+  #endRuns (endpoint: EndpointRecord, atMs: number): EndedIncarnation {
+    return { endpoint, lostRuns: this.jobs.endRunsAsLost(endpoint.life, atMs) }
+  }
 }
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -142,6 +142,12 @@
   readonly document: string
 }
 
+/** An incarnation that is gone for good, with the runs that it still held. They ended with it. */
+export interface EndedIncarnation {
+  readonly endpoint: EndpointRecord
+  readonly lostRuns: readonly ActiveRun[]
+}
+
 export type StateCommand =
   | { readonly type: 'configure', readonly config: ServiceConfig }
   | { readonly type: 'accept', readonly spec: JobSpec, readonly atMs: number }
@@ -161,6 +167,6 @@
   | { readonly type: 'cancelled', readonly status: JobStatus | null }
   | { readonly type: 'started', readonly groups: readonly StartGroup[] }
   | { readonly type: 'ended' }
-  | { readonly type: 'registered', readonly isChanged: boolean }
-  | { readonly type: 'removed' }
+  | { readonly type: 'registered', readonly isChanged: boolean, readonly replaced: readonly EndedIncarnation[] }
+  | { readonly type: 'removed', readonly ended: EndedIncarnation | null }
   | { readonly type: 'passed' }
