--- a/packages/dispatch/tests/dispatcher.test.ts
+++ b/packages/dispatch/tests/dispatcher.test.ts
@@ -1,74 +1,8 @@
-import { asId, type EndpointId, type JobId, type RackId } from '@ibisstair/common'
-import { SchedulingState, type EndpointRecord, type StateCommand, type StateResult, type StepSpec } from '@ibisstair/jobs'
-import { Metrics } from '@ibisstair/telemetry'
-import { ManualTimerService, RandomSource } from '@ibisstair/timers'
+import { asId, type JobId } from '@ibisstair/common'
+import type { StepSpec } from '@ibisstair/jobs'
 import t from 'tap'
-import { accept, createEndpoint, createSpec, createStep, register } from '../../jobs/tests/support/samples.ts'
-import { Dispatcher } from '../src/index.ts'
-import { FakeFleet, type FakeFaults } from './support/fake-fleet.ts'
-
-const ANNOUNCE_MS = 500
-const logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
-
-class TestCluster {
-  readonly timers = new ManualTimerService()
-  readonly random: RandomSource
-  readonly state = new SchedulingState()
-  readonly fleet: FakeFleet
-  readonly endpoints: readonly EndpointRecord[]
-  /** False while the leader has lost its quorum. */
-  hasQuorum = true
-  commitMs = 5
-  #term = 0
-  #dispatcher: Dispatcher | null = null
-
-  constructor (seed: number, faults: Partial<FakeFaults> = {}) {
-    this.random = new RandomSource(seed)
-    this.endpoints = ['w1', 'w2', 'w3', 'w4'].map((id, i) => createEndpoint(id, { address: `10.0.0.${i}:1`, rack: asId<RackId>(i < 2 ? 'r1' : 'r2') }))
-    this.fleet = new FakeFleet(this.timers, this.random, this.endpoints, this.state, faults)
-    for (const endpoint of this.endpoints) this.state.apply(register(endpoint))
-    this.timers.every(ANNOUNCE_MS, () => this.#announceAll())
-  }
-
-  /** Starts a new leader with a higher fencing token; the old one sends no more orders. */
-  elect (): void {
-    this.#dispatcher?.close()
-    const term = ++this.#term
-    const propose = async (command: StateCommand): Promise<StateResult> => {
-      await this.timers.delay(this.commitMs)
-      if (this.#term !== term || !this.hasQuorum) throw new Error('not the leader')
-      return this.state.apply(JSON.parse(JSON.stringify(command)) as StateCommand)
-    }
-    this.#dispatcher = new Dispatcher({
-      state: this.state, propose, isLeading: () => this.#term === term && this.hasQuorum, port: this.fleet, timers: this.timers, logger, metrics: new Metrics({ node: 'n' }), fencingToken: term, leaseMaxMs: 6_000
-    })
-    this.#dispatcher.start()
-  }
-
-  async run (ms: number): Promise<void> {
-    const end = this.timers.now() + ms
-    do for (let i = 0; i < 12; i++) await Promise.resolve()
-    while (this.timers.runNext(end))
-    this.timers.advance(end - this.timers.now())
-  }
-
-  #announceAll (): void {
-    const reachable = this.endpoints.filter(({ life: incarnation }) => !this.fleet.faults.unreachable.has(incarnation))
-    for (const endpoint of reachable) this.#dispatcher?.announce(endpoint, 0).catch(() => {})
-  }
-
-  submit (id: string, steps: readonly StepSpec[], priority = 1): void {
-    this.state.apply(accept(createSpec(id, steps, { priority, maxAttempts: 50 }), this.timers.now()))
-  }
-
-  leave (id: string, bornMs: number | null): void {
-    this.#dispatcher?.leave(asId<EndpointId>(id), bornMs)
-  }
-
-  statusOf (id: string): string | undefined {
-    return this.state.jobs.get(asId<JobId>(id))?.status
-  }
-}
+import { createStep } from '../../jobs/tests/support/samples.ts'
+import { TestCluster } from './support/test-cluster.ts'
 
 const gang = (count: number, accelerators: number, part: Partial<StepSpec> = {}): StepSpec =>
   createStep({ count, gang: true, resources: { cpuMilli: 1_000, memMb: 1, accelerators }, ...part })
--- a/packages/dispatch/tests/support/fake-fleet.ts
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -1,5 +1,5 @@
-import { IbisError, type TaskId } from '@ibisstair/common'
-import { addResources, countFits, mustParseTaskId, NO_RESOURCES, type EndpointIncarnation, type EndpointRecord, type RunOutcome, type SchedulingState } from '@ibisstair/jobs'
+import { asId, IbisError, type EndpointId, type JobId, type TaskId } from '@ibisstair/common'
+import { addResources, countFits, mustParseTaskId, NO_RESOURCES, toEndpointIncarnation, type EndpointIncarnation, type EndpointRecord, type Resources, type RunOutcome, type SchedulingState } from '@ibisstair/jobs'
 import type { ManualTimerService, RandomSource } from '@ibisstair/timers'
 import type { EndpointPort, EndReport, OrderResult, RenewOrder, RenewResult, StartOrder, StopOrder } from '../../src/index.ts'
 
@@ -17,15 +17,23 @@
   readonly runMs: number
   /** Share of the runs that fail. */
   failingShare: number
+  /** Tasks that crash each endpoint on which they start. */
+  readonly crashingTasks: Set<TaskId>
+  /** Time between the start of such a task and the crash. */
+  crashAfterMs: number
 }
 
+/** A crashed endpoint returns after this time at the same address under a new id. */
+export const RESTART_MS = 3_000
+
 const MAX_FAKE_WAIT_MS = 200
 const LATE_ORDER_MIN_MS = 2_000
 const LATE_ORDER_MAX_MS = 12_000
 
 /** The endpoint's side of the protocol: fencing tokens, leases, run numbers and reports. */
 class FakeEndpoint {
-  readonly record: EndpointRecord
+  record: EndpointRecord
+  isCrashed = false
   readonly runs = new Map<TaskId, FakeRun>()
   readonly #fleet: FakeFleet
   readonly #highestRuns = new Map<TaskId, number>()
@@ -55,6 +63,7 @@
     if (order.leaseUntilMs <= this.clockMs) return { type: 'refused', reason: 'late' }
     this.#extendLease(order.leaseUntilMs)
     this.#highestRuns.set(order.task, order.run)
+    if (this.#fleet.faults.crashingTasks.has(order.task)) this.#fleet.timers.subscribe(this.#fleet.faults.crashAfterMs, () => { if (this.runs.get(order.task)?.run === order.run) this.#fleet.crash(this.record.life) })
     const outcome: RunOutcome = this.#fleet.random.float() < this.#fleet.faults.failingShare ? 'failed' : 'done'
     const stopTimer = this.#fleet.timers.subscribe(this.#fleet.faults.runMs, () => this.#end(order.task, outcome))
     this.runs.set(order.task, { task: order.task, run: order.run, stopTimer })
@@ -78,6 +87,14 @@
     return { type: 'report', report: { clockMs: this.clockMs, running, ended: [...this.#ended], hasMore: false } }
   }
 
+  /** Ends the process: its runs are gone, and nothing is reported about them. */
+  crash (): void {
+    this.isCrashed = true
+    this.#cancelLeaseTimer()
+    for (const { stopTimer } of this.runs.values()) stopTimer()
+    this.runs.clear()
+  }
+
   #accept (fencingToken: number): boolean {
     if (fencingToken < this.#fencingToken) return false
     this.#fencingToken = fencingToken
@@ -110,19 +127,22 @@
   readonly random: RandomSource
   readonly faults: FakeFaults
   readonly violations: string[] = []
+  /** Tasks that ran on each crashed endpoint, in order of the crashes. */
+  readonly crashes: Array<readonly TaskId[]> = []
+  readonly startsByTask = new Map<TaskId, number>()
   starts = 0
   stops = 0
   renewals = 0
   readonly #endpoints = new Map<EndpointIncarnation, FakeEndpoint>()
   /** Completed tasks. An unacknowledged one is removed when the lease of its endpoint lapses. */
   readonly #done = new Map<TaskId, { readonly endpoint: FakeEndpoint, readonly atMs: number, isAcked: boolean }>()
-  readonly #state: SchedulingState
+  readonly #getState: () => SchedulingState
 
-  constructor (timers: ManualTimerService, random: RandomSource, records: readonly EndpointRecord[], state: SchedulingState, faults: Partial<FakeFaults> = {}) {
+  constructor (timers: ManualTimerService, random: RandomSource, records: readonly EndpointRecord[], getState: () => SchedulingState, faults: Partial<FakeFaults> = {}) {
     this.timers = timers
     this.random = random
-    this.#state = state
-    this.faults = { lostShare: 0, unreachable: new Set(), runMs: 1_000, failingShare: 0, ...faults }
+    this.#getState = getState
+    this.faults = { lostShare: 0, unreachable: new Set(), runMs: 1_000, failingShare: 0, crashingTasks: new Set(), crashAfterMs: 10, ...faults }
     for (const record of records) this.#endpoints.set(record.life, new FakeEndpoint(record, this))
   }
 
@@ -145,8 +165,40 @@
 
   closeConnections (): void {}
 
+  /** What the running endpoints announce. */
+  listRecords (): EndpointRecord[] {
+    return [...this.#endpoints.values()].filter(({ isCrashed }) => !isCrashed).map(({ record }) => record)
+  }
+
+  /** Crashes an endpoint, which returns after `RESTART_MS`. */
+  crash (incarnation: EndpointIncarnation): void {
+    const fake = this.#endpoints.get(incarnation)
+    if (!fake || fake.isCrashed) return
+    this.crashes.push([...fake.runs.keys()])
+    fake.crash()
+    // What was not acknowledged before the crash is unknown, so that the task may run again.
+    this.recordLapse(fake)
+    this.timers.subscribe(RESTART_MS, () => this.#restart(fake.record))
+  }
+
+  setCapacity (id: EndpointId, capacity: Partial<Resources>): void {
+    for (const fake of this.#endpoints.values()) if (fake.record.id === id) fake.record = { ...fake.record, capacity: { ...fake.record.capacity, ...capacity } }
+  }
+
+  /** Returns how many endpoints crashed while a task of the job ran there. */
+  countCrashesUnder (job: string): number {
+    return this.crashes.filter((tasks) => tasks.some((task) => mustParseTaskId(task).job === asId<JobId>(job))).length
+  }
+
+  #restart (record: EndpointRecord): void {
+    const id = asId<EndpointId>(`${record.id}x`)
+    const bornMs = this.timers.wallClock()
+    this.#endpoints.set(toEndpointIncarnation(id, bornMs), new FakeEndpoint({ ...record, id, bornMs, life: toEndpointIncarnation(id, bornMs) }, this))
+  }
+
   recordStart (endpoint: FakeEndpoint, { task, run }: StartOrder): void {
     this.starts += 1
+    this.startsByTask.set(task, (this.startsByTask.get(task) ?? 0) + 1)
     const holders = [...this.#endpoints.values()].filter((other) => other.runs.has(task))
     if (holders.length > 1) this.violations.push(`${task} runs twice, started as run ${run} at ${this.timers.now()} ms`)
     if (this.#done.has(task)) this.violations.push(`${task} starts after it was done`)
@@ -170,15 +222,16 @@
 
   #resourcesOf (task: TaskId) {
     const { job, step } = mustParseTaskId(task)
-    return this.#state.jobs.get(job)!.spec.steps[step]!.resources
+    return this.#getState().jobs.get(job)!.spec.steps[step]!.resources
   }
 
   async #call<T> ({ life: incarnation }: EndpointRecord, timeoutMs: number, execute: (fake: FakeEndpoint) => T): Promise<T> {
     const fake = this.#endpoints.get(incarnation)!
     await this.timers.delay(1)
+    if (fake.isCrashed) throw new IbisError('unreachable', 'connection refused', { info: { reason: 'connect' } })
     if (this.faults.unreachable.has(incarnation)) return await this.#loseAnswer(timeoutMs)
     if (this.random.float() >= this.faults.lostShare) return execute(fake)
-    if (this.random.float() < 0.5) this.timers.subscribe(this.random.int(LATE_ORDER_MIN_MS, LATE_ORDER_MAX_MS), () => { if (!this.faults.unreachable.has(incarnation)) execute(fake) })
+    if (this.random.float() < 0.5) this.timers.subscribe(this.random.int(LATE_ORDER_MIN_MS, LATE_ORDER_MAX_MS), () => { if (!this.faults.unreachable.has(incarnation) && !fake.isCrashed) execute(fake) })
     return await this.#loseAnswer(timeoutMs)
   }
 
--- /dev/null
+++ b/packages/dispatch/tests/support/test-cluster.ts
@@ -0,0 +1,97 @@
+import { asId, type EndpointId, type JobId, type RackId } from '@ibisstair/common'
+import { SchedulingState, type EndpointRecord, type JobSpec, type Resources, type StateCommand, type StateResult, type StepSpec } from '@ibisstair/jobs'
+import { packValue, unpackValue } from '@ibisstair/storage'
+import { Metrics } from '@ibisstair/telemetry'
+import { ManualTimerService, RandomSource } from '@ibisstair/timers'
+import { accept, createEndpoint, createSpec, register } from '../../../jobs/tests/support/samples.ts'
+import { Dispatcher } from '../../src/index.ts'
+import { FakeFleet, type FakeFaults } from './fake-fleet.ts'
+
+const ANNOUNCE_MS = 500
+
+/** A scheduler on virtual time over a fake fleet, with leaders that replace each other. */
+export class TestCluster {
+  readonly timers = new ManualTimerService()
+  readonly random: RandomSource
+  /** Replaced by `recover`. */
+  state = new SchedulingState()
+  readonly metrics = new Metrics({ node: 'n' })
+  readonly logLines: Array<{ readonly message: string, readonly fields: Readonly<Record<string, unknown>> }> = []
+  readonly fleet: FakeFleet
+  readonly endpoints: readonly EndpointRecord[]
+  /** False while the leader has lost its quorum. */
+  hasQuorum = true
+  commitMs = 5
+  #term = 0
+  #dispatcher: Dispatcher | null = null
+
+  constructor (seed: number, faults: Partial<FakeFaults> = {}) {
+    this.random = new RandomSource(seed)
+    this.endpoints = ['w1', 'w2', 'w3', 'w4'].map((id, i) => createEndpoint(id, { address: `10.0.0.${i}:1`, rack: asId<RackId>(i < 2 ? 'r1' : 'r2') }))
+    this.fleet = new FakeFleet(this.timers, this.random, this.endpoints, () => this.state, faults)
+    for (const endpoint of this.endpoints) this.state.apply(register(endpoint))
+    this.timers.every(ANNOUNCE_MS, () => this.#announceAll())
+  }
+
+  /** Starts a new leader with a higher fencing token; the old one sends no more orders. */
+  elect (): void {
+    this.#dispatcher?.close()
+    const term = ++this.#term
+    const propose = async (command: StateCommand): Promise<StateResult> => {
+      await this.timers.delay(this.commitMs)
+      if (this.#term !== term || !this.hasQuorum) throw new Error('not the leader')
+      return this.state.apply(JSON.parse(JSON.stringify(command)) as StateCommand)
+    }
+    const log = (message: string, fields: Readonly<Record<string, unknown>> = {}): void => { this.logLines.push({ message, fields }) }
+    this.#dispatcher = new Dispatcher({
+      state: this.state,
+      propose,
+      isLeading: () => this.#term === term && this.hasQuorum,
+      port: this.fleet,
+      timers: this.timers,
+      logger: { error: log, warn: log, info: log, debug: log },
+      metrics: this.metrics,
+      fencingToken: term,
+      leaseMaxMs: 6_000
+    })
+    this.#dispatcher.start()
+  }
+
+  /** Ends the leader; the next one restores its state from a snapshot, as after a restart or on a VM that lost its disk. */
+  recover (): void {
+    const snapshot = unpackValue(packValue(this.state.toSnapshot()))
+    this.#dispatcher?.close()
+    this.state = new SchedulingState()
+    this.state.restore(snapshot)
+    this.elect()
+  }
+
+  async run (ms: number): Promise<void> {
+    const end = this.timers.now() + ms
+    do for (let i = 0; i < 12; i++) await Promise.resolve()
+    while (this.timers.runNext(end))
+    this.timers.advance(end - this.timers.now())
+  }
+
+  #announceAll (): void {
+    const reachable = this.fleet.listRecords().filter(({ life: incarnation }) => !this.fleet.faults.unreachable.has(incarnation))
+    for (const endpoint of reachable) this.#dispatcher?.announce(endpoint, 0).catch(() => {})
+  }
+
+  submit (id: string, steps: readonly StepSpec[], priority = 1, overrides: Partial<JobSpec> = {}): void {
+    this.state.apply(accept(createSpec(id, steps, { priority, maxAttempts: 50, ...overrides }), this.timers.now()))
+  }
+
+  leave (id: string, bornMs: number | null): void {
+    this.#dispatcher?.leave(asId<EndpointId>(id), bornMs)
+  }
+
+  /** Announces the endpoints with another capacity from now on. */
+  setCapacity (id: string, capacity: Partial<Resources>): void {
+    this.fleet.setCapacity(asId<EndpointId>(id), capacity)
+  }
+
+  statusOf (id: string): string | undefined {
+    return this.state.jobs.get(asId<JobId>(id))?.status
+  }
+}
