--- a/packages/dispatch/tests/support/fake-fleet.ts
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -81,7 +81,7 @@
   renew ({ fencingToken, ackedUpto, leaseUntilMs }: RenewOrder): RenewResult {
     if (!this.#accept(fencingToken)) return { type: 'fenced' }
     if (leaseUntilMs !== null) this.#extendLease(leaseUntilMs)
-    for (const { task, number } of this.#ended) if (number <= ackedUpto) this.#fleet.recordAck(task)
+    for (const { task, run, number } of this.#ended) if (number <= ackedUpto) this.#fleet.recordAck(this, task, run)
     this.#ended = this.#ended.filter(({ number }) => number > ackedUpto)
     const running = [...this.runs.values()].map(({ task, run }) => ({ task, run, percent: 50 }))
     return { type: 'report', report: { clockMs: this.clockMs, running, ended: [...this.#ended], hasMore: false } }
@@ -117,7 +117,7 @@
     run.stopTimer()
     this.runs.delete(task)
     this.#ended.push({ number: ++this.#number, task, run: run.run, outcome, checkpoint: '' })
-    if (outcome === 'done') this.#fleet.recordDone(this, task)
+    if (outcome === 'done') this.#fleet.recordDone(this, task, run.run)
   }
 }
 
@@ -135,7 +135,7 @@
   renewals = 0
   readonly #endpoints = new Map<EndpointIncarnation, FakeEndpoint>()
   /** Completed tasks. An unacknowledged one is removed when the lease of its endpoint lapses. */
-  readonly #done = new Map<TaskId, { readonly endpoint: FakeEndpoint, readonly atMs: number, isAcked: boolean }>()
+  readonly #done = new Map<TaskId, { readonly endpoint: FakeEndpoint, readonly run: number, isAcked: boolean }>()
   readonly #getState: () => SchedulingState
 
   constructor (timers: ManualTimerService, random: RandomSource, records: readonly EndpointRecord[], getState: () => SchedulingState, faults: Partial<FakeFaults> = {}) {
@@ -206,13 +206,13 @@
     if (countFits(endpoint.record.capacity, used) < 1) this.violations.push(`${endpoint.record.id} is over its capacity`)
   }
 
-  recordDone (endpoint: FakeEndpoint, task: TaskId): void {
-    this.#done.set(task, { endpoint, atMs: this.timers.now(), isAcked: false })
+  recordDone (endpoint: FakeEndpoint, task: TaskId, run: number): void {
+    this.#done.set(task, { endpoint, run, isAcked: false })
   }
 
-  recordAck (task: TaskId): void {
+  recordAck (endpoint: FakeEndpoint, task: TaskId, run: number): void {
     const done = this.#done.get(task)
-    if (done) done.isAcked = true
+    if (done?.endpoint === endpoint && done.run === run) done.isAcked = true
   }
 
   /** The scheduler may run a task again whose completion was not acknowledged before the lease lapsed. */
