--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -81,7 +81,7 @@
     }
     if (!state.endpoints.get(record.life)) return
     this.#lastSeenAtMs.set(record.life, now)
-    this.#sessions.get(record.life)?.updateClock(clockMs, now)
+    this.#sessions.get(record.life)?.handleAnnouncement(clockMs, now)
   }
 
   /**
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -110,10 +110,10 @@
     this.#options.port.closeConnections(this.#endpoint)
   }
 
-  /** Takes a clock reading from an announcement; the reading may be behind the endpoint's clock, never ahead. */
-  updateClock (valueMs: number, atMs: number): void {
-    if (this.#clock && this.#estimateClock(atMs)! >= valueMs) return
-    this.#clock = { valueMs, atMs }
+  /** Takes the clock reading of an announcement, and calls an endpoint that did not answer: it may have come back. */
+  handleAnnouncement (clockMs: number, atMs: number): void {
+    this.#updateClock(clockMs, atMs)
+    if (this.#failures > 0) this.poll()
   }
 
   /** Takes over a run that an earlier leader ordered. */
@@ -365,6 +365,12 @@
 
   // Clock and lease
 
+  /** The reading of an announcement may be behind the endpoint's clock, never ahead. */
+  #updateClock (valueMs: number, atMs: number): void {
+    if (this.#clock && this.#estimateClock(atMs)! >= valueMs) return
+    this.#clock = { valueMs, atMs }
+  }
+
   #recordFailure (): void {
     this.#failures += 1
     this.#silentSinceMs ??= this.#options.timers.now()
--- a/packages/dispatch/tests/dispatcher.test.ts
+++ b/packages/dispatch/tests/dispatcher.test.ts
@@ -154,3 +154,19 @@
   const expected = 4 * 5 * SECONDS + 2 * cluster.fleet.starts
   t.ok(cluster.fleet.renewals <= expected, `${cluster.fleet.renewals} renewals, at most ${expected} expected`)
 })
+
+t.test('an endpoint that was cut off gets work again after it returns', async (t) => {
+  // Its session had no runs left to ask about, so that nothing noticed the return and the capacity was lost for the rest of the term.
+  const cluster = new TestCluster(6, { runMs: 20_000 })
+  cluster.elect()
+  cluster.submit('a1', [createStep({ count: 32 })])
+  await cluster.run(300)
+  for (const { life } of cluster.endpoints) cluster.fleet.faults.unreachable.add(life)
+  await cluster.run(9_000)
+  cluster.fleet.faults.unreachable.clear()
+  await cluster.run(3_000)
+  t.equal(cluster.state.jobs.get(asId<JobId>('a1'))!.activeRuns, 32)
+  await cluster.run(20_000)
+  t.equal(cluster.statusOf('a1'), 'completed')
+  t.same(cluster.fleet.violations, [])
+})
