--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,5 +1,5 @@
 const ORDER = [
-  'common', 'timers', 'telemetry', 'settings', 'model', 'questionnaire', 'storage', 'consensus',
+  'common', 'crashes', 'timers', 'telemetry', 'settings', 'model', 'questionnaire', 'storage', 'consensus',
   'registers', 'membership', 'scheduler', 'endpoint-tasks', 'gang', 'rpc', 'operator-client', 'endpoint-client', 'config-sync', 'gateway',
   'control', 'jobs', 'dispatch', 'cluster'
 ]
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,5 +1,5 @@
 import type { EndpointId, TaskId } from '@ibisstair/common'
-import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, JobEntry, RunEnd, SchedulingState, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
+import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, JobEntry, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
 import { mustParseTaskId, toTaskId } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
@@ -7,6 +7,7 @@
 import { EndpointHealth } from './endpoint-health.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
 import { Planner } from './planner.ts'
+import { describeSilence } from './silence.ts'
 import type { EndpointPort } from './ports.ts'
 
 export interface DispatcherOptions {
@@ -76,7 +77,8 @@
     const { state, timers } = this.#options
     const now = timers.now()
     if (state.endpoints.wouldChange(record)) {
-      await this.#propose({ type: 'register-endpoint', endpoint: record, atMs: timers.wallClock() })
+      const silences = state.endpoints.listReplacedBy(record).flatMap(({ life }) => this.#describeSilence(life) ?? [])
+      await this.#propose({ type: 'register-endpoint', endpoint: record, atMs: timers.wallClock(), silences })
       this.#options.logger.info('endpoint announced', { endpoint: record.id, life: record.life, domain: record.domain, rack: record.rack, draining: record.draining })
     }
     if (!state.endpoints.get(record.life)) return
@@ -96,7 +98,7 @@
     const hasLeft = bornMs === null ? record.draining : record.bornMs === bornMs
     if (!hasLeft) return logger.info('message that an endpoint leaves is not of its present incarnation; ignored', { endpoint: id, life: record.life, bornMs })
     logger.info('endpoint leaves', { endpoint: id, life: record.life })
-    timers.subscribe(LEAVE_GRACE_MS, () => this.#remove(record, { hasEnded: true }))
+    timers.subscribe(LEAVE_GRACE_MS, () => this.#remove(record, 'left'))
   }
 
   // Events of sessions
@@ -116,12 +118,13 @@
       metrics.increment(`runs.${outcome}`)
       this.#health.recordEnd(endpoint.life, task, outcome)
     }
-    await this.#propose({ type: 'end', endpoint: endpoint.life, ends, atMs: timers.wallClock() })
+    const silence = ends.some(({ outcome }) => outcome === 'lost') ? this.#describeSilence(endpoint.life) : null
+    await this.#propose({ type: 'end', endpoint: endpoint.life, ends, atMs: timers.wallClock(), ...(silence && { silence }) })
   }
 
   handleReplaced (endpoint: EndpointRecord): void {
     this.#options.logger.warn('another incarnation answers at the endpoint\'s address; removing the endpoint', { endpoint: endpoint.id, life: endpoint.life })
-    this.#remove(endpoint, { hasEnded: true })
+    this.#remove(endpoint, 'replaced')
   }
 
   handleFenced (endpoint: EndpointRecord): void {
@@ -146,17 +149,20 @@
     this.#schedulePass()
   }
 
-  /** Logs an incarnation that is gone for good and each run that ended with it. */
-  #reportEnded ({ endpoint, lostRuns }: EndedIncarnation): void {
-    const { logger, metrics, timers } = this.#options
+  /** Logs an incarnation that is gone for good, each run that went with it, and each job that is given up for it. */
+  #reportEnded ({ endpoint, hasCrashed, lostRuns, givenUp }: EndedIncarnation): void {
+    const { logger, metrics } = this.#options
     const session = this.#sessions.get(endpoint.life)
-    const silentMs = session?.silentSinceMs == null ? null : Math.round(timers.now() - session.silentSinceMs)
-    metrics.increment('endpoints.ended')
-    logger.info('endpoint incarnation ended', { endpoint: endpoint.id, life: endpoint.life, address: endpoint.address, draining: endpoint.draining, silentMs, runs: lostRuns.length })
-    for (const { task, run, startedAtMs } of lostRuns) {
+    metrics.increment(hasCrashed ? 'endpoints.crashed' : 'endpoints.ended')
+    logger.info(hasCrashed ? 'endpoint crashed' : 'endpoint ended', { endpoint: endpoint.id, life: endpoint.life, address: endpoint.address, draining: endpoint.draining, runs: lostRuns.length })
+    for (const { task, run, ranMs, blame } of lostRuns) {
       metrics.increment('runs.lost-with-endpoint')
-      const ranMs = silentMs === null ? null : Math.round(timers.wallClock() - silentMs - startedAtMs)
-      logger.info('run lost with its endpoint', { task, run, endpoint: endpoint.id, ranMs, isConfirmed: session?.isConfirmed(task) ?? false, runsBeside: lostRuns.length - 1 })
+      if (blame) metrics.increment(`crashes.blame.${blame}`)
+      logger.info('run lost with its endpoint', { task, run, endpoint: endpoint.id, ranMs, isConfirmed: session?.isConfirmed(task) ?? false, runsBeside: lostRuns.length - 1, blame })
+    }
+    for (const { job, task, crashes } of givenUp) {
+      metrics.increment('jobs.given-up')
+      logger.warn('job given up because its task crashes endpoints', { job, task, crashes: crashes.map(({ address, run, ranMs, blame }) => `run ${run} on ${address} after ${ranMs ?? '?'} ms: ${blame}`) })
     }
   }
 
@@ -201,13 +207,19 @@
     }
   }
 
-  #remove ({ life: incarnation, id }: EndpointRecord, { hasEnded }: { readonly hasEnded: boolean }): void {
+  /** `cause` is null for an endpoint that is only silent and may announce itself again. */
+  #remove ({ life: incarnation, id }: EndpointRecord, cause: IncarnationEnd | null): void {
     if (this.#isClosed || !this.#options.state.endpoints.get(incarnation)) return
-    this.#propose({ type: 'remove-endpoint', life: incarnation, atMs: this.#options.timers.wallClock(), hasEnded })
-      .then(() => this.#options.logger.info('endpoint removed', { endpoint: id, life: incarnation }))
+    const silence = this.#describeSilence(incarnation)
+    this.#propose({ type: 'remove-endpoint', life: incarnation, atMs: this.#options.timers.wallClock(), hasEnded: cause !== null, ...(cause && { cause }), ...(silence && { silence }) })
+      .then(() => this.#options.logger.info('endpoint removed', { endpoint: id, life: incarnation, cause: cause ?? 'silent' }))
       .catch((err: unknown) => this.#options.logger.warn('endpoint removal failed', { endpoint: id, err }))
   }
 
+  #describeSilence (incarnation: EndpointIncarnation): Silence | null {
+    return describeSilence(this.#sessions, incarnation, this.#options.timers)
+  }
+
   async #propose (command: StateCommand): Promise<StateResult> {
     return await this.#options.propose(command, COMMIT_TIMEOUT_MS)
   }
@@ -226,7 +238,7 @@
     const now = timers.now()
     for (const record of [...state.endpoints.list()]) {
       const seenAtMs = this.#lastSeenAtMs.get(record.life) ?? 0
-      if (now - seenAtMs > ENDPOINT_EXPIRY_MS && state.jobs.listRuns(record.life).size === 0) this.#remove(record, { hasEnded: false })
+      if (now - seenAtMs > ENDPOINT_EXPIRY_MS && state.jobs.listRuns(record.life).size === 0) this.#remove(record, null)
     }
   }
 
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -95,6 +95,11 @@
     return this.#silentSinceMs
   }
 
+  /** Whether the endpoint has answered a call during this term. */
+  get hasHadContact (): boolean {
+    return this.#contactAtMs !== null
+  }
+
   /** Whether the endpoint has confirmed during this term that it carried out the order of a run. */
   isConfirmed (task: TaskId): boolean {
     return this.#runs.get(task)?.isConfirmed ?? false
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -30,6 +30,9 @@
 const byBestFit = (a: Candidate, b: Candidate): number =>
   a.penalty - b.penalty || a.free.accelerators - b.free.accelerators || a.free.cpuMilli - b.free.cpuMilli
 
+const byMostFree = (a: Candidate, b: Candidate): number =>
+  a.penalty - b.penalty || b.free.accelerators - a.free.accelerators || b.free.cpuMilli - a.free.cpuMilli
+
 const fill = (spec: StepSpec, indexes: readonly number[], candidates: readonly Candidate[], countOn: CountOnEndpoint): Assignment[] => {
   const assignments: Assignment[] = []
   for (const candidate of candidates) {
@@ -70,6 +73,8 @@
 export interface PlacementOptions {
   /** Accept a placement across racks, which slows the tasks down by a factor. */
   readonly acceptFar: boolean
+  /** Use the endpoints with most free capacity first, in place of the fullest ones. */
+  readonly emptiestFirst?: boolean
 }
 
 /** Subtracts the resources of the assigned tasks from the free resources of the candidates. */
@@ -87,11 +92,11 @@
  * Chooses endpoints for the tasks and deducts their resources there. A gang is placed whole or not at all; of
  * single tasks, as many as fit.
  */
-export const placeTasks = (spec: StepSpec, indexes: readonly number[], all: readonly Candidate[], countOn: CountOnEndpoint, { acceptFar }: PlacementOptions): Assignment[] => {
+export const placeTasks = (spec: StepSpec, indexes: readonly number[], all: readonly Candidate[], countOn: CountOnEndpoint, { acceptFar, emptiestFirst = false }: PlacementOptions): Assignment[] => {
   // Most endpoints of a busy fleet are full; they are filtered out before the rest is sorted.
   const candidates = all.filter((candidate) => isSufficientFor(candidate.free, spec.resources) && isSuitable(spec, candidate))
   if (candidates.length === 0) return []
-  const assignments = choose(spec, indexes, candidates.sort(byBestFit), countOn, acceptFar)
+  const assignments = choose(spec, indexes, candidates.sort(emptiestFirst ? byMostFree : byBestFit), countOn, acceptFar)
   if (spec.gang && assignments.length < indexes.length) return []
   deductAssigned(spec, assignments, indexByIncarnation(candidates))
   return assignments
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -1,6 +1,7 @@
 import type { TaskId } from '@ibisstair/common'
 import type { ActiveRun, EndpointIncarnation, EndpointRecord, SchedulingState, StartGroup } from '@ibisstair/jobs'
 import { countFits, mustParseTaskId, subtractResources } from '@ibisstair/jobs'
+import { SUSPECT_PATIENCE_MS } from './constants.ts'
 import { isGuaranteed } from './guarantees.ts'
 import { couldEverFit, placeTasks, deductAssigned, type Assignment, type Candidate, type PlacementOptions } from './placement.ts'
 import { PlanningPass } from './planning-pass.ts'
@@ -70,6 +71,8 @@
   readonly #demand = new UrgentDemand()
   /** Time of the next search for victims, for each work for which the last search failed. */
   readonly #retryAtMs = new Map<string, number>()
+  /** Since when suspect work has waited for an endpoint. */
+  readonly #suspectSinceMs = new Map<string, number>()
   /** Whether a shape fits only across racks, for the set of endpoints that `#fleetKey` names. */
   readonly #acceptFar = new Map<string, boolean>()
   #fleetKey = ''
@@ -82,10 +85,11 @@
     const place = (work: ReadyWork): boolean => {
       const groups = this.#place(work, pass)
       starts.push(...groups)
+      pass.isolation.recordPlacement(work, groups.flatMap(({ members }) => members))
       return groups.length > 0
     }
-    const waiting = ready.filter((work) => !isDeferrable(work.job) && !place(work))
-    const deferred = placeShare(ready.filter(({ job }) => isDeferrable(job)), pass, place)
+    const waiting = ready.filter((work) => !isDeferred(work) && !place(work))
+    const deferred = placeShare(ready.filter(isDeferred), pass, place)
     const reservingGangs = waiting.filter(({ job, spec }) => spec.gang && job.spec.priority > 0).slice(0, MAX_RESERVING_GANGS)
     for (const work of reservingGangs) reserveForGang(work, pass.listCandidates(work))
     const reserve = getReserve(pass.state, this.#demand, pass.nowMs, pass.candidates)
@@ -111,7 +115,7 @@
 
   #removeEntriesExcept (ready: readonly ReadyWork[]): void {
     const known = new Set(ready.map(toWorkKey))
-    for (const entries of [this.#claims, this.#retryAtMs]) for (const key of entries.keys()) if (!known.has(key)) entries.delete(key)
+    for (const entries of [this.#claims, this.#retryAtMs, this.#suspectSinceMs]) for (const key of entries.keys()) if (!known.has(key)) entries.delete(key)
   }
 
   /** Clears the cache of shapes when the set of endpoints has changed or the cache is full. */
@@ -122,11 +126,13 @@
     this.#acceptFar.clear()
   }
 
-  #mustSpanRacks ({ spec }: ReadyWork, shape: string, candidates: readonly Candidate[]): boolean {
+  #mustSpanRacks (work: ReadyWork, shape: string, pass: PlanningPass): boolean {
+    const { spec } = work
     if (!spec.tightlyCoupled && spec.dataRack === null) return false
     const known = this.#acceptFar.get(shape)
     if (known !== undefined) return known
-    const acceptFar = !couldEverFit(spec, candidates.map(({ endpoint }) => endpoint), { acceptFar: false })
+    const endpoints = pass.listServiceCandidates(work).map(({ endpoint }) => endpoint)
+    const acceptFar = !couldEverFit(spec, endpoints, { acceptFar: false })
     this.#acceptFar.set(shape, acceptFar)
     return acceptFar
   }
@@ -136,19 +142,33 @@
     const key = toWorkKey(work)
     const claim = this.#claims.get(key)
     if (claim && pass.nowMs < claim.untilMs) return this.#placeClaimed(work, claim, pass)
+    if (work.isSuspect && !this.#hasPatienceEnded(key, pass.nowMs)) return toGroups(work, this.#placeApart(work, pass))
     const hasClaimExpired = this.#claims.delete(key)
     const shape = toShape(work)
     const isUrgent = job.spec.priority === 0
     if (!isUrgent && pass.failedShapes.has(shape)) return []
-    const candidates = pass.listCandidates(work)
-    const acceptFar = this.#mustSpanRacks(work, shape, candidates)
-    const assignments = placeTasks(spec, indexes, candidates, createCounter(work, pass.state), { acceptFar })
+    const acceptFar = this.#mustSpanRacks(work, shape, pass)
+    const assignments = work.isSuspect ? placeSuspect(work, pass, { acceptFar }) : placeTasks(spec, indexes, pass.listCandidates(work), createCounter(work, pass.state), { acceptFar })
     // With a limit for each endpoint the outcome depends on the job, so that it does not hold for other jobs of this shape.
     if (assignments.length === 0 && spec.maxPerEndpoint === null) pass.failedShapes.add(shape)
     if (assignments.length < indexes.length && isUrgent && pass.mayPreempt) this.#preemptFor(work, assignments, pass, { acceptFar, stopAll: hasClaimExpired })
     return toGroups(work, assignments)
   }
 
+  /** Suspect work waits for an endpoint of its own only for a while, since it may be innocent. */
+  #hasPatienceEnded (key: string, nowMs: number): boolean {
+    const sinceMs = this.#suspectSinceMs.get(key) ?? nowMs
+    this.#suspectSinceMs.set(key, sinceMs)
+    return nowMs - sinceMs >= SUSPECT_PATIENCE_MS
+  }
+
+  /** Places suspect work where no other job runs. */
+  #placeApart (work: ReadyWork, pass: PlanningPass): Assignment[] {
+    const empty = pass.isolation.listEmpty(listUncrashed(work, pass), work)
+    const acceptFar = this.#mustSpanRacks(work, toShape(work), pass)
+    return placeTasks(work.spec, work.indexes, empty, createCounter(work, pass.state), { acceptFar })
+  }
+
   #placeClaimed (work: ReadyWork, { assignments }: Claim, { byIncarnation }: PlanningPass): StartGroup[] {
     // The free resources are negative while the victims still run, which keeps other work out.
     deductAssigned(work.spec, assignments, byIncarnation)
@@ -179,6 +199,25 @@
   }
 }
 
+/** Suspect work is not deferred, so that it can use an endpoint that has returned empty. */
+const isDeferred = ({ job, isSuspect }: ReadyWork): boolean => isDeferrable(job) && !isSuspect
+
+/** Returns the candidates other than those that have crashed under the work: one of them may be at fault itself. */
+const listUncrashed = (work: ReadyWork, pass: PlanningPass): Candidate[] => {
+  const { job, occurrence, step, indexes } = work
+  const { tasks } = job.getOccurrence(occurrence).steps[step]!
+  const crashed = new Set(indexes.flatMap((index) => tasks[index]!.crashes.map(({ address }) => address)))
+  return pass.listCandidates(work).filter(({ endpoint }) => !crashed.has(endpoint.address))
+}
+
+/** Places suspect work that found no empty endpoint where the fewest other runs are likely to be. */
+const placeSuspect = (work: ReadyWork, pass: PlanningPass, { acceptFar }: PlacementOptions): Assignment[] => {
+  const options = { acceptFar, emptiestFirst: true }
+  const countOn = createCounter(work, pass.state)
+  const elsewhere = placeTasks(work.spec, work.indexes, listUncrashed(work, pass), countOn, options)
+  return elsewhere.length > 0 ? elsewhere : placeTasks(work.spec, work.indexes, pass.listCandidates(work), countOn, options)
+}
+
 /** Gives deferrable work its share of the fleet and returns the work that was not placed. */
 const placeShare = (works: readonly ReadyWork[], { state, candidates }: PlanningPass, place: (work: ReadyWork) => boolean): ReadyWork[] => {
   let budget = getDeferrableBudget(state, candidates)
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -2,6 +2,7 @@
 import type { EndpointIncarnation, SchedulingState } from '@ibisstair/jobs'
 import { subtractResources } from '@ibisstair/jobs'
 import { isGuaranteed, sumUrgentNeeds } from './guarantees.ts'
+import { Isolation } from './isolation.ts'
 import { indexByIncarnation, type Candidate } from './placement.ts'
 import type { PlanInput } from './planner.ts'
 import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
@@ -9,6 +10,11 @@
 
 const NO_CANDIDATES: readonly Candidate[] = []
 
+const RANK_GUARANTEED = 0
+const RANK_URGENT = 1
+/** Other work follows in the order of its priority. */
+const RANK_SUSPECT = 2
+
 /** The data of one planning pass; each part is computed at most once. */
 export class PlanningPass {
   readonly state: SchedulingState
@@ -21,6 +27,7 @@
   readonly needs: ReadonlyMap<CustomerId | null, number>
   /** Shapes that did not fit; free capacity only shrinks during a pass. */
   readonly failedShapes = new Set<string>()
+  readonly isolation: Isolation
   readonly #byService = new Map<string, Candidate[]>()
   readonly #estimateRemaining: EstimateRemaining
   #victims: VictimList | null = null
@@ -32,6 +39,7 @@
     this.mayPreempt = mayPreempt
     this.#estimateRemaining = (run) => fleet.estimateRemainingMs(run)
     this.needs = sumUrgentNeeds(state)
+    this.isolation = new Isolation(state, wallMs)
     this.candidates = [...state.endpoints.list()].filter((endpoint) => fleet.isUsable(endpoint)).map((endpoint) => ({
       endpoint,
       free: subtractResources(endpoint.capacity, state.jobs.getUsage(endpoint.life)),
@@ -52,13 +60,19 @@
   }
 
   /** The endpoints of the service that runs the job. */
-  listCandidates ({ job }: ReadyWork): readonly Candidate[] {
+  listServiceCandidates ({ job }: ReadyWork): readonly Candidate[] {
     return this.#byService.get(job.spec.service) ?? NO_CANDIDATES
   }
 
+  /** Those of them that may run the work: not the ones that are kept for a suspect of another job. */
+  listCandidates (work: ReadyWork): readonly Candidate[] {
+    return this.isolation.listOpen(this.listServiceCandidates(work), work)
+  }
+
   /**
    * Returns the most urgent work first. Within a priority, urgent work within its customer's guarantee comes
    * first, the oldest before newer ones; then work that can still be on time, the oldest first; then late work.
+   * Suspect work that is not urgent comes after urgent work: an endpoint that has crashed returns empty.
    */
   listWork (): ReadyWork[] {
     const ready = [...this.state.jobs.listActive()].flatMap((job) => listReadyWork(job, this.wallMs))
@@ -68,9 +82,9 @@
   }
 
   /** A guarantee does not end when the job is late, so that the lateness of guaranteed work does not count. */
-  #getRank ({ job }: ReadyWork): { readonly rank: number, readonly lateness: number } {
-    if (isGuaranteed(this.state, job, this.needs)) return { rank: 0, lateness: 0 }
-    const rank = job.spec.priority === 0 ? 1 : 2 * job.spec.priority
+  #getRank ({ job, isSuspect }: ReadyWork): { readonly rank: number, readonly lateness: number } {
+    if (isGuaranteed(this.state, job, this.needs)) return { rank: RANK_GUARANTEED, lateness: 0 }
+    const rank = job.spec.priority === 0 ? RANK_URGENT : isSuspect ? RANK_SUSPECT : RANK_SUSPECT + job.spec.priority
     return { rank, lateness: getLateness(job, this.wallMs) }
   }
 
--- a/packages/dispatch/src/ready-work.ts
+++ b/packages/dispatch/src/ready-work.ts
@@ -1,4 +1,5 @@
-import type { JobEntry, StepSpec } from '@ibisstair/jobs'
+import { judge } from '@ibisstair/crashes'
+import { hasPassedProbation, type JobEntry, type StepEntry, type StepSpec, type TaskEntry } from '@ibisstair/jobs'
 
 /** Tasks of one step that can be placed now: a whole gang, or single tasks of the same step. */
 export interface ReadyWork {
@@ -9,6 +10,8 @@
   readonly indexes: readonly number[]
   /** Number of the next run of a gang. */
   readonly run: number
+  /** An endpoint has crashed under a task of the work, which may have caused it. */
+  readonly isSuspect: boolean
 }
 
 /** Identifies waiting work in maps that outlive a planning pass. */
@@ -21,12 +24,28 @@
   return [job.spec.service, tasks, cpuMilli, memMb, accelerators, gang, tightlyCoupled, requiredLabel, dataRack, maxPerEndpoint].join()
 }
 
+/** Whether the task may crash its endpoint: a run that has lasted long enough shows that it does not. */
+const isSuspectTask = (task: TaskEntry, wallMs: number): boolean => {
+  if (task.isDone || judge(task.crashes) !== 'suspect') return false
+  return task.active === null || !hasPassedProbation(task, task.active, wallMs)
+}
+
+const listSuspectTasks = ({ hasCrashes, tasks }: StepEntry, wallMs: number): TaskEntry[] =>
+  hasCrashes ? tasks.filter((task) => isSuspectTask(task, wallMs)) : []
+
+/** Returns the tasks of the job that may crash their endpoints, of all occurrences and steps that have begun. */
+export const listSuspects = (job: JobEntry, wallMs: number): TaskEntry[] =>
+  job.listBegunOccurrences().flatMap(({ steps }) => steps.flatMap((entry) => listSuspectTasks(entry, wallMs)))
+
 const listIndexes = (job: JobEntry, occurrence: number, step: number): number[] => {
   const { tasks } = job.getOccurrence(occurrence).steps[step]!
   return tasks.flatMap(({ isDone, active }, index) => (isDone || active ? [] : [index]))
 }
 
-/** Returns the work of a job that can start now; a gang only when no member of an earlier run is active. */
+/**
+ * Returns the work of a job that can start now; a gang only when no member of an earlier run is active. While
+ * single tasks are suspect, the other tasks of their step wait: if the job is given up, they would be lost.
+ */
 export const listReadyWork = (job: JobEntry, wallMs: number): ReadyWork[] => {
   const ready: ReadyWork[] = []
   for (let occurrence = 0; occurrence < job.occurrenceCount; occurrence++) {
@@ -37,8 +56,11 @@
       if (entry.doneTasks + entry.activeTasks >= spec.count && !(spec.gang && entry.activeTasks > 0)) return
       if (spec.gang && entry.activeTasks > 0) return
       if (!job.areDependenciesDone(occurrence, step)) return
-      const indexes = listIndexes(job, occurrence, step)
-      if (indexes.length > 0) ready.push({ job, occurrence, step, spec, indexes, run: entry.lastRun + 1 })
+      const suspects = new Set(listSuspectTasks(entry, wallMs))
+      const isSuspect = suspects.size > 0
+      const waiting = listIndexes(job, occurrence, step)
+      const indexes = isSuspect && !spec.gang ? waiting.filter((index) => suspects.has(entry.tasks[index]!)) : waiting
+      if (indexes.length > 0) ready.push({ job, occurrence, step, spec, indexes, run: entry.lastRun + 1, isSuspect })
     })
   }
   return ready
--- a/packages/dispatch/tests/crashing-tasks.test.ts
+++ b/packages/dispatch/tests/crashing-tasks.test.ts
@@ -9,8 +9,8 @@
 const single = (count: number, accelerators: number, part: Partial<StepSpec> = {}): StepSpec =>
   createStep({ count, resources: { cpuMilli: 1_000, memMb: 1, accelerators }, ...part })
 
-/** Starts enough after the third crash to break the users' budget would be three; the scheduler gives up well before. */
-const MAX_STARTS = 3
+/** Endpoints that one task may take down while nothing else fails. */
+const MAX_CRASHES = 3
 
 t.test('a task that crashes every endpoint that starts it is given up', async (t) => {
   // It was started again without a bound, and took down one endpoint after another.
@@ -19,7 +19,7 @@
   cluster.submit('a1', [single(1, 1)])
   await cluster.run(30_000)
   t.equal(cluster.statusOf('a1'), 'failed')
-  t.ok(cluster.fleet.crashes.length <= MAX_STARTS, `${cluster.fleet.crashes.length} endpoints crashed`)
+  t.ok(cluster.fleet.crashes.length <= MAX_CRASHES, `${cluster.fleet.crashes.length} endpoints crashed`)
   t.same(cluster.fleet.violations, [])
 })
 
@@ -42,12 +42,13 @@
 })
 
 t.test('a member that crashes its endpoint ends its gang, and with it the job', async (t) => {
-  const cluster = new TestCluster(3, { crashingTasks: new Set([toTask('a1', 1)]) })
+  // The fake endpoints know no gangs, so that the other members must run longer than the leader needs to stop them.
+  const cluster = new TestCluster(3, { crashingTasks: new Set([toTask('a1', 1)]), runMs: 20_000 })
   cluster.elect()
   cluster.submit('a1', [single(4, 4, { gang: true })])
   await cluster.run(30_000)
   t.equal(cluster.statusOf('a1'), 'failed')
-  t.ok(cluster.fleet.crashes.length <= MAX_STARTS, `${cluster.fleet.crashes.length} endpoints crashed`)
+  t.ok(cluster.fleet.crashes.length <= MAX_CRASHES, `${cluster.fleet.crashes.length} endpoints crashed`)
 })
 
 t.test('tasks that ran beside a crashing task complete and are hit by few crashes', async (t) => {
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -11,5 +11,8 @@
 /** Largest number of registered endpoints; further ones are ignored. */
 export const MAX_ENDPOINTS = 4_096
 
+/** An endpoint that crashed is back within this time; a later incarnation says nothing about the runs that were lost. */
+export const MAX_RETURN_MS = 30_000
+
 /** Number of ended incarnations that are remembered; announcements are delayed by seconds, so that old ones can be forgotten. */
 export const MAX_ENDED_INCARNATIONS = 4_096
--- a/packages/jobs/src/endpoint-store.ts
+++ b/packages/jobs/src/endpoint-store.ts
@@ -38,6 +38,11 @@
     return this.#listConflicting(record).every((conflicting) => conflicting.bornMs < record.bornMs)
   }
 
+  /** Returns the incarnations that the announced one would replace. */
+  listReplacedBy (record: EndpointRecord): readonly EndpointRecord[] {
+    return this.#byIncarnation.has(record.life) ? [] : this.#listConflicting(record)
+  }
+
   /** Returns the records of incarnations that a new one replaces, or null when the announcement changes nothing. */
   put (record: EndpointRecord): EndpointRecord[] | null {
     if (!this.wouldChange(record)) return null
--- a/packages/jobs/src/job-entry.ts
+++ b/packages/jobs/src/job-entry.ts
@@ -1,3 +1,5 @@
+import type { TaskId } from '@ibisstair/common'
+import { getProbationMs, judge, MAX_REMEMBERED_CRASHES, type TaskCrash, type Verdict } from '@ibisstair/crashes'
 import type { ActiveRun, EndpointIncarnation, JobSpec, JobState, JobStatus, RunEnd, StepSpec } from './types.ts'
 
 /** Progress of one task of one occurrence. */
@@ -8,6 +10,8 @@
   lastRun: number
   checkpoint: string
   active: ActiveRun | null
+  /** Crashes of endpoints under the task since its last run that lasted, oldest first. */
+  crashes: readonly TaskCrash[]
 }
 
 /** Progress of one step of one occurrence. Attempts and checkpoints of a gang belong to the step. */
@@ -19,6 +23,8 @@
   failedRuns: number[]
   lastRun: number
   checkpoint: string
+  /** Whether an endpoint has crashed under a task of the step. */
+  hasCrashes: boolean
 }
 
 export interface OccurrenceEntry {
@@ -31,10 +37,18 @@
   readonly state: JobState
   readonly endedAtMs: number
   readonly hasBegun: boolean
+  /** Absent in snapshots of builds that did not count crashes. */
+  readonly crashedTask?: TaskId | null
   readonly occurrences: ReadonlyArray<readonly [number, OccurrenceEntry]>
 }
 
-const createTask = (): TaskEntry => ({ isDone: false, failedRuns: [], lastRun: 0, checkpoint: '', active: null })
+const NO_CRASHES: readonly TaskCrash[] = []
+
+/** Whether a run has lasted well past the age at which endpoints crashed under its task. */
+export const hasPassedProbation = ({ crashes }: TaskEntry, { startedAtMs }: ActiveRun, atMs: number): boolean =>
+  crashes.length === 0 || atMs - startedAtMs >= getProbationMs(crashes)
+
+const createTask = (): TaskEntry => ({ isDone: false, failedRuns: [], lastRun: 0, checkpoint: '', active: null, crashes: NO_CRASHES })
 
 const createStep = ({ count }: StepSpec): StepEntry => ({
   tasks: Array.from({ length: count }, createTask),
@@ -42,9 +56,16 @@
   activeTasks: 0,
   failedRuns: [],
   lastRun: 0,
-  checkpoint: ''
+  checkpoint: '',
+  hasCrashes: false
 })
 
+/** Fills in what snapshots of builds that did not count crashes lack. */
+const addMissingCrashFields = (step: StepEntry): void => {
+  step.hasCrashes ??= false
+  for (const task of step.tasks) task.crashes ??= NO_CRASHES
+}
+
 /** An accepted job and its progress. It changes only through commands of the log. */
 export class JobEntry {
   readonly spec: JobSpec
@@ -53,6 +74,7 @@
   #state: JobState = 'active'
   #endedAtMs = 0
   #hasBegun = false
+  #crashedTask: TaskId | null = null
   #doneTasks = 0
   #activeRuns = 0
 
@@ -66,9 +88,11 @@
     job.#state = snapshot.state
     job.#endedAtMs = snapshot.endedAtMs
     job.#hasBegun = snapshot.hasBegun
+    job.#crashedTask = snapshot.crashedTask ?? null
     for (const [occurrence, entry] of snapshot.occurrences) {
       job.#occurrences.set(occurrence, entry)
       for (const step of entry.steps) {
+        addMissingCrashFields(step)
         job.#doneTasks += step.doneTasks
         job.#activeRuns += step.activeTasks
       }
@@ -77,7 +101,7 @@
   }
 
   toSnapshot (): JobSnapshot {
-    return { spec: this.spec, acceptedAtMs: this.acceptedAtMs, state: this.#state, endedAtMs: this.#endedAtMs, hasBegun: this.#hasBegun, occurrences: [...this.#occurrences] }
+    return { spec: this.spec, acceptedAtMs: this.acceptedAtMs, state: this.#state, endedAtMs: this.#endedAtMs, hasBegun: this.#hasBegun, crashedTask: this.#crashedTask, occurrences: [...this.#occurrences] }
   }
 
   get state (): JobState {
@@ -96,6 +120,11 @@
     return this.#hasBegun
   }
 
+  /** The task for which the job was given up because endpoints crashed under it; null otherwise. */
+  get crashedTask (): TaskId | null {
+    return this.#crashedTask
+  }
+
   get activeRuns (): number {
     return this.#activeRuns
   }
@@ -123,6 +152,11 @@
     return entry
   }
 
+  /** The occurrences of which anything has been looked up or started. */
+  listBegunOccurrences (): readonly OccurrenceEntry[] {
+    return [...this.#occurrences.values()]
+  }
+
   findTask (occurrence: number, step: number, index: number): TaskEntry | undefined {
     if (occurrence >= this.occurrenceCount || step >= this.spec.steps.length) return undefined
     return this.getOccurrence(occurrence).steps[step]?.tasks[index]
@@ -153,6 +187,25 @@
     this.#hasBegun = true
   }
 
+  get hasCrashes (): boolean {
+    return [...this.#occurrences.values()].some(({ steps }) => steps.some((step) => step.hasCrashes))
+  }
+
+  /** Records that the endpoint of a run has crashed, and returns what is to be thought of the task. */
+  recordCrash (occurrence: number, step: number, index: number, crash: TaskCrash): Verdict {
+    const stepEntry = this.getOccurrence(occurrence).steps[step]!
+    const task = stepEntry.tasks[index]!
+    task.crashes = [...task.crashes, crash].slice(-MAX_REMEMBERED_CRASHES)
+    stepEntry.hasCrashes = true
+    return judge(task.crashes)
+  }
+
+  /** Fails the job because endpoints crash under the task. */
+  giveUp (task: TaskId, atMs: number): void {
+    this.#crashedTask = task
+    this.#end('failed', atMs)
+  }
+
   cancel (atMs: number): void {
     if (this.isActive) this.#end('cancelled', atMs)
   }
@@ -165,6 +218,7 @@
     const ended = task.active?.run === end.run && task.active.endpoint === endpoint ? task.active : null
     if (ended) {
       task.active = null
+      if (end.outcome !== 'lost' && hasPassedProbation(task, ended, atMs)) task.crashes = NO_CRASHES
       stepEntry.activeTasks -= 1
       this.#activeRuns -= 1
     }
--- a/packages/jobs/src/job-store.ts
+++ b/packages/jobs/src/job-store.ts
@@ -1,9 +1,16 @@
 import type { JobId, TaskId } from '@ibisstair/common'
 import { MAX_JOBS, STATUS_RETENTION_MS } from './constants.ts'
 import { JobEntry, type JobSnapshot } from './job-entry.ts'
+import { blameRuns, toRanMs, type IncarnationOutcome } from './lost-runs.ts'
 import { addResources, NO_RESOURCES, subtractResources } from './resources.ts'
-import { parseTaskId, toTaskId } from './task-id.ts'
-import type { ActiveRun, EndpointIncarnation, JobSpec, Resources, RunEnd, StartGroup } from './types.ts'
+import { SilentLosses, type SilentLoss } from './silent-losses.ts'
+import { mustParseTaskId, parseTaskId, toTaskId } from './task-id.ts'
+import type { ActiveRun, EndedIncarnation, EndpointIncarnation, EndpointRecord, GivenUpJob, JobSpec, LostRun, Resources, RunEnd, Silence, StartGroup } from './types.ts'
+
+const toLostRun = ({ task, run, ranMs }: Omit<LostRun, 'blame'>): Omit<LostRun, 'blame'> => ({ task, run, ranMs })
+
+/** Whether the endpoint has not answered since the loss, so that it may have crashed under that run. */
+const isOfSilence = ({ atMs }: SilentLoss, silence: Silence | null): boolean => (silence?.sinceMs ?? -Infinity) <= atMs
 
 /** All accepted jobs and the runs that occupy endpoints. */
 export class JobStore {
@@ -12,6 +19,8 @@
   readonly #runs = new Map<EndpointIncarnation, Map<TaskId, ActiveRun>>()
   readonly #usage = new Map<EndpointIncarnation, Resources>()
   readonly #pendingByQueue = new Map<string, number>()
+  readonly silentLosses = new SilentLosses()
+  readonly #jobsWithCrashes = new Set<JobEntry>()
 
   get size (): number {
     return this.#jobs.size
@@ -26,6 +35,11 @@
     return this.#activeJobs.values()
   }
 
+  /** Active jobs with a task under which an endpoint has crashed. */
+  listWithCrashes (): IterableIterator<JobEntry> {
+    return this.#jobsWithCrashes.values()
+  }
+
   listRuns (endpoint: EndpointIncarnation): ReadonlyMap<TaskId, ActiveRun> {
     return this.#runs.get(endpoint) ?? new Map()
   }
@@ -75,7 +89,10 @@
     })
   }
 
-  end (endpoint: EndpointIncarnation, ends: readonly RunEnd[], atMs: number): void {
+  /** Ends runs as their endpoint reports; with `silence` it does not answer, and the lost runs among them may have crashed it. */
+  end (endpoint: EndpointIncarnation, ends: readonly RunEnd[], atMs: number, silence: Silence | null = null): void {
+    if (ends.some(({ outcome }) => outcome !== 'lost')) this.silentLosses.forget(endpoint)
+    if (silence) this.#recordSilentLosses(endpoint, ends, atMs, silence)
     for (const end of ends) {
       const ref = parseTaskId(end.task)
       const job = ref && this.#jobs.get(ref.job)
@@ -87,11 +104,16 @@
     }
   }
 
-  /** Ends all runs of a removed or replaced endpoint as lost, and returns them. */
-  endRunsAsLost (endpoint: EndpointIncarnation, atMs: number): readonly ActiveRun[] {
-    const runs = [...this.listRuns(endpoint).values()]
-    this.end(endpoint, runs.map(({ task, run }) => ({ task, run, outcome: 'lost', checkpoint: '' })), atMs)
-    return runs
+  /** Ends all runs of an incarnation that is gone. If it has crashed, the tasks that may have caused it are judged. */
+  endIncarnation (endpoint: EndpointRecord, outcome: IncarnationOutcome): EndedIncarnation {
+    const { hasCrashed, silence, atMs } = outcome
+    const active = [...this.listRuns(endpoint.life).values()]
+    const losses = this.silentLosses.take(endpoint.life, atMs).filter((loss) => isOfSilence(loss, silence))
+    const runs = [...losses, ...active.map((run) => ({ task: run.task, run: run.run, ranMs: toRanMs(run, silence) }))]
+    this.end(endpoint.life, active.map(({ task, run }) => ({ task, run, outcome: 'lost', checkpoint: '' })), atMs)
+    if (!hasCrashed) return { endpoint, hasCrashed, lostRuns: runs.map((run) => ({ ...toLostRun(run), blame: null })), givenUp: [] }
+    const lostRuns = blameRuns(runs.map(toLostRun), outcome, (other) => this.#listJobsOn(other))
+    return { endpoint, hasCrashed, lostRuns, givenUp: lostRuns.flatMap((run) => this.#recordCrash(endpoint.address, run, atMs) ?? []) }
   }
 
   toSnapshot (): readonly JobSnapshot[] {
@@ -101,10 +123,12 @@
   restore (snapshots: readonly JobSnapshot[]): void {
     for (const map of [this.#jobs, this.#runs, this.#usage, this.#pendingByQueue]) map.clear()
     this.#activeJobs.clear()
+    this.#jobsWithCrashes.clear()
     for (const snapshot of snapshots) {
       const job = JobEntry.restore(snapshot)
       this.#jobs.set(job.spec.id, job)
       if (job.isActive) this.#activeJobs.add(job)
+      if (job.isActive && job.hasCrashes) this.#jobsWithCrashes.add(job)
       if (job.status === 'queued') this.#addPending(job.spec.queue, 1)
       for (const [, { steps }] of snapshot.occurrences) {
         steps.forEach(({ tasks }, step) => {
@@ -114,6 +138,32 @@
     }
   }
 
+  #recordSilentLosses (endpoint: EndpointIncarnation, ends: readonly RunEnd[], atMs: number, silence: Silence): void {
+    const runs = this.listRuns(endpoint)
+    const losses = ends.flatMap(({ task, run, outcome }) => {
+      const active = runs.get(task)
+      return outcome === 'lost' && active?.run === run ? [{ task, run, ranMs: toRanMs(active, silence), atMs }] : []
+    })
+    this.silentLosses.add(endpoint, losses, atMs)
+  }
+
+  /** Returns the job if it is given up because of this crash. */
+  #recordCrash (address: string, { task, run, ranMs, blame }: LostRun, atMs: number): GivenUpJob | null {
+    const { job: id, occurrence, step, index } = mustParseTaskId(task)
+    const job = this.#jobs.get(id)
+    if (!job?.isRunWanted(occurrence, step, index) || blame === null) return null
+    const verdict = job.recordCrash(occurrence, step, index, { address, run, ranMs, blame, atMs })
+    this.#jobsWithCrashes.add(job)
+    if (verdict !== 'guilty') return null
+    this.#update(job, () => job.giveUp(task, atMs))
+    return { job: id, task, crashes: job.findTask(occurrence, step, index)!.crashes }
+  }
+
+  #listJobsOn (endpoint: EndpointIncarnation): ReadonlySet<string> {
+    const tasks = [...this.listRuns(endpoint).keys(), ...this.silentLosses.list(endpoint).map(({ task }) => task)]
+    return new Set(tasks.map((task) => mustParseTaskId(task).job))
+  }
+
   #canStart (job: JobEntry, { occurrence, step, run, members }: StartGroup): boolean {
     if (!job.isActive || !job.areDependenciesDone(occurrence, step)) return false
     return members.every(({ index }) => {
@@ -151,7 +201,9 @@
     const wasPending = job.status === 'queued'
     change()
     if (wasPending && job.status !== 'queued') this.#addPending(job.spec.queue, -1)
-    if (!job.isActive) this.#activeJobs.delete(job)
+    if (job.isActive) return
+    this.#activeJobs.delete(job)
+    this.#jobsWithCrashes.delete(job)
   }
 
   #addPending (queue: string, by: number): void {
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -4,7 +4,8 @@
 import { EndpointStore } from './endpoint-store.ts'
 import type { JobSnapshot } from './job-entry.ts'
 import { JobStore } from './job-store.ts'
-import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, ServiceConfig, StateCommand, StateResult } from './types.ts'
+import type { SilentLosses } from './silent-losses.ts'
+import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, ServiceConfig, Silence, StateCommand, StateResult } from './types.ts'
 
 interface StateSnapshot {
   readonly config: ServiceConfig | null
@@ -12,6 +13,8 @@
   /** Absent in snapshots of builds that did not remember ended incarnations. */
   readonly endedIncarnations?: readonly EndpointIncarnation[]
   readonly jobs: readonly JobSnapshot[]
+  /** Absent in snapshots of builds that did not count crashes. */
+  readonly silentLosses?: ReturnType<SilentLosses['toSnapshot']>
 }
 
 export type StateListener = (command: StateCommand, result: StateResult) => void
@@ -36,14 +39,15 @@
   }
 
   toSnapshot (): StateSnapshot {
-    return { config: this.config.config, endpoints: [...this.endpoints.list()], endedIncarnations: [...this.endpoints.listEnded()], jobs: this.jobs.toSnapshot() }
+    return { config: this.config.config, endpoints: [...this.endpoints.list()], endedIncarnations: [...this.endpoints.listEnded()], jobs: this.jobs.toSnapshot(), silentLosses: this.jobs.silentLosses.toSnapshot() }
   }
 
   restore (snapshot: unknown): void {
-    const { config, endpoints, endedIncarnations = [], jobs } = snapshot as StateSnapshot
+    const { config, endpoints, endedIncarnations = [], jobs, silentLosses = [] } = snapshot as StateSnapshot
     this.config.restore(config)
     this.endpoints.restore(endpoints, endedIncarnations)
     this.jobs.restore(jobs)
+    this.jobs.silentLosses.restore(silentLosses)
   }
 
   #apply (command: StateCommand): StateResult {
@@ -64,25 +68,33 @@
         return { type: 'started', groups: this.jobs.start(groups, command.atMs) }
       }
       case 'end': {
-        this.jobs.end(command.endpoint, command.ends, command.atMs)
+        this.jobs.end(command.endpoint, command.ends, command.atMs, command.silence)
         return { type: 'ended' }
       }
       case 'register-endpoint': {
         const replaced = this.endpoints.put(command.endpoint)
-        return { type: 'registered', isChanged: replaced !== null, replaced: (replaced ?? []).map((endpoint) => this.#endRuns(endpoint, command.atMs)) }
+        return { type: 'registered', isChanged: replaced !== null, replaced: (replaced ?? []).map((endpoint) => this.#endIncarnation(endpoint, 'replaced', findSilence(command.silences, endpoint), command.atMs)) }
       }
       case 'remove-endpoint': {
         const endpoint = this.endpoints.get(command.life)
         if (command.hasEnded) this.endpoints.end(command.life)
         else this.endpoints.remove(command.life)
-        return { type: 'removed', ended: endpoint ? this.#endRuns(endpoint, command.atMs) : null }
+        return { type: 'removed', ended: endpoint ? this.#endIncarnation(endpoint, toEnd(command), command.silence ?? null, command.atMs) : null }
       }
       case 'barrier': return { type: 'passed' }
       default: return assertNever(command)
     }
   }
 
-  #endRuns (endpoint: EndpointRecord, atMs: number): EndedIncarnation {
-    return { endpoint, lostRuns: this.jobs.endRunsAsLost(endpoint.life, atMs) }
+  /** An incarnation that was replaced has crashed, unless it had announced that it would leave or is only silent (`end` null). */
+  #endIncarnation (endpoint: EndpointRecord, end: IncarnationEnd | null, silence: Silence | null, atMs: number): EndedIncarnation {
+    return this.jobs.endIncarnation(endpoint, { hasCrashed: end === 'replaced' && !endpoint.draining, silence, endpoints: this.endpoints.size, atMs })
   }
 }
+
+const findSilence = (silences: readonly Silence[] | undefined, { life }: EndpointRecord): Silence | null =>
+  silences?.find((silence) => silence.life === life) ?? null
+
+/** Earlier builds did not tell how an incarnation had ended; most of those were replaced. */
+const toEnd = ({ hasEnded, cause }: Extract<StateCommand, { type: 'remove-endpoint' }>): IncarnationEnd | null =>
+  hasEnded ? cause ?? 'replaced' : null
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -1,4 +1,5 @@
 import type { CustomerId, DomainId, EndpointId, JobId, RackId, TaskId } from '@ibisstair/common'
+import type { Blame, TaskCrash } from '@ibisstair/crashes'
 
 /** One incarnation of an endpoint, `ID@START`: its id and its start time in Unix milliseconds. */
 export type EndpointIncarnation = string & { readonly _brand: 'EndpointIncarnation' }
@@ -142,10 +143,40 @@
   readonly document: string
 }
 
-/** An incarnation that is gone for good, with the runs that it still held. They ended with it. */
+/** What a leader knows about an endpoint that does not answer. */
+export interface Silence {
+  readonly life: EndpointIncarnation
+  /** Unix milliseconds of the first call without an answer; null if the leader has had no contact during its term. */
+  readonly sinceMs: number | null
+  /** Other endpoints that fell silent at about the same time. */
+  readonly together: readonly EndpointIncarnation[]
+}
+
+/** Why an incarnation has ended: it has left in an orderly way, or another one has taken its id or address. */
+export type IncarnationEnd = 'left' | 'replaced'
+
+/** A run that went with its endpoint, and the part that it may have had in the crash; null if the endpoint did not crash. */
+export interface LostRun {
+  readonly task: TaskId
+  readonly run: number
+  /** Time from the start of the run until its endpoint fell silent; null when that is not known. */
+  readonly ranMs: number | null
+  readonly blame: Blame | null
+}
+
+/** A job that is not run any more, because endpoints crash under one of its tasks. */
+export interface GivenUpJob {
+  readonly job: JobId
+  readonly task: TaskId
+  readonly crashes: readonly TaskCrash[]
+}
+
+/** An incarnation that is gone for good, the runs that went with it, and the jobs that are given up for it. */
 export interface EndedIncarnation {
   readonly endpoint: EndpointRecord
-  readonly lostRuns: readonly ActiveRun[]
+  readonly hasCrashed: boolean
+  readonly lostRuns: readonly LostRun[]
+  readonly givenUp: readonly GivenUpJob[]
 }
 
 export type StateCommand =
@@ -153,10 +184,14 @@
   | { readonly type: 'accept', readonly spec: JobSpec, readonly atMs: number }
   | { readonly type: 'cancel', readonly job: JobId, readonly atMs: number }
   | { readonly type: 'start', readonly groups: readonly StartGroup[], readonly atMs: number }
-  | { readonly type: 'end', readonly endpoint: EndpointIncarnation, readonly ends: readonly RunEnd[], readonly atMs: number }
-  | { readonly type: 'register-endpoint', readonly endpoint: EndpointRecord, readonly atMs: number }
-  /** `hasEnded` is set when the incarnation has left or was replaced; one that was only silent may announce itself again. */
-  | { readonly type: 'remove-endpoint', readonly life: EndpointIncarnation, readonly atMs: number, readonly hasEnded?: boolean }
+  | { readonly type: 'end', readonly endpoint: EndpointIncarnation, readonly ends: readonly RunEnd[], readonly atMs: number, readonly silence?: Silence }
+  /** `silences` are of the incarnations that the announced one replaces. */
+  | { readonly type: 'register-endpoint', readonly endpoint: EndpointRecord, readonly atMs: number, readonly silences?: readonly Silence[] }
+  /**
+   * `hasEnded` is set when the incarnation has left or was replaced; one that was only silent may announce itself again.
+   * Commands of earlier builds do not tell which of the two.
+   */
+  | { readonly type: 'remove-endpoint', readonly life: EndpointIncarnation, readonly atMs: number, readonly hasEnded?: boolean, readonly cause?: IncarnationEnd, readonly silence?: Silence }
   /** Changes nothing; a read that waits for it sees all earlier commands. */
   | { readonly type: 'barrier' }
 
