--- a/packages/cluster/src/core-node.ts
+++ b/packages/cluster/src/core-node.ts
@@ -165,7 +165,7 @@
     if (this.#isStopping || !this.#replica) return
     const status = this.#replica.getStatus()
     if (this.#leadership && (status.role !== 'leader' || status.term !== this.#leadership.term)) this.#stopLeading()
-    if (!this.#leadership && status.role === 'leader' && status.hasQuorum && this.#hasAppliedEarlierTerms(status)) this.#startLeading(status.term)
+    if (!this.#leadership && status.role === 'leader' && status.hasQuorum && this.#hasAppliedEarlierTerms(status)) this.#startLeading(status)
   }
 
   #hasAppliedEarlierTerms ({ term, lastIndex, commitIndex }: ReplicaStatus): boolean {
@@ -173,7 +173,7 @@
     return commitIndex >= this.#election.lastIndex
   }
 
-  #startLeading (term: number): void {
+  #startLeading ({ term, sinceOtherLeaderMs }: ReplicaStatus): void {
     const { timers, logger, metrics, endpoints, leaseMaxMs } = this.#options
     const replica = this.#replica!
     const propose = (command: StateCommand, timeoutMs: number): Promise<StateResult> => replica.propose(command, timeoutMs)
@@ -182,7 +182,18 @@
       return status.role === 'leader' && status.term === term && status.hasQuorum
     }
     logger.info('begins to lead', { term, jobs: this.#state.jobs.size, endpoints: this.#state.endpoints.size, configVersion: this.#state.config.version })
-    const dispatcher = new Dispatcher({ state: this.#state, propose, isLeading, port: endpoints, timers, logger, metrics, fencingToken: term, leaseMaxMs })
+    const dispatcher = new Dispatcher({
+      state: this.#state,
+      propose,
+      isLeading,
+      port: endpoints,
+      timers,
+      logger,
+      metrics,
+      fencingToken: term,
+      leaseMaxMs,
+      announcedUntilMs: timers.now() - sinceOtherLeaderMs
+    })
     this.#leadership = { term, dispatcher, service: new LeaderService({ state: this.#state, dispatcher, propose, timers, logger, metrics }) }
     dispatcher.start()
   }
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -126,7 +126,8 @@
       commitIndex: this.#commitIndex,
       lastIndex: this.#log.lastIndex,
       members: this.#members,
-      hasQuorum: this.#role === 'leader' && this.#hasQuorum(this.#clock.toElapsed(nowMs), ELECTION_TIMEOUT_MIN_MS)
+      hasQuorum: this.#role === 'leader' && this.#hasQuorum(this.#clock.toElapsed(nowMs), ELECTION_TIMEOUT_MIN_MS),
+      sinceOtherLeaderMs: this.#clock.toElapsed(nowMs) - this.#leaderContactAt
     }
   }
 
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -54,6 +54,8 @@
   readonly members: readonly Member[]
   /** Whether this replica is the leader and heard from a majority within the minimum election timeout. */
   readonly hasQuorum: boolean
+  /** Time since this replica last heard from another one that led; Infinity if it has not since its start. */
+  readonly sinceOtherLeaderMs: number
 }
 
 /** A replicated state machine. `apply` must be deterministic; its result is returned to the proposer. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -3,7 +3,8 @@
 import { mustParseTaskId, toTaskId } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
-import { ANNOUNCEMENT_EXPIRY_MS, COMMIT_TIMEOUT_MS, ENDPOINT_EXPIRY_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
+import { Announcements } from './announcements.ts'
+import { COMMIT_TIMEOUT_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
 import { EndpointHealth } from './endpoint-health.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
 import { Planner } from './planner.ts'
@@ -21,6 +22,8 @@
   /** Fencing token of this leader's term. */
   readonly fencingToken: number
   readonly leaseMaxMs: number
+  /** Time by `timers.now()` until which earlier leaders took announcements; -Infinity if it is not known. */
+  readonly announcedUntilMs: number
 }
 
 /** Members of a completed gang report their end at about the same time; the dispatcher stops them only after this time. */
@@ -35,7 +38,7 @@
   readonly #planner = new Planner()
   readonly #health: EndpointHealth
   readonly #sessions = new Map<EndpointIncarnation, EndpointSession>()
-  readonly #lastSeenAtMs = new Map<EndpointIncarnation, number>()
+  readonly #announcements: Announcements
   readonly #unwantedSinceMs = new Map<TaskId, number>()
   readonly #unsubscribes: Unsubscribe[] = []
   /** Sessions with runs of earlier leaders whose first report is awaited. */
@@ -49,12 +52,12 @@
   constructor (options: DispatcherOptions) {
     this.#options = options
     this.#health = new EndpointHealth(options.timers)
+    this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
   }
 
   start (): void {
     const { state, timers } = this.#options
     const now = timers.now()
-    for (const { life: incarnation } of state.endpoints.list()) this.#lastSeenAtMs.set(incarnation, now)
     for (const incarnation of [...state.jobs.listOccupiedEndpoints()]) {
       const session = this.#openSession(incarnation)
       for (const run of state.jobs.listRuns(incarnation).values()) session?.adopt(run)
@@ -74,15 +77,18 @@
 
   /** Handles the announcement of an endpoint. Resolves once a changed record is committed. */
   async announce (record: EndpointRecord, clockMs: number): Promise<void> {
-    const { state, timers } = this.#options
+    const { state, timers, metrics } = this.#options
     const now = timers.now()
+    const known = state.endpoints.get(record.life)
+    if (this.#announcements.isOutdated(record, known)) return metrics.increment('announcements.outdated')
+    if (known) this.#announcements.recordArrival(record)
     if (state.endpoints.wouldChange(record)) {
       const silences = state.endpoints.listReplacedBy(record).flatMap(({ life }) => this.#describeSilence(life) ?? [])
       await this.#propose({ type: 'register-endpoint', endpoint: record, atMs: timers.wallClock(), silences })
-      this.#options.logger.info('endpoint announced', { endpoint: record.id, life: record.life, domain: record.domain, rack: record.rack, draining: record.draining })
+      this.#options.logger.info('endpoint announced', { endpoint: record.id, life: record.life, domain: record.domain, rack: record.rack, draining: record.draining, capacity: record.capacity, ...(known && { capacityBefore: known.capacity }) })
     }
     if (!state.endpoints.get(record.life)) return
-    this.#lastSeenAtMs.set(record.life, now)
+    this.#announcements.recordApplied(record, now)
     this.#sessions.get(record.life)?.handleAnnouncement(clockMs, now)
   }
 
@@ -202,7 +208,7 @@
       }
       session.close()
       this.#sessions.delete(incarnation)
-      this.#lastSeenAtMs.delete(incarnation)
+      this.#announcements.remove(incarnation)
       this.#health.remove(incarnation)
     }
   }
@@ -237,8 +243,7 @@
     const { state, timers } = this.#options
     const now = timers.now()
     for (const record of [...state.endpoints.list()]) {
-      const seenAtMs = this.#lastSeenAtMs.get(record.life) ?? 0
-      if (now - seenAtMs > ENDPOINT_EXPIRY_MS && state.jobs.listRuns(record.life).size === 0) this.#remove(record, null)
+      if (this.#announcements.isExpired(record.life, now) && state.jobs.listRuns(record.life).size === 0) this.#remove(record, null)
     }
   }
 
@@ -305,7 +310,7 @@
   #isUsable (endpoint: EndpointRecord): boolean {
     if (endpoint.draining || this.#health.isSuspect(endpoint.life)) return false
     if ((this.#sessions.get(endpoint.life)?.failures ?? 0) > 0) return false
-    return this.#options.timers.now() - (this.#lastSeenAtMs.get(endpoint.life) ?? -Infinity) < ANNOUNCEMENT_EXPIRY_MS
+    return this.#announcements.isCurrent(endpoint.life, this.#options.timers.now())
   }
 
   /** Stops runs whose job or task has ended, and the remaining members of a gang that lost a member. */
--- a/packages/jobs/src/endpoint-store.ts
+++ b/packages/jobs/src/endpoint-store.ts
@@ -4,7 +4,9 @@
 
 export const toEndpointIncarnation = (id: EndpointId, bornMs: number): EndpointIncarnation => `${id}@${bornMs}` as EndpointIncarnation
 
-const isSameRecord = (a: EndpointRecord, b: EndpointRecord): boolean => JSON.stringify(a) === JSON.stringify(b)
+/** Whether the announcements differ in their number at most. */
+const isSameRecord = (a: EndpointRecord, b: EndpointRecord): boolean =>
+  JSON.stringify({ ...a, sequence: 0 }) === JSON.stringify({ ...b, sequence: 0 })
 
 /** The registered endpoints: at most one incarnation for each id and for each address. */
 export class EndpointStore {
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -109,6 +109,8 @@
   readonly capacity: Resources
   /** The endpoint has announced that it will leave and gets no new work. */
   readonly draining: boolean
+  /** Number of the announcement, which rises within an incarnation; announcements may arrive late. */
+  readonly sequence: number
 }
 
 export interface QueueConfig {
--- a/packages/jobs/tests/support/samples.ts
+++ b/packages/jobs/tests/support/samples.ts
@@ -44,6 +44,7 @@
     labels: ['a', 'r1'],
     capacity: { cpuMilli: 32_000, memMb: 131_072, accelerators: 8 },
     draining: false,
+    sequence: 0,
     ...overrides
   }
 }
