--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -73,7 +73,7 @@
   readonly #retryAtMs = new Map<string, number>()
   /** Since when suspect work has waited for an endpoint. */
   readonly #suspectSinceMs = new Map<string, number>()
-  /** Whether a shape fits only across racks, for the set of endpoints that `#fleetKey` names. */
+  /** Whether a shape fits only across racks, for the endpoints and capacities that `#fleetKey` names. */
   readonly #acceptFar = new Map<string, boolean>()
   #fleetKey = ''
 
@@ -118,9 +118,9 @@
     for (const entries of [this.#claims, this.#retryAtMs, this.#suspectSinceMs]) for (const key of entries.keys()) if (!known.has(key)) entries.delete(key)
   }
 
-  /** Clears the cache of shapes when the set of endpoints has changed or the cache is full. */
+  /** Clears the cache of shapes when the set of endpoints or a capacity has changed, or the cache is full. */
   #clearCacheOnFleetChange ({ candidates }: PlanningPass): void {
-    const key = candidates.map(({ endpoint }) => endpoint.life).join()
+    const key = candidates.map(({ endpoint: { life, capacity } }) => `${life}/${capacity.cpuMilli}/${capacity.memMb}/${capacity.accelerators}`).join()
     if (key === this.#fleetKey && this.#acceptFar.size < MAX_CACHED_SHAPES) return
     this.#fleetKey = key
     this.#acceptFar.clear()
--- a/packages/dispatch/tests/changing-capacity.test.ts
+++ b/packages/dispatch/tests/changing-capacity.test.ts
@@ -67,3 +67,16 @@
   await cluster.run(20)
   t.equal(new Set(cluster.endpoints.filter(({ life }) => cluster.state.jobs.listRuns(life).size > 0).map(({ rack }) => rack)).size, 1)
 })
+
+t.test('a gang that no rack holds any more since capacity has shrunk spans racks', async (t) => {
+  const cluster = new TestCluster(1, { runMs: 500 })
+  cluster.elect()
+  cluster.submit('a1', [createStep({ count: 4, gang: true, tightlyCoupled: true })])
+  await cluster.run(3_000)
+  t.equal(cluster.statusOf('a1'), 'completed')
+  for (const id of IDS) cluster.setCapacity(id, { accelerators: 1 })
+  await cluster.run(1_000)
+  cluster.submit('a2', [createStep({ count: 4, gang: true, tightlyCoupled: true })])
+  await cluster.run(5_000)
+  t.equal(cluster.statusOf('a2'), 'completed')
+})
