--- a/packages/cluster/src/leader-service.ts
+++ b/packages/cluster/src/leader-service.ts
@@ -1,5 +1,5 @@
 import { asId, assertNever, IbisError, type CustomerId, type EndpointId, type JobId } from '@ibisstair/common'
-import type { JobSpec, JobStatus, QueueConfig, SchedulingState, StateCommand, StateResult } from '@ibisstair/jobs'
+import { checkJob, type JobSpec, type JobStatus, type QueueConfig, type SchedulingState, type StateCommand, type StateResult } from '@ibisstair/jobs'
 import type { Dispatcher } from '@ibisstair/dispatch'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService } from '@ibisstair/timers'
@@ -48,9 +48,10 @@
     const { queue, customer, job } = this.#resolveJob(params)
     const existingJob = state.jobs.get(job)
     if (existingJob) return { status: existingJob.status }
+    checkJob(params.submission)
     const atMs = timers.wallClock()
     const result = await this.#propose({ type: 'accept', spec: toJobSpec(job, queue, customer, params.submission), atMs })
-    if (result.type === 'refused') throw new IbisError('queue-full', 'the limit on the number of stored jobs is reached', { retryAfterMs: RETRY_AFTER_MS })
+    if (result.type === 'refused') throw new IbisError('queue-full', `the limit on stored jobs is reached: ${result.reason}`, { retryAfterMs: RETRY_AFTER_MS })
     if (result.type !== 'accepted') throw new IbisError('internal', `unexpected result ${result.type}`)
     if (result.isNew) {
       metrics.increment('jobs.accepted')
--- a/packages/dispatch/src/ready-work.ts
+++ b/packages/dispatch/src/ready-work.ts
@@ -48,8 +48,7 @@
  */
 export const listReadyWork = (job: JobEntry, wallMs: number): ReadyWork[] => {
   const ready: ReadyWork[] = []
-  for (let occurrence = 0; occurrence < job.occurrenceCount; occurrence++) {
-    if (job.getDueAtMs(occurrence) > wallMs) break
+  for (const occurrence of job.listDueOccurrences(wallMs)) {
     const { steps } = job.getOccurrence(occurrence)
     steps.forEach((entry, step) => {
       const spec = job.spec.steps[step]!
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -8,6 +8,12 @@
 export const MAX_TASKS_PER_STEP = 4_096
 export const MAX_OCCURRENCES = 10_000
 
+/** Largest number of tasks of one job whose state is kept at a time. */
+export const MAX_OPEN_TASKS_PER_JOB = 8_192
+
+/** The same for all active jobs together, which bounds the memory of a replica; further jobs are refused. */
+export const MAX_OPEN_TASKS = 200_000
+
 /** Largest number of registered endpoints; further ones are ignored. */
 export const MAX_ENDPOINTS = 4_096
 
--- a/packages/jobs/src/job-entry.ts
+++ b/packages/jobs/src/job-entry.ts
@@ -1,5 +1,6 @@
-import type { TaskId } from '@ibisstair/common'
+import { invariant, type TaskId } from '@ibisstair/common'
 import { getProbationMs, judge, MAX_REMEMBERED_CRASHES, type TaskCrash, type Verdict } from '@ibisstair/crashes'
+import { countMaxOpenTasks, countTasksPerOccurrence, getMaxOpenOccurrences } from './job-size.ts'
 import type { ActiveRun, EndpointIncarnation, JobSpec, JobState, JobStatus, RunEnd, StepSpec } from './types.ts'
 
 /** Progress of one task of one occurrence. */
@@ -39,6 +40,8 @@
   readonly hasBegun: boolean
   /** Absent in snapshots of builds that did not count crashes. */
   readonly crashedTask?: TaskId | null
+  /** Occurrences that are done and no longer listed; absent in snapshots of builds that kept them. */
+  readonly closedOccurrences?: number
   readonly occurrences: ReadonlyArray<readonly [number, OccurrenceEntry]>
 }
 
@@ -60,6 +63,9 @@
   hasCrashes: false
 })
 
+const isClosable = ({ steps }: OccurrenceEntry): boolean =>
+  steps.every(({ tasks, doneTasks, activeTasks }) => doneTasks === tasks.length && activeTasks === 0)
+
 /** Fills in what snapshots of builds that did not count crashes lack. */
 const addMissingCrashFields = (step: StepEntry): void => {
   step.hasCrashes ??= false
@@ -71,6 +77,8 @@
   readonly spec: JobSpec
   readonly acceptedAtMs: number
   readonly #occurrences = new Map<number, OccurrenceEntry>()
+  /** All earlier occurrences are done, and their state is no longer kept. */
+  #closedOccurrences = 0
   #state: JobState = 'active'
   #endedAtMs = 0
   #hasBegun = false
@@ -89,6 +97,8 @@
     job.#endedAtMs = snapshot.endedAtMs
     job.#hasBegun = snapshot.hasBegun
     job.#crashedTask = snapshot.crashedTask ?? null
+    job.#closedOccurrences = snapshot.closedOccurrences ?? 0
+    job.#doneTasks = job.#closedOccurrences * countTasksPerOccurrence(job.spec)
     for (const [occurrence, entry] of snapshot.occurrences) {
       job.#occurrences.set(occurrence, entry)
       for (const step of entry.steps) {
@@ -101,7 +111,7 @@
   }
 
   toSnapshot (): JobSnapshot {
-    return { spec: this.spec, acceptedAtMs: this.acceptedAtMs, state: this.#state, endedAtMs: this.#endedAtMs, hasBegun: this.#hasBegun, crashedTask: this.#crashedTask, occurrences: [...this.#occurrences] }
+    return { spec: this.spec, acceptedAtMs: this.acceptedAtMs, state: this.#state, endedAtMs: this.#endedAtMs, hasBegun: this.#hasBegun, crashedTask: this.#crashedTask, closedOccurrences: this.#closedOccurrences, occurrences: [...this.#occurrences] }
   }
 
   get state (): JobState {
@@ -138,15 +148,30 @@
     return this.spec.recurrence?.occurrences ?? 1
   }
 
+  /** The largest number of tasks whose state the job keeps at a time. */
+  get maxOpenTasks (): number {
+    return countMaxOpenTasks(this.spec)
+  }
+
+  /** Returns the occurrences that are due and not closed, oldest first, at most as many as may be open at a time. */
+  listDueOccurrences (wallMs: number): number[] {
+    const due: number[] = []
+    const end = Math.min(this.occurrenceCount, this.#closedOccurrences + getMaxOpenOccurrences(this.spec))
+    for (let occurrence = this.#closedOccurrences; occurrence < end && this.getDueAtMs(occurrence) <= wallMs; occurrence++) due.push(occurrence)
+    return due
+  }
+
   /** Returns the Unix time in milliseconds before which an occurrence must not start. */
   getDueAtMs (occurrence: number): number {
     const { recurrence } = this.spec
     return recurrence ? recurrence.startAtMs + occurrence * recurrence.intervalMs : 0
   }
 
+  /** The occurrence must not be closed. */
   getOccurrence (occurrence: number): OccurrenceEntry {
     const known = this.#occurrences.get(occurrence)
     if (known) return known
+    invariant(occurrence >= this.#closedOccurrences, 'the state of a closed occurrence is not used', { job: this.spec.id, occurrence, closed: this.#closedOccurrences })
     const entry = { steps: this.spec.steps.map(createStep) }
     this.#occurrences.set(occurrence, entry)
     return entry
@@ -157,8 +182,10 @@
     return [...this.#occurrences.values()]
   }
 
+  /** Returns undefined for a task that the job does not have, or whose state is no longer kept. */
   findTask (occurrence: number, step: number, index: number): TaskEntry | undefined {
     if (occurrence >= this.occurrenceCount || step >= this.spec.steps.length) return undefined
+    if (!this.#occurrences.has(occurrence) && (!this.isActive || occurrence < this.#closedOccurrences)) return undefined
     return this.getOccurrence(occurrence).steps[step]?.tasks[index]
   }
 
@@ -222,10 +249,12 @@
       stepEntry.activeTasks -= 1
       this.#activeRuns -= 1
     }
-    if (!this.isActive || task.isDone) return ended
-    // A late result of a run that was already counted as ended is valid, too: the task has been done once.
-    if (end.outcome === 'done') this.#finishTask(stepEntry, step, task, atMs)
-    else this.#failTask(stepEntry, step, task, end, atMs)
+    if (this.isActive && !task.isDone) {
+      // A late result of a run that was already counted as ended is valid, too: the task has been done once.
+      if (end.outcome === 'done') this.#finishTask(stepEntry, step, task, atMs)
+      else this.#failTask(stepEntry, step, task, end, atMs)
+    }
+    this.#dropUnusedState()
     return ended
   }
 
@@ -256,5 +285,18 @@
   #end (state: JobState, atMs: number): void {
     this.#state = state
     this.#endedAtMs = atMs
+    this.#dropUnusedState()
+  }
+
+  /** Drops the state of a job that has ended, or of its first occurrences that are done, once no run is active there. */
+  #dropUnusedState (): void {
+    if (!this.isActive) {
+      if (this.#activeRuns === 0) this.#occurrences.clear()
+      return
+    }
+    for (let entry = this.#occurrences.get(this.#closedOccurrences); entry && isClosable(entry); entry = this.#occurrences.get(this.#closedOccurrences)) {
+      this.#occurrences.delete(this.#closedOccurrences)
+      this.#closedOccurrences += 1
+    }
   }
 }
--- a/packages/jobs/src/job-store.ts
+++ b/packages/jobs/src/job-store.ts
@@ -1,11 +1,12 @@
 import type { JobId, TaskId } from '@ibisstair/common'
-import { MAX_JOBS, STATUS_RETENTION_MS } from './constants.ts'
+import { MAX_JOBS, MAX_OPEN_TASKS, STATUS_RETENTION_MS } from './constants.ts'
 import { JobEntry, type JobSnapshot } from './job-entry.ts'
+import { countMaxOpenTasks } from './job-size.ts'
 import { blameRuns, toRanMs, type IncarnationOutcome } from './lost-runs.ts'
 import { addResources, NO_RESOURCES, subtractResources } from './resources.ts'
 import { SilentLosses, type SilentLoss } from './silent-losses.ts'
 import { mustParseTaskId, parseTaskId, toTaskId } from './task-id.ts'
-import type { ActiveRun, EndedIncarnation, EndpointIncarnation, EndpointRecord, GivenUpJob, JobSpec, LostRun, Resources, RunEnd, Silence, StartGroup } from './types.ts'
+import type { ActiveRun, EndedIncarnation, EndpointIncarnation, EndpointRecord, GivenUpJob, JobLimit, JobSpec, LostRun, Resources, RunEnd, Silence, StartGroup } from './types.ts'
 
 const toLostRun = ({ task, run, ranMs }: Omit<LostRun, 'blame'>): Omit<LostRun, 'blame'> => ({ task, run, ranMs })
 
@@ -21,6 +22,12 @@
   readonly #pendingByQueue = new Map<string, number>()
   readonly silentLosses = new SilentLosses()
   readonly #jobsWithCrashes = new Set<JobEntry>()
+  /** Tasks of active jobs whose state may be kept at a time. */
+  #openTasks = 0
+
+  get openTasks (): number {
+    return this.#openTasks
+  }
 
   get size (): number {
     return this.#jobs.size
@@ -59,15 +66,16 @@
     return this.#pendingByQueue.get(queue) ?? 0
   }
 
-  /** Returns null when the store already holds `MAX_JOBS` jobs. */
-  accept (spec: JobSpec, atMs: number): { readonly job: JobEntry, readonly isNew: boolean } | null {
+  /** Returns the limit that refuses the job if there is no room for it. */
+  accept (spec: JobSpec, atMs: number): { readonly job: JobEntry, readonly isNew: boolean } | JobLimit {
     const known = this.#jobs.get(spec.id)
     if (known) return { job: known, isNew: false }
     this.#removeExpiredJobs(atMs)
-    if (this.#jobs.size >= MAX_JOBS) return null
+    if (this.#jobs.size >= MAX_JOBS) return 'too-many-jobs'
+    if (this.#openTasks + countMaxOpenTasks(spec) > MAX_OPEN_TASKS) return 'too-many-tasks'
     const job = new JobEntry(spec, atMs)
     this.#jobs.set(spec.id, job)
-    this.#activeJobs.add(job)
+    this.#addActive(job)
     this.#addPending(spec.queue, 1)
     return { job, isNew: true }
   }
@@ -123,11 +131,12 @@
   restore (snapshots: readonly JobSnapshot[]): void {
     for (const map of [this.#jobs, this.#runs, this.#usage, this.#pendingByQueue]) map.clear()
     this.#activeJobs.clear()
+    this.#openTasks = 0
     this.#jobsWithCrashes.clear()
     for (const snapshot of snapshots) {
       const job = JobEntry.restore(snapshot)
       this.#jobs.set(job.spec.id, job)
-      if (job.isActive) this.#activeJobs.add(job)
+      if (job.isActive) this.#addActive(job)
       if (job.isActive && job.hasCrashes) this.#jobsWithCrashes.add(job)
       if (job.status === 'queued') this.#addPending(job.spec.queue, 1)
       for (const [, { steps }] of snapshot.occurrences) {
@@ -155,8 +164,9 @@
     const verdict = job.recordCrash(occurrence, step, index, { address, run, ranMs, blame, atMs })
     this.#jobsWithCrashes.add(job)
     if (verdict !== 'guilty') return null
+    const { crashes } = job.findTask(occurrence, step, index)!
     this.#update(job, () => job.giveUp(task, atMs))
-    return { job: id, task, crashes: job.findTask(occurrence, step, index)!.crashes }
+    return { job: id, task, crashes }
   }
 
   #listJobsOn (endpoint: EndpointIncarnation): ReadonlySet<string> {
@@ -165,7 +175,8 @@
   }
 
   #canStart (job: JobEntry, { occurrence, step, run, members }: StartGroup): boolean {
-    if (!job.isActive || !job.areDependenciesDone(occurrence, step)) return false
+    if (!job.isActive || !members.every(({ index }) => job.findTask(occurrence, step, index))) return false
+    if (!job.areDependenciesDone(occurrence, step)) return false
     return members.every(({ index }) => {
       const task = job.findTask(occurrence, step, index)
       return task !== undefined && !task.isDone && task.active === null && run > task.lastRun
@@ -202,10 +213,15 @@
     change()
     if (wasPending && job.status !== 'queued') this.#addPending(job.spec.queue, -1)
     if (job.isActive) return
-    this.#activeJobs.delete(job)
+    if (this.#activeJobs.delete(job)) this.#openTasks -= job.maxOpenTasks
     this.#jobsWithCrashes.delete(job)
   }
 
+  #addActive (job: JobEntry): void {
+    this.#activeJobs.add(job)
+    this.#openTasks += job.maxOpenTasks
+  }
+
   #addPending (queue: string, by: number): void {
     this.#pendingByQueue.set(queue, (this.#pendingByQueue.get(queue) ?? 0) + by)
   }
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -58,7 +58,7 @@
       }
       case 'accept': {
         const accepted = this.jobs.accept(command.spec, command.atMs)
-        if (!accepted) return { type: 'refused', reason: 'too-many-jobs' }
+        if (typeof accepted === 'string') return { type: 'refused', reason: accepted }
         return { type: 'accepted', isNew: accepted.isNew, status: accepted.job.status }
       }
       case 'cancel': return { type: 'cancelled', status: this.jobs.cancel(command.job, command.atMs)?.status ?? null }
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -197,10 +197,13 @@
   /** Changes nothing; a read that waits for it sees all earlier commands. */
   | { readonly type: 'barrier' }
 
+/** Limit on the stored jobs, or on their tasks, that refuses a job. */
+export type JobLimit = 'too-many-jobs' | 'too-many-tasks'
+
 export type StateResult =
   | { readonly type: 'configured', readonly version: number, readonly isChanged: boolean }
   | { readonly type: 'accepted', readonly isNew: boolean, readonly status: JobStatus }
-  | { readonly type: 'refused', readonly reason: 'too-many-jobs' }
+  | { readonly type: 'refused', readonly reason: JobLimit }
   | { readonly type: 'cancelled', readonly status: JobStatus | null }
   | { readonly type: 'started', readonly groups: readonly StartGroup[] }
   | { readonly type: 'ended' }
