--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -39,6 +39,12 @@
 /** Longest pause between two planning passes, which bounds the wait of urgent work. */
 export const MAX_PASS_DELAY_MS = 100
 
+/** Delay of the next planning pass after one that failed with an unexpected error. */
+export const FAILED_PASS_DELAY_MS = 1_000
+
+/** Runs that one endpoint reports without being asked for, and that are being stopped at a time; the next report lists the others again. */
+export const MAX_UNKNOWN_STOPS = 64
+
 /** Longest time for which a new leader waits for the first reports of endpoints before it preempts. */
 export const MAX_SURVEY_MS = 1_000
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -4,7 +4,7 @@
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { Announcements } from './announcements.ts'
-import { COMMIT_TIMEOUT_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
+import { COMMIT_TIMEOUT_MS, FAILED_PASS_DELAY_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
 import { EndpointHealth } from './endpoint-health.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
 import { Planner } from './planner.ts'
@@ -260,12 +260,26 @@
   #runTimedPass (): void {
     const { timers, metrics } = this.#options
     const beganAtMs = timers.now()
-    this.#runPass()
+    try {
+      this.#runPass()
+    } catch (err) {
+      return this.#handleFailedPass(err)
+    }
     const tookMs = timers.now() - beganAtMs
     metrics.timing('planner.pass', tookMs)
     this.#passDelayMs = Math.max(PASS_DELAY_MS, Math.min(MAX_PASS_DELAY_MS, tookMs * PASS_PAUSE_FACTOR))
   }
 
+  /**
+   * A pass depends on the replicated state: an error that ended this process would end each later leader, too.
+   * Runs in progress are still served meanwhile.
+   */
+  #handleFailedPass (err: unknown): void {
+    this.#options.metrics.increment('planner.failures')
+    this.#options.logger.error('planning pass failed; no work starts until one succeeds', { err, stack: err instanceof Error ? err.stack : null })
+    this.#passDelayMs = FAILED_PASS_DELAY_MS
+  }
+
   #runPass (): void {
     this.#stopUnwantedRuns()
     if (this.#isProposing) return
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -2,7 +2,7 @@
 import type { ActiveRun, EndpointRecord, RunEnd } from '@ibisstair/jobs'
 import type { TimerService } from '@ibisstair/timers'
 import {
-  MAX_CLOCK_DRIFT, COMMIT_POLL_INTERVAL_MS, DEPOSED_LEADER_GRACE_MS, LEASE_END_MARGIN_MS, LEASE_SAFETY_MARGIN_MS, ORDER_TIMEOUT_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS
+  MAX_CLOCK_DRIFT, COMMIT_POLL_INTERVAL_MS, DEPOSED_LEADER_GRACE_MS, LEASE_END_MARGIN_MS, LEASE_SAFETY_MARGIN_MS, MAX_UNKNOWN_STOPS, ORDER_TIMEOUT_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS
 } from './constants.ts'
 import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
 import { RunProgress } from './run-progress.ts'
@@ -53,6 +53,8 @@
 export class EndpointSession {
   readonly #options: SessionOptions
   readonly #runs = new Map<TaskId, TrackedRun>()
+  /** Unanswered stops of runs that are not active, as TASK#RUN. */
+  readonly #unknownStops = new Set<string>()
   readonly #openedAtMs: number
   #endpoint: EndpointRecord
   /** A reading of the endpoint's clock, and the leader's time when it arrived. */
@@ -349,10 +351,14 @@
     const tracked = this.#runs.get(task)
     if (tracked && tracked.run > run) return
     const { port, fencingToken, events } = this.#options
+    const key = `${task}#${run}`
+    if (this.#unknownStops.has(key) || this.#unknownStops.size >= MAX_UNKNOWN_STOPS) return
+    this.#unknownStops.add(key)
     events.log('endpoint reports a run that is not active; stopping it', { task, run, endpoint: this.#endpoint.id })
     port.stop(this.#endpoint, { task, run, fencingToken }, ORDER_TIMEOUT_MS)
       .then(() => this.poll())
       .catch(() => { /* The next report lists it again. */ })
+      .finally(() => { this.#unknownStops.delete(key) })
   }
 
   async #submit (ends: readonly RunEnd[], upto?: number): Promise<void> {
--- a/packages/dispatch/tests/support/fake-fleet.ts
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -1,7 +1,7 @@
 import { asId, IbisError, type EndpointId, type JobId, type TaskId } from '@ibisstair/common'
 import { addResources, mustParseTaskId, NO_RESOURCES, toEndpointIncarnation, type EndpointIncarnation, type EndpointRecord, type Resources, type RunOutcome, type SchedulingState } from '@ibisstair/jobs'
 import type { ManualTimerService, RandomSource } from '@ibisstair/timers'
-import type { EndpointPort, EndReport, OrderResult, RenewOrder, RenewResult, StartOrder, StopOrder } from '../../src/index.ts'
+import type { EndpointPort, EndReport, OrderResult, RenewOrder, RenewResult, RunReport, StartOrder, StopOrder } from '../../src/index.ts'
 
 interface FakeRun {
   readonly task: TaskId
@@ -21,6 +21,8 @@
   readonly crashingTasks: Set<TaskId>
   /** Time between the start of such a task and the crash. */
   crashAfterMs: number
+  /** Runs that every endpoint reports besides its own. */
+  strayRuns: readonly RunReport[]
 }
 
 /** A crashed endpoint returns after this time at the same address under a new id. */
@@ -102,7 +104,7 @@
     if (leaseUntilMs !== null) this.#extendLease(leaseUntilMs)
     for (const { task, run, number } of this.#ended) if (number <= ackedUpto) this.#fleet.recordAck(this, task, run)
     this.#ended = this.#ended.filter(({ number }) => number > ackedUpto)
-    const running = [...this.runs.values()].map(({ task, run }) => ({ task, run, percent: 50 }))
+    const running = [...this.#fleet.faults.strayRuns, ...[...this.runs.values()].map(({ task, run }) => ({ task, run, percent: 50 }))]
     return { type: 'report', report: { clockMs: this.clockMs, running, ended: [...this.#ended], hasMore: false } }
   }
 
@@ -151,6 +153,8 @@
   readonly startsByTask = new Map<TaskId, number>()
   starts = 0
   stops = 0
+  mostStopsAtOnce = 0
+  #stopsInProgress = 0
   renewals = 0
   readonly #endpoints = new Map<EndpointIncarnation, FakeEndpoint>()
   /** Completed tasks. An unacknowledged one is removed when the lease of its endpoint lapses. */
@@ -161,7 +165,7 @@
     this.timers = timers
     this.random = random
     this.#getState = getState
-    this.faults = { lostShare: 0, unreachable: new Set(), runMs: 1_000, failingShare: 0, crashingTasks: new Set(), crashAfterMs: 10, ...faults }
+    this.faults = { lostShare: 0, unreachable: new Set(), runMs: 1_000, failingShare: 0, crashingTasks: new Set(), crashAfterMs: 10, strayRuns: [], ...faults }
     for (const record of records) this.#endpoints.set(record.life, new FakeEndpoint(record, this))
   }
 
@@ -171,7 +175,12 @@
 
   async stop (endpoint: EndpointRecord, order: StopOrder, timeoutMs: number): Promise<OrderResult> {
     this.stops += 1
-    return await this.#call(endpoint, timeoutMs, (fake) => fake.stop(order))
+    this.mostStopsAtOnce = Math.max(this.mostStopsAtOnce, ++this.#stopsInProgress)
+    try {
+      return await this.#call(endpoint, timeoutMs, (fake) => fake.stop(order))
+    } finally {
+      this.#stopsInProgress -= 1
+    }
   }
 
   async renew (endpoint: EndpointRecord, order: RenewOrder, timeoutMs: number): Promise<RenewResult> {
