--- a/packages/gateway/src/caller-api.ts
+++ b/packages/gateway/src/caller-api.ts
@@ -1,8 +1,7 @@
-import type { IncomingMessage } from 'node:http'
 import { asId, IbisError, type CustomerId, type RequestKey } from '@ibisstair/common'
 import type { ConfigCache } from '@ibisstair/config-sync'
 import { MAX_REQUEST_BYTES, parseJobRequest, type JobRequest, type JobStatus } from '@ibisstair/model'
-import { parseJson, readBody, sendJson } from '@ibisstair/rpc'
+import { ByteBudget, parseJson, readBody, sendJson } from '@ibisstair/rpc'
 import { match, P } from 'ts-pattern'
 import { MAX_BODY_BYTES_IN_PROGRESS, MAX_HOLD_MS } from './constants.ts'
 import type { HttpCallContext } from './listener.ts'
@@ -26,7 +25,7 @@
 export class CallerApi {
   readonly #options: CallerApiOptions
   #pending = 0
-  #bodyBytesInProgress = 0
+  readonly #bodies = new ByteBudget(MAX_BODY_BYTES_IN_PROGRESS)
 
   constructor (options: CallerApiOptions) {
     this.#options = options
@@ -53,8 +52,8 @@
   }
 
   async #submit (call: HttpCallContext): Promise<void> {
-    const { cache, runner, onOutcome } = this.#options
-    const body = parseJson(await this.#readBody(call.req), 'request')
+    const { cache, runner, onOutcome, maxBodyBytes } = this.#options
+    const body = parseJson(await readBody(call.req, maxBodyBytes ?? MAX_REQUEST_BYTES, this.#bodies), 'request')
     const config = cache.getConfig()
     const request = parseJobRequest(body, config)
     const holdMs = parseHoldMs(call.url)
@@ -70,21 +69,6 @@
     }
   }
 
-  /** Limits the total size of the bodies that are read at the same time; a body of unknown length counts with the largest accepted size. */
-  async #readBody (req: IncomingMessage): Promise<Buffer> {
-    const maxBytes = this.#options.maxBodyBytes ?? MAX_REQUEST_BYTES
-    const bytes = Math.min(Number(req.headers['content-length'] ?? maxBytes), maxBytes)
-    if (this.#bodyBytesInProgress + bytes > MAX_BODY_BYTES_IN_PROGRESS) {
-      throw new IbisError('overloaded', `this entry is already reading ${this.#bodyBytesInProgress} bytes of request bodies`, { retryAfterMs: OVERLOADED_RETRY_AFTER_MS, execution: 'unknown' })
-    }
-    this.#bodyBytesInProgress += bytes
-    try {
-      return await readBody(req, maxBytes)
-    } finally {
-      this.#bodyBytesInProgress -= bytes
-    }
-  }
-
   async #fetch (call: HttpCallContext, key: KeyParams): Promise<void> {
     const waitMs = parseMs(call.url, 'waitMs', 0, MAX_HOLD_MS)
     sendStatus(call, await this.#options.runner.fetch({ ...key, waitMs }, this.#options.cache.getConfig()))
--- a/packages/rpc/src/constants.ts
+++ b/packages/rpc/src/constants.ts
@@ -1,5 +1,7 @@
 /** Largest body of a call between processes; the answers of a job (2 MiB) and the JSON-RPC envelope fit into it. */
 export const MAX_RPC_BODY_BYTES = 4 * 1024 * 1024
+/** Retry delay that is returned when all request bodies together are too large. */
+export const BODY_BUDGET_RETRY_AFTER_MS = 1_000
 /** A pooled connection that has been idle for this time is closed instead of reused: it may no longer pass data. */
 export const MAX_IDLE_CONNECTION_MS = 3_000
 /** Added to the wait time of a long poll to get the call's timeout, after which the connection counts as unresponsive. */
--- a/packages/rpc/src/http.ts
+++ b/packages/rpc/src/http.ts
@@ -2,6 +2,8 @@
 import { request as httpRequest, type Agent, type IncomingMessage, type ServerResponse } from 'node:http'
 import { IbisError } from '@ibisstair/common'
 import type { TimerService } from '@ibisstair/timers'
+import type { ByteBudget } from './byte-budget.ts'
+import { BODY_BUDGET_RETRY_AFTER_MS } from './constants.ts'
 
 export interface HttpReply {
   readonly status: number
@@ -74,32 +76,40 @@
   return syscall === 'connect' || code === 'ECONNREFUSED'
 }
 
-/** Reads a request body of at most `maxBytes`; rejects a larger one with `body-too-large` and does not buffer it. */
-export const readBody = (req: IncomingMessage, maxBytes: number): Promise<Buffer> =>
-  new Promise((resolve, reject) => {
-    const chunks: Buffer[] = []
-    let size = 0
-    let isTooLarge = false
-    const rejectTooLarge = (): void => {
-      isTooLarge = true
+/**
+ * Reads a request body of at most `maxBytes`; rejects a larger one with `body-too-large` and does not buffer it.
+ * `budget` is shared with other requests; rejects with `overloaded` once all bodies together exceed it.
+ */
+export const readBody = (req: IncomingMessage, maxBytes: number, budget: ByteBudget | null = null): Promise<Buffer> => {
+  const chunks: Buffer[] = []
+  let size = 0
+  const read = new Promise<Buffer>((resolve, reject) => {
+    let isRejected = false
+    const discard = (err: IbisError): void => {
+      isRejected = true
       chunks.length = 0
-      reject(new IbisError('body-too-large', `the request body exceeds ${maxBytes} bytes`, { info: { maxBytes } }))
+      reject(err)
     }
+    const tooLarge = (): IbisError => new IbisError('body-too-large', `the request body exceeds ${maxBytes} bytes`, { info: { maxBytes } })
     if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
       req.resume()
-      rejectTooLarge()
+      discard(tooLarge())
       return
     }
     req.on('data', (chunk: Buffer) => {
-      if (isTooLarge) return
+      if (isRejected) return
+      if (size + chunk.length > maxBytes) return discard(tooLarge())
+      // An earlier copy of the request may have run, whatever becomes of this one.
+      if (budget?.tryTake(chunk.length) === false) return discard(new IbisError('overloaded', `this process is already reading ${budget.usedBytes} bytes of request bodies`, { retryAfterMs: BODY_BUDGET_RETRY_AFTER_MS, execution: 'unknown' }))
       size += chunk.length
-      if (size > maxBytes) return rejectTooLarge()
       chunks.push(chunk)
     })
     req.on('end', () => resolve(Buffer.concat(chunks, size)))
-    req.on('error', (err) => reject(new IbisError('invalid-request', 'the request body was truncated', { cause: err })))
-    req.on('aborted', () => reject(new IbisError('invalid-request', 'the request body was truncated')))
+    req.on('error', (err) => discard(new IbisError('invalid-request', 'the request body was truncated', { cause: err })))
+    req.on('aborted', () => discard(new IbisError('invalid-request', 'the request body was truncated')))
   })
+  return budget ? read.finally(() => budget.give(size)) : read
+}
 
 /** Throws `invalid-request` if the body is not JSON; `bodyName` names it in the message. */
 export const parseJson = (body: Buffer, bodyName: string): unknown => {
@@ -110,9 +120,12 @@
   }
 }
 
-export const sendJson = (res: ServerResponse, status: number, value: unknown, headers: Readonly<Record<string, string>> = {}): void => {
+export const sendJson = (res: ServerResponse, status: number, value: unknown, headers: Readonly<Record<string, string>> = {}): void =>
+  sendJsonText(res, status, JSON.stringify(value), headers)
+
+/** Sends a value that is already JSON text. */
+export const sendJsonText = (res: ServerResponse, status: number, text: string, headers: Readonly<Record<string, string>> = {}): void => {
   if (res.writableEnded || res.destroyed) return
-  const text = JSON.stringify(value)
   res.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...headers })
   res.end(text)
 }
--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -1,3 +1,4 @@
+export { ByteBudget } from './byte-budget.ts'
 export * from './client.ts'
 export * from './constants.ts'
 export * from './draining-server.ts'
