--- a/packages/control/src/session.ts
+++ b/packages/control/src/session.ts
@@ -429,7 +429,10 @@
     this.#schedule({ type: 'endpoint-down', endpointId })
     // An endpoint that only stopped announcing itself may still run its tasks until their leases expire.
     if (reason === 'unreachable' || inMass) return
-    if (reason === 'restarted') this.#gangs.handleEndpointLost(endpointId)
+    if (reason === 'restarted') {
+      this.#schedule({ type: 'endpoint-restarted', endpointId })
+      this.#gangs.handleEndpointLost(endpointId)
+    }
     if (reason === 'expired' || reason === 'left') return
     link.close()
     this.#links.delete(endpointId)
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -5,9 +5,10 @@
 import { costWithGuarantees, costOfRemainder, findBestFit } from './best-fit.ts'
 import { CapacityHistory } from './capacity-history.ts'
 import { AGEING_MS, FLEET_DISCOVERY_MS, MIN_LARGE_ACCELERATORS, MAX_PENDING_PLACEMENTS, MAX_VICTIM_CANDIDATES, MIN_THROTTLE_FRACTION, MIN_VICTIM_REMAINING_MS, OVERUSE_RATIO, URGENT_PREEMPT_AFTER_MS, MAX_ENDED_JOBS, MAX_PLACEMENTS_PER_EVENT, MAX_PLANS, MAX_RETRY_AFTER_MS, MAX_START_ATTEMPTS, MIN_RETRY_AFTER_MS, PLAN_AFTER_MS, PLAN_AT_LATEST_MS, PLAN_EXPIRY_MS, PREEMPT_RETRY_MS, RECLAIM_DELAY_MS, REFUSAL_PAUSE_MS } from './constants.ts'
+import { CrashTracker } from './crash-tracker.ts'
 import { Deadlines } from './deadlines.ts'
 import type { Allocation, Worker } from './entities.ts'
-import { Job, countTasks } from './entities.ts'
+import { Job, countTasks, tasksOn } from './entities.ts'
 import { findFirstFit } from './first-fit.ts'
 import { Fleet } from './fleet.ts'
 import type { Candidate } from './guarantee-placement.ts'
@@ -55,6 +56,7 @@
   readonly #deadlines = new Deadlines()
   readonly #runTimes = new RunTimeEstimator()
   readonly #quarantine = new QuarantineTracker()
+  readonly #crashTracker = new CrashTracker()
   readonly #outlierDetector = new OutlierDetector()
   readonly #retryBudget = new RetryBudget()
   readonly #pendingPlacements = new Map<Job, PendingPlacement>()
@@ -112,6 +114,7 @@
       case 'config': return this.#setShare(event.share)
       case 'endpoint-up': return this.#putEndpoint(event.endpoint)
       case 'endpoint-down': return this.#fleet.setDown(event.endpointId)
+      case 'endpoint-restarted': return this.#recordCrash(event.endpointId)
       case 'submit': return this.#submit(event.jobId, event.job)
       case 'cancel': return this.#cancel(event.jobId)
       case 'adopt': return this.#adopt(event.jobId, event.job, event.assignments)
@@ -318,6 +321,7 @@
       return this.#refuse(job, 'job-suspect', `failed on ${job.failedOn.size} workers`)
     }
     if (result === 'ok' || result === 'cancelled') return this.#end(job)
+    if (result === 'lost' && this.#crashTracker.judge(job, this.#fleet.size) === 'guilty') return this.#refuse(job, 'job-suspect', 'endpoint after endpoint crashed while it ran there')
     if (!job.metadata.idempotent) return this.#refuse(job, errorKindOf(result), `non-idempotent work ended as ${result}`)
     if (job.attempt >= MAX_START_ATTEMPTS) return this.#refuse(job, errorKindOf(result), `ended as ${result} after ${job.attempt} attempts`)
     if (result !== 'preempted' && this.#isEnabled('retry-budget') && !this.#retryBudget.tryTake(this.#nowMs)) {
@@ -326,6 +330,13 @@
     this.#requeue(job)
   }
 
+  #recordCrash (endpointId: EndpointId): void {
+    const worker = this.#fleet.get(endpointId)
+    if (!worker) return
+    const jobs = [...this.#jobs.values()].filter((job) => job.holdsSlots && tasksOn(job, worker) > 0)
+    this.#crashTracker.record(endpointId, jobs, this.#nowMs)
+  }
+
   /** Records the outcome of each task for quarantine. Tasks of a failed gang that did not fail themselves were stopped early and are ignored. */
   #recordOutcome (job: Job, result: FinishResult, tasks: readonly TaskReport[]): void {
     for (const task of tasks) {
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -16,6 +16,8 @@
   /** A new, changed, leaving or restarted endpoint. */
   | { readonly type: 'endpoint-up', readonly endpoint: EndpointInfo }
   | { readonly type: 'endpoint-down', readonly endpointId: EndpointId }
+  /** The process of the endpoint has ended without notice, and another one has taken its place. */
+  | { readonly type: 'endpoint-restarted', readonly endpointId: EndpointId }
   | { readonly type: 'submit', readonly jobId: JobId, readonly job: JobMetadata }
   | { readonly type: 'cancel', readonly jobId: JobId }
   /** A gang that a previous leader started and that this one renews. */
