--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -39,7 +39,7 @@
   'gang-not-started': { status: 503, execution: 'not-run', resendSafe: true, advice: 'The gang could not be started whole; retry later.' },
   'task-failed': { status: 502, execution: 'ran', resendSafe: false, advice: 'The work ran and failed; see the detail.' },
   'answer-too-large': { status: 502, execution: 'ran', resendSafe: false, advice: 'The work ran but its answer exceeds the limit; let it return less.' },
-  'job-suspect': { status: 502, execution: 'ran', resendSafe: false, advice: 'The job failed on several workers; correct the job.' },
+  'job-suspect': { status: 502, execution: 'ran', resendSafe: false, advice: 'The job failed on several workers or crashed them; correct the job.' },
   preempted: { status: 503, execution: 'ran', resendSafe: true, advice: 'The work was stopped to reclaim a guarantee.' },
   'outcome-unknown': { status: 502, execution: 'unknown', resendSafe: false, advice: 'The outcome cannot be learnt; check before sending non-idempotent work again.' },
   timeout: { status: 504, execution: 'unknown', resendSafe: false, advice: 'Fetch the outcome later by key.' },
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -82,6 +82,7 @@
     const known = state.endpoints.get(record.life)
     if (this.#announcements.isOutdated(record, known)) return metrics.increment('announcements.outdated')
     if (known) this.#announcements.recordArrival(record)
+    if (state.endpoints.wouldChange(record)) await this.#handOver(record)
     if (state.endpoints.wouldChange(record)) {
       const silences = state.endpoints.listReplacedBy(record).flatMap(({ life }) => this.#describeSilence(life) ?? [])
       await this.#propose({ type: 'register-endpoint', endpoint: record, atMs: timers.wallClock(), silences })
@@ -92,6 +93,12 @@
     this.#sessions.get(record.life)?.handleAnnouncement(clockMs, now)
   }
 
+  /** Waits until no run of an earlier incarnation under the same id can be active on the announced one. */
+  async #handOver (record: EndpointRecord): Promise<void> {
+    const replaced = this.#options.state.endpoints.listReplacedBy(record).filter(({ id }) => id === record.id)
+    await Promise.all(replaced.map(({ life }) => this.#sessions.get(life)?.handOver()))
+  }
+
   /**
    * Handles the message that an endpoint shuts down: removes it after a grace period. The message may arrive late,
    * after another incarnation has registered under the id. Without a start time it counts only for an
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -2,7 +2,7 @@
 import type { ActiveRun, EndpointRecord, RunEnd } from '@ibisstair/jobs'
 import type { TimerService } from '@ibisstair/timers'
 import {
-  MAX_CLOCK_DRIFT, COMMIT_POLL_INTERVAL_MS, DEPOSED_LEADER_GRACE_MS, LEASE_END_MARGIN_MS, LEASE_SAFETY_MARGIN_MS, MAX_UNKNOWN_STOPS, ORDER_TIMEOUT_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS
+  MAX_ANSWER_DELAY_MS, MAX_CLOCK_DRIFT, COMMIT_POLL_INTERVAL_MS, DEPOSED_LEADER_GRACE_MS, LEASE_END_MARGIN_MS, LEASE_SAFETY_MARGIN_MS, MAX_UNKNOWN_STOPS, ORDER_TIMEOUT_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS, STOP_SETTLE_MS
 } from './constants.ts'
 import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
 import { RunProgress } from './run-progress.ts'
@@ -23,6 +23,8 @@
   isStopAcked: boolean
   /** Whether the endpoint has answered the order or has listed the run. */
   isConfirmed: boolean
+  /** Whether a report has listed the run; an answer to an order does not tell which incarnation gave it. */
+  isReported: boolean
   readonly progress: RunProgress
 }
 
@@ -72,6 +74,8 @@
   #pollAgain = false
   #cancelPause: () => void = () => {}
   #isClosed = false
+  /** Resolves once the runs that another incarnation may have taken are stopped; null before that is known to be needed. */
+  #handover: Promise<void> | null = null
 
   constructor (options: SessionOptions) {
     this.#options = options
@@ -117,6 +121,16 @@
     this.#options.port.closeConnections(this.#endpoint)
   }
 
+  /**
+   * Another incarnation has taken the endpoint's place, perhaps under its id, so that it may have carried out orders
+   * that were meant for this one. Sends no more orders, and stops every run that no report has listed.
+   */
+  handOver (): Promise<void> {
+    this.#isClosed = true
+    this.#handover ??= this.#stopUnreported()
+    return this.#handover
+  }
+
   /** Takes the clock reading of an announcement, and calls an endpoint that did not answer: it may have come back. */
   handleAnnouncement (clockMs: number, atMs: number): void {
     this.#updateClock(clockMs, atMs)
@@ -188,7 +202,7 @@
       this.#recordFailure()
       this.#setPhase(tracked, 'unconfirmed')
     } else if (result.type === 'ok') {
-      this.#recordContact(result.clockMs)
+      if (!this.#recordAnswer(result.clockMs)) return
       this.#setPhase(tracked, 'present')
     } else if (result.type === 'refused') {
       events.handleStartRefused(this.#endpoint, tracked.task, result.reason)
@@ -209,7 +223,7 @@
         this.#recordFailure()
         await timers.delay(RETRY_DELAY_MS)
       } else if (result.type === 'ok') {
-        this.#recordContact(result.clockMs)
+        if (!this.#recordAnswer(result.clockMs)) return
         tracked.isStopAcked = true
         tracked.sinceMs = timers.now()
       } else if (result.type === 'refused') {
@@ -228,7 +242,22 @@
     if (result.type === 'refused') return
     this.#isClosed = true
     if (result.type === 'fenced') events.handleFenced(this.#endpoint)
-    else events.handleReplaced(this.#endpoint)
+    else this.#handleReplaced()
+  }
+
+  #handleReplaced (): void {
+    const { events } = this.#options
+    this.handOver()
+      .then(() => events.handleReplaced(this.#endpoint))
+      .catch((err: unknown) => events.log('handing over an endpoint failed unexpectedly', { endpoint: this.#endpoint.id, err }))
+  }
+
+  async #stopUnreported (): Promise<void> {
+    const { port, fencingToken, timers } = this.#options
+    const unreported = [...this.#runs.values()].filter(({ isReported }) => !isReported)
+    const results = await Promise.all(unreported.map(({ task, run }) => port.stop(this.#endpoint, { task, run, fencingToken }, ORDER_TIMEOUT_MS).catch(IbisError.from)))
+    const hasOtherId = results.every((result) => !(result instanceof IbisError) && result.type === 'wrong-incarnation')
+    if (!hasOtherId) await timers.delay(STOP_SETTLE_MS)
   }
 
   // Renewals and reports
@@ -320,6 +349,7 @@
   }
 
   #confirmRun (tracked: TrackedRun, percent: number): void {
+    tracked.isReported = true
     tracked.progress.record(percent, this.#options.timers.now())
     if (tracked.phase === 'inherited' || tracked.phase === 'unconfirmed') this.#setPhase(tracked, 'present')
   }
@@ -387,6 +417,19 @@
     this.#silentSinceMs ??= this.#options.timers.now()
   }
 
+  /**
+   * Takes the clock reading of an answer to an order. Returns false if its clock shows that another incarnation has
+   * answered. Only a report proves that the endpoint is the same after calls have failed.
+   */
+  #recordAnswer (clockMs: number): boolean {
+    if (this.#clock && clockMs < this.#clock.valueMs - MAX_ANSWER_DELAY_MS) {
+      this.#handleReplaced()
+      return false
+    }
+    if (this.#failures === 0) this.#recordContact(clockMs)
+    return true
+  }
+
   #recordContact (clockMs: number): void {
     const now = this.#options.timers.now()
     this.#failures = 0
@@ -422,7 +465,7 @@
 
   #track (task: TaskId, run: number, phase: RunPhase): TrackedRun {
     const now = this.#options.timers.now()
-    const tracked: TrackedRun = { task, run, phase, sinceMs: now, isStopAcked: false, isConfirmed: false, progress: new RunProgress() }
+    const tracked: TrackedRun = { task, run, phase, sinceMs: now, isStopAcked: false, isConfirmed: false, isReported: false, progress: new RunProgress() }
     this.#runs.set(task, tracked)
     return tracked
   }
--- a/packages/dispatch/tests/dispatcher.test.ts
+++ b/packages/dispatch/tests/dispatcher.test.ts
@@ -170,3 +170,19 @@
   t.equal(cluster.statusOf('a1'), 'completed')
   t.same(cluster.fleet.violations, [])
 })
+
+t.test('orders that reach an endpoint after its restart under the same id start no task twice and stay within its capacity', async (t) => {
+  // Only announcements and reports tell the incarnations apart, answers to orders do not.
+  for (let seed = 1; seed <= 20; seed++) {
+    const cluster = new TestCluster(seed, { runMs: 1_500 })
+    cluster.elect()
+    for (let round = 0; round < 40; round++) {
+      cluster.submit(`a${round}`, [createStep({ count: 12 })])
+      await cluster.run(cluster.random.int(20, 700))
+      if (round % 2 === 0) cluster.fleet.restartUnderId(cluster.random.pick(cluster.fleet.listRecords())!.life)
+    }
+    await cluster.run(40_000)
+    t.same(cluster.fleet.violations, [], `seed ${seed}`)
+    for (let round = 0; round < 40; round++) t.match(cluster.statusOf(`a${round}`), /completed|failed/, `seed ${seed}, job ${round}`)
+  }
+})
--- a/packages/dispatch/tests/support/fake-fleet.ts
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -41,6 +41,9 @@
   /** Earlier capacities that a start may still go by. */
   readonly #recentCapacities = new Set<Resources>()
   isCrashed = false
+  /** Has taken this endpoint's place under its id. */
+  successor: FakeEndpoint | null = null
+  readonly #bornAtMs: number
   readonly runs = new Map<TaskId, FakeRun>()
   readonly #fleet: FakeFleet
   readonly #highestRuns = new Map<TaskId, number>()
@@ -53,6 +56,7 @@
   constructor (record: EndpointRecord, fleet: FakeFleet) {
     this.record = record
     this.#fleet = fleet
+    this.#bornAtMs = fleet.timers.now()
   }
 
   setCapacity (part: Partial<Resources>): void {
@@ -70,7 +74,7 @@
   }
 
   get clockMs (): number {
-    return this.#fleet.timers.now() + 1_000
+    return this.#fleet.timers.now() - this.#bornAtMs + 1_000
   }
 
   hasUnacknowledged (ackedUpto: number): boolean {
@@ -142,6 +146,8 @@
   }
 }
 
+const findSuccessor = (fake: FakeEndpoint): FakeEndpoint => fake.successor ? findSuccessor(fake.successor) : fake
+
 /** A fleet of endpoints behind an unreliable network. It records violations: a task that runs twice or after it was done, and an endpoint over its capacity. */
 export class FakeFleet implements EndpointPort {
   readonly timers: ManualTimerService
@@ -188,7 +194,7 @@
     // The answer waits for a run to end, unless there are unacknowledged ends: these are reported at once.
     const hasEnded = this.#endpoints.get(endpoint.life)!.hasUnacknowledged(order.ackedUpto)
     await this.timers.delay(hasEnded ? 0 : Math.min(order.waitMs, MAX_FAKE_WAIT_MS))
-    return await this.#call(endpoint, timeoutMs, (fake) => fake.renew(order))
+    return await this.#call(endpoint, timeoutMs, (fake) => fake.record.life === endpoint.life ? fake.renew(order) : { type: 'wrong-incarnation' })
   }
 
   closeConnections (): void {}
@@ -209,6 +215,18 @@
     this.timers.subscribe(RESTART_MS, () => this.#restart(fake.record))
   }
 
+  /** Crashes an endpoint, which is back at once under its id; calls to the earlier incarnation reach the new one. */
+  restartUnderId (incarnation: EndpointIncarnation): void {
+    const fake = this.#endpoints.get(incarnation)
+    if (!fake || fake.isCrashed) return
+    fake.crash()
+    this.recordLapse(fake)
+    const bornMs = this.timers.wallClock()
+    const successor = new FakeEndpoint({ ...fake.record, bornMs, life: toEndpointIncarnation(fake.record.id, bornMs) }, this)
+    fake.successor = successor
+    this.#endpoints.set(successor.record.life, successor)
+  }
+
   setCapacity (id: EndpointId, capacity: Partial<Resources>): void {
     for (const fake of this.#endpoints.values()) if (fake.record.id === id) fake.setCapacity(capacity)
   }
@@ -254,8 +272,9 @@
   }
 
   async #call<T> ({ life: incarnation }: EndpointRecord, timeoutMs: number, execute: (fake: FakeEndpoint) => T): Promise<T> {
-    const fake = this.#endpoints.get(incarnation)!
+    const called = this.#endpoints.get(incarnation)!
     await this.timers.delay(1)
+    const fake = findSuccessor(called)
     if (fake.isCrashed) throw new IbisError('unreachable', 'connection refused', { info: { reason: 'connect' } })
     if (this.faults.unreachable.has(incarnation)) return await this.#loseAnswer(timeoutMs)
     if (this.random.float() >= this.faults.lostShare) return execute(fake)
