--- /dev/null
+++ b/packages/dispatch/src/endpoint-lease.ts
@@ -0,0 +1,74 @@
+import { DEPOSED_LEADER_GRACE_MS, LEASE_END_MARGIN_MS, LEASE_SAFETY_MARGIN_MS, MAX_ANSWER_DELAY_MS, MAX_CLOCK_DRIFT } from './constants.ts'
+
+/** A reading of the endpoint's clock, and the leader's time when it arrived. */
+interface ClockReading {
+  readonly valueMs: number
+  readonly atMs: number
+}
+
+/**
+ * The lease of the runs on one incarnation of an endpoint, which ends by the endpoint's own clock. Answers carry
+ * readings of that clock; between them it is estimated from below, as it may be slow.
+ */
+export class EndpointLease {
+  readonly #openedAtMs: number
+  readonly #maxMs: number
+  #clock: ClockReading | null = null
+  /** Latest end that may have been granted, on the endpoint's clock. */
+  #untilMs = 0
+  #hasHadContact = false
+
+  /** `maxMs` is the longest lease that an endpoint accepts. */
+  constructor (openedAtMs: number, maxMs: number) {
+    this.#openedAtMs = openedAtMs
+    this.#maxMs = maxMs
+  }
+
+  get hasReading (): boolean {
+    return this.#clock !== null
+  }
+
+  /** Whether the endpoint has answered a call during this term. */
+  get hasHadContact (): boolean {
+    return this.#hasHadContact
+  }
+
+  /** Takes the reading of an announcement, which may be behind the endpoint's clock, never ahead. */
+  recordAnnouncement (valueMs: number, atMs: number): void {
+    const estimateMs = this.#estimateClock(atMs)
+    if (estimateMs === null || estimateMs < valueMs) this.#clock = { valueMs, atMs }
+  }
+
+  /** Takes the reading of an answer. */
+  recordAnswer (valueMs: number, atMs: number): void {
+    this.#clock = { valueMs, atMs }
+    // An earlier leader may have granted the longest lease just before this first contact.
+    if (!this.#hasHadContact) this.#untilMs = Math.max(this.#untilMs, valueMs + this.#maxMs)
+    this.#hasHadContact = true
+  }
+
+  /** Whether the reading can't be of this incarnation, because its clock was ahead of it before. */
+  isOfOtherIncarnation (valueMs: number): boolean {
+    return this.#clock !== null && valueMs < this.#clock.valueMs - MAX_ANSWER_DELAY_MS
+  }
+
+  /** Returns the end to grant now, on the endpoint's clock; null while the clock is not known. */
+  extend (nowMs: number): number | null {
+    const clockMs = this.#estimateClock(nowMs)
+    if (clockMs === null) return null
+    const untilMs = Math.floor(clockMs + this.#maxMs - LEASE_SAFETY_MARGIN_MS)
+    this.#untilMs = Math.max(this.#untilMs, untilMs)
+    return untilMs
+  }
+
+  /** Returns the leader's time by which every lease of this and earlier leaders has expired. */
+  getEndMs (): number {
+    if (!this.#clock || !this.#hasHadContact) return this.#openedAtMs + DEPOSED_LEADER_GRACE_MS + this.#maxMs / (1 - MAX_CLOCK_DRIFT) + LEASE_END_MARGIN_MS
+    return this.#clock.atMs + Math.max(0, this.#untilMs - this.#clock.valueMs) / (1 - MAX_CLOCK_DRIFT) + LEASE_END_MARGIN_MS
+  }
+
+  /** Returns a lower bound: the reading was taken before it arrived, and the clock may be slow. */
+  #estimateClock (atMs: number): number | null {
+    return this.#clock && this.#clock.valueMs + (atMs - this.#clock.atMs) * (1 - MAX_CLOCK_DRIFT)
+  }
+}
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -2,8 +2,9 @@
 import type { ActiveRun, EndpointRecord, RunEnd } from '@ibisstair/jobs'
 import type { TimerService } from '@ibisstair/timers'
 import {
-  MAX_ANSWER_DELAY_MS, MAX_CLOCK_DRIFT, COMMIT_POLL_INTERVAL_MS, DEPOSED_LEADER_GRACE_MS, LEASE_END_MARGIN_MS, LEASE_SAFETY_MARGIN_MS, MAX_UNKNOWN_STOPS, ORDER_TIMEOUT_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS, STOP_SETTLE_MS
+  COMMIT_POLL_INTERVAL_MS, MAX_UNKNOWN_STOPS, ORDER_TIMEOUT_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS, STOP_SETTLE_MS
 } from './constants.ts'
+import { EndpointLease } from './endpoint-lease.ts'
 import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
 import { RunProgress } from './run-progress.ts'
 
@@ -57,13 +58,8 @@
   readonly #runs = new Map<TaskId, TrackedRun>()
   /** Unanswered stops of runs that are not active, as TASK#RUN. */
   readonly #unknownStops = new Set<string>()
-  readonly #openedAtMs: number
+  readonly #lease: EndpointLease
   #endpoint: EndpointRecord
-  /** A reading of the endpoint's clock, and the leader's time when it arrived. */
-  #clock: { readonly valueMs: number, readonly atMs: number } | null = null
-  /** Latest lease end that may have been granted, on the endpoint's clock. */
-  #leaseUntilMs = 0
-  #contactAtMs: number | null = null
   #ackedUpto = 0
   #committedUpto = 0
   #submittedUpto = 0
@@ -80,7 +76,7 @@
   constructor (options: SessionOptions) {
     this.#options = options
     this.#endpoint = options.endpoint
-    this.#openedAtMs = options.timers.now()
+    this.#lease = new EndpointLease(options.timers.now(), options.leaseMaxMs)
   }
 
   get endpoint (): EndpointRecord {
@@ -103,7 +99,7 @@
 
   /** Whether the endpoint has answered a call during this term. */
   get hasHadContact (): boolean {
-    return this.#contactAtMs !== null
+    return this.#lease.hasHadContact
   }
 
   /** Whether the endpoint has confirmed during this term that it carried out the order of a run. */
@@ -133,7 +129,7 @@
 
   /** Takes the clock reading of an announcement, and calls an endpoint that did not answer: it may have come back. */
   handleAnnouncement (clockMs: number, atMs: number): void {
-    this.#updateClock(clockMs, atMs)
+    this.#lease.recordAnnouncement(clockMs, atMs)
     if (this.#failures > 0) this.poll()
   }
 
@@ -180,7 +176,7 @@
   tick (): void {
     if (this.#isClosed || this.#runs.size === 0) return
     this.poll()
-    if (this.#failures === 0 || this.#options.timers.now() < this.#getLeaseEndMs()) return
+    if (this.#failures === 0 || this.#options.timers.now() < this.#lease.getEndMs()) return
     const ends = [...this.#runs.values()].filter(({ phase }) => phase !== 'starting').map(({ task, run }): RunEnd => ({ task, run, outcome: 'lost', checkpoint: '' }))
     if (ends.length === 0) return
     this.#options.events.log('lease of an unreachable endpoint expired; its runs count as lost', { endpoint: this.#endpoint.id, runs: ends.length, failures: this.#failures })
@@ -191,8 +187,8 @@
 
   async #sendStart (tracked: TrackedRun, payload: string, checkpoint: string): Promise<void> {
     const { port, fencingToken, events } = this.#options
-    if (!this.#clock) await this.#renew(0, false)
-    const leaseUntilMs = this.#extendLease()
+    if (!this.#lease.hasReading) await this.#renew(0, false)
+    const leaseUntilMs = this.#lease.extend(this.#options.timers.now())
     if (this.#isClosed || leaseUntilMs === null || !events.isLeading()) return this.#setPhase(tracked, 'unconfirmed')
     const order = { task: tracked.task, run: tracked.run, payload, checkpoint, fencingToken, leaseUntilMs }
     const result = await port.start(this.#endpoint, order, ORDER_TIMEOUT_MS).catch(IbisError.from)
@@ -309,7 +305,7 @@
   async #renew (waitMs: number, mayExtend: boolean): Promise<boolean> {
     const { port, fencingToken, timers } = this.#options
     // The lease of an unreachable endpoint is not extended, so that its end stays certain.
-    const leaseUntilMs = mayExtend && this.#failures === 0 && this.#runs.size > 0 ? this.#extendLease() : null
+    const leaseUntilMs = mayExtend && this.#failures === 0 && this.#runs.size > 0 ? this.#lease.extend(timers.now()) : null
     const ackedUpto = this.#committedUpto
     const sentAtMs = timers.now()
     const result = await port.renew(this.#endpoint, { fencingToken, ackedUpto, leaseUntilMs, waitMs }, waitMs + RENEW_TIMEOUT_MARGIN_MS).catch(IbisError.from)
@@ -404,13 +400,7 @@
     }
   }
 
-  // Clock and lease
-
-  /** The reading of an announcement may be behind the endpoint's clock, never ahead. */
-  #updateClock (valueMs: number, atMs: number): void {
-    if (this.#clock && this.#estimateClock(atMs)! >= valueMs) return
-    this.#clock = { valueMs, atMs }
-  }
+  // Contact
 
   #recordFailure (): void {
     this.#failures += 1
@@ -422,7 +412,7 @@
    * answered. Only a report proves that the endpoint is the same after calls have failed.
    */
   #recordAnswer (clockMs: number): boolean {
-    if (this.#clock && clockMs < this.#clock.valueMs - MAX_ANSWER_DELAY_MS) {
+    if (this.#lease.isOfOtherIncarnation(clockMs)) {
       this.#handleReplaced()
       return false
     }
@@ -431,34 +421,9 @@
   }
 
   #recordContact (clockMs: number): void {
-    const now = this.#options.timers.now()
     this.#failures = 0
     this.#silentSinceMs = null
-    this.#clock = { valueMs: clockMs, atMs: now }
-    // An earlier leader may have granted the longest lease just before this first contact.
-    if (this.#contactAtMs === null) this.#leaseUntilMs = Math.max(this.#leaseUntilMs, clockMs + this.#options.leaseMaxMs)
-    this.#contactAtMs = now
-  }
-
-  /** Returns a lower bound: the reading was taken before it arrived, and the clock may be slow. */
-  #estimateClock (atMs: number): number | null {
-    return this.#clock && this.#clock.valueMs + (atMs - this.#clock.atMs) * (1 - MAX_CLOCK_DRIFT)
-  }
-
-  #extendLease (): number | null {
-    const now = this.#options.timers.now()
-    const clockMs = this.#estimateClock(now)
-    if (clockMs === null) return null
-    const untilMs = Math.floor(clockMs + this.#options.leaseMaxMs - LEASE_SAFETY_MARGIN_MS)
-    this.#leaseUntilMs = Math.max(this.#leaseUntilMs, untilMs)
-    return untilMs
-  }
-
-  /** Returns the leader's time by which every lease of this and earlier leaders has expired. */
-  #getLeaseEndMs (): number {
-    const { leaseMaxMs } = this.#options
-    if (!this.#clock || this.#contactAtMs === null) return this.#openedAtMs + DEPOSED_LEADER_GRACE_MS + leaseMaxMs / (1 - MAX_CLOCK_DRIFT) + LEASE_END_MARGIN_MS
-    return this.#clock.atMs + Math.max(0, this.#leaseUntilMs - this.#clock.valueMs) / (1 - MAX_CLOCK_DRIFT) + LEASE_END_MARGIN_MS
+    this.#lease.recordAnswer(clockMs, this.#options.timers.now())
   }
 
   // Tracking
