--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -101,14 +101,16 @@
     return { starts, preempted: pass.preempted }
   }
 
-  /** Work that has claimed capacity goes first, so that no other work is placed there once the victims have ended. */
-  #moveClaimantsToFront (ready: readonly ReadyWork[], { state, needs, nowMs }: PlanningPass): ReadyWork[] {
+  /**
+   * Guaranteed work that has claimed capacity goes first, so that no other work is placed there once the victims have
+   * ended. Work beyond a guarantee keeps its place in the order: what is guaranteed, or can still be on time, precedes it.
+   */
+  #moveClaimantsToFront (ready: readonly ReadyWork[], { state, needs }: PlanningPass): ReadyWork[] {
     const byKey = new Map(ready.map((work) => [toWorkKey(work), work]))
     const claimants = new Set<ReadyWork>()
-    for (const [key, { untilMs }] of this.#claims) {
+    for (const key of this.#claims.keys()) {
       const work = byKey.get(key)
-      // Work beyond a guarantee competes with all other work again when its claim has expired.
-      if (work && (nowMs < untilMs || isGuaranteed(state, work.job, needs))) claimants.add(work)
+      if (work && isGuaranteed(state, work.job, needs)) claimants.add(work)
     }
     return [...claimants, ...ready.filter((work) => !claimants.has(work))]
   }
--- a/packages/dispatch/tests/planner.test.ts
+++ b/packages/dispatch/tests/planner.test.ts
@@ -133,6 +133,23 @@
   }
 })
 
+t.test('late work beyond a guarantee goes before neither guaranteed work nor work that can still be on time, although it has claimed capacity', async (t) => {
+  // Under overload late urgent work kept its claims, and work of use to its caller waited behind it.
+  for (const customer of [clinics, null]) {
+    const fixture = new PlannerFixture(16)
+    fixture.submit('bulk', { count: 64 }, { priority: 1, customer: null })
+    fixture.plan()
+    fixture.submit('late', gang(8, 8), { priority: 0, customer: null, stretch: 1.1, targetLatencyMs: 0 })
+    const { preempted } = fixture.plan()
+    t.equal(preempted.length, 64)
+    fixture.nowMs = 1_000
+    fixture.submit('newer', gang(2, 8), { priority: 0, customer })
+    fixture.endAsStopped(preempted)
+    fixture.plan()
+    t.equal(fixture.countRunning('newer'), 2, customer === null ? 'can still be on time' : 'guaranteed')
+  }
+})
+
 t.test('urgent work waits for a run that is about to end in place of stopping it', async (t) => {
   // A stop takes about as long as the rest of such a run, and throws away nearly all of its work.
   const fixture = new PlannerFixture(64)
