--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -46,7 +46,7 @@
   'version-conflict': { status: 409, execution: 'not-run', resendSafe: false, advice: 'Read the configuration in force and send the change against its version.' },
   'config-infeasible': { status: 422, execution: 'not-run', resendSafe: false, advice: 'The guaranteed shapes do not all fit; reduce the named one.' },
   'stale-config': { status: 503, execution: 'not-run', resendSafe: true, advice: 'This process has no configuration yet; retry later.' },
-  'disk-full': { status: 507, execution: 'not-run', resendSafe: true, advice: 'The disk is full; free space on the named VM.' },
+  'disk-full': { status: 507, execution: 'not-run', resendSafe: true, advice: 'The disk is full, or no file can be opened; free space or descriptors on the named VM.' },
   'data-damaged': { status: 500, execution: 'not-run', resendSafe: false, advice: 'Remove the data folder of this voter and let it rejoin from the others.' },
   'not-leader': { status: 503, execution: 'not-run', resendSafe: true, advice: 'Ask the leader that is named.' },
   unreachable: { status: 503, execution: 'unknown', resendSafe: true, advice: 'The other process did not answer.' },
--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -356,7 +356,7 @@
       } catch (err) {
         // The replica must not drop entries that are on disk, so it is told about them before the failure.
         for (const event of stored.events) this.#dispatch(event)
-        if (isDiskFull(err)) this.#handleDiskFull(batch, stored)
+        if (isDiskFull(err)) this.#handleDiskFull(batch, stored, err)
         else this.#halt(err)
       }
     }
@@ -427,7 +427,7 @@
   }
 
   /** Sends no message of the batch. The replica drops entries that were not stored; the hard state is retried. */
-  #handleDiskFull (batch: readonly StorageEffect[], stored: BatchProgress): void {
+  #handleDiskFull (batch: readonly StorageEffect[], stored: BatchProgress, err: unknown): void {
     const unstoredEffects = [...batch.filter((effect) => !stored.done.has(effect)), ...this.#queue]
     this.#counters.diskFull += 1
     this.#isHardStateUnsaved ||= unstoredEffects.some((effect) => effect.type === 'save-hard-state')
@@ -435,14 +435,14 @@
     this.#counters.droppedMessages += unstoredEffects.filter((effect) => effect.type === 'send').length
     this.#dispatch({ type: 'append-failed' })
     if (unstoredEffects.some((effect) => effect.type === 'save-snapshot')) this.#dispatch({ type: 'snapshot-failed' })
-    if (!this.#isDiskRetryScheduled) this.#scheduleDiskRetry()
+    if (!this.#isDiskRetryScheduled) this.#scheduleDiskRetry(err)
   }
 
-  #scheduleDiskRetry (): void {
+  #scheduleDiskRetry (err: unknown): void {
     this.#isDiskRetryScheduled = true
     const now = this.#options.timers.now()
     // Retries that fail belong to the same disk-full period: they are counted, not logged.
-    if (now - this.#lastDiskFullAt > 2 * DISK_RETRY_MS) this.#options.log?.('warn', 'disk is full; refusing new proposals until a retry succeeds', { group: this.#options.group, node: this.#options.node })
+    if (now - this.#lastDiskFullAt > 2 * DISK_RETRY_MS) this.#options.log?.('warn', 'disk is full; refusing new proposals until a retry succeeds', { group: this.#options.group, node: this.#options.node, err: String(err) })
     this.#lastDiskFullAt = now
     this.#options.timers.subscribe(DISK_RETRY_MS, () => { this.#retryDisk() })
   }
--- a/packages/consensus/tests/driver.test.ts
+++ b/packages/consensus/tests/driver.test.ts
@@ -132,6 +132,25 @@
   t.equal(cluster.acknowledged.size, 1)
 })
 
+t.test('replicas without a free descriptor do not end one after the other, and go on once there is one', async (t) => {
+  // Snapshots and terms need a file to be opened; the leader with the most connections met the limit first, then its successor.
+  const cluster = await start(3, 8, 20)
+  await proposeMany(cluster, 10)
+  for (const node of cluster.nodes) node.disk.setOutOfDescriptors(true)
+  await proposeMany(cluster, 60)
+  cluster.partition([0, 1, 1])
+  await cluster.run(6_000)
+  cluster.checkNoFailure()
+  cluster.healNetwork()
+  for (const node of cluster.nodes) node.disk.setOutOfDescriptors(false)
+  await cluster.run(10_000)
+  cluster.propose(leaderOf(cluster))
+  await cluster.run(2_000)
+  cluster.checkNoFailure()
+  t.ok(cluster.acknowledged.size >= 71, `${cluster.acknowledged.size} commands acknowledged`)
+  cluster.checkMachines()
+})
+
 t.test('restarts of all nodes after hundreds of commands lose nothing, and the log size stays bounded', async (t) => {
   const cluster = await start(3, 7, 50)
   for (let round = 0; round < 3; round++) {
--- a/packages/storage/src/errors.ts
+++ b/packages/storage/src/errors.ts
@@ -7,6 +7,10 @@
 export const isNoSpace = (err: unknown): boolean =>
   codeOf(err) === 'ENOSPC' || codeOf(err) === 'EDQUOT'
 
+/** Whether no file can be opened for now, for example because connections use all descriptors. */
+const isOutOfDescriptors = (err: unknown): boolean =>
+  codeOf(err) === 'EMFILE' || codeOf(err) === 'ENFILE'
+
 export const isMissing = (err: unknown): boolean => codeOf(err) === 'ENOENT'
 
 /** Whether an operation of this package was rejected with `disk-full`. */
@@ -19,6 +23,8 @@
 export const toStorageError = (err: unknown, file: string): IbisError => {
   if (err instanceof IbisError) return err
   if (isNoSpace(err)) return new IbisError('disk-full', `${file}: no space left`, { ...causeOf(err), info: { file } })
+  // Like a full disk, this passes: a replica that ended for it would hand the same load to the next one.
+  if (isOutOfDescriptors(err)) return new IbisError('disk-full', `${file}: no file descriptor left`, { ...causeOf(err), info: { file } })
   return new IbisError('internal', `${file}: ${err instanceof Error ? err.message : String(err)}`, { ...causeOf(err), info: { file } })
 }
 
--- a/packages/storage/src/memory-file-system.ts
+++ b/packages/storage/src/memory-file-system.ts
@@ -57,6 +57,7 @@
   #unsyncedNames: NameChange[] = []
   #generation = 0
   #capacity = Infinity
+  #isOutOfDescriptors = false
 
   constructor (options: MemoryDiskOptions = {}) {
     this.#options = options
@@ -72,6 +73,15 @@
     this.#capacity = bytes
   }
 
+  /** Simulates a process whose descriptors are all in use: no file or folder can be opened. */
+  setOutOfDescriptors (isOut: boolean): void {
+    this.#isOutOfDescriptors = isOut
+  }
+
+  assertDescriptor (path: string): void {
+    if (this.#isOutOfDescriptors) throw createFileSystemError('EMFILE', path)
+  }
+
   get usedBytes (): number {
     let sum = 0
     for (const file of this.#names.values()) sum += file.current.length
@@ -236,6 +246,7 @@
 
   async open (path: string): Promise<FileHandle> {
     await this.disk.beginOperation(this.generation)
+    this.disk.assertDescriptor(path)
     const file = this.disk.findFile(path) ?? this.disk.createFile(path)
     return new MemoryHandle(path, this.disk, file, this.generation)
   }
@@ -260,6 +271,7 @@
 
   async list (folder: string): Promise<string[] | null> {
     await this.disk.beginOperation(this.generation)
+    this.disk.assertDescriptor(folder)
     return this.disk.list(folder)
   }
 
--- a/packages/storage/src/snapshot-store.ts
+++ b/packages/storage/src/snapshot-store.ts
@@ -2,6 +2,7 @@
 import { IbisError } from '@ibisstair/common'
 import { readChecked, writeAtomically } from './atomic-file.ts'
 import { SNAPSHOTS_KEPT } from './constants.ts'
+import { toStorageError } from './errors.ts'
 import type { FileSystem } from './types.ts'
 
 const SNAPSHOT_NAME_PATTERN = /^snapshot-(\d{16})$/
@@ -32,7 +33,7 @@
   /** Saves a snapshot and removes old ones. Rejects with `disk-full` when there is no space; then the older snapshots remain. */
   async save (index: number, value: unknown): Promise<void> {
     await writeAtomically(this.#fs, this.#pathOf(index), value)
-    await this.#removeOld()
+    await this.#removeOld().catch((err: unknown) => { throw toStorageError(err, this.folder) })
   }
 
   /** Loads the newest valid snapshot. */
