--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -1,23 +1,42 @@
-// A worker is emptied and taken away; a job whose tasks fit no single rack any more never starts.
-import { BOUNDS, pause, SetupError } from '../deployment.ts'
+// The answers to an entry are cut off while a key is withdrawn: a job that was accepted is answered 401.
+import { ENTRIES, KEY, pause } from '../deployment.ts'
 import { createConfig, createStep, toJobId } from '../messages.ts'
-import { observeStall } from '../observe-stall.ts'
 import { runCase } from '../run-case.ts'
 
-/** Workers of each rack, with 8 accelerators each. */
-const RACKS = { 'r1-1': 6, 'r1-2': 5, 'r1-3': 5 }
-const ACCELERATORS_PER_WORKER = 8
-const TASKS = 48
-const JOB = toJobId(1)
+const WORKERS = 6
+const JOBS = 10
+const JOB_INTERVAL_MS = 100
+const OTHER_KEY = 'other-key-of-clinics'
+const ENTRY = ENTRIES[0]!
 
-await runCase(async ({ deployment, isDisturbed }) => {
-  await deployment.start()
-  for (const [rack, count] of Object.entries(RACKS)) for (let i = 0; i < count; i++) await deployment.addWorker(`${rack}-${i}`, rack, 2_500)
-  await deployment.configure(createConfig(1))
-  if (isDisturbed) await deployment.removeWorker(deployment.workers[0]!)
-  const { status } = await deployment.call('POST', `/checks/${JOB}`, { body: { Spec: 'work', Steps: [createStep(TASKS, { TightlyCoupled: true, EstimateMs: 2_500 })] } })
-  if (status !== 200) throw new SetupError(`the job was answered ${status}`)
-  // The job is the only traffic, and its first attempt is the end of it.
-  await pause(BOUNDS.finishMs)
-  return await observeStall(deployment, `/checks/${JOB}`, JOB, TASKS, ACCELERATORS_PER_WORKER)
+await runCase(async ({ deployment, record, isDisturbed }) => {
+  await deployment.start({ isProxied: true })
+  for (let i = 0; i < WORKERS; i++) await deployment.addWorker(`i-${i}`, `r1-${i % 2}`, 2_500)
+  await deployment.configure(createConfig(1, { keys: [KEY, OTHER_KEY] }))
+  const submit = async (id: string): Promise<number> =>
+    (await deployment.call('POST', `/checks/${id}`, { body: { Spec: 'work', Steps: [createStep(1)] }, entry: ENTRY })).status
+  await submit(toJobId(0))
+
+  if (isDisturbed) {
+    record.write(`links: what control processes send to the entry ${ENTRY} is lost from now on`)
+    for (const proxy of deployment.controlProxies.values()) proxy.cut(ENTRY, 'answers')
+    await pause(1_000)
+  }
+  const ids = Array.from({ length: JOBS }, (_, index) => toJobId(index + 1))
+  const answers: Array<Promise<number>> = []
+  for (const id of ids) {
+    answers.push(submit(id))
+    await pause(JOB_INTERVAL_MS)
+  }
+  await deployment.putConfig(createConfig(2, { keys: [OTHER_KEY] }))
+  if (isDisturbed) {
+    record.write(`links: the entry ${ENTRY} hears the control processes again`)
+    for (const proxy of deployment.controlProxies.values()) proxy.join(ENTRY, 'answers')
+  }
+  const statuses = await Promise.all(answers)
+  await pause(6_000)
+  const started = new Set(deployment.workers.flatMap(({ starts }) => starts.map(({ task }) => task.split('.')[0])))
+  const broken = ids.filter((id, index) => [401, 403, 404, 429, 503].includes(statuses[index]!) && started.has(id))
+  ids.forEach((id, index) => record.write(`job ${id}: one attempt, answered ${statuses[index]}; ${started.has(id) ? 'it ran' : 'it did not run'}`))
+  return broken.length === 0 ? null : `REFUSED: ${broken.length} jobs ran though their only attempt was rejected: ${broken.join()}`
 })
--- a/review/deployment.ts
+++ b/review/deployment.ts
@@ -13,7 +13,7 @@
 export const KEY = 'key-of-clinics'
 
 /** Bounds of the site cdrg-ibis. */
-export const BOUNDS = { cancelMs: 3_000, configApplyMs: 2_000, contactMs: 3_000, drainMs: 2_000, finishMs: 14_000, graceS: 6, holdMaxMs: 6_000, stopMs: 900 }
+export const BOUNDS = { cancelMs: 3_000, configApplyMs: 2_000, contactMs: 3_000, drainMs: 2_000, finishMs: 14_000, graceS: 6, holdMaxMs: 6_000, recoveryMs: 12_000, stopMs: 900 }
 
 /** A draining worker goes on for `DrainMs` after the acknowledgement, and a little longer. */
 export const DRAINING_MS = BOUNDS.drainMs + 500
@@ -103,6 +103,8 @@
   readonly folder = mkdtempSync(`${tmpdir()}/review-`)
   readonly #record: Recorder
   readonly #processes = new Map<string, ChildProcess>()
+  /** Number of the disk of each control process that has lost one. */
+  readonly #disks = new Map<string, number>()
   readonly #removed = new Set<FakeWorker>()
   /** What the workers listed as ended, in order. */
   readonly #ends: RunEvent[] = []
@@ -306,6 +308,13 @@
     this.#launch(address, false)
   }
 
+  /** Starts a control process again after its disk was lost. */
+  relaunchWithEmptyDisk (address: string): void {
+    this.#record.write(`platform: starts ${address} again, with an empty disk`)
+    this.#disks.set(address, this.#getDisk(address) + 1)
+    this.#launch(address, false)
+  }
+
   readLog (address: string): string {
     return readFileSync(`${this.folder}/${address}.log`, 'utf8')
   }
@@ -340,7 +349,7 @@
       PortRange: [internal, internal + 15],
       Seeds: CONTROLS.slice(0, 3).map((seed) => `${seed}:${control}`),
       Bootstrap: isInstallation,
-      ...(isControl && { DataDir: `${this.folder}/data-${address}` }),
+      ...(isControl && { DataDir: `${this.folder}/data-${address}-${this.#getDisk(address)}` }),
       Listen: isControl ? { Control: `${address}:${control}` } : { Front: `${address}:${callers}`, Ready: `${address}:${ready}` },
       Bounds: { HoldMaxMs: BOUNDS.holdMaxMs, GraceS: BOUNDS.graceS },
       FaultTolerance: { Machines: 1 }
@@ -355,6 +364,10 @@
     this.#processes.set(address, child)
   }
 
+  #getDisk (address: string): number {
+    return this.#disks.get(address) ?? 1
+  }
+
   #killAll (): void {
     for (const child of this.#processes.values()) if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL')
   }
