--- a/review/deployment.ts
+++ b/review/deployment.ts
@@ -22,6 +22,8 @@
 /** Clients wait this long for a response (column "deadline ms" of the sheet). */
 const CLIENT_DEADLINE_MS = 3_000
 const START_TIMEOUT_MS = 30_000
+const MIN_PORT = 12_000
+const MAX_PORT = 32_000
 const REPOSITORY = process.cwd()
 
 export const pause = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms) })
@@ -39,17 +41,19 @@
 /** A case that could not be set up; its script exits with 2. */
 export class SetupError extends Error {}
 
+const isFree = (port: number): Promise<boolean> => new Promise((resolve) => {
+  const server = createServer()
+  server.once('error', () => resolve(false))
+  server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+})
+
+/** Finds ports below those that the system gives to outgoing connections, at random, so that cases can run side by side. */
 const findFreePorts = async (count: number): Promise<number[]> => {
   const ports: number[] = []
   while (ports.length < count) {
-    const port = await new Promise<number>((resolve) => {
-      const server = createServer().listen(0, '127.0.0.1', () => {
-        const { port } = server.address() as { port: number }
-        server.close(() => resolve(port))
-      })
-    })
+    const port = MIN_PORT + Math.floor(Math.random() * (MAX_PORT - MIN_PORT))
     // Metrics are served on the port after the internal port.
-    if (ports.every((other) => Math.abs(other - port) > 1)) ports.push(port)
+    if (ports.every((other) => Math.abs(other - port) > 1) && await isFree(port)) ports.push(port)
   }
   return ports
 }
--- a/review/run-case.ts
+++ b/review/run-case.ts
@@ -26,6 +26,10 @@
     process.exit(code)
   }
   for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => finish(2))
+  process.once('uncaughtException', (err) => {
+    record.write(`the case could not run: ${String(err.stack)}`)
+    finish(2)
+  })
   setTimeout(() => finish(2), TIME_LIMIT_MS)
   try {
     const violation = await play({ deployment, record, isDisturbed })
