consensus: give a learner its vote before a silent voter loses its own

Cause: a silent voter was removed first and its substitute promoted afterwards. The configuration of two voters in between needed the replica whose disk was gone, and could not be committed or replaced. Change: the change of voters is decided in automatic-membership.ts: add the substitute, then demote the voter that was silent the longest. Also when a node returns with an empty disk.

--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -1,13 +1,15 @@
 import { assertNever, invariant } from '@ibisstair/common'
 import type { NodeId } from '@ibisstair/common'
+import { planMembers, promoteLearner } from './automatic-membership.ts'
+import type { Peer } from './automatic-membership.ts'
 import { ElapsedClock } from './clock.ts'
 import {
   ELECTION_TIMEOUT_MAX_MS, ELECTION_TIMEOUT_MIN_MS, HEARTBEAT_MS, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_LOG_ENTRIES,
   MAX_SNAPSHOT_CHARS, MAX_UNCOMMITTED_BYTES, MAX_UNCOMMITTED_ENTRIES, SNAPSHOT_CHUNK_CHARS,
-  LEARNER_SILENCE_MS, START_TIMEOUT_MAX_MS, START_TIMEOUT_MIN_MS, TRAILING_BYTES, TRAILING_ENTRIES, VOTER_SILENCE_MS, WITNESS_TIMEOUT_FACTOR
+  START_TIMEOUT_MAX_MS, START_TIMEOUT_MIN_MS, TRAILING_BYTES, TRAILING_ENTRIES, WITNESS_TIMEOUT_FACTOR
 } from './constants.ts'
 import { ReplicaLog } from './log.ts'
-import { countVoterChanges, findMember, isMajority, isSameMember, listVoters, majorityValue, withLearner, withoutNode, withVoter } from './members.ts'
+import { countVoterChanges, findMember, isMajority, isSameMember, listVoters, majorityValue, withLearner, withoutNode } from './members.ts'
 import type { Message, MessageOf } from './messages.ts'
 import { Progress } from './progress.ts'
 import type { Effect, Mechanism, MemberChange, RefusalReason, ReplicaCounters, ReplicaEvent, ReplicaOptions, ReplicaState } from './replica-types.ts'
@@ -209,7 +211,7 @@
       return
     }
     if (this.#self?.witness || this.#diskFull) this.#transferLeadership()
-    this.#promoteLearners()
+    this.#adjustMembers()
     if (this.#now < this.#nextHeartbeatAt) return
     this.#nextHeartbeatAt = this.#now + HEARTBEAT_MS
     for (const progress of this.#progress.values()) this.#sendHeartbeat(progress)
@@ -760,6 +762,7 @@
     if (!existing) return this.#admitLearner(from, incarnation)
     const isAlive = this.#now - (this.#progress.get(from)?.lastContactAt ?? -Infinity) < ELECTION_TIMEOUT_MAX_MS
     const remaining = withoutNode(this.#members, from)
+    if (existing.role === 'voter' && this.#promoteSubstitute()) return
     if (from === this.#options.node || isAlive || this.#findRefusalReason() || !this.#canChangeMembers() || !this.#hasActiveMajority(remaining)) {
       this.counters.refusedJoins += 1
       return
@@ -767,6 +770,17 @@
     this.#appendMembers(withLearner(this.#members, { node: from, incarnation, witness: existing.witness }))
   }
 
+  /** With automatic membership, a learner gets a vote before the node that lost its state gives its own up; that node asks again. */
+  #promoteSubstitute (): boolean {
+    const { maxVoters } = this.#options
+    if (maxVoters === undefined || listVoters(this.#members).length > maxVoters) return false
+    if (this.#findRefusalReason() || !this.#canChangeMembers()) return false
+    const next = promoteLearner(this.#members, this.#listPeers())
+    if (!next || !this.#hasActiveMajority(next)) return false
+    this.#appendMembers(next)
+    return true
+  }
+
   /** Admits a node outside the configuration as a learner, which does not count towards majorities. */
   #admitLearner (node: NodeId, incarnation: string): void {
     if (this.#options.maxVoters === undefined) return
@@ -777,14 +791,23 @@
     this.#appendMembers(withLearner(this.#members, { node, incarnation, witness: false }))
   }
 
-  #promoteLearners (): void {
+  #adjustMembers (): void {
     if (this.#diskFull || this.#now < this.#transferDeadline || !this.#canChangeMembers()) return
-    const promotable = [...this.#progress.values()].find((progress) => this.#canPromote(progress))
-    if (promotable && listVoters(this.#members).length < (this.#options.maxVoters ?? Infinity)) {
-      this.#appendMembers(withVoter(this.#members, promotable.member.node))
-      return
-    }
-    if (this.#options.maxVoters !== undefined) this.#removeSilentMember(promotable !== undefined)
+    const { maxVoters } = this.#options
+    const peers = this.#listPeers()
+    const next = maxVoters === undefined ? promoteLearner(this.#members, peers) : planMembers(this.#members, peers, maxVoters)
+    if (!next || !this.#hasActiveMajority(next)) return
+    if (listVoters(next).length < listVoters(this.#members).length) this.counters.replacedVoters += 1
+    this.#appendMembers(next)
+  }
+
+  #listPeers (): Peer[] {
+    return [...this.#progress.values()].map((progress) => ({
+      member: progress.member,
+      lastContactAt: progress.lastContactAt,
+      silentMs: this.#now - Math.max(progress.lastContactAt, this.#electedAt),
+      isPromotable: this.#canPromote(progress)
+    }))
   }
 
   #canPromote (progress: Progress): boolean {
@@ -792,20 +815,6 @@
     return progress.isCaughtUp && this.#now - progress.lastContactAt < ELECTION_TIMEOUT_MIN_MS
   }
 
-  /** Removes a member that no longer answers; a voter only when a learner can replace it. */
-  #removeSilentMember (hasSubstitute: boolean): void {
-    for (const { member, lastContactAt } of this.#progress.values()) {
-      const silentMs = this.#now - Math.max(lastContactAt, this.#electedAt)
-      const isVoter = member.role === 'voter'
-      if (isVoter ? !hasSubstitute || silentMs < VOTER_SILENCE_MS : silentMs < LEARNER_SILENCE_MS) continue
-      const remaining = withoutNode(this.#members, member.node)
-      if (!this.#hasActiveMajority(remaining)) continue
-      if (isVoter) this.counters.replacedVoters += 1
-      this.#appendMembers(remaining)
-      return
-    }
-  }
-
   #transferLeadership (): void {
     if (this.#role !== 'leader' || this.#now < this.#transferDeadline) return
     const target = [...this.#progress.values()].find((progress) => this.#canLead(progress))
--- a/packages/consensus/tests/automatic-membership.test.ts
+++ b/packages/consensus/tests/automatic-membership.test.ts
@@ -80,3 +80,38 @@
     t.equal(cluster.statusOf(cluster.leaders[0]!)!.members.find(({ node }) => node === cluster.leaders[0]!.id)?.role, 'voter', `seed ${seed}`)
   }
 })
+
+t.test('a group that loses a disk while it replaces a frozen voter recovers once the voter is back', async (t) => {
+  // Guards against a change of the members that leaves a majority only with a replica whose disk is gone.
+  const FREEZE_MS = 5_000
+  const RECOVERY_MS = 12_000
+  for (const lostAfterMs of [500, 1_000, 1_500, 1_800, 2_000, 2_200, 2_400, 2_600, 3_000]) {
+    for (let seed = 1; seed <= 5; seed++) {
+      const cluster = createCluster(seed)
+      const leader = cluster.leaders[0]!
+      cluster.propose(leader, 'acknowledged')
+      cluster.run(500)
+      const [frozen, wiped] = cluster.nodes.filter((node) => node !== leader && listVoters(cluster).includes(node.id))
+      cluster.freeze(frozen!, FREEZE_MS)
+      cluster.run(lostAfterMs)
+      cluster.loseDisk(wiped!)
+      cluster.run(1_000)
+      cluster.start(wiped!)
+      cluster.run(FREEZE_MS + RECOVERY_MS)
+      const name = `disk lost after ${lostAfterMs} ms, seed ${seed}`
+      if (!t.equal(cluster.leaders.length, 1, name)) continue
+      cluster.history.checkComplete(cluster.statusOf(cluster.leaders[0]!)!.commitIndex)
+      t.equal(listVoters(cluster).length, 3, name)
+    }
+  }
+})
+
+t.test('a voter that comes back while it is being replaced does not leave the group with an even number of voters', async (t) => {
+  for (let seed = 1; seed <= 20; seed++) {
+    const cluster = createCluster(seed)
+    cluster.freeze(findFollower(cluster), 2_450 + 10 * seed)
+    cluster.run(8_000)
+    t.equal(listVoters(cluster).length, 3, `seed ${seed}`)
+    t.equal(listLearners(cluster).length, 1, `seed ${seed}`)
+  }
+})
