dispatch: take the message that an endpoint leaves as an intention, not as its end

Cause: Dispatcher.leave removed the endpoint and its runs 0.5 s after the message; an endpoint without an answer runs on for some seconds. Change: its runs are stopped, and each ends by a report, by a refused connection after the message, or by the end of its lease, which is not extended any more; then the endpoint is removed.

--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -58,7 +58,7 @@
 /** An endpoint that has not announced itself for this time gets no new work. */
 export const ANNOUNCEMENT_EXPIRY_MS = 4_000
 
-/** Time between an endpoint's message that it leaves and its removal, which ends its runs. */
+/** Shortest time between an endpoint's message that it leaves and its removal. */
 export const LEAVE_GRACE_MS = 500
 
 /** An endpoint without runs is removed when it has not announced itself for this time. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -40,6 +40,8 @@
   readonly #sessions = new Map<EndpointIncarnation, EndpointSession>()
   readonly #announcements: Announcements
   readonly #unwantedSinceMs = new Map<TaskId, number>()
+  /** When each endpoint said that it leaves. */
+  readonly #leavingSinceMs = new Map<EndpointIncarnation, number>()
   readonly #unsubscribes: Unsubscribe[] = []
   /** Sessions with runs of earlier leaders whose first report is awaited. */
   #unsurveyed: readonly EndpointSession[] = []
@@ -100,8 +102,8 @@
   }
 
   /**
-   * Handles the message that an endpoint shuts down: removes it after a grace period. The message may arrive late,
-   * after another incarnation has registered under the id. Without a start time it counts only for an
+   * Handles the message that an endpoint shuts down: removes it after a grace period, once no run is active there.
+   * An endpoint whose message got no answer may still run for some seconds. The message may arrive late, after another incarnation has registered under the id. Without a start time it counts only for an
    * incarnation that has announced that it will leave; the runs of others end with their lease.
    */
   leave (id: EndpointId, bornMs: number | null): void {
@@ -111,7 +113,8 @@
     const hasLeft = bornMs === null ? record.draining : record.bornMs === bornMs
     if (!hasLeft) return logger.info('message that an endpoint leaves is not of its present incarnation; ignored', { endpoint: id, life: record.life, bornMs })
     logger.info('endpoint leaves', { endpoint: id, life: record.life })
-    timers.subscribe(LEAVE_GRACE_MS, () => this.#remove(record, 'left'))
+    if (!this.#leavingSinceMs.has(record.life)) this.#leavingSinceMs.set(record.life, timers.now())
+    this.#sessions.get(record.life)?.handleLeaving()
   }
 
   // Events of sessions
@@ -203,6 +206,7 @@
     if (!endpoint) return null
     const session = new EndpointSession({ endpoint, port, timers, fencingToken, leaseMaxMs, events: this })
     this.#sessions.set(incarnation, session)
+    if (this.#leavingSinceMs.has(incarnation)) session.handleLeaving()
     return session
   }
 
@@ -218,6 +222,7 @@
       this.#announcements.remove(incarnation)
       this.#health.remove(incarnation)
     }
+    for (const incarnation of this.#leavingSinceMs.keys()) if (!this.#options.state.endpoints.get(incarnation)) this.#leavingSinceMs.delete(incarnation)
   }
 
   /** `cause` is null for an endpoint that is only silent and may announce itself again. */
@@ -243,6 +248,7 @@
     if (!this.isLeading()) return
     for (const session of this.#sessions.values()) session.tick()
     this.#removeSilentEndpoints()
+    this.#removeLeftEndpoints()
     this.#schedulePass()
   }
 
@@ -254,6 +260,14 @@
     }
   }
 
+  #removeLeftEndpoints (): void {
+    const { state, timers } = this.#options
+    for (const [incarnation, sinceMs] of this.#leavingSinceMs) {
+      const record = state.endpoints.get(incarnation)
+      if (record && timers.now() - sinceMs >= LEAVE_GRACE_MS && state.jobs.listRuns(incarnation).size === 0) this.#remove(record, 'left')
+    }
+  }
+
   #schedulePass (): void {
     if (this.#isPassScheduled || this.#isClosed) return
     this.#isPassScheduled = true
@@ -329,7 +343,7 @@
   }
 
   #isUsable (endpoint: EndpointRecord): boolean {
-    if (endpoint.draining || this.#health.isSuspect(endpoint.life)) return false
+    if (endpoint.draining || this.#leavingSinceMs.has(endpoint.life) || this.#health.isSuspect(endpoint.life)) return false
     if ((this.#sessions.get(endpoint.life)?.failures ?? 0) > 0) return false
     return this.#announcements.isCurrent(endpoint.life, this.#options.timers.now())
   }
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -52,6 +52,8 @@
   readonly events: SessionEvents
 }
 
+const isRefused = (err: IbisError): boolean => err.details?.code === 'ECONNREFUSED'
+
 /** Leases, orders and reports of one incarnation of an endpoint, during the term of one leader. */
 export class EndpointSession {
   readonly #options: SessionOptions
@@ -65,6 +67,10 @@
   #submittedUpto = 0
   #failures = 0
   #silentSinceMs: number | null = null
+  /** When the endpoint said that it leaves. */
+  #leavingSinceMs: number | null = null
+  /** Whether nothing listens at the address of the leaving endpoint any more. */
+  #hasLeft = false
   #hasReported = false
   #isPolling = false
   #pollAgain = false
@@ -133,6 +139,16 @@
     if (this.#failures > 0) this.poll()
   }
 
+  /**
+   * The endpoint says that it leaves. It may run on for some time if that message got no answer, so that its runs are
+   * stopped; each counts as ended when a report, a refused connection or the end of the lease shows it.
+   */
+  handleLeaving (): void {
+    this.#leavingSinceMs ??= this.#options.timers.now()
+    this.#stopAll()
+    this.poll()
+  }
+
   /** Takes over a run that an earlier leader ordered. */
   adopt (run: ActiveRun): void {
     this.#track(run.task, run.run, 'inherited')
@@ -172,21 +188,28 @@
     this.#pollLoop().catch((err: unknown) => this.#options.events.log('lease renewal failed unexpectedly', { endpoint: this.#endpoint.id, err })).finally(() => { this.#isPolling = false })
   }
 
-  /** Reports runs as lost once their lease has certainly expired on an unreachable endpoint. */
+  /** Reports runs as lost once the endpoint has left, or their lease has certainly expired on an unreachable one. */
   tick (): void {
     if (this.#isClosed || this.#runs.size === 0) return
+    if (this.#leavingSinceMs !== null) this.#stopAll()
     this.poll()
-    if (this.#failures === 0 || this.#options.timers.now() < this.#lease.getEndMs()) return
+    const hasExpired = this.#failures > 0 && this.#options.timers.now() >= this.#lease.getEndMs()
+    if (!hasExpired && !this.#hasLeft) return
     const ends = [...this.#runs.values()].filter(({ phase }) => phase !== 'starting').map(({ task, run }): RunEnd => ({ task, run, outcome: 'lost', checkpoint: '' }))
     if (ends.length === 0) return
-    this.#options.events.log('lease of an unreachable endpoint expired; its runs count as lost', { endpoint: this.#endpoint.id, runs: ends.length, failures: this.#failures })
+    this.#options.events.log('endpoint does not answer, and its lease has expired or it has left; its runs count as lost', { endpoint: this.#endpoint.id, runs: ends.length, failures: this.#failures, hasExpired, hasLeft: this.#hasLeft })
     this.#submit(ends).catch(() => {})
   }
 
+  #stopAll (): void {
+    for (const task of [...this.#runs.keys()]) this.stop(task)
+  }
+
   // Orders
 
   async #sendStart (tracked: TrackedRun, payload: string, checkpoint: string): Promise<void> {
     const { port, fencingToken, events } = this.#options
+    if (this.#leavingSinceMs !== null) return await this.#handleNotStarted(tracked)
     if (!this.#lease.hasReading) await this.#renew(0, false)
     const leaseUntilMs = this.#lease.extend(this.#options.timers.now())
     if (this.#isClosed || leaseUntilMs === null || !events.isLeading()) return this.#setPhase(tracked, 'unconfirmed')
@@ -202,7 +225,7 @@
       this.#setPhase(tracked, 'present')
     } else if (result.type === 'refused') {
       events.handleStartRefused(this.#endpoint, tracked.task, result.reason)
-      await this.#submit([{ task: tracked.task, run: tracked.run, outcome: 'not-started', checkpoint: '' }]).catch(() => this.#setPhase(tracked, 'unconfirmed'))
+      await this.#handleNotStarted(tracked)
     } else {
       this.#setPhase(tracked, 'unconfirmed')
       this.#handleRejection(result)
@@ -210,6 +233,11 @@
     this.poll()
   }
 
+  /** The order of the run was not and will not be carried out. */
+  async #handleNotStarted (tracked: TrackedRun): Promise<void> {
+    await this.#submit([{ task: tracked.task, run: tracked.run, outcome: 'not-started', checkpoint: '' }]).catch(() => this.#setPhase(tracked, 'unconfirmed'))
+  }
+
   async #sendStop (tracked: TrackedRun): Promise<void> {
     const { port, fencingToken, events, timers } = this.#options
     while (!this.#isClosed && this.#runs.get(tracked.task) === tracked && !tracked.isStopAcked && events.isLeading()) {
@@ -304,14 +332,15 @@
   /** Returns whether the endpoint answered. */
   async #renew (waitMs: number, mayExtend: boolean): Promise<boolean> {
     const { port, fencingToken, timers } = this.#options
-    // The lease of an unreachable endpoint is not extended, so that its end stays certain.
-    const leaseUntilMs = mayExtend && this.#failures === 0 && this.#runs.size > 0 ? this.#lease.extend(timers.now()) : null
+    // The lease of an unreachable or leaving endpoint is not extended, so that its end stays certain.
+    const leaseUntilMs = mayExtend && this.#failures === 0 && this.#leavingSinceMs === null && this.#runs.size > 0 ? this.#lease.extend(timers.now()) : null
     const ackedUpto = this.#committedUpto
     const sentAtMs = timers.now()
     const result = await port.renew(this.#endpoint, { fencingToken, ackedUpto, leaseUntilMs, waitMs }, waitMs + RENEW_TIMEOUT_MARGIN_MS).catch(IbisError.from)
     if (this.#isClosed) return true
     if (result instanceof IbisError) {
       this.#recordFailure()
+      this.#hasLeft ||= isRefused(result) && this.#leavingSinceMs !== null && sentAtMs >= this.#leavingSinceMs
       if (this.#failures === 1) this.#options.events.log('endpoint does not answer', { endpoint: this.#endpoint.id, address: this.#endpoint.address, runs: this.#runs.size, detail: result.message })
       return false
     }
--- a/packages/dispatch/src/ports.ts
+++ b/packages/dispatch/src/ports.ts
@@ -66,7 +66,10 @@
   | { readonly type: 'report', readonly report: EndpointReport }
   | Extract<OrderResult, { type: 'fenced' | 'wrong-incarnation' | 'refused' }>
 
-/** Calls to endpoints. They reject with `unreachable` when no answer arrives within the timeout; the order may still be carried out. */
+/**
+ * Calls to endpoints. They reject with `unreachable` when no answer arrives within the timeout; the order may still be
+ * carried out. The detail `code` of the error is ECONNREFUSED when nothing listens at the address.
+ */
 export interface EndpointPort {
   start (endpoint: EndpointRecord, order: StartOrder, timeoutMs: number): Promise<OrderResult>
   stop (endpoint: EndpointRecord, order: StopOrder, timeoutMs: number): Promise<OrderResult>
--- a/packages/dispatch/tests/support/fake-fleet.ts
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -194,7 +194,10 @@
     // The answer waits for a run to end, unless there are unacknowledged ends: these are reported at once.
     const hasEnded = this.#endpoints.get(endpoint.life)!.hasUnacknowledged(order.ackedUpto)
     await this.timers.delay(hasEnded ? 0 : Math.min(order.waitMs, MAX_FAKE_WAIT_MS))
-    return await this.#call(endpoint, timeoutMs, (fake) => fake.record.life === endpoint.life ? fake.renew(order) : { type: 'wrong-incarnation' })
+    return await this.#call(endpoint, timeoutMs, (fake) => {
+      const result = fake.renew(order)
+      return fake.record.life === endpoint.life || result.type !== 'report' ? result : { type: 'wrong-incarnation', successorReport: result.report }
+    })
   }
 
   closeConnections (): void {}
@@ -215,6 +218,14 @@
     this.timers.subscribe(RESTART_MS, () => this.#restart(fake.record))
   }
 
+  /** Ends an endpoint, which does not return; its address refuses connections. */
+  end (incarnation: EndpointIncarnation): void {
+    const fake = this.#endpoints.get(incarnation)
+    if (!fake || fake.isCrashed) return
+    fake.crash()
+    this.recordLapse(fake)
+  }
+
   /** Crashes an endpoint, which is back at once under its id; calls to the earlier incarnation reach the new one. */
   restartUnderId (incarnation: EndpointIncarnation): void {
     const fake = this.#endpoints.get(incarnation)
@@ -275,7 +286,7 @@
     const called = this.#endpoints.get(incarnation)!
     await this.timers.delay(1)
     const fake = findSuccessor(called)
-    if (fake.isCrashed) throw new IbisError('unreachable', 'connection refused', { info: { reason: 'connect' } })
+    if (fake.isCrashed) throw new IbisError('unreachable', 'connection refused', { info: { reason: 'connect', code: 'ECONNREFUSED' } })
     if (this.faults.unreachable.has(incarnation)) return await this.#loseAnswer(timeoutMs)
     if (this.random.float() >= this.faults.lostShare) return execute(fake)
     if (this.random.float() < 0.5) this.timers.subscribe(this.random.int(LATE_ORDER_MIN_MS, LATE_ORDER_MAX_MS), () => { if (!this.faults.unreachable.has(incarnation) && !fake.isCrashed) execute(fake) })
--- a/packages/rpc/src/http.ts
+++ b/packages/rpc/src/http.ts
@@ -40,7 +40,7 @@
     }
     const fail = (detail: string, reason: string, cause?: Error): void => settle(() => {
       req.destroy()
-      reject(new IbisError('unreachable', `${call.address}:${call.port}${call.path}: ${detail}`, { ...(cause && { cause }), info: { reason } }))
+      reject(new IbisError('unreachable', `${call.address}:${call.port}${call.path}: ${detail}`, { ...(cause && { cause }), info: { reason, ...(cause && { code: (cause as NodeJS.ErrnoException).code }) } }))
     })
     const req = httpRequest({
       host: call.address,
