dispatch: settle the runs that a new life of an endpoint may have taken before the old life is removed

Cause: the report of another life under the same id was dropped with its ends, and the run counted as lost; a stop without an answer counted as answered after 1.5 s; a renewal acknowledged ends of the new life with the numbers of the old one. Ruled out: the clock check of answers, which can't see a life of under 3 s. Change: Handover stops each unlisted run until that is answered, reads the new life's report and commits the ends it lists. Nothing is acknowledged after a call without an answer.

--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -13,8 +13,8 @@
 export const ORDER_TIMEOUT_MS = 800
 /** Answers may overtake each other by less than this. */
 export const MAX_ANSWER_DELAY_MS = 3_000
-/** Time after an answered stop by which the run has ended. */
-export const STOP_SETTLE_MS = 1_500
+/** Longest time after which an order without an answer may still be carried out. */
+export const LATE_ORDER_MS = 12_000
 /** Longest time that an endpoint holds back the answer to a renewal while no run ends. */
 export const RENEW_LONG_POLL_MS = 1_500
 /** Like `RENEW_LONG_POLL_MS`, while a start is unanswered: its outcome is read soon after its timeout. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -95,9 +95,12 @@
     this.#sessions.get(record.life)?.handleAnnouncement(clockMs, now)
   }
 
-  /** Waits until no run of an earlier incarnation under the same id can be active on the announced one. */
+  /**
+   * Waits until no run of an earlier incarnation under the same id can be active on the announced one. Only one at the
+   * same address can have received orders that were meant for the earlier one.
+   */
   async #handOver (record: EndpointRecord): Promise<void> {
-    const replaced = this.#options.state.endpoints.listReplacedBy(record).filter(({ id }) => id === record.id)
+    const replaced = this.#options.state.endpoints.listReplacedBy(record).filter(({ id, address }) => id === record.id && address === record.address)
     await Promise.all(replaced.map(({ life }) => this.#sessions.get(life)?.handOver()))
   }
 
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -2,9 +2,10 @@
 import type { ActiveRun, EndpointRecord, RunEnd } from '@ibisstair/jobs'
 import type { TimerService } from '@ibisstair/timers'
 import {
-  COMMIT_POLL_INTERVAL_MS, MAX_UNKNOWN_STOPS, ORDER_TIMEOUT_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS, STOP_SETTLE_MS
+  COMMIT_POLL_INTERVAL_MS, MAX_UNKNOWN_STOPS, ORDER_TIMEOUT_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS
 } from './constants.ts'
 import { EndpointLease } from './endpoint-lease.ts'
+import { Handover } from './handover.ts'
 import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
 import { RunProgress } from './run-progress.ts'
 
@@ -76,7 +77,7 @@
   #pollAgain = false
   #cancelPause: () => void = () => {}
   #isClosed = false
-  /** Resolves once the runs that another incarnation may have taken are stopped; null before that is known to be needed. */
+  /** Resolves once it is committed what became of the runs that another incarnation may have taken; null when that is not being found out. */
   #handover: Promise<void> | null = null
 
   constructor (options: SessionOptions) {
@@ -125,11 +126,15 @@
 
   /**
    * Another incarnation has taken the endpoint's place, perhaps under its id, so that it may have carried out orders
-   * that were meant for this one. Sends no more orders, and stops every run that no report has listed.
+   * that were meant for this one. Sends no more orders, and commits how each run that no report has listed ended there.
+   * Rejects when leadership ends meanwhile.
    */
   handOver (): Promise<void> {
     this.#isClosed = true
-    this.#handover ??= this.#stopUnreported()
+    this.#handover ??= this.#settleUnreported().catch((err: unknown) => {
+      this.#handover = null
+      throw err
+    })
     return this.#handover
   }
 
@@ -276,12 +281,20 @@
       .catch((err: unknown) => events.log('handing over an endpoint failed unexpectedly', { endpoint: this.#endpoint.id, err }))
   }
 
-  async #stopUnreported (): Promise<void> {
-    const { port, fencingToken, timers } = this.#options
+  async #settleUnreported (): Promise<void> {
+    const { port, timers, fencingToken, leaseMaxMs, events } = this.#options
     const unreported = [...this.#runs.values()].filter(({ isReported }) => !isReported)
-    const results = await Promise.all(unreported.map(({ task, run }) => port.stop(this.#endpoint, { task, run, fencingToken }, ORDER_TIMEOUT_MS).catch(IbisError.from)))
-    const hasOtherId = results.every((result) => !(result instanceof IbisError) && result.type === 'wrong-incarnation')
-    if (!hasOtherId) await timers.delay(STOP_SETTLE_MS)
+    const handover = new Handover({
+      endpoint: this.#endpoint,
+      port,
+      timers,
+      fencingToken,
+      leaseMaxMs,
+      isLeading: () => events.isLeading(),
+      log: (message, fields) => events.log(message, fields)
+    }, unreported)
+    const ends = await handover.settle()
+    if (ends.length > 0) await events.handleEnds(this.#endpoint, ends)
   }
 
   // Renewals and reports
@@ -329,12 +342,20 @@
     return this.#runs.size > 0 || this.#ackedUpto < this.#committedUpto
   }
 
+  /**
+   * Returns 0 unless there is something to acknowledge and the endpoint has answered the last call: one that has
+   * restarted under the same id numbers its ends anew, and must not take this number for its own.
+   */
+  #getNumberToAcknowledge (): number {
+    return this.#failures > 0 || this.#ackedUpto >= this.#committedUpto ? 0 : this.#committedUpto
+  }
+
   /** Returns whether the endpoint answered. */
   async #renew (waitMs: number, mayExtend: boolean): Promise<boolean> {
     const { port, fencingToken, timers } = this.#options
     // The lease of an unreachable or leaving endpoint is not extended, so that its end stays certain.
     const leaseUntilMs = mayExtend && this.#failures === 0 && this.#leavingSinceMs === null && this.#runs.size > 0 ? this.#lease.extend(timers.now()) : null
-    const ackedUpto = this.#committedUpto
+    const ackedUpto = this.#getNumberToAcknowledge()
     const sentAtMs = timers.now()
     const result = await port.renew(this.#endpoint, { fencingToken, ackedUpto, leaseUntilMs, waitMs }, waitMs + RENEW_TIMEOUT_MARGIN_MS).catch(IbisError.from)
     if (this.#isClosed) return true
--- a/packages/dispatch/src/ports.ts
+++ b/packages/dispatch/src/ports.ts
@@ -64,7 +64,9 @@
 
 export type RenewResult =
   | { readonly type: 'report', readonly report: EndpointReport }
-  | Extract<OrderResult, { type: 'fenced' | 'wrong-incarnation' | 'refused' }>
+  /** Another incarnation has answered. One under the same id tells what it runs; that is absent when it has another id. */
+  | { readonly type: 'wrong-incarnation', readonly successorReport?: EndpointReport }
+  | Extract<OrderResult, { type: 'fenced' | 'refused' }>
 
 /**
  * Calls to endpoints. They reject with `unreachable` when no answer arrives within the timeout; the order may still be
