cluster: claim 'not run' only if no earlier attempt of the call went without an answer

Cause: the entry repeats a call whose answer is lost; the second attempt was refused because the key had been withdrawn, and that refusal was taken for all attempts. Evidence: the new test in leader-client.test.ts failed in all twelve combinations before. Change: such a refusal becomes outcome-unknown (502); a leader that lost its quorum during a call no longer claims that the call changed nothing.

--- a/packages/cluster/src/core-node.ts
+++ b/packages/cluster/src/core-node.ts
@@ -113,8 +113,7 @@
   async handleCall (method: LeaderMethod, params: unknown): Promise<unknown> {
     const { service } = this.#getLeadership()
     const result = await service.handle(method, params)
-    // Checks leadership again: the result may be stale if the quorum was lost during the call.
-    this.#getLeadership()
+    this.#checkStillLeading()
     return result
   }
 
@@ -156,6 +155,16 @@
     throw new IbisError('no-leader', 'this control process knows no leader')
   }
 
+  /** The result of a call may be stale if the quorum was lost meanwhile, but the call may have changed the state. */
+  #checkStillLeading (): void {
+    try {
+      this.#getLeadership()
+    } catch (err) {
+      const { kind, message, details } = IbisError.from(err)
+      throw new IbisError(kind, message, { execution: 'unknown', ...(details && { info: details }) })
+    }
+  }
+
   #handleStatus ({ role, term, leader, members }: ReplicaStatus): void {
     this.#options.logger.info('replica status changed', { role, term, leader, members: members.map((member) => `${member.node}:${member.role}`).join(' ') })
     this.#updateRole()
--- a/packages/cluster/src/leader-client.ts
+++ b/packages/cluster/src/leader-client.ts
@@ -8,6 +8,9 @@
 /** Errors after which another process, or the same process later, may be able to handle the call. */
 const RETRYABLE_KINDS: ReadonlySet<ErrorKind> = new Set(['not-leader', 'no-leader', 'no-quorum', 'unreachable', 'outcome-unknown', 'shutting-down', 'overloaded', 'disk-full'])
 
+/** Calls that change nothing, so that an attempt without an answer does not matter. */
+const READ_METHODS: ReadonlySet<LeaderMethod> = new Set(['job.status', 'queue.pending', 'config.get'])
+
 /** Handles a call in this process; rejects with `not-leader` if another process leads. */
 export type LocalCallHandler = (method: LeaderMethod, params: unknown) => Promise<unknown>
 
@@ -22,9 +25,9 @@
 
 /**
  * Sends calls to the current leader and retries them until the deadline, which is safe because every
- * call is idempotent. Only a leader that has checked its state can tell that the work never runs,
- * because an earlier attempt through another process may have been carried out. A call without such
- * an answer by the deadline rejects with `outcome-unknown`.
+ * call is idempotent. Only a leader can tell that the work never runs, and only if no earlier attempt
+ * went without an answer: that one may have been carried out, or may still be, whatever became of the
+ * caller's key or queue meanwhile. A call without a certain answer rejects with `outcome-unknown`.
  */
 export class LeaderClient {
   readonly #options: LeaderClientOptions
@@ -37,6 +40,7 @@
     const { timers, finder } = this.#options
     const deadline = timers.now() + timeoutMs
     let lastErr = new IbisError('no-leader', 'no leader is known')
+    let mayBeCarriedOut = false
     for (;;) {
       const remainingMs = deadline - timers.now()
       if (remainingMs < MIN_ATTEMPT_TIMEOUT_MS) throw new IbisError('outcome-unknown', lastErr.message, { cause: lastErr, retryAfterMs: RETRY_AFTER_MS })
@@ -50,7 +54,8 @@
         return await this.#attempt<T>(leader, method, params, Math.min(LEADER_ATTEMPT_TIMEOUT_MS, remainingMs))
       } catch (err) {
         lastErr = IbisError.from(err)
-        if (!RETRYABLE_KINDS.has(lastErr.kind)) throw lastErr
+        if (!RETRYABLE_KINDS.has(lastErr.kind)) throw mayBeCarriedOut ? withoutNotRun(lastErr) : lastErr
+        mayBeCarriedOut ||= !READ_METHODS.has(method) && isAmbiguous(lastErr)
         finder.invalidateLeader(leader, lastErr.kind === 'not-leader' ? asId<NodeId>(String(lastErr.details?.leader ?? '')) || null : null)
         await timers.delay(Math.min(LEADER_RETRY_DELAY_MS, Math.max(0, deadline - timers.now())))
       }
@@ -76,3 +81,16 @@
     }
   }
 }
+
+/** Whether the attempt may have been carried out, now or later. */
+const isAmbiguous = (err: IbisError): boolean =>
+  err.execution !== 'not-run' && !(err.kind === 'unreachable' && err.details?.reason === 'connect')
+
+/** Returns the error without the claim that nothing has run. */
+const withoutNotRun = (err: IbisError): IbisError => {
+  if (err.execution !== 'not-run') return err
+  return new IbisError('outcome-unknown', `${err.message}; an earlier attempt got no answer and may have been carried out`, {
+    cause: err,
+    ...(err.retryAfterMs !== undefined && { retryAfterMs: err.retryAfterMs })
+  })
+}
--- a/packages/cluster/tests/leader-client.test.ts
+++ b/packages/cluster/tests/leader-client.test.ts
@@ -126,3 +126,39 @@
   t.equal(finder.leader, null)
   t.equal(errors.length, 1)
 })
+
+t.test('a refusal after an attempt without an answer does not report that the work never runs', async (t) => {
+  // Guards against a 401 or 404 for a job that runs: its key or queue was removed between two attempts of one call.
+  const refuseAfter = (first: IbisError, refusal: IbisError) => {
+    let attempts = 0
+    return createClient(async (method) => {
+      if (method === 'cluster.view') return { leader: node, term: 1, members: [node] }
+      attempts += 1
+      throw attempts === 1 ? first : refusal
+    })
+  }
+  const unanswered = [
+    new IbisError('unreachable', 'no answer', { info: { reason: 'timeout' } }),
+    new IbisError('unreachable', 'socket hang up', { info: { reason: 'connection' } }),
+    new IbisError('outcome-unknown', 'not committed in time'),
+    new IbisError('no-leader', 'leadership ended during the call', { execution: 'unknown' })
+  ]
+  for (const first of unanswered) {
+    for (const kind of ['bad-credential', 'unknown-queue', 'queue-full'] as const) {
+      const { timers, client } = refuseAfter(first, new IbisError(kind, 'refused', { retryAfterMs: 700 }))
+      const err = await getError(runUntilSettled(timers, client.call('job.submit', {}, 1_000)))
+      t.equal(err.kind, 'outcome-unknown', `${kind} after: ${first.message}`)
+      t.equal(err.execution, 'unknown')
+      t.equal(err.retryAfterMs, 700)
+    }
+  }
+  const undelivered = [new IbisError('unreachable', 'refused', { info: { reason: 'connect' } }), new IbisError('not-leader', 'another process leads')]
+  for (const first of undelivered) {
+    const { timers, client } = refuseAfter(first, new IbisError('bad-credential', 'unknown key'))
+    const err = await getError(runUntilSettled(timers, client.call('job.submit', {}, 1_000)))
+    t.equal(err.kind, 'bad-credential', `after: ${first.message}`)
+  }
+  const { timers, client } = refuseAfter(unanswered[0]!, new IbisError('bad-credential', 'unknown key'))
+  const err = await getError(runUntilSettled(timers, client.call('job.status', {}, 1_000)))
+  t.equal(err.kind, 'bad-credential', 'a call that reads has nothing to run')
+})
