dispatch: let no preference for a place hold work back for ever

Cause: couldEverFit asked for one task where the placement wants all in one rack; the wait for a rack, for the data rack and behind the reservation of a gang had no limit in time. Change: couldEverFit asks for all tightly coupled tasks; work that got nothing for 1.5 s takes any place, if it lasts, or if its job has nothing running while the service is mostly idle.

--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -115,10 +115,13 @@
   return fill(spec, indexes, [...near, ...candidates.filter((candidate) => !near.includes(candidate))], countOn)
 }
 
-/** Whether the tasks would fit if all endpoints were idle. */
+/**
+ * Whether the tasks that have to be placed together would fit if all endpoints were idle: those of a gang, and
+ * tightly coupled ones, which are placed in one rack.
+ */
 export const couldEverFit = (spec: StepSpec, endpoints: readonly EndpointRecord[], { acceptFar }: PlacementOptions): boolean => {
   const empty = endpoints.map((endpoint): Candidate => ({ endpoint, free: endpoint.capacity, penalty: 0 }))
-  const count = spec.gang ? spec.count : 1
+  const count = spec.gang || spec.tightlyCoupled ? spec.count : 1
   const indexes = Array.from({ length: count }, (_, index) => index)
   return placeTasks(spec, indexes, empty, () => 0, { acceptFar }).length === count
 }
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -8,6 +8,7 @@
 import { planPreemption, type PreemptionPlan } from './preemption.ts'
 import { toShape, toWorkKey, type ReadyWork } from './ready-work.ts'
 import { getDeferrableBudget, getReserve, isDeferrable, limitToAccelerators, sumFreeAccelerators } from './shares.ts'
+import { StalledWork } from './stalled-work.ts'
 import { UrgentDemand } from './urgent-demand.ts'
 import { toCoreEquivalents } from './work-cost.ts'
 
@@ -73,6 +74,7 @@
   readonly #retryAtMs = new Map<string, number>()
   /** Since when suspect work has waited for an endpoint. */
   readonly #suspectSinceMs = new Map<string, number>()
+  readonly #stalledWork = new StalledWork()
   /** Whether a shape fits only across racks, for the endpoints and capacities that `#fleetKey` names. */
   readonly #acceptFar = new Map<string, boolean>()
   #fleetKey = ''
@@ -82,25 +84,32 @@
     this.#clearCacheOnFleetChange(pass)
     const ready = this.#moveClaimantsToFront(pass.listWork(), pass)
     const starts: StartGroup[] = []
+    const progressed = new Set<string>()
     const place = (work: ReadyWork): boolean => {
       const groups = this.#place(work, pass)
       starts.push(...groups)
       pass.isolation.recordPlacement(work, groups.flatMap(({ members }) => members))
+      if (groups.length > 0) progressed.add(toWorkKey(work))
       return groups.length > 0
     }
     const waiting = ready.filter((work) => !isDeferred(work) && !place(work))
-    const deferred = placeShare(ready.filter(isDeferred), pass, place)
+    const deferred = placeShare(ready.filter(isDeferred), pass, place).filter((work) => !this.#isStalled(work, pass) || !place(limitStalled(work)))
     const reservingGangs = waiting.filter(({ job, spec }) => spec.gang && job.spec.priority > 0).slice(0, MAX_RESERVING_GANGS)
     for (const work of reservingGangs) reserveForGang(work, pass.listCandidates(work))
-    const reserve = getReserve(pass.state, this.#demand, pass.nowMs, pass.candidates)
+    const reserve = getReserve(pass, this.#demand)
     for (const work of deferred) {
       const limited = limitToAccelerators(work, sumFreeAccelerators(pass.candidates) - reserve)
       if (limited) place(limited)
     }
+    for (const work of ready) this.#stalledWork.record(work, progressed.has(toWorkKey(work)), pass.nowMs)
     this.#removeEntriesExcept(ready)
     return { starts, preempted: pass.preempted }
   }
 
+  #isStalled (work: ReadyWork, pass: PlanningPass): boolean {
+    return this.#stalledWork.isStalled(work, pass)
+  }
+
   /**
    * Guaranteed work that has claimed capacity goes first, so that no other work is placed there once the victims have
    * ended. Work beyond a guarantee keeps its place in the order: what is guaranteed, or can still be on time, precedes it.
@@ -118,6 +127,7 @@
   #removeEntriesExcept (ready: readonly ReadyWork[]): void {
     const known = new Set(ready.map(toWorkKey))
     for (const entries of [this.#claims, this.#retryAtMs, this.#suspectSinceMs]) for (const key of entries.keys()) if (!known.has(key)) entries.delete(key)
+    this.#stalledWork.removeExcept(known)
   }
 
   /** Clears the cache of shapes when the set of endpoints or a capacity has changed, or the cache is full. */
@@ -148,11 +158,12 @@
     const hasClaimExpired = this.#claims.delete(key)
     const shape = toShape(work)
     const isUrgent = job.spec.priority === 0
-    if (!isUrgent && pass.failedShapes.has(shape)) return []
-    const acceptFar = this.#mustSpanRacks(work, shape, pass)
+    const acceptFar = this.#mustSpanRacks(work, shape, pass) || this.#isStalled(work, pass)
+    const failedShape = `${shape},${acceptFar}`
+    if (!isUrgent && pass.failedShapes.has(failedShape)) return []
     const assignments = work.isSuspect ? placeSuspect(work, pass, { acceptFar }) : placeTasks(spec, indexes, pass.listCandidates(work), createCounter(work, pass.state), { acceptFar })
     // With a limit for each endpoint the outcome depends on the job, so that it does not hold for other jobs of this shape.
-    if (assignments.length === 0 && spec.maxPerEndpoint === null) pass.failedShapes.add(shape)
+    if (assignments.length === 0 && spec.maxPerEndpoint === null) pass.failedShapes.add(failedShape)
     if (assignments.length < indexes.length && isUrgent && pass.mayPreempt) this.#preemptFor(work, assignments, pass, { acceptFar, stopAll: hasClaimExpired })
     return toGroups(work, assignments)
   }
@@ -204,6 +215,10 @@
 /** Suspect work is not deferred, so that it can use an endpoint that has returned empty. */
 const isDeferred = ({ job, isSuspect }: ReadyWork): boolean => isDeferrable(job) && !isSuspect
 
+/** One task is enough to get a job going; tasks that last, and those of a gang, are needed all. */
+const limitStalled = (work: ReadyWork): ReadyWork =>
+  work.spec.gang || work.spec.longRunning ? work : { ...work, indexes: work.indexes.slice(0, 1) }
+
 /** Returns the candidates other than those that have crashed under the work: one of them may be at fault itself. */
 const listUncrashed = (work: ReadyWork, pass: PlanningPass): Candidate[] => {
   const { job, occurrence, step, indexes } = work
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -15,6 +15,9 @@
 /** Other work follows in the order of its priority. */
 const RANK_SUSPECT = 2
 
+/** A service counts as idle while less than this share of its capacity is in use. */
+const IDLE_SHARE = 0.5
+
 /** The data of one planning pass; each part is computed at most once. */
 export class PlanningPass {
   readonly state: SchedulingState
@@ -29,6 +32,7 @@
   readonly failedShapes = new Set<string>()
   readonly isolation: Isolation
   readonly #byService = new Map<string, Candidate[]>()
+  readonly #idleServices = new Map<string, boolean>()
   readonly #estimateRemaining: EstimateRemaining
   #victims: VictimList | null = null
 
@@ -64,6 +68,16 @@
     return this.#byService.get(job.spec.service) ?? NO_CANDIDATES
   }
 
+  /** Whether most of the service's capacity is free when this is first asked in a pass. */
+  isServiceIdle (work: ReadyWork): boolean {
+    const { service } = work.job.spec
+    const known = this.#idleServices.get(service)
+    if (known !== undefined) return known
+    const isIdle = getUsedShare(this.listServiceCandidates(work)) < IDLE_SHARE
+    this.#idleServices.set(service, isIdle)
+    return isIdle
+  }
+
   /** Those of them that may run the work: not the ones that are kept for a suspect of another job. */
   listCandidates (work: ReadyWork): readonly Candidate[] {
     return this.isolation.listOpen(this.listServiceCandidates(work), work)
@@ -95,3 +109,11 @@
     else this.#byService.set(service, [candidate])
   }
 }
+
+/** Share of the accelerators in use, or of the cores where there are no accelerators. */
+const getUsedShare = (candidates: readonly Candidate[]): number => {
+  const sum = (amountOf: (candidate: Candidate) => number): number => candidates.reduce((total, candidate) => total + amountOf(candidate), 0)
+  const accelerators = sum(({ endpoint }) => endpoint.capacity.accelerators)
+  if (accelerators > 0) return 1 - sum(({ free }) => Math.max(0, free.accelerators)) / accelerators
+  return 1 - sum(({ free }) => Math.max(0, free.cpuMilli)) / sum(({ endpoint }) => endpoint.capacity.cpuMilli)
+}
--- a/packages/dispatch/src/shares.ts
+++ b/packages/dispatch/src/shares.ts
@@ -1,5 +1,6 @@
 import type { JobEntry, SchedulingState } from '@ibisstair/jobs'
 import type { Candidate } from './placement.ts'
+import type { PlanningPass } from './planning-pass.ts'
 import type { ReadyWork } from './ready-work.ts'
 import { countPeakAccelerators, type UrgentDemand } from './urgent-demand.ts'
 
@@ -35,7 +36,7 @@
 }
 
 /** Returns the accelerators to keep free for expected urgent work, which would otherwise wait for victims to end. */
-export const getReserve = (state: SchedulingState, demand: UrgentDemand, nowMs: number, candidates: readonly Candidate[]): number => {
+export const getReserve = ({ state, nowMs, candidates }: PlanningPass, demand: UrgentDemand): number => {
   let running = 0
   for (const job of state.jobs.listActive()) {
     demand.recordArrival(job, nowMs)
--- /dev/null
+++ b/packages/dispatch/src/stalled-work.ts
@@ -0,0 +1,30 @@
+import type { PlanningPass } from './planning-pass.ts'
+import { toWorkKey, type ReadyWork } from './ready-work.ts'
+
+/** Time for which work waits for the best place before it takes any. */
+const STALL_PATIENCE_MS = 1_500
+
+/**
+ * Tells which work has waited for too long for a place that may never come: in one rack, near its data, or beside
+ * capacity that is kept free for other work. A task that lasts is not to wait at all; other work only counts while its
+ * job has nothing running and the fleet is idle, since on a busy one a better place becomes free by itself.
+ */
+export class StalledWork {
+  readonly #sinceMs = new Map<string, number>()
+
+  isStalled (work: ReadyWork, pass: PlanningPass): boolean {
+    const sinceMs = this.#sinceMs.get(toWorkKey(work))
+    if (sinceMs === undefined || pass.nowMs - sinceMs < STALL_PATIENCE_MS) return false
+    return work.spec.longRunning || (work.job.activeRuns === 0 && pass.isServiceIdle(work))
+  }
+
+  /** Starts the time anew for work of which a part was placed, and keeps it for work that waits. */
+  record (work: ReadyWork, hasProgress: boolean, nowMs: number): void {
+    const key = toWorkKey(work)
+    if (hasProgress || !this.#sinceMs.has(key)) this.#sinceMs.set(key, nowMs)
+  }
+
+  removeExcept (known: ReadonlySet<string>): void {
+    for (const key of this.#sinceMs.keys()) if (!known.has(key)) this.#sinceMs.delete(key)
+  }
+}
