dispatch: count urgent work once in the expected demand, and none that lasts

Cause: an arrival was forgotten after 15 s and recorded anew while its job was active; an expired one counted once more; a job that lasts was taken for a flow of such jobs. Evidence: the test 'urgent work that lasts does not count …' failed before. Change: a job counts within 15 s of its acceptance, once, if it ends by itself.

--- a/packages/dispatch/src/shares.ts
+++ b/packages/dispatch/src/shares.ts
@@ -2,7 +2,7 @@
 import type { Candidate } from './placement.ts'
 import type { PlanningPass } from './planning-pass.ts'
 import type { ReadyWork } from './ready-work.ts'
-import { countPeakAccelerators, type UrgentDemand } from './urgent-demand.ts'
+import { countPeakAccelerators, isRecurring, type UrgentDemand } from './urgent-demand.ts'
 
 /** Work with this or a higher priority number is deferred in favour of expected urgent work. */
 const DEFERRABLE_PRIORITY = 2
@@ -36,11 +36,13 @@
 }
 
 /** Returns the accelerators to keep free for expected urgent work, which would otherwise wait for victims to end. */
-export const getReserve = ({ state, nowMs, candidates }: PlanningPass, demand: UrgentDemand): number => {
+export const getReserve = ({ state, nowMs, wallMs, candidates }: PlanningPass, demand: UrgentDemand): number => {
   let running = 0
   for (const job of state.jobs.listActive()) {
-    demand.recordArrival(job, nowMs)
-    if (job.spec.priority === 0 && job.activeRuns > 0) running += countPeakAccelerators(job)
+    demand.begin(nowMs)
+    if (!isRecurring(job)) continue
+    demand.recordArrival(job, { nowMs, wallMs })
+    if (job.activeRuns > 0) running += countPeakAccelerators(job)
   }
   const expected = Math.max(RESERVE_SHARE * demand.getAccelerators(nowMs), MIN_RESERVE_SHARE * sumTotalAccelerators(candidates))
   return Math.max(0, expected - running)
--- a/packages/dispatch/src/urgent-demand.ts
+++ b/packages/dispatch/src/urgent-demand.ts
@@ -16,6 +16,10 @@
 export const countPeakAccelerators = (job: JobEntry): number =>
   Math.max(...job.spec.steps.map(({ count, resources }) => count * resources.accelerators))
 
+/** Whether more jobs like this one are to be expected: urgent ones that end by themselves. */
+export const isRecurring = ({ spec }: JobEntry): boolean =>
+  spec.priority === 0 && !spec.steps.some(({ longRunning }) => longRunning)
+
 /**
  * Estimates how many accelerators urgent work occupies at a time, from recent arrivals: the mean plus
  * one standard deviation of a system in which every job starts at once.
@@ -24,9 +28,14 @@
   readonly #arrivals = new Map<JobId, Arrival>()
   #firstRecordedAtMs: number | null = null
 
-  recordArrival (job: JobEntry, nowMs: number): void {
+  /** Arrivals are observed from the first active job on. */
+  begin (nowMs: number): void {
     this.#firstRecordedAtMs ??= nowMs
-    if (job.spec.priority !== 0 || this.#arrivals.has(job.spec.id)) return
+  }
+
+  /** Counts a recurring job once, also if it is active for longer than arrivals are remembered. */
+  recordArrival (job: JobEntry, { nowMs, wallMs }: { readonly nowMs: number, readonly wallMs: number }): void {
+    if (this.#arrivals.has(job.spec.id) || wallMs - job.acceptedAtMs >= MAX_WINDOW_MS) return
     const estimateMs = Math.max(...job.spec.steps.map((step) => step.estimateMs))
     this.#arrivals.set(job.spec.id, { atMs: nowMs, accelerators: countPeakAccelerators(job), estimateMs })
   }
@@ -36,7 +45,10 @@
     let mean = 0
     let variance = 0
     for (const [id, { atMs, accelerators, estimateMs }] of this.#arrivals) {
-      if (nowMs - atMs > MAX_WINDOW_MS) this.#arrivals.delete(id)
+      if (nowMs - atMs > MAX_WINDOW_MS) {
+        this.#arrivals.delete(id)
+        continue
+      }
       const share = estimateMs / windowMs
       mean += accelerators * share
       variance += accelerators ** 2 * share
--- a/packages/dispatch/tests/stalled-work.test.ts
+++ b/packages/dispatch/tests/stalled-work.test.ts
@@ -98,6 +98,18 @@
   t.equal(fleet.countRunning('a1'), 16)
 })
 
+t.test('urgent work that lasts does not count as a new arrival again and again', async (t) => {
+  // Its reserve kept most of an idle fleet free, so that deferrable work did not start.
+  const fleet = new Fleet([5, 5, 5])
+  fleet.submit('a1', { count: 20, longRunning: true, estimateMs: 60_000 }, { priority: 0 })
+  fleet.submit('b1', { count: 24, longRunning: true, estimateMs: 60_000 }, { priority: 2 })
+  fleet.run(40_000)
+  t.equal(fleet.countRunning('b1'), 24)
+  fleet.submit('c1', { count: 7, resources: { cpuMilli: 1_000, memMb: 100, accelerators: ACCELERATORS } }, { priority: 2 })
+  fleet.run(MAX_STALL_MS)
+  t.equal(fleet.countRunning('c1'), 7)
+})
+
 t.test('a deferrable job on an idle fleet starts although much urgent work is expected', async (t) => {
   const fleet = new Fleet([5, 5, 5])
   for (let i = 0; i < 8; i++) {
