jobs: remember the cancellation of a job whose submission is still on its way

Cause: the cancellation of an unknown job left no trace. Change: it is committed and kept for 60 s; a later submission is accepted as a cancelled job.

--- a/packages/cluster/src/leader-service.ts
+++ b/packages/cluster/src/leader-service.ts
@@ -69,12 +69,15 @@
   }
 
   async #cancel (params: QueueAddress): Promise<JobAnswer> {
-    const { state, timers, logger, metrics } = this.#options
+    const { timers, logger, metrics } = this.#options
     const { job } = this.#resolveJob(params)
-    if (!state.jobs.get(job)) throw new IbisError('unknown-job', `job ${job} is not known`)
+    // Also for a job that is not known: its submission may still be on its way.
     const result = await this.#propose({ type: 'cancel', job, atMs: timers.wallClock() })
     const status: JobStatus | null = result.type === 'cancelled' ? result.status : null
-    if (status === null) throw new IbisError('unknown-job', `job ${job} is not known`)
+    if (status === null) {
+      logger.info('cancelled a job that is not known; a later submission of it will not run', { job })
+      throw new IbisError('unknown-job', `job ${job} is not known`)
+    }
     metrics.increment('jobs.cancelled')
     logger.info('job cancelled', { job, status })
     return { status }
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -22,3 +22,7 @@
 
 /** Number of ended incarnations that are remembered; announcements are delayed by seconds, so that old ones can be forgotten. */
 export const MAX_ENDED_INCARNATIONS = 4_096
+
+/** A submission that its caller has cancelled already arrives within this time, if at all. */
+export const EARLY_CANCEL_RETENTION_MS = 60_000
+export const MAX_EARLY_CANCELS = 10_000
--- a/packages/jobs/src/job-store.ts
+++ b/packages/jobs/src/job-store.ts
@@ -1,5 +1,6 @@
 import type { JobId, TaskId } from '@ibisstair/common'
 import { MAX_JOBS, MAX_OPEN_TASKS, STATUS_RETENTION_MS } from './constants.ts'
+import { EarlyCancels } from './early-cancels.ts'
 import { JobEntry, type JobSnapshot } from './job-entry.ts'
 import { countMaxOpenTasks } from './job-size.ts'
 import { blameRuns, toRanMs, type IncarnationOutcome } from './lost-runs.ts'
@@ -21,6 +22,7 @@
   readonly #usage = new Map<EndpointIncarnation, Resources>()
   readonly #pendingByQueue = new Map<string, number>()
   readonly silentLosses = new SilentLosses()
+  readonly earlyCancels = new EarlyCancels()
   readonly #jobsWithCrashes = new Set<JobEntry>()
   /** Tasks of active jobs whose state may be kept at a time. */
   #openTasks = 0
@@ -77,12 +79,17 @@
     this.#jobs.set(spec.id, job)
     this.#addActive(job)
     this.#addPending(spec.queue, 1)
+    if (this.earlyCancels.take(spec.id, atMs)) this.#update(job, () => job.cancel(atMs))
     return { job, isNew: true }
   }
 
+  /** Returns null for a job that is not known; should it be submitted later, it is cancelled at once. */
   cancel (id: JobId, atMs: number): JobEntry | null {
     const job = this.#jobs.get(id)
-    if (!job) return null
+    if (!job) {
+      this.earlyCancels.add(id, atMs)
+      return null
+    }
     this.#update(job, () => job.cancel(atMs))
     return job
   }
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -1,6 +1,7 @@
 import { assertNever } from '@ibisstair/common'
 import type { StateMachine } from '@ibisstair/consensus'
 import { ConfigStore } from './config-store.ts'
+import type { EarlyCancels } from './early-cancels.ts'
 import { EndpointStore } from './endpoint-store.ts'
 import type { JobSnapshot } from './job-entry.ts'
 import { JobStore } from './job-store.ts'
@@ -15,6 +16,8 @@
   readonly jobs: readonly JobSnapshot[]
   /** Absent in snapshots of builds that did not count crashes. */
   readonly silentLosses?: ReturnType<SilentLosses['toSnapshot']>
+  /** Absent in snapshots of builds that forgot the cancellation of a job that was not known. */
+  readonly earlyCancels?: ReturnType<EarlyCancels['toSnapshot']>
 }
 
 export type StateListener = (command: StateCommand, result: StateResult) => void
@@ -39,15 +42,16 @@
   }
 
   toSnapshot (): StateSnapshot {
-    return { config: this.config.config, endpoints: [...this.endpoints.list()], endedIncarnations: [...this.endpoints.listEnded()], jobs: this.jobs.toSnapshot(), silentLosses: this.jobs.silentLosses.toSnapshot() }
+    return { config: this.config.config, endpoints: [...this.endpoints.list()], endedIncarnations: [...this.endpoints.listEnded()], jobs: this.jobs.toSnapshot(), silentLosses: this.jobs.silentLosses.toSnapshot(), earlyCancels: this.jobs.earlyCancels.toSnapshot() }
   }
 
   restore (snapshot: unknown): void {
-    const { config, endpoints, endedIncarnations = [], jobs, silentLosses = [] } = snapshot as StateSnapshot
+    const { config, endpoints, endedIncarnations = [], jobs, silentLosses = [], earlyCancels = [] } = snapshot as StateSnapshot
     this.config.restore(config)
     this.endpoints.restore(endpoints, endedIncarnations)
     this.jobs.restore(jobs)
     this.jobs.silentLosses.restore(silentLosses)
+    this.jobs.earlyCancels.restore(earlyCancels)
   }
 
   #apply (command: StateCommand): StateResult {
--- a/packages/jobs/tests/state.test.ts
+++ b/packages/jobs/tests/state.test.ts
@@ -2,7 +2,7 @@
 import { packValue, unpackValue } from '@ibisstair/storage'
 import fc from 'fast-check'
 import t from 'tap'
-import { addResources, NO_RESOURCES, SchedulingState, STATUS_RETENTION_MS, type ServiceConfig, type StateCommand } from '../src/index.ts'
+import { addResources, EARLY_CANCEL_RETENTION_MS, MAX_EARLY_CANCELS, NO_RESOURCES, SchedulingState, STATUS_RETENTION_MS, type ServiceConfig, type StateCommand } from '../src/index.ts'
 import { accept, createEndpoint, createSpec, createStep, end, register, start, toEnd } from './support/samples.ts'
 
 const a = createEndpoint('a')
@@ -215,3 +215,28 @@
   }), { seed: 7, numRuns: 300 })
   t.pass()
 })
+
+t.test('a job whose cancellation overtook its submission never starts', async (t) => {
+  // An entry that had been frozen handed the job in after another entry had answered the cancellation; it ran.
+  const cancelAtMs = 1_000
+  for (const isRestored of [false, true]) {
+    let state = createState({ type: 'cancel', job, atMs: cancelAtMs })
+    if (isRestored) {
+      const snapshot = unpackValue(packValue(state.toSnapshot()))
+      state = new SchedulingState()
+      state.restore(snapshot)
+    }
+    t.match(state.apply(accept(createSpec('1', [createStep()]), cancelAtMs + 4_000)), { type: 'accepted', status: 'cancelled' })
+    t.match(state.apply(start('1', 0, 1, [a])), { groups: [] })
+    t.equal(state.jobs.countPending('q'), 0)
+  }
+})
+
+t.test('cancellations of unknown jobs are forgotten after a while and bounded in number', async (t) => {
+  const state = createState({ type: 'cancel', job, atMs: 0 })
+  state.apply(accept(createSpec('1', [createStep()]), EARLY_CANCEL_RETENTION_MS + 1))
+  t.equal(statusOf(state), 'queued')
+  const other = createState()
+  for (let i = 0; i < MAX_EARLY_CANCELS + 100; i++) other.apply({ type: 'cancel', job: asId<JobId>(`c${i}`), atMs: 0 })
+  t.equal(other.toSnapshot().earlyCancels!.length, MAX_EARLY_CANCELS)
+})
