--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -106,8 +106,9 @@
 
   /**
    * Handles the message that an endpoint shuts down: removes it after a grace period, once no run is active there.
-   * An endpoint whose message got no answer may still run for some seconds. The message may arrive late, after another incarnation has registered under the id. Without a start time it counts only for an
-   * incarnation that has announced that it will leave; the runs of others end with their lease.
+   * An endpoint whose message got no answer may still run for some seconds. The message may arrive late, after another
+   * incarnation has registered under the id. Without a start time it counts only for an incarnation that has announced
+   * that it will leave; the runs of others end with their lease.
    */
   leave (id: EndpointId, bornMs: number | null): void {
     const { state, timers, logger } = this.#options
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -77,7 +77,7 @@
   #pollAgain = false
   #cancelPause: () => void = () => {}
   #isClosed = false
-  /** Resolves once it is committed what became of the runs that another incarnation may have taken; null when that is not being found out. */
+  /** Resolves once the ends of the runs that another incarnation may have taken are committed; null while none is in progress. */
   #handover: Promise<void> | null = null
 
   constructor (options: SessionOptions) {
@@ -202,7 +202,8 @@
     if (!hasExpired && !this.#hasLeft) return
     const ends = [...this.#runs.values()].filter(({ phase }) => phase !== 'starting').map(({ task, run }): RunEnd => ({ task, run, outcome: 'lost', checkpoint: '' }))
     if (ends.length === 0) return
-    this.#options.events.log('endpoint does not answer, and its lease has expired or it has left; its runs count as lost', { endpoint: this.#endpoint.id, runs: ends.length, failures: this.#failures, hasExpired, hasLeft: this.#hasLeft })
+    const cause = this.#hasLeft ? 'endpoint that leaves accepts no more connections' : 'lease of an unreachable endpoint expired'
+    this.#options.events.log(`${cause}; its runs count as lost`, { endpoint: this.#endpoint.id, runs: ends.length, failures: this.#failures })
     this.#submit(ends).catch(() => {})
   }
 
