--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -10,6 +10,7 @@
 import { getDeferrableBudget, getReserve, isDeferrable, limitToAccelerators, sumFreeAccelerators } from './shares.ts'
 import { StalledWork } from './stalled-work.ts'
 import { UrgentDemand } from './urgent-demand.ts'
+import { WaitingWork, type WaitingSurvey } from './waiting-work.ts'
 import { toCoreEquivalents } from './work-cost.ts'
 
 /** State of the endpoints that is not in the replicated state. */
@@ -35,6 +36,8 @@
   readonly starts: readonly StartGroup[]
   /** Runs to stop so that more urgent work fits. */
   readonly preempted: readonly TaskId[]
+  /** Tells what work waits for; null between two examinations. To be called before the starts are applied. */
+  readonly examineWaiting: () => WaitingSurvey | null
 }
 
 /** Capacity that is reserved for urgent work until its victims have ended. */
@@ -75,6 +78,7 @@
   /** Since when suspect work has waited for an endpoint. */
   readonly #suspectSinceMs = new Map<string, number>()
   readonly #stalledWork = new StalledWork()
+  readonly #waitingWork = new WaitingWork()
   /** Whether a shape fits only across racks, for the endpoints and capacities that `#fleetKey` names. */
   readonly #acceptFar = new Map<string, boolean>()
   #fleetKey = ''
@@ -103,7 +107,15 @@
     }
     for (const work of ready) this.#stalledWork.record(work, progressed.has(toWorkKey(work)), pass.nowMs)
     this.#removeEntriesExcept(ready)
-    return { starts, preempted: pass.preempted }
+    const examineWaiting = (): WaitingSurvey | null => this.#waitingWork.examine(ready, (work) => progressed.has(toWorkKey(work)), {
+      pass,
+      starts,
+      hasClaim: (work) => this.#claims.has(toWorkKey(work)),
+      isKeptApart: (work) => work.isSuspect && pass.nowMs - (this.#suspectSinceMs.get(toWorkKey(work)) ?? pass.nowMs) < SUSPECT_PATIENCE_MS,
+      isStalled: (work) => this.#isStalled(work, pass),
+      countOn: (work) => createCounter(work, pass.state)
+    })
+    return { starts, preempted: pass.preempted, examineWaiting }
   }
 
   #isStalled (work: ReadyWork, pass: PlanningPass): boolean {
