dispatch: log and measure waiting work, endpoints out of use and unsettled runs

Change: lines 'work waits', 'endpoints out of use', 'endpoints back in use' and 'run unsettled', each bounded; gauges by reason; counters and timing of the commit of starts. #isUsable becomes #getOutOfUse, which returns the reason; an endpoint is usable when there is none, by the same conditions. An error in the report does not fail the pass, and its time does not count for the pause after the pass.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -7,9 +7,12 @@
 import { COMMIT_TIMEOUT_MS, FAILED_PASS_DELAY_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
 import { EndpointHealth } from './endpoint-health.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
-import { Planner } from './planner.ts'
+import { EndpointUse, type OutOfUseReason } from './endpoint-use.ts'
+import { Planner, type Plan } from './planner.ts'
 import { describeSilence } from './silence.ts'
 import type { EndpointPort } from './ports.ts'
+import { UnsettledRuns, type RunStatus } from './unsettled-runs.ts'
+import { WaitingReport } from './waiting-report.ts'
 
 export interface DispatcherOptions {
   readonly state: SchedulingState
@@ -42,12 +45,17 @@
   readonly #unwantedSinceMs = new Map<TaskId, number>()
   /** When each endpoint said that it leaves. */
   readonly #leavingSinceMs = new Map<EndpointIncarnation, number>()
+  readonly #endpointUse: EndpointUse
+  readonly #waitingReport: WaitingReport
+  readonly #unsettledRuns: UnsettledRuns
   readonly #unsubscribes: Unsubscribe[] = []
   /** Sessions with runs of earlier leaders whose first report is awaited. */
   #unsurveyed: readonly EndpointSession[] = []
   #surveyUntilMs = 0
   #isPassScheduled = false
   #passDelayMs = PASS_DELAY_MS
+  /** Time that the report on waiting work took in the present pass. */
+  #reportMs = 0
   #isProposing = false
   #isClosed = false
 
@@ -55,6 +63,14 @@
     this.#options = options
     this.#health = new EndpointHealth(options.timers)
     this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
+    this.#unsettledRuns = new UnsettledRuns(options.logger, options.metrics)
+    this.#endpointUse = new EndpointUse(options.logger, options.metrics)
+    this.#waitingReport = new WaitingReport(options.logger, options.metrics, {
+      listEndpoints: () => options.state.endpoints.list(),
+      getOutOfUse: (endpoint) => this.#getOutOfUse(endpoint),
+      isConfirmed: ({ endpoint, task }) => this.#sessions.get(endpoint)?.isConfirmed(task) ?? false,
+      isOnSilentEndpoint: ({ endpoint }) => (this.#sessions.get(endpoint)?.failures ?? 0) > 0
+    })
   }
 
   start (): void {
@@ -75,6 +91,9 @@
     this.#isClosed = true
     for (const unsubscribe of this.#unsubscribes) unsubscribe()
     for (const session of this.#sessions.values()) session.close()
+    this.#endpointUse.close()
+    this.#waitingReport.close()
+    this.#unsettledRuns.close()
   }
 
   /** Handles the announcement of an endpoint. Resolves once a changed record is committed. */
@@ -253,9 +272,26 @@
     for (const session of this.#sessions.values()) session.tick()
     this.#removeSilentEndpoints()
     this.#removeLeftEndpoints()
+    this.#endpointUse.observe([...this.#options.state.endpoints.list()], (endpoint) => this.#getOutOfUse(endpoint))
+    this.#unsettledRuns.observe(() => this.#listRunStatus(), this.#options.timers.now())
     this.#schedulePass()
   }
 
+  * #listRunStatus (): Iterable<RunStatus> {
+    const { state, timers } = this.#options
+    for (const incarnation of state.jobs.listOccupiedEndpoints()) {
+      const session = this.#sessions.get(incarnation)
+      for (const run of state.jobs.listRuns(incarnation).values()) {
+        const cause = this.#unwantedSinceMs.has(run.task) ? 'awaits-end' : session?.isConfirmed(run.task) ? null : 'unconfirmed'
+        const describe = (): Readonly<Record<string, unknown>> => {
+          const silentSinceMs = session?.silentSinceMs ?? null
+          return { endpoint: incarnation, phase: session?.getPhase(run.task) ?? null, failures: session?.failures ?? null, silentMs: silentSinceMs === null ? null : Math.round(timers.now() - silentSinceMs) }
+        }
+        yield { run, cause, describe }
+      }
+    }
+  }
+
   #removeSilentEndpoints (): void {
     const { state, timers } = this.#options
     const now = timers.now()
@@ -285,12 +321,14 @@
   #runTimedPass (): void {
     const { timers, metrics } = this.#options
     const beganAtMs = timers.now()
+    this.#reportMs = 0
     try {
       this.#runPass()
     } catch (err) {
       return this.#handleFailedPass(err)
     }
-    const tookMs = timers.now() - beganAtMs
+    // The time of reports has no influence on the time of the next pass.
+    const tookMs = timers.now() - beganAtMs - this.#reportMs
     metrics.timing('planner.pass', tookMs)
     this.#passDelayMs = Math.max(PASS_DELAY_MS, Math.min(MAX_PASS_DELAY_MS, tookMs * PASS_PAUSE_FACTOR))
   }
@@ -307,7 +345,7 @@
 
   #runPass (): void {
     this.#stopUnwantedRuns()
-    if (this.#isProposing) return
+    if (this.#isProposing) return this.#options.metrics.increment('planner.awaits-commit')
     const { state, timers, logger } = this.#options
     const plan = this.#planner.plan({
       state,
@@ -315,7 +353,7 @@
       wallMs: timers.wallClock(),
       mayPreempt: this.#isSurveyDone(),
       fleet: {
-        isUsable: (endpoint) => this.#isUsable(endpoint),
+        isUsable: (endpoint) => this.#getOutOfUse(endpoint) === null,
         getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
         estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null
       }
@@ -325,9 +363,27 @@
       this.#options.metrics.increment('runs.preempted')
       this.#stopTask(task)
     }
+    this.#reportWaiting(plan)
     if (plan.starts.length > 0) this.#commitStarts(plan.starts)
   }
 
+  /** An error in what is only reported must not keep work from starting. */
+  #reportWaiting (plan: Plan): void {
+    const { timers, logger, metrics } = this.#options
+    const beganAtMs = timers.now()
+    try {
+      const survey = plan.examineWaiting()
+      if (!survey) return
+      this.#waitingReport.write(survey)
+      metrics.timing('work.report', timers.now() - beganAtMs)
+    } catch (err) {
+      metrics.increment('work.report-failures')
+      logger.warn('report on waiting work failed', { err })
+    } finally {
+      this.#reportMs = timers.now() - beganAtMs
+    }
+  }
+
   /** Whether the endpoints have reported which runs ended while no leader received reports. */
   #isSurveyDone (): boolean {
     if (this.#unsurveyed.length === 0) return true
@@ -337,19 +393,28 @@
   }
 
   #commitStarts (groups: readonly StartGroup[]): void {
+    const { timers, logger, metrics } = this.#options
+    const proposedAtMs = timers.now()
     this.#isProposing = true
-    this.#propose({ type: 'start', groups, atMs: this.#options.timers.wallClock() })
-      .catch((err: unknown) => this.#options.logger.warn('starts were not committed; planning again', { groups: groups.length, err }))
+    this.#propose({ type: 'start', groups, atMs: timers.wallClock() })
+      .catch((err: unknown) => {
+        metrics.increment('starts.uncommitted', groups.length)
+        logger.warn('starts were not committed; planning again', { groups: groups.length, err })
+      })
       .finally(() => {
+        metrics.timing('starts.commit', timers.now() - proposedAtMs)
         this.#isProposing = false
         this.#schedulePass()
       })
   }
 
-  #isUsable (endpoint: EndpointRecord): boolean {
-    if (endpoint.draining || this.#leavingSinceMs.has(endpoint.life) || this.#health.isSuspect(endpoint.life)) return false
-    if ((this.#sessions.get(endpoint.life)?.failures ?? 0) > 0) return false
-    return this.#announcements.isCurrent(endpoint.life, this.#options.timers.now())
+  /** Returns why the endpoint gets no new work; null when it may get some. */
+  #getOutOfUse ({ life, draining }: EndpointRecord): OutOfUseReason | null {
+    if (draining) return 'draining'
+    if (this.#leavingSinceMs.has(life)) return 'leaving'
+    if (this.#health.isSuspect(life)) return 'suspect'
+    if ((this.#sessions.get(life)?.failures ?? 0) > 0) return 'unanswered'
+    return this.#announcements.isCurrent(life, this.#options.timers.now()) ? null : 'unannounced'
   }
 
   /** Stops runs whose job or task has ended, and the remaining members of a gang that lost a member. */
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -14,7 +14,7 @@
  * `inherited` was ordered by an earlier leader, `starting` awaits the answer to its order, `unconfirmed` got no answer,
  * `present` was confirmed by the endpoint, `stopping` is being stopped.
  */
-type RunPhase = 'inherited' | 'starting' | 'unconfirmed' | 'present' | 'stopping'
+export type RunPhase = 'inherited' | 'starting' | 'unconfirmed' | 'present' | 'stopping'
 
 interface TrackedRun {
   readonly task: TaskId
@@ -114,6 +114,11 @@
     return this.#runs.get(task)?.isConfirmed ?? false
   }
 
+  /** Returns the state of a run as far as this leader knows it; null for a run that it does not track. */
+  getPhase (task: TaskId): RunPhase | null {
+    return this.#runs.get(task)?.phase ?? null
+  }
+
   /** Whether the endpoint has reported its runs and the reported ends are committed, or a call to it has failed. */
   get isSurveyed (): boolean {
     return this.#failures > 0 || (this.#hasReported && this.#submittedUpto <= this.#committedUpto)
