explain: show endpoints that went out of use and starts without a commit among the changes

Cause: they may explain why a job waits, and do not name it. 'work waits' and 'run unsettled' name the job or task, so that the timeline has them already; a test holds that.

--- a/apps/explain/tests/timeline.test.ts
+++ b/apps/explain/tests/timeline.test.ts
@@ -22,6 +22,22 @@
   t.same(buildTimeline(log, 'ab', true).map(({ message }) => message), ['request refused', 'begins to lead', 'job accepted', 'begins to lead', 'run ended'])
 })
 
+t.test('the timeline tells what work of the job waits for, and with changes which endpoints were out of use', async (t) => {
+  const lines = [
+    line(1, 'job accepted', { job: 'cd', tasks: 2 }),
+    line(2, 'endpoints out of use', { reason: 'suspect', count: 1, endpoints: 'w1' }),
+    line(3, 'work waits', { job: 'cd', work: 'cd.0.0', reason: 'endpoints-out-of-use', waitedMs: 2100, usable: '{"endpoints":1}' }),
+    line(3, 'work waits', { job: 'cde', work: 'cde.0.0', reason: 'no-capacity' }),
+    line(4, 'run unsettled', { task: 'cd.0.0.1', run: 1, cause: 'unconfirmed' }),
+    line(5, 'endpoints back in use', { reason: 'suspect', count: 1, endpoints: 'w1' }),
+    line(6, 'run ordered', { task: 'cd.0.0.0', run: 1 })
+  ].map(parseLine).filter((parsed): parsed is LogLine => parsed !== null)
+  const timeline = buildTimeline(lines, 'cd', false)
+  t.same(timeline.map(({ message }) => message), ['job accepted', 'work waits', 'run unsettled', 'run ordered'])
+  t.match(formatLine(timeline[1]!), 'work waits job=cd work=cd.0.0 reason=endpoints-out-of-use waitedMs=2100 usable={"endpoints":1}')
+  t.same(buildTimeline(lines, 'cd', true).map(({ message }) => message), ['job accepted', 'endpoints out of use', 'work waits', 'run unsettled', 'endpoints back in use', 'run ordered'])
+})
+
 t.test('text that is not a log line is ignored', async (t) => {
   t.equal(parseLine('Node.js v20'), null)
   t.equal(parseLine('{"time": broken'), null)
