dispatch: test the rule on work that could run on the planner alone, with an observer on the endpoints' side

It takes the least used of accelerators, cores and memory over all endpoints that are up, each occurrence by itself, and tells room on usable endpoints from room on all. An endpoint that has shrunk below what runs there counts as full (LIMIT). Conclusion: six causes, none of them mended here.

--- a/packages/dispatch/tests/stalled-work.test.ts
+++ b/packages/dispatch/tests/stalled-work.test.ts
@@ -1,61 +1,11 @@
 import { asId, type JobId, type RackId } from '@ibisstair/common'
-import { SchedulingState, type EndpointRecord, type JobSpec, type StepSpec } from '@ibisstair/jobs'
 import t from 'tap'
-import { accept, createEndpoint, createSpec, createStep, register } from '../../jobs/tests/support/samples.ts'
-import { Planner } from '../src/index.ts'
+import { ACCELERATORS, Fleet } from './support/planned-fleet.ts'
 
-const ACCELERATORS = 8
 /** Within this time, work that fits must have started on an idle fleet. */
 const MAX_STALL_MS = 3_000
 const PASS_MS = 100
 
-/** Racks with the given numbers of endpoints; every start succeeds, and nothing ends by itself. */
-class Fleet {
-  readonly state = new SchedulingState()
-  readonly #planner = new Planner()
-  #endpoints: EndpointRecord[] = []
-  nowMs = 0
-
-  constructor (racks: readonly number[]) {
-    racks.forEach((count, rack) => {
-      for (let i = 0; i < count; i++) {
-        const endpoint = createEndpoint(`w${rack}-${i}`, { address: `10.0.${rack}.${i}:1`, rack: asId<RackId>(`r${rack}`), capacity: { cpuMilli: 32_000, memMb: 131_072, accelerators: ACCELERATORS } })
-        this.#endpoints.push(endpoint)
-        this.state.apply(register(endpoint))
-      }
-    })
-  }
-
-  submit (id: string, step: Partial<StepSpec>, part: Partial<JobSpec>): void {
-    this.state.apply(accept(createSpec(id, [createStep({ resources: { cpuMilli: 1_000, memMb: 100, accelerators: 1 }, estimateMs: 2_500, ...step })], part), this.nowMs))
-  }
-
-  run (ms: number): void {
-    const endMs = this.nowMs + ms
-    for (; this.nowMs < endMs; this.nowMs += PASS_MS) {
-      const { starts } = this.#planner.plan({
-        state: this.state,
-        fleet: { isUsable: () => true, getPenalty: () => 0, estimateRemainingMs: () => null },
-        nowMs: this.nowMs,
-        wallMs: this.nowMs,
-        mayPreempt: true
-      })
-      this.state.apply({ type: 'start', groups: starts, atMs: this.nowMs })
-    }
-  }
-
-  /** Takes away an endpoint on which the job runs. */
-  removeEndpointOf (id: string): void {
-    const index = this.#endpoints.findIndex(({ life }) => [...this.state.jobs.listRuns(life).keys()].some((task) => task.startsWith(`${id}.`)))
-    const [{ life }] = this.#endpoints.splice(index, 1) as [EndpointRecord]
-    this.state.apply({ type: 'remove-endpoint', life, atMs: this.nowMs, hasEnded: true, cause: 'left' })
-  }
-
-  countRunning (id: string): number {
-    return this.state.jobs.get(asId<JobId>(id))!.activeRuns
-  }
-}
-
 t.test('tightly coupled tasks that fit no single rack start at once on an idle fleet', async (t) => {
   // A rack that has become too small for the step was taken to be only busy, so that the job waited for ever.
   for (const priority of [0, 1, 2]) {
@@ -127,3 +77,166 @@
   t.equal(fleet.countRunning('b1'), 20)
   t.equal(fleet.countRunning('c1'), 4)
 })
+
+const WHOLE_ENDPOINT = { cpuMilli: 1_000, memMb: 100, accelerators: ACCELERATORS }
+
+/** Stalls of 3 s and more while the planner may use endpoints with room for the work twice over. */
+const listStalls = ({ observer }: Fleet): string[] => observer.stalls.filter(({ room }) => room === 'usable').map(({ work, lastedMs }) => `${work} for ${lastedMs} ms`)
+
+/** Urgent jobs that are cancelled at once, so that many more like them are expected. */
+const submitUrgentBursts = (fleet: Fleet, count: number): void => {
+  for (let i = 0; i < 8; i++) {
+    fleet.submit(`u${i}`, { count, estimateMs: 12_000 }, { priority: 0 })
+    fleet.run(PASS_MS)
+    fleet.cancel(`u${i}`)
+    fleet.run(400)
+  }
+}
+
+/** Six racks with less than a third of the endpoints in use, of which three racks get no new work. */
+const createHalfUsableFleet = (): Fleet => {
+  const fleet = new Fleet([5, 5, 5, 5, 5, 5])
+  for (const rack of [0, 1, 2]) fleet.submit(`b${rack}`, { count: 3, longRunning: true, dataRack: asId<RackId>(`r${rack}`), resources: WHOLE_ENDPOINT }, { priority: 1 })
+  fleet.run(PASS_MS)
+  fleet.takeOutOfUse([3, 4, 5].flatMap((rack) => fleet.listRack(rack)), 60_000)
+  return fleet
+}
+
+for (const [name, step] of Object.entries({
+  'tightly coupled tasks start across racks': { count: 18, tightlyCoupled: true },
+  'a tightly coupled gang starts across racks': { count: 18, gang: true, tightlyCoupled: true },
+  'a gang starts far from its data': { count: 20, gang: true, dataRack: asId<RackId>('r0') }
+})) {
+  t.test(`${name} on an idle fleet of which half is out of use`, async (t) => {
+    // Only usable endpoints counted, so that the fleet was taken to be busy and the job waited for ever.
+    for (const priority of [1, 2]) {
+      const fleet = createHalfUsableFleet()
+      fleet.submit('a1', step, { priority })
+      fleet.run(MAX_STALL_MS)
+      t.equal(fleet.countRunning('a1'), step.count, `priority ${priority}`)
+    }
+  })
+}
+
+t.test('a deferrable gang starts on an idle fleet of which half is out of use', async (t) => {
+  // The reserve for expected urgent work held it back without a limit in time, since the usable half was busy.
+  const fleet = createHalfUsableFleet()
+  fleet.submit('b9', { count: 20, longRunning: true }, { priority: 2 })
+  fleet.run(PASS_MS)
+  submitUrgentBursts(fleet, 40)
+  fleet.submit('a1', { count: 14, gang: true }, { priority: 2 })
+  fleet.run(MAX_STALL_MS + PASS_MS)
+  t.equal(fleet.countRunning('a1'), 14)
+})
+
+t.test('a gang starts far from its data while most accelerators but few cores and little memory are in use', async (t) => {
+  // The fleet was taken to be busy by its accelerators alone.
+  for (const priority of [1, 2]) {
+    const fleet = new Fleet([4, 4, 4, 4])
+    fleet.submit('b1', { count: 16, maxPerEndpoint: 1, longRunning: true, resources: { cpuMilli: 1_000, memMb: 100, accelerators: 6 } }, { priority: 1 })
+    fleet.run(PASS_MS)
+    fleet.submit('a1', { count: 12, gang: true, dataRack: asId<RackId>('r0') }, { priority })
+    fleet.run(MAX_STALL_MS)
+    t.equal(fleet.countRunning('a1'), 12, `priority ${priority}`)
+  }
+})
+
+t.test('a deferrable gang starts while most accelerators but few cores and little memory are in use', async (t) => {
+  // The reserve for expected urgent work held it back without a limit in time.
+  const fleet = new Fleet([4, 4, 4, 4])
+  fleet.submit('b1', { count: 16, maxPerEndpoint: 1, longRunning: true, resources: { cpuMilli: 1_000, memMb: 100, accelerators: 5 } }, { priority: 1 })
+  fleet.submit('b2', { count: 30, longRunning: true }, { priority: 2 })
+  fleet.run(2_500)
+  submitUrgentBursts(fleet, 12)
+  fleet.submit('a1', { count: 8, gang: true }, { priority: 2 })
+  fleet.run(MAX_STALL_MS)
+  t.equal(fleet.countRunning('a1'), 8)
+})
+
+t.test('tightly coupled tasks start across racks of endpoints without accelerators while most memory is free', async (t) => {
+  // The fleet was taken to be busy by its cores alone.
+  for (const priority of [1, 2]) {
+    const fleet = new Fleet([4, 4, 4, 4], { capacity: { cpuMilli: 32_000, memMb: 131_072, accelerators: 0 } })
+    fleet.submit('b1', { count: 16, maxPerEndpoint: 1, longRunning: true, resources: { cpuMilli: 20_000, memMb: 100, accelerators: 0 } }, { priority: 1 })
+    fleet.run(PASS_MS)
+    fleet.submit('a1', { count: 20, tightlyCoupled: true, resources: { cpuMilli: 3_000, memMb: 100, accelerators: 0 } }, { priority })
+    fleet.run(MAX_STALL_MS)
+    t.equal(fleet.countRunning('a1'), 20, `priority ${priority}`)
+  }
+})
+
+for (const [name, step] of Object.entries({
+  'a gang far from its data': { count: 15, gang: true, dataRack: asId<RackId>('r0') },
+  'single tasks far from their data': { count: 12, dataRack: asId<RackId>('r0') },
+  'a tightly coupled gang across racks': { count: 12, gang: true, tightlyCoupled: true }
+})) {
+  t.test(`each occurrence of a repeated job starts ${name} while an earlier one runs`, async (t) => {
+    // The runs of the whole job counted, so that a later occurrence waited until the earlier ones had ended.
+    for (const priority of [0, 1, 2]) {
+      const fleet = new Fleet([2, 2, 2, 2, 2, 2])
+      for (const rack of [2, 3, 4, 5]) fleet.submit(`b${rack}`, { count: 5, longRunning: true, dataRack: asId<RackId>(`r${rack}`) }, { priority: 1 })
+      fleet.run(PASS_MS)
+      fleet.submit('a1', step, { priority, recurrence: { occurrences: 3, startAtMs: 0, intervalMs: 1_000 } })
+      fleet.run(8_000)
+      t.strictSame(listStalls(fleet), [], `priority ${priority}`)
+    }
+  })
+}
+
+t.test('each occurrence of a repeated deferrable gang starts on an idle fleet while an earlier one runs', async (t) => {
+  // The runs of the whole job counted, so that the reserve for expected urgent work held back the later occurrences.
+  const fleet = new Fleet([4, 4, 4, 4])
+  submitUrgentBursts(fleet, 40)
+  fleet.submit('a1', { count: 10, gang: true }, { priority: 2, recurrence: { occurrences: 5, startAtMs: fleet.nowMs, intervalMs: 500 } })
+  fleet.run(8_000)
+  t.strictSame(listStalls(fleet), [])
+})
+
+t.test('tasks that last start far from their data while others of their step start near it one by one', async (t) => {
+  // Each start of one of them began the patience of all anew.
+  for (const priority of [0, 1, 2]) {
+    const fleet = new Fleet([2, 5, 5], { endsRuns: true })
+    for (let i = 0; i < 16; i++) fleet.submit(`b${i}`, { dataRack: asId<RackId>('r0'), estimateMs: 1_000 * (i + 1) }, { priority: 0 })
+    fleet.run(PASS_MS)
+    fleet.submit('a1', { count: 16, longRunning: true, dataRack: asId<RackId>('r0') }, { priority })
+    fleet.run(20_000)
+    t.strictSame(listStalls(fleet), [], `priority ${priority}`)
+  }
+})
+
+t.test('a task that lasts starts again while another of its step is on probation', async (t) => {
+  // All others of the step waited until the suspect had passed its probation, here 16 s.
+  for (const priority of [0, 1, 2]) {
+    const fleet = new Fleet([4, 4])
+    fleet.submit('a1', { count: 6, longRunning: true, resources: WHOLE_ENDPOINT }, { priority })
+    fleet.run(8_000)
+    fleet.crash(fleet.findEndpointOf('a1')!)
+    fleet.run(8_000)
+    fleet.crash(fleet.findEndpointOf('a1', { startedAfterMs: 1_000 })!)
+    fleet.run(500)
+    fleet.remove(fleet.findEndpointOf('a1')!)
+    fleet.run(20_000)
+    t.strictSame(listStalls(fleet), [], `priority ${priority}`)
+  }
+})
+
+for (const [name, longRunning] of [['a task', false], ['a task that lasts', true]] as const) {
+  t.test(`${name} starts beside a suspect on the only endpoint with its label`, async (t) => {
+    // The endpoint was kept for the suspect until it had passed its probation, here 16 s.
+    for (const priority of [0, 1, 2]) {
+      const fleet = new Fleet([4, 4])
+      for (const endpoint of fleet.endpoints.slice(0, 3)) fleet.changeLabels(endpoint, ['fast'])
+      fleet.submit('b1', { longRunning: true, requiredLabel: 'fast' }, { priority: 1 })
+      for (let i = 0; i < 2; i++) {
+        fleet.run(8_000)
+        fleet.crash(fleet.findEndpointOf('b1')!)
+      }
+      fleet.run(500)
+      const kept = fleet.findEndpointOf('b1')!
+      for (const endpoint of fleet.endpoints) if (endpoint !== kept && endpoint.labels.includes('fast')) fleet.remove(endpoint)
+      fleet.submit('a1', { longRunning, requiredLabel: 'fast' }, { priority })
+      fleet.run(20_000)
+      t.strictSame(listStalls(fleet), [], `priority ${priority}`)
+    }
+  })
+}
