dispatch: judge by all endpoints and all measures whether a service is idle

Cause: the patience of StalledWork ends only while less than half of the accelerators of the endpoints that may get work are in use. With half of the fleet suspect, silent or draining, or with tasks of many accelerators and few cores, an observer sees a free service and the planner a busy one; a preference for one rack, for the data, or the reserve for expected urgent work then holds the job without a limit. Change: a service is also partly idle if less than half of any measure is in use, or if that holds once the endpoints count that are out of use.

--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -70,6 +70,16 @@
   return racks[0] ? fill(spec, indexes, racks[0][1], countOn) : null
 }
 
+/** Whether the free capacity holds that many tasks of the step, in whatever racks. */
+export const hasRoomFor = (spec: StepSpec, tasks: number, candidates: readonly Candidate[], countOn: CountOnEndpoint): boolean => {
+  let fitting = 0
+  for (const candidate of candidates) {
+    if (isSuitable(spec, candidate)) fitting += countFittingTasks(spec, candidate, countOn)
+    if (fitting >= tasks) return true
+  }
+  return false
+}
+
 export interface PlacementOptions {
   /** Accept a placement across racks, which slows the tasks down by a factor. */
   readonly acceptFar: boolean
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -1,6 +1,6 @@
 import type { TaskId } from '@ibisstair/common'
 import type { ActiveRun, EndpointIncarnation, EndpointRecord, SchedulingState, StartGroup } from '@ibisstair/jobs'
-import { countFits, mustParseTaskId, subtractResources } from '@ibisstair/jobs'
+import { countFits, subtractResources } from '@ibisstair/jobs'
 import { SUSPECT_PATIENCE_MS } from './constants.ts'
 import { isGuaranteed } from './guarantees.ts'
 import { couldEverFit, placeTasks, deductAssigned, type Assignment, type Candidate, type PlacementOptions } from './placement.ts'
@@ -113,7 +113,7 @@
       hasClaim: (work) => this.#claims.has(toWorkKey(work)),
       isKeptApart: (work) => work.isSuspect && pass.nowMs - (this.#suspectSinceMs.get(toWorkKey(work)) ?? pass.nowMs) < SUSPECT_PATIENCE_MS,
       isStalled: (work) => this.#isStalled(work, pass),
-      countOn: (work) => createCounter(work, pass.state)
+      countOn: (work) => pass.createCounter(work)
     })
     return { starts, preempted: pass.preempted, examineWaiting }
   }
@@ -173,7 +173,7 @@
     const acceptFar = this.#mustSpanRacks(work, shape, pass) || this.#isStalled(work, pass)
     const failedShape = `${shape},${acceptFar}`
     if (!isUrgent && pass.failedShapes.has(failedShape)) return []
-    const assignments = work.isSuspect ? placeSuspect(work, pass, { acceptFar }) : placeTasks(spec, indexes, pass.listCandidates(work), createCounter(work, pass.state), { acceptFar })
+    const assignments = work.isSuspect ? placeSuspect(work, pass, { acceptFar }) : placeTasks(spec, indexes, pass.listCandidates(work), pass.createCounter(work), { acceptFar })
     // With a limit for each endpoint the outcome depends on the job, so that it does not hold for other jobs of this shape.
     if (assignments.length === 0 && spec.maxPerEndpoint === null) pass.failedShapes.add(failedShape)
     if (assignments.length < indexes.length && isUrgent && pass.mayPreempt) this.#preemptFor(work, assignments, pass, { acceptFar, stopAll: hasClaimExpired })
@@ -191,7 +191,7 @@
   #placeApart (work: ReadyWork, pass: PlanningPass): Assignment[] {
     const empty = pass.isolation.listEmpty(listUncrashed(work, pass), work)
     const acceptFar = this.#mustSpanRacks(work, toShape(work), pass)
-    return placeTasks(work.spec, work.indexes, empty, createCounter(work, pass.state), { acceptFar })
+    return placeTasks(work.spec, work.indexes, empty, pass.createCounter(work), { acceptFar })
   }
 
   #placeClaimed (work: ReadyWork, { assignments }: Claim, { byIncarnation }: PlanningPass): StartGroup[] {
@@ -210,7 +210,7 @@
     const key = toWorkKey(work)
     if (pass.nowMs < (this.#retryAtMs.get(key) ?? -Infinity)) return
     const indexes = work.indexes.filter((index) => !placed.some((assignment) => assignment.index === index))
-    const countRunning = createCounter(work, pass.state)
+    const countRunning = pass.createCounter(work)
     const countOn = (incarnation: EndpointIncarnation): number => countRunning(incarnation) + placed.filter(({ endpoint }) => endpoint === incarnation).length
     const search = { spec: work.spec, indexes, candidates: pass.listCandidates(work), countOn, acceptFar }
     const plan = planPreemption(search, pass.victims.listFor(work.job))
@@ -242,7 +242,7 @@
 /** Places suspect work that found no empty endpoint where the fewest other runs are likely to be. */
 const placeSuspect = (work: ReadyWork, pass: PlanningPass, { acceptFar }: PlacementOptions): Assignment[] => {
   const options = { acceptFar, emptiestFirst: true }
-  const countOn = createCounter(work, pass.state)
+  const countOn = pass.createCounter(work)
   const elsewhere = placeTasks(work.spec, work.indexes, listUncrashed(work, pass), countOn, options)
   return elsewhere.length > 0 ? elsewhere : placeTasks(work.spec, work.indexes, pass.listCandidates(work), countOn, options)
 }
@@ -278,15 +278,6 @@
   return lost <= MAX_LOST_WORK_FACTOR * spec.count * toCoreEquivalents(spec.resources) * spec.estimateMs
 }
 
-/** Returns a counter of the step's tasks on an endpoint; it returns 0 when the step has no limit for each endpoint. */
-const createCounter = ({ job, occurrence, step }: ReadyWork, state: SchedulingState): (incarnation: EndpointIncarnation) => number => {
-  if (job.spec.steps[step]!.maxPerEndpoint === null) return () => 0
-  return (incarnation) => [...state.jobs.listRuns(incarnation).keys()].filter((task) => {
-    const ref = mustParseTaskId(task)
-    return ref.job === job.spec.id && ref.occurrence === occurrence && ref.step === step
-  }).length
-}
-
 /** Groups assignments by run number. The members of a gang share a run number; each single task counts its own runs. */
 const toGroups = ({ job, occurrence, step, spec, run }: ReadyWork, members: readonly Assignment[]): StartGroup[] => {
   const { tasks } = job.getOccurrence(occurrence).steps[step]!
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -1,11 +1,12 @@
 import type { CustomerId, TaskId } from '@ibisstair/common'
 import type { EndpointIncarnation, SchedulingState } from '@ibisstair/jobs'
-import { subtractResources } from '@ibisstair/jobs'
+import { mustParseTaskId, subtractResources } from '@ibisstair/jobs'
 import { isGuaranteed, sumUrgentNeeds } from './guarantees.ts'
 import { Isolation } from './isolation.ts'
-import { indexByIncarnation, type Candidate } from './placement.ts'
+import { indexByIncarnation, type Candidate, type CountOnEndpoint } from './placement.ts'
 import type { PlanInput } from './planner.ts'
 import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
+import { getIdleness, type Idleness } from './service-load.ts'
 import { VictimList, type EstimateRemaining } from './victims.ts'
 
 const NO_CANDIDATES: readonly Candidate[] = []
@@ -15,9 +16,6 @@
 /** Other work follows in the order of its priority. */
 const RANK_SUSPECT = 2
 
-/** A service counts as idle while less than this share of its capacity is in use. */
-const IDLE_SHARE = 0.5
-
 /** The data of one planning pass; each part is computed at most once. */
 export class PlanningPass {
   readonly state: SchedulingState
@@ -32,7 +30,7 @@
   readonly failedShapes = new Set<string>()
   readonly isolation: Isolation
   readonly #byService = new Map<string, Candidate[]>()
-  readonly #idleServices = new Map<string, boolean>()
+  readonly #idleness = new Map<string, Idleness>()
   readonly #estimateRemaining: EstimateRemaining
   #victims: VictimList | null = null
 
@@ -68,14 +66,15 @@
     return this.#byService.get(job.spec.service) ?? NO_CANDIDATES
   }
 
-  /** Whether most of the service's capacity is free when this is first asked in a pass. */
-  isServiceIdle (work: ReadyWork): boolean {
+  /** How much of the service's capacity is free when this is first asked in a pass. */
+  getIdleness (work: ReadyWork): Idleness {
     const { service } = work.job.spec
-    const known = this.#idleServices.get(service)
+    const known = this.#idleness.get(service)
     if (known !== undefined) return known
-    const isIdle = getUsedShare(this.listServiceCandidates(work)) < IDLE_SHARE
-    this.#idleServices.set(service, isIdle)
-    return isIdle
+    const registered = [...this.state.endpoints.list()].filter((endpoint) => endpoint.service === service)
+    const idleness = getIdleness(registered, this.listServiceCandidates(work))
+    this.#idleness.set(service, idleness)
+    return idleness
   }
 
   /** Those of them that may run the work: not the ones that are kept for a suspect of another job. */
@@ -83,6 +82,15 @@
     return this.isolation.listOpen(this.listServiceCandidates(work), work)
   }
 
+  /** Returns a counter of the step's tasks on an endpoint; it returns 0 when the step has no limit for each endpoint. */
+  createCounter ({ job, occurrence, step, spec }: ReadyWork): CountOnEndpoint {
+    if (spec.maxPerEndpoint === null) return () => 0
+    return (incarnation) => [...this.state.jobs.listRuns(incarnation).keys()].filter((task) => {
+      const ref = mustParseTaskId(task)
+      return ref.job === job.spec.id && ref.occurrence === occurrence && ref.step === step
+    }).length
+  }
+
   /**
    * Returns the most urgent work first. Within a priority, urgent work within its customer's guarantee comes
    * first, the oldest before newer ones; then work that can still be on time, the oldest first; then late work.
@@ -109,11 +117,3 @@
     else this.#byService.set(service, [candidate])
   }
 }
-
-/** Share of the accelerators in use, or of the cores where there are no accelerators. */
-const getUsedShare = (candidates: readonly Candidate[]): number => {
-  const sum = (amountOf: (candidate: Candidate) => number): number => candidates.reduce((total, candidate) => total + amountOf(candidate), 0)
-  const accelerators = sum(({ endpoint }) => endpoint.capacity.accelerators)
-  if (accelerators > 0) return 1 - sum(({ free }) => Math.max(0, free.accelerators)) / accelerators
-  return 1 - sum(({ free }) => Math.max(0, free.cpuMilli)) / sum(({ endpoint }) => endpoint.capacity.cpuMilli)
-}
--- /dev/null
+++ b/packages/dispatch/src/service-load.ts
@@ -0,0 +1,37 @@
+import { NO_RESOURCES, addResources, subtractResources, type EndpointRecord, type Resources } from '@ibisstair/jobs'
+import { hasRoomFor, type Candidate, type CountOnEndpoint } from './placement.ts'
+import type { ReadyWork } from './ready-work.ts'
+
+/** A service counts as idle while less than this share of its capacity is in use. */
+const IDLE_SHARE = 0.5
+
+/**
+ * How much of a service's capacity is free:
+ * `idle`: less than half of the accelerators of usable endpoints are in use, or of their cores if there are no accelerators;
+ * `partly`: the same holds for another measure, or if the endpoints count that get no new work at present;
+ * `busy`: neither.
+ */
+export type Idleness = 'idle' | 'partly' | 'busy'
+
+const MEASURES = ['accelerators', 'cpuMilli', 'memMb'] as const satisfies ReadonlyArray<keyof Resources>
+
+const sumCapacity = (endpoints: readonly EndpointRecord[]): Resources =>
+  endpoints.reduce((sum, { capacity }) => addResources(sum, capacity), NO_RESOURCES)
+
+/** An endpoint that has shrunk below what runs there counts as full. */
+const sumFree = (candidates: readonly Candidate[]): Resources =>
+  candidates.reduce((sum, { free }) => addResources(sum, { cpuMilli: Math.max(0, free.cpuMilli), memMb: Math.max(0, free.memMb), accelerators: Math.max(0, free.accelerators) }), NO_RESOURCES)
+
+/** `registered` are all endpoints of the service, `candidates` those that may get new work. */
+export const getIdleness = (registered: readonly EndpointRecord[], candidates: readonly Candidate[]): Idleness => {
+  const usable = sumCapacity(candidates.map(({ endpoint }) => endpoint))
+  const used = subtractResources(usable, sumFree(candidates))
+  const isLittle = (measure: keyof Resources, capacity: Resources): boolean => capacity[measure] > 0 && used[measure] < IDLE_SHARE * capacity[measure]
+  if (isLittle(usable.accelerators > 0 ? 'accelerators' : 'cpuMilli', usable)) return 'idle'
+  const all = sumCapacity(registered)
+  return MEASURES.some((measure) => isLittle(measure, all)) ? 'partly' : 'busy'
+}
+
+/** Whether the free capacity holds the work twice over: two copies of what has to start together, or two single tasks. */
+export const fitsTwice = ({ spec, indexes }: ReadyWork, candidates: readonly Candidate[], countOn: CountOnEndpoint): boolean =>
+  hasRoomFor(spec, 2 * (spec.gang || spec.tightlyCoupled ? indexes.length : 1), candidates, countOn)
--- a/packages/dispatch/src/stalled-work.ts
+++ b/packages/dispatch/src/stalled-work.ts
@@ -1,5 +1,6 @@
 import type { PlanningPass } from './planning-pass.ts'
 import { toWorkKey, type ReadyWork } from './ready-work.ts'
+import { fitsTwice } from './service-load.ts'
 
 /** Time for which work waits for the best place before it takes any. */
 const STALL_PATIENCE_MS = 1_500
@@ -15,7 +16,7 @@
   isStalled (work: ReadyWork, pass: PlanningPass): boolean {
     const sinceMs = this.#sinceMs.get(toWorkKey(work))
     if (sinceMs === undefined || pass.nowMs - sinceMs < STALL_PATIENCE_MS) return false
-    return work.spec.longRunning || (work.job.activeRuns === 0 && pass.isServiceIdle(work))
+    return work.spec.longRunning || (work.job.activeRuns === 0 && hasSpareCapacity(work, pass))
   }
 
   /** Starts the time anew for work of which a part was placed, and keeps it for work that waits. */
@@ -28,3 +29,12 @@
     for (const key of this.#sinceMs.keys()) if (!known.has(key)) this.#sinceMs.delete(key)
   }
 }
+
+/** A fleet that is only partly idle also needs room for the work twice over, so that little other work has to wait for it. */
+const hasSpareCapacity = (work: ReadyWork, pass: PlanningPass): boolean => {
+  switch (pass.getIdleness(work)) {
+    case 'idle': return true
+    case 'partly': return fitsTwice(work, pass.listCandidates(work), pass.createCounter(work))
+    case 'busy': return false
+  }
+}
