dispatch: an occurrence that waits is not hidden by another one that runs

Cause: StalledWork asked for the active runs of the whole job. Evidence: cases 14 to 17 of stalled-work.test.ts failed on (the occurrence waited until an earlier one had ended) and pass now. Change: the runs of the occurrence count.

--- a/packages/dispatch/src/stalled-work.ts
+++ b/packages/dispatch/src/stalled-work.ts
@@ -7,8 +7,8 @@
 
 /**
  * Tells which work has waited for too long for a place that may never come: in one rack, near its data, or beside
- * capacity that is kept free for other work. A task that lasts is not to wait at all; other work only counts while its
- * job has nothing running and the fleet is idle, since on a busy one a better place becomes free by itself.
+ * capacity that is kept free for other work. A task that lasts is not to wait at all; other work only counts while
+ * nothing of its occurrence runs and the fleet is idle, since on a busy one a better place becomes free by itself.
  */
 export class StalledWork {
   readonly #sinceMs = new Map<string, number>()
@@ -16,7 +16,7 @@
   isStalled (work: ReadyWork, pass: PlanningPass): boolean {
     const sinceMs = this.#sinceMs.get(toWorkKey(work))
     if (sinceMs === undefined || pass.nowMs - sinceMs < STALL_PATIENCE_MS) return false
-    return work.spec.longRunning || (work.job.activeRuns === 0 && hasSpareCapacity(work, pass))
+    return work.spec.longRunning || (!hasRuns(work) && hasSpareCapacity(work, pass))
   }
 
   /** Starts the time anew for work of which a part was placed, and keeps it for work that waits. */
@@ -30,6 +30,10 @@
   }
 }
 
+/** Each occurrence of a repeated job is due by itself, whatever the others do. */
+const hasRuns = ({ job, occurrence }: ReadyWork): boolean =>
+  job.getOccurrence(occurrence).steps.some(({ activeTasks }) => activeTasks > 0)
+
 /** A fleet that is only partly idle also needs room for the work twice over, so that little other work has to wait for it. */
 const hasSpareCapacity = (work: ReadyWork, pass: PlanningPass): boolean => {
   switch (pass.getIdleness(work)) {
