dispatch: the start of one task that lasts does not begin the wait of the others anew

Callers saw: tasks that last wait for their data rack for seconds while others of their step get a place there one by one. Cause: progress of a part restarted the patience of the whole step. Evidence: case 18 of stalled-work.test.ts failed on (up to 9.8 s beyond the 6 s) and passes now. Change: for tasks that last the time runs from when the step began to wait.

--- a/packages/dispatch/src/stalled-work.ts
+++ b/packages/dispatch/src/stalled-work.ts
@@ -19,10 +19,13 @@
     return work.spec.longRunning || (!hasRuns(work) && hasSpareCapacity(work, pass))
   }
 
-  /** Starts the time anew for work of which a part was placed, and keeps it for work that waits. */
+  /**
+   * Starts the time anew for work of which a part was placed, and keeps it for work that waits. Each task that lasts has
+   * to run, so that the start of one is no progress for the others.
+   */
   record (work: ReadyWork, hasProgress: boolean, nowMs: number): void {
     const key = toWorkKey(work)
-    if (hasProgress || !this.#sinceMs.has(key)) this.#sinceMs.set(key, nowMs)
+    if ((hasProgress && !work.spec.longRunning) || !this.#sinceMs.has(key)) this.#sinceMs.set(key, nowMs)
   }
 
   removeExcept (known: ReadonlySet<string>): void {
