dispatch: tasks that last do not wait for the probation of another one of their step

Callers saw: a task that lasts does not run for up to 20 s, on an almost empty fleet, while another task of its step is on probation after a crash of its endpoint. Cause: listReadyWork lists only the suspects of a step until they have passed their probation. Change: in a step that lasts the others wait only until the suspects have started.

--- a/packages/dispatch/src/ready-work.ts
+++ b/packages/dispatch/src/ready-work.ts
@@ -37,15 +37,24 @@
 export const listSuspects = (job: JobEntry, wallMs: number): TaskEntry[] =>
   job.listBegunOccurrences().flatMap(({ steps }) => steps.flatMap((entry) => listSuspectTasks(entry, wallMs)))
 
-const listIndexes = (job: JobEntry, occurrence: number, step: number): number[] => {
-  const { tasks } = job.getOccurrence(occurrence).steps[step]!
-  return tasks.flatMap(({ isDone, active }, index) => (isDone || active ? [] : [index]))
-}
+const listIndexes = ({ tasks }: StepEntry): number[] =>
+  tasks.flatMap(({ isDone, active }, index) => (isDone || active ? [] : [index]))
 
 /**
- * Returns the work of a job that can start now; a gang only when no member of an earlier run is active. While
- * single tasks are suspect, the other tasks of their step wait: if the job is given up, they would be lost.
+ * Returns the waiting tasks that can start now. Suspects go first. The other tasks of their step wait until the suspects
+ * have passed their probation: if the job is given up, they would be lost. Tasks that last only wait until the suspects
+ * have started, as each of them has to run.
  */
+const selectBySuspicion = (spec: StepSpec, entry: StepEntry, wallMs: number): Pick<ReadyWork, 'indexes' | 'isSuspect'> => {
+  const waiting = listIndexes(entry)
+  const suspects = new Set(listSuspectTasks(entry, wallMs))
+  if (spec.gang || suspects.size === 0) return { indexes: waiting, isSuspect: suspects.size > 0 }
+  const waitingSuspects = waiting.filter((index) => suspects.has(entry.tasks[index]!))
+  if (waitingSuspects.length === 0 && spec.longRunning) return { indexes: waiting, isSuspect: false }
+  return { indexes: waitingSuspects, isSuspect: true }
+}
+
+/** Returns the work of a job that can start now; a gang only when no member of an earlier run is active. */
 export const listReadyWork = (job: JobEntry, wallMs: number): ReadyWork[] => {
   const ready: ReadyWork[] = []
   for (const occurrence of job.listDueOccurrences(wallMs)) {
@@ -55,10 +64,7 @@
       if (entry.doneTasks + entry.activeTasks >= spec.count && !(spec.gang && entry.activeTasks > 0)) return
       if (spec.gang && entry.activeTasks > 0) return
       if (!job.areDependenciesDone(occurrence, step)) return
-      const suspects = new Set(listSuspectTasks(entry, wallMs))
-      const isSuspect = suspects.size > 0
-      const waiting = listIndexes(job, occurrence, step)
-      const indexes = isSuspect && !spec.gang ? waiting.filter((index) => suspects.has(entry.tasks[index]!)) : waiting
+      const { indexes, isSuspect } = selectBySuspicion(spec, entry, wallMs)
       if (indexes.length > 0) ready.push({ job, occurrence, step, spec, indexes, run: entry.lastRun + 1, isSuspect })
     })
   }
