--- a/packages/dispatch/tests/support/fake-fleet.ts
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -23,8 +23,27 @@
   crashAfterMs: number
   /** Runs that every endpoint reports besides its own. */
   strayRuns: readonly RunReport[]
+  /** Endpoints that announce themselves but answer no call. */
+  readonly hanging: Set<EndpointIncarnation>
+  /** Endpoints that answer every call with a refusal, and do nothing. */
+  readonly refusing: Set<EndpointIncarnation>
+  /** Endpoints that refuse starts only. */
+  readonly refusingStarts: Set<EndpointIncarnation>
+  /** Endpoints on which every run fails soon. */
+  readonly failing: Set<EndpointIncarnation>
 }
 
+/** An endpoint as it is, whatever the scheduler knows of it. */
+export interface FakeEndpointView {
+  readonly record: EndpointRecord
+  readonly bornAtMs: number
+  readonly tasks: readonly TaskId[]
+  /** Whether it is reachable and does what it is told. */
+  readonly isSound: boolean
+}
+
+const FAILURE_MS = 50
+
 /** A crashed endpoint returns after this time at the same address under a new id. */
 export const RESTART_MS = 3_000
 
@@ -43,7 +62,7 @@
   isCrashed = false
   /** Has taken this endpoint's place under its id. */
   successor: FakeEndpoint | null = null
-  readonly #bornAtMs: number
+  readonly bornAtMs: number
   readonly runs = new Map<TaskId, FakeRun>()
   readonly #fleet: FakeFleet
   readonly #highestRuns = new Map<TaskId, number>()
@@ -56,7 +75,7 @@
   constructor (record: EndpointRecord, fleet: FakeFleet) {
     this.record = record
     this.#fleet = fleet
-    this.#bornAtMs = fleet.timers.now()
+    this.bornAtMs = fleet.timers.now()
   }
 
   setCapacity (part: Partial<Resources>): void {
@@ -74,7 +93,7 @@
   }
 
   get clockMs (): number {
-    return this.#fleet.timers.now() - this.#bornAtMs + 1_000
+    return this.#fleet.timers.now() - this.bornAtMs + 1_000
   }
 
   hasUnacknowledged (ackedUpto: number): boolean {
@@ -83,14 +102,17 @@
 
   start (order: StartOrder): OrderResult {
     if (!this.#accept(order.fencingToken)) return { type: 'fenced' }
+    if (this.#fleet.faults.refusingStarts.has(this.record.life)) return { type: 'refused', reason: 'status-503' }
     if (this.runs.get(order.task)?.run === order.run) return { type: 'ok', clockMs: this.clockMs }
     if (order.run <= (this.#highestRuns.get(order.task) ?? 0)) return { type: 'refused', reason: 'old' }
     if (order.leaseUntilMs <= this.clockMs) return { type: 'refused', reason: 'late' }
     this.#extendLease(order.leaseUntilMs)
     this.#highestRuns.set(order.task, order.run)
     if (this.#fleet.faults.crashingTasks.has(order.task)) this.#fleet.timers.subscribe(this.#fleet.faults.crashAfterMs, () => { if (this.runs.get(order.task)?.run === order.run) this.#fleet.crash(this.record.life) })
-    const outcome: RunOutcome = this.#fleet.random.float() < this.#fleet.faults.failingShare ? 'failed' : 'done'
-    const stopTimer = this.#fleet.timers.subscribe(this.#fleet.faults.runMs, () => this.#end(order.task, outcome))
+    const isFailing = this.#fleet.faults.failing.has(this.record.life)
+    const outcome: RunOutcome = isFailing || this.#fleet.random.float() < this.#fleet.faults.failingShare ? 'failed' : 'done'
+    const endsByItself = isFailing || !this.#fleet.isLasting(order.task)
+    const stopTimer = endsByItself ? this.#fleet.timers.subscribe(isFailing ? FAILURE_MS : this.#fleet.faults.runMs, () => this.#end(order.task, outcome)) : () => {}
     this.runs.set(order.task, { task: order.task, run: order.run, stopTimer })
     this.#fleet.recordStart(this, order)
     return { type: 'ok', clockMs: this.clockMs }
@@ -171,7 +193,7 @@
     this.timers = timers
     this.random = random
     this.#getState = getState
-    this.faults = { lostShare: 0, unreachable: new Set(), runMs: 1_000, failingShare: 0, crashingTasks: new Set(), crashAfterMs: 10, strayRuns: [], ...faults }
+    this.faults = { lostShare: 0, unreachable: new Set(), runMs: 1_000, failingShare: 0, crashingTasks: new Set(), crashAfterMs: 10, strayRuns: [], hanging: new Set(), refusing: new Set(), refusingStarts: new Set(), failing: new Set(), ...faults }
     for (const record of records) this.#endpoints.set(record.life, new FakeEndpoint(record, this))
   }
 
@@ -207,6 +229,31 @@
     return [...this.#endpoints.values()].filter(({ isCrashed }) => !isCrashed).map(({ record }) => record)
   }
 
+  /** The endpoints that run, with what they run. */
+  listViews (): FakeEndpointView[] {
+    const { unreachable, hanging, refusing, refusingStarts, failing } = this.faults
+    const faulty = [unreachable, hanging, refusing, refusingStarts, failing]
+    return [...this.#endpoints.values()].filter(({ isCrashed }) => !isCrashed).map(({ record, bornAtMs, runs }) =>
+      ({ record, bornAtMs, tasks: [...runs.keys()], isSound: !faulty.some((set) => set.has(record.life)) }))
+  }
+
+  /** Whether an endpoint has completed the task, though the scheduler may not know it yet. */
+  isDone (task: TaskId): boolean {
+    return this.#done.has(task)
+  }
+
+  /** Makes an endpoint announce that it will leave. */
+  drain (incarnation: EndpointIncarnation): void {
+    const fake = this.#endpoints.get(incarnation)
+    if (fake) fake.record = { ...fake.record, draining: true }
+  }
+
+  /** Whether the task runs until it is stopped. */
+  isLasting (task: TaskId): boolean {
+    const { job, step } = mustParseTaskId(task)
+    return this.#getState().jobs.get(job)?.spec.steps[step]!.longRunning ?? false
+  }
+
   /** Crashes an endpoint, which returns after `RESTART_MS`. */
   crash (incarnation: EndpointIncarnation): void {
     const fake = this.#endpoints.get(incarnation)
@@ -287,7 +334,9 @@
     await this.timers.delay(1)
     const fake = findSuccessor(called)
     if (fake.isCrashed) throw new IbisError('unreachable', 'connection refused', { info: { reason: 'connect', code: 'ECONNREFUSED' } })
-    if (this.faults.unreachable.has(incarnation)) return await this.#loseAnswer(timeoutMs)
+    if (this.faults.refusing.has(fake.record.life)) return { type: 'refused', reason: 'status-503' } as T
+    if (this.faults.hanging.has(fake.record.life)) return await this.#loseAnswer(timeoutMs)
+    if (this.faults.unreachable.has(incarnation) || this.faults.unreachable.has(fake.record.life)) return await this.#loseAnswer(timeoutMs)
     if (this.random.float() >= this.faults.lostShare) return execute(fake)
     if (this.random.float() < 0.5) this.timers.subscribe(this.random.int(LATE_ORDER_MIN_MS, LATE_ORDER_MAX_MS), () => { if (!this.faults.unreachable.has(incarnation) && !fake.isCrashed) execute(fake) })
     return await this.#loseAnswer(timeoutMs)
--- a/packages/dispatch/tests/support/test-cluster.ts
+++ b/packages/dispatch/tests/support/test-cluster.ts
@@ -1,9 +1,10 @@
 import { asId, type EndpointId, type JobId, type RackId } from '@ibisstair/common'
-import { SchedulingState, type EndpointRecord, type JobSpec, type Resources, type StateCommand, type StateResult, type StepSpec } from '@ibisstair/jobs'
+import { SchedulingState, type EndpointIncarnation, type EndpointRecord, type JobSpec, type Resources, type StateCommand, type StateResult, type StepSpec } from '@ibisstair/jobs'
 import { packValue, unpackValue } from '@ibisstair/storage'
 import { Metrics } from '@ibisstair/telemetry'
 import { ManualTimerService, RandomSource } from '@ibisstair/timers'
 import { accept, createEndpoint, createSpec, register } from '../../../jobs/tests/support/samples.ts'
+import { COMMIT_TIMEOUT_MS } from '../../src/constants.ts'
 import { Dispatcher } from '../../src/index.ts'
 import { FakeFleet, type FakeFaults } from './fake-fleet.ts'
 
@@ -24,6 +25,12 @@
   /** False while the leader has lost its quorum. */
   hasQuorum = true
   commitMs = 5
+  /** Time after which a command is applied although its proposer was told after COMMIT_TIMEOUT_MS that it was not; Infinity if it never is, null if commits are in time. */
+  lateCommitMs: number | null = null
+  /** When a leader began or lost or regained its quorum. */
+  leaderChangedAtMs = 0
+  /** Endpoints whose announcements do not arrive, though calls reach them. */
+  readonly mutedAnnouncements = new Set<EndpointIncarnation>()
   /** Share of the announcements that arrive late, after newer ones. */
   lateAnnouncementShare = 0
   #announcements = 0
@@ -32,9 +39,9 @@
   /** End of the last leader's term as its successor knows it. */
   #announcedUntilMs: number | null = null
 
-  constructor (seed: number, faults: Partial<FakeFaults> = {}) {
+  constructor (seed: number, faults: Partial<FakeFaults> = {}, endpoints?: readonly EndpointRecord[]) {
     this.random = new RandomSource(seed)
-    this.endpoints = ['w1', 'w2', 'w3', 'w4'].map((id, i) => createEndpoint(id, { address: `10.0.0.${i}:1`, rack: asId<RackId>(i < 2 ? 'r1' : 'r2') }))
+    this.endpoints = endpoints ?? ['w1', 'w2', 'w3', 'w4'].map((id, i) => createEndpoint(id, { address: `10.0.0.${i}:1`, rack: asId<RackId>(i < 2 ? 'r1' : 'r2') }))
     this.fleet = new FakeFleet(this.timers, this.random, this.endpoints, () => this.state, faults)
     for (const endpoint of this.endpoints) this.state.apply(register(endpoint))
     this.timers.every(ANNOUNCE_MS, () => this.#announceAll())
@@ -44,7 +51,13 @@
   elect (): void {
     if (this.#dispatcher) this.depose()
     const term = ++this.#term
+    this.leaderChangedAtMs = this.timers.now()
     const propose = async (command: StateCommand): Promise<StateResult> => {
+      if (this.lateCommitMs !== null) {
+        if (Number.isFinite(this.lateCommitMs)) this.timers.subscribe(this.lateCommitMs, () => { if (this.#term === term) this.state.apply(JSON.parse(JSON.stringify(command)) as StateCommand) })
+        await this.timers.delay(COMMIT_TIMEOUT_MS)
+        throw new Error('not committed in time')
+      }
       await this.timers.delay(this.commitMs)
       if (this.#term !== term || !this.hasQuorum) throw new Error('not the leader')
       return this.state.apply(JSON.parse(JSON.stringify(command)) as StateCommand)
@@ -83,7 +96,7 @@
   }
 
   #announceAll (): void {
-    const reachable = this.fleet.listRecords().filter(({ life: incarnation }) => !this.fleet.faults.unreachable.has(incarnation))
+    const reachable = this.fleet.listRecords().filter(({ life: incarnation }) => !this.fleet.faults.unreachable.has(incarnation) && !this.mutedAnnouncements.has(incarnation))
     for (const endpoint of reachable) {
       const isLate = this.lateAnnouncementShare > 0 && this.random.float() < this.lateAnnouncementShare
       const delayMs = isLate ? this.random.int(LATE_ANNOUNCEMENT_MIN_MS, LATE_ANNOUNCEMENT_MAX_MS) : 0
@@ -109,6 +122,10 @@
     this.state.apply(accept(createSpec(id, steps, { priority, maxAttempts: 50, ...overrides }), this.timers.now()))
   }
 
+  cancel (id: string): void {
+    this.state.apply({ type: 'cancel', job: asId<JobId>(id), atMs: this.timers.now() })
+  }
+
   leave (id: string, bornMs: number | null): void {
     this.#dispatcher?.leave(asId<EndpointId>(id), bornMs)
   }
