--- a/packages/dispatch/tests/stalls.test.ts
+++ b/packages/dispatch/tests/stalls.test.ts
@@ -1,4 +1,4 @@
-import { asId, type TaskId } from '@ibisstair/common'
+import { asId, type RackId, type TaskId } from '@ibisstair/common'
 import type { StepSpec } from '@ibisstair/jobs'
 import t from 'tap'
 import { createStep } from '../../jobs/tests/support/samples.ts'
@@ -130,6 +130,33 @@
   t.equal(cluster.statusOf('a1'), 'completed')
 })
 
+t.test('work runs in another rack when the endpoint that has room near its data refuses it', async (t) => {
+  // While a start awaits its answer the work does not wait, so that its patience began anew with each refused start.
+  for (const longRunning of [true, false]) {
+    const cluster = new TestCluster(8)
+    const observer = new StallObserver(cluster)
+    cluster.elect()
+    cluster.submit('b1', [{ ...lasting(1), dataRack: asId<RackId>('r1') }])
+    await cluster.run(1_000)
+    const [occupied] = listEndpointsOf(cluster, 'b1')
+    for (const { life, rack } of cluster.endpoints) if (rack === 'r1' && life !== occupied) cluster.fleet.faults.refusingStarts.add(life)
+    cluster.submit('a1', [{ ...lasting(1, 8), longRunning, dataRack: asId<RackId>('r1') }])
+    await cluster.run(30_000)
+    t.same(observer.describe(), [], longRunning ? 'lasts' : 'ends')
+  }
+})
+
+t.test('work runs in another rack when every run near its data fails', async (t) => {
+  // Only failures of two jobs make an endpoint suspect, so that a single job tried the same ones again and again.
+  const cluster = new TestCluster(9)
+  for (const { life, rack } of cluster.endpoints) if (rack === 'r1') cluster.fleet.faults.failing.add(life)
+  cluster.elect()
+  cluster.submit('a1', [createStep({ longRunning: true, dataRack: asId<RackId>('r1') })])
+  await cluster.run(15_000)
+  t.equal(listEndpointsOf(cluster, 'a1').length, 1)
+  t.ok(cluster.fleet.starts < 20, `${cluster.fleet.starts} starts`)
+})
+
 t.test('a gang whose member is cut off runs again', async (t) => {
   const cluster = new TestCluster(6, { runMs: 5_000 })
   const observer = new StallObserver(cluster)
