--- a/packages/dispatch/tests/support/test-cluster.ts
+++ b/packages/dispatch/tests/support/test-cluster.ts
@@ -1,11 +1,12 @@
 import { asId, type EndpointId, type JobId, type RackId } from '@ibisstair/common'
-import { SchedulingState, type EndpointRecord, type JobSpec, type Resources, type StateCommand, type StateResult, type StepSpec } from '@ibisstair/jobs'
+import { SchedulingState, type EndpointIncarnation, type EndpointRecord, type JobSpec, type Resources, type StateCommand, type StateResult, type StepSpec } from '@ibisstair/jobs'
 import { packValue, unpackValue } from '@ibisstair/storage'
 import { Metrics } from '@ibisstair/telemetry'
 import { ManualTimerService, RandomSource } from '@ibisstair/timers'
 import { accept, createEndpoint, createSpec, register } from '../../../jobs/tests/support/samples.ts'
+import { COMMIT_TIMEOUT_MS } from '../../src/constants.ts'
 import { Dispatcher } from '../../src/index.ts'
-import { FakeFleet, type FakeFaults } from './fake-fleet.ts'
+import { FakeFleet, LEASE_MAX_MS, type FakeFaults } from './fake-fleet.ts'
 
 const ANNOUNCE_MS = 500
 const LATE_ANNOUNCEMENT_MIN_MS = 600
@@ -24,17 +25,25 @@
   /** False while the leader has lost its quorum. */
   hasQuorum = true
   commitMs = 5
+  /** Time that commits take; null if it is `commitMs`. After COMMIT_TIMEOUT_MS the proposer is told that the outcome is not known. */
+  slowCommitMs: number | null = null
+  /** When a leader began or lost or regained its quorum. */
+  leaderChangedAtMs = 0
+  /** Endpoints whose announcements do not arrive, though calls reach them. */
+  readonly mutedAnnouncements = new Set<EndpointIncarnation>()
   /** Share of the announcements that arrive late, after newer ones. */
   lateAnnouncementShare = 0
+  /** When the last of the slow commits is applied; commands are applied in the order of the log. */
+  #commitsUntilMs = 0
   #announcements = 0
   #term = 0
   #dispatcher: Dispatcher | null = null
   /** End of the last leader's term as its successor knows it. */
   #announcedUntilMs: number | null = null
 
-  constructor (seed: number, faults: Partial<FakeFaults> = {}) {
+  constructor (seed: number, faults: Partial<FakeFaults> = {}, endpoints?: readonly EndpointRecord[]) {
     this.random = new RandomSource(seed)
-    this.endpoints = ['w1', 'w2', 'w3', 'w4'].map((id, i) => createEndpoint(id, { address: `10.0.0.${i}:1`, rack: asId<RackId>(i < 2 ? 'r1' : 'r2') }))
+    this.endpoints = endpoints ?? ['w1', 'w2', 'w3', 'w4'].map((id, i) => createEndpoint(id, { address: `10.0.0.${i}:1`, rack: asId<RackId>(i < 2 ? 'r1' : 'r2') }))
     this.fleet = new FakeFleet(this.timers, this.random, this.endpoints, () => this.state, faults)
     for (const endpoint of this.endpoints) this.state.apply(register(endpoint))
     this.timers.every(ANNOUNCE_MS, () => this.#announceAll())
@@ -44,10 +53,13 @@
   elect (): void {
     if (this.#dispatcher) this.depose()
     const term = ++this.#term
+    this.leaderChangedAtMs = this.timers.now()
     const propose = async (command: StateCommand): Promise<StateResult> => {
+      const copy = JSON.parse(JSON.stringify(command)) as StateCommand
+      if (this.slowCommitMs !== null || this.#commitsUntilMs > this.timers.now()) return await this.#commitSlowly(copy, term)
       await this.timers.delay(this.commitMs)
       if (this.#term !== term || !this.hasQuorum) throw new Error('not the leader')
-      return this.state.apply(JSON.parse(JSON.stringify(command)) as StateCommand)
+      return this.state.apply(copy)
     }
     const log = (message: string, fields: Readonly<Record<string, unknown>> = {}): void => { this.logLines.push({ message, fields }) }
     this.#dispatcher = new Dispatcher({
@@ -59,7 +71,7 @@
       logger: { error: log, warn: log, info: log, debug: log },
       metrics: this.metrics,
       fencingToken: term,
-      leaseMaxMs: 6_000,
+      leaseMaxMs: LEASE_MAX_MS,
       announcedUntilMs: this.#announcedUntilMs ?? this.timers.now()
     })
     this.#dispatcher.start()
@@ -83,7 +95,7 @@
   }
 
   #announceAll (): void {
-    const reachable = this.fleet.listRecords().filter(({ life: incarnation }) => !this.fleet.faults.unreachable.has(incarnation))
+    const reachable = this.fleet.listRecords().filter(({ life: incarnation }) => !this.fleet.faults.unreachable.has(incarnation) && !this.mutedAnnouncements.has(incarnation))
     for (const endpoint of reachable) {
       const isLate = this.lateAnnouncementShare > 0 && this.random.float() < this.lateAnnouncementShare
       const delayMs = isLate ? this.random.int(LATE_ANNOUNCEMENT_MIN_MS, LATE_ANNOUNCEMENT_MAX_MS) : 0
@@ -109,6 +121,24 @@
     this.state.apply(accept(createSpec(id, steps, { priority, maxAttempts: 50, ...overrides }), this.timers.now()))
   }
 
+  get areCommitsSlow (): boolean {
+    return this.slowCommitMs !== null || this.#commitsUntilMs > this.timers.now()
+  }
+
+  async #commitSlowly (command: StateCommand, term: number): Promise<StateResult> {
+    this.#commitsUntilMs = Math.max(this.#commitsUntilMs, this.timers.now() + (this.slowCommitMs ?? this.commitMs))
+    const delayMs = this.#commitsUntilMs - this.timers.now()
+    let result: StateResult | null = null
+    this.timers.subscribe(delayMs, () => { if (this.#term === term) result = this.state.apply(command) })
+    await this.timers.delay(Math.min(delayMs, COMMIT_TIMEOUT_MS))
+    if (result === null) throw new Error('not committed in time')
+    return result
+  }
+
+  cancel (id: string): void {
+    this.state.apply({ type: 'cancel', job: asId<JobId>(id), atMs: this.timers.now() })
+  }
+
   leave (id: string, bornMs: number | null): void {
     this.#dispatcher?.leave(asId<EndpointId>(id), bornMs)
   }
