dispatch: work that has waited may use endpoints that are kept for suspects

Callers saw: a job that could run waits for up to 20 s while suspects of a few other jobs keep the endpoints that it needs; four small suspects close a fleet of four endpoints, of which an eighth is in use. Cause: an endpoint on which a suspect runs is closed to all other jobs until the suspect has passed its probation, without a bound on how much is kept. Endpoints crash together with all tasks on them, so that one crash makes many suspects. Change: once the patience of StalledWork has ended, work that finds no room elsewhere is placed beside a suspect. It may be blamed as one of several if that one crashes its endpoint, which takes three crashes; it waits no longer for that.

--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -170,10 +170,11 @@
     const hasClaimExpired = this.#claims.delete(key)
     const shape = toShape(work)
     const isUrgent = job.spec.priority === 0
-    const acceptFar = this.#mustSpanRacks(work, shape, pass) || this.#isStalled(work, pass)
-    const failedShape = `${shape},${acceptFar}`
+    const isStalled = this.#isStalled(work, pass)
+    const acceptFar = isStalled || this.#mustSpanRacks(work, shape, pass)
+    const failedShape = `${shape},${acceptFar},${isStalled}`
     if (!isUrgent && pass.failedShapes.has(failedShape)) return []
-    const assignments = work.isSuspect ? placeSuspect(work, pass, { acceptFar }) : placeTasks(spec, indexes, pass.listCandidates(work), pass.createCounter(work), { acceptFar })
+    const assignments = placeWork(work, pass, { acceptFar, useKept: isStalled })
     // With a limit for each endpoint the outcome depends on the job, so that it does not hold for other jobs of this shape.
     if (assignments.length === 0 && spec.maxPerEndpoint === null) pass.failedShapes.add(failedShape)
     if (assignments.length < indexes.length && isUrgent && pass.mayPreempt) this.#preemptFor(work, assignments, pass, { acceptFar, stopAll: hasClaimExpired })
@@ -239,12 +240,20 @@
   return pass.listCandidates(work).filter(({ endpoint }) => !crashed.has(endpoint.address))
 }
 
-/** Places suspect work that found no empty endpoint where the fewest other runs are likely to be. */
-const placeSuspect = (work: ReadyWork, pass: PlanningPass, { acceptFar }: PlacementOptions): Assignment[] => {
-  const options = { acceptFar, emptiestFirst: true }
-  const countOn = pass.createCounter(work)
-  const elsewhere = placeTasks(work.spec, work.indexes, listUncrashed(work, pass), countOn, options)
-  return elsewhere.length > 0 ? elsewhere : placeTasks(work.spec, work.indexes, pass.listCandidates(work), countOn, options)
+interface WorkPlacementOptions extends PlacementOptions {
+  /** Use endpoints that are kept for suspects of other jobs if no other one has room. */
+  readonly useKept: boolean
+}
+
+const placeWork = (work: ReadyWork, pass: PlanningPass, { acceptFar, useKept }: WorkPlacementOptions): Assignment[] => {
+  const placeOn = (candidates: readonly Candidate[]): Assignment[] =>
+    placeTasks(work.spec, work.indexes, candidates, pass.createCounter(work), { acceptFar, emptiestFirst: work.isSuspect })
+  const choices = [work.isSuspect ? listUncrashed(work, pass) : [], pass.listCandidates(work), useKept ? pass.listServiceCandidates(work) : []]
+  for (const candidates of choices) {
+    const assignments = placeOn(candidates)
+    if (assignments.length > 0) return assignments
+  }
+  return []
 }
 
 /** Gives deferrable work its share of the fleet and returns the work that was not placed. */
--- a/packages/dispatch/src/stalled-work.ts
+++ b/packages/dispatch/src/stalled-work.ts
@@ -41,7 +41,7 @@
 const hasSpareCapacity = (work: ReadyWork, pass: PlanningPass): boolean => {
   switch (pass.getIdleness(work)) {
     case 'idle': return true
-    case 'partly': return fitsTwice(work, pass.listCandidates(work), pass.createCounter(work))
+    case 'partly': return fitsTwice(work, pass.listServiceCandidates(work), pass.createCounter(work))
     case 'busy': return false
   }
 }
