dispatch: a start that fails does not begin the wait of its work anew

Callers saw: a job whose only near endpoint with room refuses its starts runs nowhere, with other racks empty. Cause: while a start is in flight its work is not waiting, so that its patience was forgotten. A refusal comes back each 1.5 s, which is the patience. Evidence: case 8 of stalls.test.ts failed before (28 s, to the end of the run) and passes now. Change: the time to wait goes on for work that waits again within 3 s of its start.

--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -106,7 +106,7 @@
       if (limited) place(limited)
     }
     for (const work of ready) this.#stalledWork.record(work, progressed.has(toWorkKey(work)), pass.nowMs)
-    this.#removeEntriesExcept(ready)
+    this.#removeEntriesExcept(ready, pass.nowMs)
     const examineWaiting = (): WaitingSurvey | null => this.#waitingWork.examine(ready, (work) => progressed.has(toWorkKey(work)), {
       pass,
       starts,
@@ -136,10 +136,10 @@
     return [...claimants, ...ready.filter((work) => !claimants.has(work))]
   }
 
-  #removeEntriesExcept (ready: readonly ReadyWork[]): void {
+  #removeEntriesExcept (ready: readonly ReadyWork[], nowMs: number): void {
     const known = new Set(ready.map(toWorkKey))
     for (const entries of [this.#claims, this.#retryAtMs, this.#suspectSinceMs]) for (const key of entries.keys()) if (!known.has(key)) entries.delete(key)
-    this.#stalledWork.removeExcept(known)
+    this.#stalledWork.removeExcept(known, nowMs)
   }
 
   /** Clears the cache of shapes when the set of endpoints or a capacity has changed, or the cache is full. */
