dispatch: where runs have failed near the data, work that has waited goes to another rack first

Callers saw: a job whose every run near its data fails is started there again and again, with sound racks empty. Cause: a place near the data came before any other, whatever had failed there; a single job does not make an endpoint suspect. Evidence: case 9 of stalls.test.ts failed before (70 starts in 15 s, nothing running) and passes now. Change: work that may run far from its data takes sound endpoints first, near ones before far ones, then those on which runs have failed.

--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -112,6 +112,13 @@
   return assignments
 }
 
+/** Far endpoints go before near ones on which runs have failed. */
+const sortNearFirst = (candidates: readonly Candidate[], near: readonly Candidate[]): Candidate[] => {
+  const isNear = new Set(near)
+  const rank = (candidate: Candidate): number => (candidate.penalty > 0 ? 2 : 0) + (isNear.has(candidate) ? 0 : 1)
+  return [...candidates].sort((a, b) => rank(a) - rank(b))
+}
+
 const choose = (spec: StepSpec, indexes: readonly number[], candidates: Candidate[], countOn: CountOnEndpoint, acceptFar: boolean): Assignment[] => {
   if (spec.tightlyCoupled) {
     const inOneRack = placeInOneRack(spec, indexes, candidates, countOn)
@@ -120,9 +127,8 @@
   }
   if (spec.dataRack === null) return fill(spec, indexes, candidates, countOn)
   const near = candidates.filter(({ endpoint }) => endpoint.rack === spec.dataRack)
-  const nearData = fill(spec, indexes, near, countOn)
-  if (nearData.length === indexes.length || !acceptFar) return nearData
-  return fill(spec, indexes, [...near, ...candidates.filter((candidate) => !near.includes(candidate))], countOn)
+  if (!acceptFar) return fill(spec, indexes, near, countOn)
+  return fill(spec, indexes, sortNearFirst(candidates, near), countOn)
 }
 
 /**
