dispatch: try the removal of a replaced endpoint again until it is gone

Callers saw a job that did not go on while the fleet was free: its endpoint had restarted, and its run stayed with the earlier life for as long as the new one did not announce itself.

Cause: the session closes itself when another incarnation answers, and asked for the hand-over and the removal once. A commit that was refused (no quorum), or a hand-over that a loss of the quorum ended, was not tried again. The same held for an announcement of the successor whose commit failed: it closes the session of the earlier life. Change: ReplacedEndpoints keeps the incarnations that are known to be gone and tries the hand-over and the removal again, one attempt at a time and 1 s after the last one, until the state no longer has them. The session stays closed meanwhile, so that no order reaches the successor, and the endpoint is out of use (`replaced`). A hand-over whose successor follows a newer leader is not called again.

--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -61,5 +61,8 @@
 /** Shortest time between an endpoint's message that it leaves and its removal. */
 export const LEAVE_GRACE_MS = 500
 
+/** Time after a failed removal of an endpoint that was replaced before the next attempt. */
+export const REPLACEMENT_RETRY_DELAY_MS = 1_000
+
 /** An endpoint without runs is removed when it has not announced itself for this time. */
 export const ENDPOINT_EXPIRY_MS = 30_000
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -11,6 +11,7 @@
 import { Planner, type Plan } from './planner.ts'
 import { describeSilence } from './silence.ts'
 import type { EndpointPort } from './ports.ts'
+import { ReplacedEndpoints } from './replaced-endpoints.ts'
 import { UnsettledRuns, type RunStatus } from './unsettled-runs.ts'
 import { WaitingReport } from './waiting-report.ts'
 
@@ -45,6 +46,7 @@
   readonly #unwantedSinceMs = new Map<TaskId, number>()
   /** When each endpoint said that it leaves. */
   readonly #leavingSinceMs = new Map<EndpointIncarnation, number>()
+  readonly #replaced: ReplacedEndpoints
   readonly #endpointUse: EndpointUse
   readonly #waitingReport: WaitingReport
   readonly #unsettledRuns: UnsettledRuns
@@ -64,6 +66,12 @@
     this.#health = new EndpointHealth(options.timers)
     this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
     this.#unsettledRuns = new UnsettledRuns(options.logger, options.metrics)
+    this.#replaced = new ReplacedEndpoints({
+      timers: options.timers,
+      isRegistered: (life) => options.state.endpoints.get(life) !== undefined,
+      remove: (life) => this.#removeReplaced(life),
+      log: (message, fields) => options.logger.warn(message, fields)
+    })
     this.#endpointUse = new EndpointUse(options.logger, options.metrics)
     this.#waitingReport = new WaitingReport(options.logger, options.metrics, {
       listEndpoints: () => options.state.endpoints.list(),
@@ -103,17 +111,28 @@
     const known = state.endpoints.get(record.life)
     if (this.#announcements.isOutdated(record, known)) return metrics.increment('announcements.outdated')
     if (known) this.#announcements.recordArrival(record)
-    if (state.endpoints.wouldChange(record)) await this.#handOver(record)
-    if (state.endpoints.wouldChange(record)) {
-      const silences = state.endpoints.listReplacedBy(record).flatMap(({ life }) => this.#describeSilence(life) ?? [])
-      await this.#propose({ type: 'register-endpoint', endpoint: record, atMs: timers.wallClock(), silences })
-      this.#options.logger.info('endpoint announced', { endpoint: record.id, life: record.life, domain: record.domain, rack: record.rack, draining: record.draining, capacity: record.capacity, ...(known && { capacityBefore: known.capacity }) })
-    }
+    if (state.endpoints.wouldChange(record)) await this.#register(record, known)
     if (!state.endpoints.get(record.life)) return
     this.#announcements.recordApplied(record, now)
     this.#sessions.get(record.life)?.handleAnnouncement(clockMs, now)
   }
 
+  async #register (record: EndpointRecord, known: EndpointRecord | undefined): Promise<void> {
+    const { state, timers, logger } = this.#options
+    const replaced = state.endpoints.listReplacedBy(record)
+    try {
+      await this.#handOver(record)
+      if (!state.endpoints.wouldChange(record)) return
+      const silences = state.endpoints.listReplacedBy(record).flatMap(({ life }) => this.#describeSilence(life) ?? [])
+      await this.#propose({ type: 'register-endpoint', endpoint: record, atMs: timers.wallClock(), silences })
+    } catch (err) {
+      // The successor may not announce itself again.
+      for (const { life } of replaced) this.#replaced.add(life)
+      throw err
+    }
+    logger.info('endpoint announced', { endpoint: record.id, life: record.life, domain: record.domain, rack: record.rack, draining: record.draining, capacity: record.capacity, ...(known && { capacityBefore: known.capacity }) })
+  }
+
   /**
    * Waits until no run of an earlier incarnation under the same id can be active on the announced one. Only one at the
    * same address can have received orders that were meant for the earlier one.
@@ -163,7 +182,7 @@
 
   handleReplaced (endpoint: EndpointRecord): void {
     this.#options.logger.warn('another incarnation answers at the endpoint\'s address; removing the endpoint', { endpoint: endpoint.id, life: endpoint.life })
-    this.#remove(endpoint, 'replaced')
+    this.#replaced.add(endpoint.life)
   }
 
   handleFenced (endpoint: EndpointRecord): void {
@@ -248,11 +267,18 @@
     for (const incarnation of this.#leavingSinceMs.keys()) if (!this.#options.state.endpoints.get(incarnation)) this.#leavingSinceMs.delete(incarnation)
   }
 
-  /** `cause` is null for an endpoint that is only silent and may announce itself again. */
-  #remove ({ life: incarnation, id }: EndpointRecord, cause: IncarnationEnd | null): void {
+  /** Resolves once its runs are handed over and the attempt to remove it is over. */
+  async #removeReplaced (life: EndpointIncarnation): Promise<void> {
+    await this.#sessions.get(life)?.handOver()
+    const record = this.#options.state.endpoints.get(life)
+    if (record) await this.#remove(record, 'replaced')
+  }
+
+  /** `cause` is null for an endpoint that is only silent and may announce itself again. Logs a failure. */
+  async #remove ({ life: incarnation, id }: EndpointRecord, cause: IncarnationEnd | null): Promise<void> {
     if (this.#isClosed || !this.#options.state.endpoints.get(incarnation)) return
     const silence = this.#describeSilence(incarnation)
-    this.#propose({ type: 'remove-endpoint', life: incarnation, atMs: this.#options.timers.wallClock(), hasEnded: cause !== null, ...(cause && { cause }), ...(silence && { silence }) })
+    await this.#propose({ type: 'remove-endpoint', life: incarnation, atMs: this.#options.timers.wallClock(), hasEnded: cause !== null, ...(cause && { cause }), ...(silence && { silence }) })
       .then(() => this.#options.logger.info('endpoint removed', { endpoint: id, life: incarnation, cause: cause ?? 'silent' }))
       .catch((err: unknown) => this.#options.logger.warn('endpoint removal failed', { endpoint: id, err }))
   }
@@ -272,6 +298,7 @@
     for (const session of this.#sessions.values()) session.tick()
     this.#removeSilentEndpoints()
     this.#removeLeftEndpoints()
+    this.#replaced.retryDue()
     this.#endpointUse.observe([...this.#options.state.endpoints.list()], (endpoint) => this.#getOutOfUse(endpoint))
     this.#unsettledRuns.observe(() => this.#listRunStatus(), this.#options.timers.now())
     this.#schedulePass()
@@ -412,6 +439,7 @@
   #getOutOfUse ({ life, draining }: EndpointRecord): OutOfUseReason | null {
     if (draining) return 'draining'
     if (this.#leavingSinceMs.has(life)) return 'leaving'
+    if (this.#replaced.has(life)) return 'replaced'
     if (this.#health.isSuspect(life)) return 'suspect'
     if ((this.#sessions.get(life)?.failures ?? 0) > 0) return 'unanswered'
     return this.#announcements.isCurrent(life, this.#options.timers.now()) ? null : 'unannounced'
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -34,7 +34,7 @@
 export interface SessionEvents {
   /** Runs have ended. Their reports are acknowledged to the endpoint once the returned promise resolves. */
   handleEnds (endpoint: EndpointRecord, ends: readonly RunEnd[]): Promise<void>
-  /** The address belongs to another incarnation: this one has ended with all its runs. */
+  /** The address belongs to another incarnation: this one has ended with all its runs, and its session sends no more orders. */
   handleReplaced (endpoint: EndpointRecord): void
   /** The endpoint rejected an order because it has seen the fencing token of a newer leader. */
   handleFenced (endpoint: EndpointRecord): void
@@ -77,6 +77,8 @@
   #pollAgain = false
   #cancelPause: () => void = () => {}
   #isClosed = false
+  /** Whether the successor of this incarnation follows a newer leader. */
+  #isFenced = false
   /** Resolves once the ends of the runs that another incarnation may have taken are committed; null while none is in progress. */
   #handover: Promise<void> | null = null
 
@@ -132,12 +134,13 @@
   /**
    * Another incarnation has taken the endpoint's place, perhaps under its id, so that it may have carried out orders
    * that were meant for this one. Sends no more orders, and commits how each run that no report has listed ended there.
-   * Rejects when leadership ends meanwhile.
+   * Rejects when leadership ends or a commit fails meanwhile; it may then be called again. Once the successor follows a
+   * newer leader, it rejects without a call.
    */
   handOver (): Promise<void> {
     this.#isClosed = true
     this.#handover ??= this.#settleUnreported().catch((err: unknown) => {
-      this.#handover = null
+      if (!this.#isFenced) this.#handover = null
       throw err
     })
     return this.#handover
@@ -281,10 +284,8 @@
   }
 
   #handleReplaced (): void {
-    const { events } = this.#options
-    this.handOver()
-      .then(() => events.handleReplaced(this.#endpoint))
-      .catch((err: unknown) => events.log('handing over an endpoint failed unexpectedly', { endpoint: this.#endpoint.id, err }))
+    this.#isClosed = true
+    this.#options.events.handleReplaced(this.#endpoint)
   }
 
   async #settleUnreported (): Promise<void> {
@@ -299,7 +300,7 @@
       isLeading: () => events.isLeading(),
       log: (message, fields) => events.log(message, fields)
     }, unreported)
-    const ends = await handover.settle()
+    const ends = await handover.settle().finally(() => { this.#isFenced = handover.isFenced })
     if (ends.length > 0) await events.handleEnds(this.#endpoint, ends)
   }
 
--- a/packages/dispatch/src/handover.ts
+++ b/packages/dispatch/src/handover.ts
@@ -30,12 +30,18 @@
   readonly #options: HandoverOptions
   readonly #open: Map<TaskId, OpenRun>
   readonly #ends: RunEnd[] = []
+  #isFenced = false
 
   constructor (options: HandoverOptions, runs: readonly { readonly task: TaskId, readonly run: number }[]) {
     this.#options = options
     this.#open = new Map(runs.map(({ task, run }) => [task, { task, run, isStopAcked: false }]))
   }
 
+  /** Whether the successor follows a newer leader; calls with this fencing token are useless from then on. */
+  get isFenced (): boolean {
+    return this.#isFenced
+  }
+
   /**
    * Returns the ends that the successor lists; every other run is lost with the ended incarnation. Rejects with
    * `not-leader` when this process may send no more orders.
@@ -62,6 +68,11 @@
     if (!this.#options.isLeading()) throw new IbisError('not-leader', 'leadership ended before the runs of an endpoint were handed over')
   }
 
+  #handleFenced (): never {
+    this.#isFenced = true
+    throw new IbisError('not-leader', 'a newer leader gives the orders')
+  }
+
   async #stopOpenRuns (): Promise<void> {
     const unstopped = [...this.#open.values()].filter(({ isStopAcked }) => !isStopAcked)
     await Promise.all(unstopped.map((run) => this.#stop(run)))
@@ -81,7 +92,7 @@
         this.#open.delete(open.task)
         return
       }
-      case 'fenced': throw new IbisError('not-leader', 'a newer leader gives the orders')
+      case 'fenced': return this.#handleFenced()
       case 'refused': return
       default: assertNever(result)
     }
@@ -98,7 +109,7 @@
         this.#open.clear()
         return
       }
-      case 'fenced': throw new IbisError('not-leader', 'a newer leader gives the orders')
+      case 'fenced': return this.#handleFenced()
       case 'refused': return
       default: assertNever(result)
     }
