dispatch: count a renewal that an endpoint refuses like a call without an answer

Callers saw a job that neither ended nor went on elsewhere, for as long as its endpoint refused every call (429 or 503).

Cause: a refused renewal counted neither as an answer nor as a failure, so that each further one extended the lease in the leader's books: it never ended there, though it had at the endpoint. The endpoint also stayed in use for new work. Change: a refused renewal counts among the failures: the lease is not extended any more, its end makes the runs lost, and the endpoint gets no new work until it answers a renewal. It does not count as silence, since the endpoint is up, so that no task is blamed for a crash. Refused starts and stops keep their meaning.

--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -96,7 +96,7 @@
     this.#endpoint = endpoint
   }
 
-  /** Consecutive calls without an answer. */
+  /** Consecutive calls without an answer, and renewals that were refused: the endpoint does not do what it is told. */
   get failures (): number {
     return this.#failures
   }
@@ -121,7 +121,7 @@
     return this.#runs.get(task)?.phase ?? null
   }
 
-  /** Whether the endpoint has reported its runs and the reported ends are committed, or a call to it has failed. */
+  /** Whether the endpoint has reported its runs and the reported ends are committed, or a call to it has failed or was refused. */
   get isSurveyed (): boolean {
     return this.#failures > 0 || (this.#hasReported && this.#submittedUpto <= this.#committedUpto)
   }
@@ -275,9 +275,8 @@
     this.poll()
   }
 
-  #handleRejection (result: Extract<OrderResult | RenewResult, { type: 'fenced' | 'wrong-incarnation' | 'refused' }>): void {
+  #handleRejection (result: Extract<OrderResult | RenewResult, { type: 'fenced' | 'wrong-incarnation' }>): void {
     const { events } = this.#options
-    if (result.type === 'refused') return
     this.#isClosed = true
     if (result.type === 'fenced') events.handleFenced(this.#endpoint)
     else this.#handleReplaced()
@@ -372,9 +371,14 @@
       if (this.#failures === 1) this.#options.events.log('endpoint does not answer', { endpoint: this.#endpoint.id, address: this.#endpoint.address, runs: this.#runs.size, detail: result.message })
       return false
     }
+    if (result.type === 'refused') {
+      this.#failures += 1
+      if (this.#failures === 1) this.#options.events.log('endpoint refuses a renewal', { endpoint: this.#endpoint.id, address: this.#endpoint.address, runs: this.#runs.size, reason: result.reason })
+      return false
+    }
     if (result.type !== 'report') {
       this.#handleRejection(result)
-      return result.type !== 'refused'
+      return true
     }
     if (this.#failures > 0) this.#pollAgain = true
     this.#recordContact(result.report.clockMs)
