--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -34,7 +34,7 @@
 export interface SessionEvents {
   /** Runs have ended. Their reports are acknowledged to the endpoint once the returned promise resolves. */
   handleEnds (endpoint: EndpointRecord, ends: readonly RunEnd[]): Promise<void>
-  /** The address belongs to another incarnation: this one has ended with all its runs. */
+  /** The address belongs to another incarnation: this one has ended with all its runs, and its session sends no more orders. */
   handleReplaced (endpoint: EndpointRecord): void
   /** The endpoint rejected an order because it has seen the fencing token of a newer leader. */
   handleFenced (endpoint: EndpointRecord): void
@@ -77,6 +77,8 @@
   #pollAgain = false
   #cancelPause: () => void = () => {}
   #isClosed = false
+  /** Whether the successor of this incarnation follows a newer leader. */
+  #isFenced = false
   /** Resolves once the ends of the runs that another incarnation may have taken are committed; null while none is in progress. */
   #handover: Promise<void> | null = null
 
@@ -94,7 +96,7 @@
     this.#endpoint = endpoint
   }
 
-  /** Consecutive calls without an answer. */
+  /** Consecutive calls without an answer, and renewals that were refused: the endpoint does not do what it is told. */
   get failures (): number {
     return this.#failures
   }
@@ -119,7 +121,7 @@
     return this.#runs.get(task)?.phase ?? null
   }
 
-  /** Whether the endpoint has reported its runs and the reported ends are committed, or a call to it has failed. */
+  /** Whether the endpoint has reported its runs and the reported ends are committed, or a call to it has failed or was refused. */
   get isSurveyed (): boolean {
     return this.#failures > 0 || (this.#hasReported && this.#submittedUpto <= this.#committedUpto)
   }
@@ -132,12 +134,13 @@
   /**
    * Another incarnation has taken the endpoint's place, perhaps under its id, so that it may have carried out orders
    * that were meant for this one. Sends no more orders, and commits how each run that no report has listed ended there.
-   * Rejects when leadership ends meanwhile.
+   * Rejects when leadership ends or a commit fails meanwhile; it may then be called again. Once the successor follows a
+   * newer leader, it rejects without a call.
    */
   handOver (): Promise<void> {
     this.#isClosed = true
     this.#handover ??= this.#settleUnreported().catch((err: unknown) => {
-      this.#handover = null
+      if (!this.#isFenced) this.#handover = null
       throw err
     })
     return this.#handover
@@ -272,19 +275,16 @@
     this.poll()
   }
 
-  #handleRejection (result: Extract<OrderResult | RenewResult, { type: 'fenced' | 'wrong-incarnation' | 'refused' }>): void {
+  #handleRejection (result: Extract<OrderResult | RenewResult, { type: 'fenced' | 'wrong-incarnation' }>): void {
     const { events } = this.#options
-    if (result.type === 'refused') return
     this.#isClosed = true
     if (result.type === 'fenced') events.handleFenced(this.#endpoint)
     else this.#handleReplaced()
   }
 
   #handleReplaced (): void {
-    const { events } = this.#options
-    this.handOver()
-      .then(() => events.handleReplaced(this.#endpoint))
-      .catch((err: unknown) => events.log('handing over an endpoint failed unexpectedly', { endpoint: this.#endpoint.id, err }))
+    this.#isClosed = true
+    this.#options.events.handleReplaced(this.#endpoint)
   }
 
   async #settleUnreported (): Promise<void> {
@@ -299,7 +299,7 @@
       isLeading: () => events.isLeading(),
       log: (message, fields) => events.log(message, fields)
     }, unreported)
-    const ends = await handover.settle()
+    const ends = await handover.settle().finally(() => { this.#isFenced = handover.isFenced })
     if (ends.length > 0) await events.handleEnds(this.#endpoint, ends)
   }
 
@@ -371,9 +371,14 @@
       if (this.#failures === 1) this.#options.events.log('endpoint does not answer', { endpoint: this.#endpoint.id, address: this.#endpoint.address, runs: this.#runs.size, detail: result.message })
       return false
     }
+    if (result.type === 'refused') {
+      this.#failures += 1
+      if (this.#failures === 1) this.#options.events.log('endpoint refuses a renewal', { endpoint: this.#endpoint.id, address: this.#endpoint.address, runs: this.#runs.size, reason: result.reason })
+      return false
+    }
     if (result.type !== 'report') {
       this.#handleRejection(result)
-      return result.type !== 'refused'
+      return true
     }
     if (this.#failures > 0) this.#pollAgain = true
     this.#recordContact(result.report.clockMs)
