--- a/packages/dispatch/tests/support/random-fleet.ts
+++ b/packages/dispatch/tests/support/random-fleet.ts
@@ -8,7 +8,12 @@
 const EVENT_MS = 500
 const FULL: Resources = { cpuMilli: 32_000, memMb: 131_072, accelerators: ACCELERATORS }
 
+/** A part of an endpoint, of all that it has. */
+const toShare = (accelerators: number): Resources => ({ cpuMilli: 4_000 * accelerators, memMb: 16_384 * accelerators, accelerators })
+
 const pickResources = (random: RandomSource): Resources => random.pick([
+  toShare(random.pick([1, 2, 4, 8])!),
+  toShare(random.pick([1, 2, 4, 8])!),
   { cpuMilli: 1_000, memMb: 100, accelerators: random.pick([1, 2, 4, 8])! },
   { cpuMilli: 3_700, memMb: 11_000, accelerators: random.pick([1, 2, 4])! },
   { cpuMilli: 2_800, memMb: 8_200, accelerators: random.pick([0, 1])! },
