--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,6 +1,6 @@
 import type { EndpointId, TaskId } from '@ibisstair/common'
-import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, JobEntry, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
-import { mustParseTaskId, toTaskId } from '@ibisstair/jobs'
+import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
+import { toTaskId } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { Announcements } from './announcements.ts'
@@ -13,6 +13,7 @@
 import type { EndpointPort } from './ports.ts'
 import { ReplacedEndpoints } from './replaced-endpoints.ts'
 import { UnsettledRuns, type RunStatus } from './unsettled-runs.ts'
+import { UnwantedRuns } from './unwanted-runs.ts'
 import { WaitingReport } from './waiting-report.ts'
 
 export interface DispatcherOptions {
@@ -30,9 +31,6 @@
   readonly announcedUntilMs: number
 }
 
-/** Members of a completed gang report their end at about the same time; the dispatcher stops them only after this time. */
-const GANG_COMPLETION_GRACE_MS = 700
-
 /**
  * Runs the schedule during one term of leadership: plans starts, sends orders to endpoints
  * and commits their reports to the log. Everything that must survive the term is in the replicated state.
@@ -43,7 +41,7 @@
   readonly #health: EndpointHealth
   readonly #sessions = new Map<EndpointIncarnation, EndpointSession>()
   readonly #announcements: Announcements
-  readonly #unwantedSinceMs = new Map<TaskId, number>()
+  readonly #unwantedRuns: UnwantedRuns
   /** When each endpoint said that it leaves. */
   readonly #leavingSinceMs = new Map<EndpointIncarnation, number>()
   readonly #replaced: ReplacedEndpoints
@@ -65,6 +63,7 @@
     this.#options = options
     this.#health = new EndpointHealth(options.timers)
     this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
+    this.#unwantedRuns = new UnwantedRuns(options.state)
     this.#unsettledRuns = new UnsettledRuns(options.logger, options.metrics)
     this.#replaced = new ReplacedEndpoints({
       timers: options.timers,
@@ -309,7 +308,7 @@
     for (const incarnation of state.jobs.listOccupiedEndpoints()) {
       const session = this.#sessions.get(incarnation)
       for (const run of state.jobs.listRuns(incarnation).values()) {
-        const cause = this.#unwantedSinceMs.has(run.task) ? 'awaits-end' : session?.isConfirmed(run.task) ? null : 'unconfirmed'
+        const cause = this.#unwantedRuns.has(run.task) ? 'awaits-end' : session?.isConfirmed(run.task) ? null : 'unconfirmed'
         const describe = (): Readonly<Record<string, unknown>> => {
           const silentSinceMs = session?.silentSinceMs ?? null
           return { endpoint: incarnation, phase: session?.getPhase(run.task) ?? null, failures: session?.failures ?? null, silentMs: silentSinceMs === null ? null : Math.round(timers.now() - silentSinceMs) }
@@ -371,7 +370,7 @@
   }
 
   #runPass (): void {
-    this.#stopUnwantedRuns()
+    for (const { task, endpoint } of this.#unwantedRuns.listDue(this.#options.timers.now())) this.#sessions.get(endpoint)?.stop(task)
     if (this.#isProposing) return this.#options.metrics.increment('planner.awaits-commit')
     const { state, timers, logger } = this.#options
     const plan = this.#planner.plan({
@@ -445,36 +444,6 @@
     return this.#announcements.isCurrent(life, this.#options.timers.now()) ? null : 'unannounced'
   }
 
-  /** Stops runs whose job or task has ended, and the remaining members of a gang that lost a member. */
-  #stopUnwantedRuns (): void {
-    const { state } = this.#options
-    const unwanted = new Set<TaskId>()
-    for (const incarnation of state.jobs.listOccupiedEndpoints()) {
-      for (const { task } of state.jobs.listRuns(incarnation).values()) {
-        const ref = mustParseTaskId(task)
-        const job = state.jobs.get(ref.job)!
-        if (job.isRunWanted(ref.occurrence, ref.step, ref.index) && !this.#isBrokenGang(job, ref.occurrence, ref.step)) continue
-        unwanted.add(task)
-        if (this.#isEndExpected(job, ref.step, task)) continue
-        this.#sessions.get(incarnation)?.stop(task)
-      }
-    }
-    for (const task of this.#unwantedSinceMs.keys()) if (!unwanted.has(task)) this.#unwantedSinceMs.delete(task)
-  }
-
-  #isBrokenGang (job: JobEntry, occurrence: number, step: number): boolean {
-    const { gang, count } = job.spec.steps[step]!
-    return gang && job.getOccurrence(occurrence).steps[step]!.activeTasks < count
-  }
-
-  #isEndExpected (job: JobEntry, step: number, task: TaskId): boolean {
-    const now = this.#options.timers.now()
-    const sinceMs = this.#unwantedSinceMs.get(task) ?? now
-    this.#unwantedSinceMs.set(task, sinceMs)
-    const isCompletedGang = job.state !== 'cancelled' && job.state !== 'failed' && job.spec.steps[step]!.gang
-    return isCompletedGang && now - sinceMs < GANG_COMPLETION_GRACE_MS
-  }
-
   #stopTask (task: TaskId): void {
     for (const session of this.#sessions.values()) session.stop(task)
   }
