dispatch: on a fleet that is partly idle, only room that is left unused ends the wait of work

Cause: a fleet whose accelerators are in use and whose cores are not counts as partly idle nearly always, and the patience ran from when the work began to wait, so that it had ended long before any room came. Change: there the patience runs from when each pass leaves room for the work twice over, and deferrable work goes after capacity that is reserved for gangs. Room twice over means two copies of a gang, or two single tasks, and a limit for each endpoint holds for each copy (cases 2 and 5).

--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -70,11 +70,20 @@
   return racks[0] ? fill(spec, indexes, racks[0][1], countOn) : null
 }
 
+interface RoomSearch {
+  readonly spec: StepSpec
+  readonly tasks: number
+  /** Copies of the step that the tasks belong to; a limit for each endpoint holds for each copy. */
+  readonly copies: number
+}
+
 /** Whether the free capacity holds that many tasks of the step, in whatever racks. */
-export const hasRoomFor = (spec: StepSpec, tasks: number, candidates: readonly Candidate[], countOn: CountOnEndpoint): boolean => {
+export const hasRoomFor = ({ spec, tasks, copies }: RoomSearch, candidates: readonly Candidate[], countOn: CountOnEndpoint): boolean => {
   let fitting = 0
   for (const candidate of candidates) {
-    if (isSuitable(spec, candidate)) fitting += countFittingTasks(spec, candidate, countOn)
+    if (!isSuitable(spec, candidate)) continue
+    const fits = countFits(candidate.free, spec.resources)
+    fitting += spec.maxPerEndpoint === null ? fits : Math.max(0, Math.min(fits, copies * spec.maxPerEndpoint - countOn(candidate.endpoint.life)))
     if (fitting >= tasks) return true
   }
   return false
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -97,15 +97,19 @@
       return groups.length > 0
     }
     const waiting = ready.filter((work) => !isDeferred(work) && !place(work))
-    const deferred = placeShare(ready.filter(isDeferred), pass, place).filter((work) => !this.#isStalled(work, pass) || !place(limitStalled(work)))
+    const placeIfStalled = (work: ReadyWork): boolean => this.#isStalled(work, pass) && place(limitStalled(work))
+    const beyondShare = placeShare(ready.filter(isDeferred), pass, place)
+    const held = beyondShare.filter((work) => !this.#stalledWork.precedesReservations(work, pass) || !placeIfStalled(work))
+    for (const work of ready) if (!progressed.has(toWorkKey(work))) this.#stalledWork.recordRoom(work, pass)
     const reservingGangs = waiting.filter(({ job, spec }) => spec.gang && job.spec.priority > 0).slice(0, MAX_RESERVING_GANGS)
     for (const work of reservingGangs) reserveForGang(work, pass.listCandidates(work))
+    const deferred = held.filter((work) => !placeIfStalled(work))
     const reserve = getReserve(pass, this.#demand)
     for (const work of deferred) {
       const limited = limitToAccelerators(work, sumFreeAccelerators(pass.candidates) - reserve)
       if (limited) place(limited)
     }
-    for (const work of ready) this.#stalledWork.record(work, progressed.has(toWorkKey(work)), pass.nowMs)
+    for (const work of ready) if (progressed.has(toWorkKey(work))) this.#stalledWork.recordPlacement(work, pass.nowMs)
     this.#removeEntriesExcept(ready, pass.nowMs)
     const examineWaiting = (): WaitingSurvey | null => this.#waitingWork.examine(ready, (work) => progressed.has(toWorkKey(work)), {
       pass,
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -1,12 +1,12 @@
 import type { CustomerId, TaskId } from '@ibisstair/common'
-import type { EndpointIncarnation, SchedulingState } from '@ibisstair/jobs'
+import type { EndpointIncarnation, Resources, SchedulingState } from '@ibisstair/jobs'
 import { mustParseTaskId, subtractResources } from '@ibisstair/jobs'
 import { isGuaranteed, sumUrgentNeeds } from './guarantees.ts'
 import { Isolation } from './isolation.ts'
 import { indexByIncarnation, type Candidate, type CountOnEndpoint } from './placement.ts'
 import type { PlanInput } from './planner.ts'
 import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
-import { getIdleness, type Idleness } from './service-load.ts'
+import { getIdleness, sumFree, type Idleness } from './service-load.ts'
 import { VictimList, type EstimateRemaining } from './victims.ts'
 
 const NO_CANDIDATES: readonly Candidate[] = []
@@ -31,6 +31,7 @@
   readonly isolation: Isolation
   readonly #byService = new Map<string, Candidate[]>()
   readonly #idleness = new Map<string, Idleness>()
+  readonly #free = new Map<string, Resources>()
   readonly #estimateRemaining: EstimateRemaining
   #victims: VictimList | null = null
 
@@ -77,6 +78,16 @@
     return idleness
   }
 
+  /** Returns the free capacity of the service's endpoints when this is first asked in a pass; it only shrinks later. */
+  getFree (work: ReadyWork): Resources {
+    const { service } = work.job.spec
+    const known = this.#free.get(service)
+    if (known !== undefined) return known
+    const free = sumFree(this.listServiceCandidates(work))
+    this.#free.set(service, free)
+    return free
+  }
+
   /** Those of them that may run the work: not the ones that are kept for a suspect of another job. */
   listCandidates (work: ReadyWork): readonly Candidate[] {
     return this.isolation.listOpen(this.listServiceCandidates(work), work)
--- a/packages/dispatch/src/service-load.ts
+++ b/packages/dispatch/src/service-load.ts
@@ -1,5 +1,6 @@
-import { NO_RESOURCES, addResources, subtractResources, type EndpointRecord, type Resources } from '@ibisstair/jobs'
-import { hasRoomFor, type Candidate, type CountOnEndpoint } from './placement.ts'
+import { addResources, countFits, NO_RESOURCES, subtractResources, type EndpointRecord, type Resources } from '@ibisstair/jobs'
+import { hasRoomFor, type Candidate } from './placement.ts'
+import type { PlanningPass } from './planning-pass.ts'
 import type { ReadyWork } from './ready-work.ts'
 
 /** A service counts as idle while less than this share of its capacity is in use. */
@@ -19,7 +20,7 @@
   endpoints.reduce((sum, { capacity }) => addResources(sum, capacity), NO_RESOURCES)
 
 /** An endpoint that has shrunk below what runs there counts as full. */
-const sumFree = (candidates: readonly Candidate[]): Resources =>
+export const sumFree = (candidates: readonly Candidate[]): Resources =>
   candidates.reduce((sum, { free }) => addResources(sum, { cpuMilli: Math.max(0, free.cpuMilli), memMb: Math.max(0, free.memMb), accelerators: Math.max(0, free.accelerators) }), NO_RESOURCES)
 
 /** `registered` are all endpoints of the service, `candidates` those that may get new work. */
@@ -32,6 +33,13 @@
   return MEASURES.some((measure) => isLittle(measure, all)) ? 'partly' : 'busy'
 }
 
-/** Whether the free capacity holds the work twice over: two copies of what has to start together, or two single tasks. */
-export const fitsTwice = ({ spec, indexes }: ReadyWork, candidates: readonly Candidate[], countOn: CountOnEndpoint): boolean =>
-  hasRoomFor(spec, 2 * (spec.gang || spec.tightlyCoupled ? indexes.length : 1), candidates, countOn)
+/** Copies of the work for which there must be room. */
+const COPIES = 2
+
+/** Whether the free capacity holds the work twice over: two copies of a gang, or two single tasks. */
+export const fitsTwice = (work: ReadyWork, pass: PlanningPass): boolean => {
+  const { spec, indexes } = work
+  const tasks = COPIES * (spec.gang ? indexes.length : 1)
+  if (countFits(pass.getFree(work), spec.resources) < tasks) return false
+  return hasRoomFor({ spec, tasks, copies: COPIES }, pass.listServiceCandidates(work), pass.createCounter(work))
+}
--- a/packages/dispatch/src/stalled-work.ts
+++ b/packages/dispatch/src/stalled-work.ts
@@ -8,57 +8,76 @@
 /** Work that waits again within this time of its start has not run: the start was refused, or the run failed at once. */
 const STEADY_RUN_MS = 3_000
 
+interface Wait {
+  sinceMs: number
+  /** When a part of the work was last placed; null while none was. */
+  placedAtMs: number | null
+  /** Since when each pass has left room for the work twice over; null while there is no such room. */
+  roomSinceMs: number | null
+}
+
 /**
  * Tells which work has waited for too long for a place that may never come: in one rack, near its data, or beside
- * capacity that is kept free for other work. A task that lasts is not to wait at all; other work only counts while
- * nothing of its occurrence runs and the fleet is idle, since on a busy one a better place becomes free by itself.
+ * capacity that is kept free for other work. A task that lasts is not to wait at all. Other work counts while nothing of
+ * its occurrence runs: on an idle fleet from the time when it began to wait, on a partly idle one from the time when room
+ * for it has been left unused. On a busy fleet a better place becomes free by itself.
  */
 export class StalledWork {
   readonly #waits = new Map<string, Wait>()
 
   isStalled (work: ReadyWork, pass: PlanningPass): boolean {
     const wait = this.#waits.get(toWorkKey(work))
-    if (wait === undefined || pass.nowMs - wait.sinceMs < STALL_PATIENCE_MS) return false
-    return work.spec.longRunning || (!hasRuns(work) && hasSpareCapacity(work, pass))
+    if (wait === undefined) return false
+    if (work.spec.longRunning) return hasLasted(wait.sinceMs, pass)
+    if (hasRuns(work)) return false
+    return hasLasted(pass.getIdleness(work) === 'idle' ? wait.sinceMs : wait.roomSinceMs, pass)
   }
 
-  /**
-   * Records work that waited in a pass, and whether a part of it was placed. Each task that lasts has to run, so that the
-   * start of one is no progress for the others.
-   */
-  record (work: ReadyWork, isPlaced: boolean, nowMs: number): void {
-    const key = toWorkKey(work)
-    const wait = this.#waits.get(key)
-    if (!wait || (!work.spec.longRunning && hasRunFor(STEADY_RUN_MS, wait, nowMs))) this.#waits.set(key, { sinceMs: nowMs, placedAtMs: isPlaced ? nowMs : null })
-    else if (isPlaced) wait.placedAtMs = nowMs
+  /** Whether the stalled work goes before capacity that is reserved for gangs, which on a fleet in use would starve them. */
+  precedesReservations (work: ReadyWork, pass: PlanningPass): boolean {
+    return work.spec.longRunning || pass.getIdleness(work) === 'idle'
+  }
+
+  /** Records whether a pass leaves room unused for work that it has not placed so far; to be called before capacity is reserved. */
+  recordRoom (work: ReadyWork, pass: PlanningPass): void {
+    const wait = this.#getWait(work, pass.nowMs)
+    const isRoomUnused = !hasRuns(work) && hasUnusedRoom(work, pass)
+    wait.roomSinceMs = isRoomUnused ? wait.roomSinceMs ?? pass.nowMs : null
+  }
+
+  /** Records that a pass has placed a part of the work. */
+  recordPlacement (work: ReadyWork, nowMs: number): void {
+    const wait = this.#getWait(work, nowMs)
+    wait.placedAtMs = nowMs
+    wait.roomSinceMs = null
   }
 
   /** Forgets work that is no longer waiting, but for work that was placed just now: its start may fail. */
   removeExcept (known: ReadonlySet<string>, nowMs: number): void {
     for (const [key, wait] of this.#waits) {
-      const mayReturn = wait.placedAtMs !== null && !hasRunFor(STEADY_RUN_MS, wait, nowMs)
+      const mayReturn = wait.placedAtMs !== null && !hasRunSteadily(wait, nowMs)
       if (!known.has(key) && !mayReturn) this.#waits.delete(key)
     }
   }
-}
 
-interface Wait {
-  sinceMs: number
-  /** When a part of the work was last placed; null while none was. */
-  placedAtMs: number | null
+  /** The wait begins anew for work of which a part has run; the start of one task that lasts is no progress for the others. */
+  #getWait (work: ReadyWork, nowMs: number): Wait {
+    const key = toWorkKey(work)
+    const known = this.#waits.get(key)
+    if (known && (work.spec.longRunning || !hasRunSteadily(known, nowMs))) return known
+    const wait = { sinceMs: nowMs, placedAtMs: null, roomSinceMs: null }
+    this.#waits.set(key, wait)
+    return wait
+  }
 }
 
-const hasRunFor = (ms: number, { placedAtMs }: Wait, nowMs: number): boolean => placedAtMs !== null && nowMs - placedAtMs >= ms
+const hasLasted = (sinceMs: number | null, { nowMs }: PlanningPass): boolean => sinceMs !== null && nowMs - sinceMs >= STALL_PATIENCE_MS
+
+const hasRunSteadily = ({ placedAtMs }: Wait, nowMs: number): boolean => placedAtMs !== null && nowMs - placedAtMs >= STEADY_RUN_MS
 
 /** Each occurrence of a repeated job is due by itself, whatever the others do. */
 const hasRuns = ({ job, occurrence }: ReadyWork): boolean =>
   job.getOccurrence(occurrence).steps.some(({ activeTasks }) => activeTasks > 0)
 
-/** A fleet that is only partly idle also needs room for the work twice over, so that little other work has to wait for it. */
-const hasSpareCapacity = (work: ReadyWork, pass: PlanningPass): boolean => {
-  switch (pass.getIdleness(work)) {
-    case 'idle': return true
-    case 'partly': return fitsTwice(work, pass.listServiceCandidates(work), pass.createCounter(work))
-    case 'busy': return false
-  }
-}
+const hasUnusedRoom = (work: ReadyWork, pass: PlanningPass): boolean =>
+  pass.getIdleness(work) !== 'busy' && fitsTwice(work, pass)
