dispatch: a run of a task that is done does not hide its job's next step

Callers saw: a gang is done with its first report; a member whose run has not ended in the state kept the next step from counting as waiting work, at most until the lease of its endpoint ends. Evidence: case 4 of stalled-work-limits.test.ts failed before and passes now.

--- a/packages/dispatch/src/stalled-work.ts
+++ b/packages/dispatch/src/stalled-work.ts
@@ -75,9 +75,9 @@
 
 const hasRunSteadily = ({ placedAtMs }: Wait, nowMs: number): boolean => placedAtMs !== null && nowMs - placedAtMs >= STEADY_RUN_MS
 
-/** Each occurrence of a repeated job is due by itself, whatever the others do. */
+/** Each occurrence of a repeated job is due by itself, whatever the others do. A run of a task that is done does not count. */
 const hasRuns = ({ job, occurrence }: ReadyWork): boolean =>
-  job.getOccurrence(occurrence).steps.some(({ activeTasks }) => activeTasks > 0)
+  job.getOccurrence(occurrence).steps.some(({ activeTasks, tasks }) => activeTasks > 0 && tasks.some(({ active, isDone }) => active !== null && !isDone))
 
 const hasUnusedRoom = (work: ReadyWork, pass: PlanningPass): boolean =>
   pass.getIdleness(work) !== 'busy' && fitsTwice(work, pass)
