--- a/packages/dispatch/tests/stalled-work-limits.test.ts
+++ b/packages/dispatch/tests/stalled-work-limits.test.ts
@@ -63,7 +63,7 @@
 }
 
 t.test('a gang with a limit for each endpoint starts far from its data on a fleet that is idle in cores', async (t) => {
-  // There is room for two copies of it, each with its own limit; `fitsTwice` holds both copies to the limit of one.
+  // There is room for two copies of it, each with its own limit; both were held to the limit of one.
   const fleet = new Fleet([4, 3, 3])
   fleet.submit('b0', { count: 4, longRunning: true, dataRack: asId<RackId>('r0'), resources: { cpuMilli: 1_000, memMb: 100, accelerators: ACCELERATORS } }, { priority: 1 })
   fleet.run(PASS_MS)
