dispatch: a test that a gang waits for its rack where there is room for it only once

Evidence: with the condition taken out in a scratch copy case 6 of stalled-work-limits.test.ts fails; it passes with it.

--- a/packages/dispatch/tests/stalled-work-limits.test.ts
+++ b/packages/dispatch/tests/stalled-work-limits.test.ts
@@ -74,3 +74,13 @@
   t.equal(fleet.countRunning('b0') + fleet.countRunning('b1'), 10)
   t.equal(fleet.countRunning('a1'), 4)
 })
+
+t.test('a gang waits for its data rack on a fleet in use that has room for it only once', async (t) => {
+  // Far from its data it would take most of the free accelerators for a multiple of the time.
+  const fleet = new Fleet([4, 4, 4, 4])
+  fleet.submit('b1', { count: 16, maxPerEndpoint: 1, longRunning: true, resources: { cpuMilli: 1_000, memMb: 100, accelerators: 6 } }, { priority: 1 })
+  fleet.run(PASS_MS)
+  fleet.submit('a1', { count: 20, gang: true, dataRack: asId<RackId>('r0') }, { priority: 1 })
+  fleet.run(2 * MAX_STALL_MS)
+  t.equal(fleet.countRunning('a1'), 0)
+})
