relay: reach endpoints through entries while the direct path fails

Cause: one path. The leader called an endpoint directly or not at all, and endpoints announced themselves to control machines alone, so that a fault of the path counted as a fault of the endpoint: its runs lapsed, and it got no work.

Change: entries offer to relay, and the leader passes a call on through one of them after a renewal without an answer; a relayed call is the call itself, with the leader's fencing token, so that the endpoint decides as before. Announcements go to an entry of the endpoint's failure domain (decision 17).

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,7 +1,7 @@
 const ORDER = [
   'common', 'crashes', 'timers', 'telemetry', 'settings', 'model', 'questionnaire', 'storage', 'consensus',
   'registers', 'membership', 'scheduler', 'endpoint-tasks', 'gang', 'rpc', 'operator-client', 'endpoint-client', 'config-sync', 'gateway',
-  'control', 'jobs', 'dispatch', 'cluster'
+  'control', 'jobs', 'dispatch', 'relay', 'cluster'
 ]
 
 const layered = ORDER.map((name, i) => ({
--- a/packages/cluster/src/core-node.ts
+++ b/packages/cluster/src/core-node.ts
@@ -2,6 +2,7 @@
 import { ReplicaDriver, type Member, type ReplicaStatus } from '@ibisstair/consensus'
 import { Dispatcher, type EndpointPort } from '@ibisstair/dispatch'
 import { SchedulingState, type StateCommand, type StateResult } from '@ibisstair/jobs'
+import type { RelayDirectory } from '@ibisstair/relay'
 import { MessageSender, type MessageBatch, type RpcClient, type RpcServer, type Target } from '@ibisstair/rpc'
 import type { DataFolder } from '@ibisstair/storage'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
@@ -22,6 +23,8 @@
   readonly server: RpcServer
   readonly toTarget: (node: NodeId) => Target
   readonly endpoints: EndpointPort
+  /** Processes that relay calls to endpoints; filled in with their offers while this node leads. */
+  readonly relays: RelayDirectory
   readonly leaseMaxMs: number
   readonly timers: TimerService
   readonly random: RandomSource
@@ -31,7 +34,7 @@
 }
 
 const LEADER_METHODS: readonly LeaderMethod[] = [
-  'job.submit', 'job.status', 'job.cancel', 'queue.pending', 'config.put', 'config.get', 'endpoint.announce', 'endpoint.leave'
+  'job.submit', 'job.status', 'job.cancel', 'queue.pending', 'config.put', 'config.get', 'endpoint.announce', 'endpoint.leave', 'relay.offer'
 ]
 
 interface Leadership {
@@ -183,7 +186,7 @@
   }
 
   #startLeading ({ term, sinceOtherLeaderMs }: ReplicaStatus): void {
-    const { timers, logger, metrics, endpoints, leaseMaxMs } = this.#options
+    const { timers, logger, metrics, endpoints, relays, leaseMaxMs } = this.#options
     const replica = this.#replica!
     const propose = (command: StateCommand, timeoutMs: number): Promise<StateResult> => replica.propose(command, timeoutMs)
     const isLeading = (): boolean => {
@@ -203,7 +206,7 @@
       leaseMaxMs,
       announcedUntilMs: timers.now() - sinceOtherLeaderMs
     })
-    this.#leadership = { term, dispatcher, service: new LeaderService({ state: this.#state, dispatcher, propose, timers, logger, metrics }) }
+    this.#leadership = { term, dispatcher, service: new LeaderService({ state: this.#state, dispatcher, relays, propose, timers, logger, metrics }) }
     dispatcher.start()
   }
 
--- a/packages/cluster/src/leader-service.ts
+++ b/packages/cluster/src/leader-service.ts
@@ -1,16 +1,18 @@
 import { asId, assertNever, IbisError, type CustomerId, type EndpointId, type JobId } from '@ibisstair/common'
 import { checkJob, type JobSpec, type JobStatus, type QueueConfig, type SchedulingState, type StateCommand, type StateResult } from '@ibisstair/jobs'
 import type { Dispatcher } from '@ibisstair/dispatch'
+import type { RelayDirectory, RelayOffer } from '@ibisstair/relay'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService } from '@ibisstair/timers'
 import { COMMAND_TIMEOUT_MS, RETRY_AFTER_MS } from './constants.ts'
 import type {
-  AnnounceParams, ConfigAnswer, ConfigureParams, JobAnswer, JobSubmission, LeaderMethod, LeaveParams, PendingAnswer, QueueAddress, SubmitParams
+  AnnounceAnswer, AnnounceParams, ConfigAnswer, ConfigureParams, JobAnswer, JobSubmission, LeaderMethod, LeaveParams, PendingAnswer, QueueAddress, SubmitParams
 } from './types.ts'
 
 export interface LeaderServiceOptions {
   readonly state: SchedulingState
   readonly dispatcher: Dispatcher
+  readonly relays: RelayDirectory
   readonly propose: (command: StateCommand, timeoutMs: number) => Promise<StateResult>
   readonly timers: TimerService
   readonly logger: Logger
@@ -37,6 +39,7 @@
       case 'config.get': return await this.#readConfig()
       case 'endpoint.announce': return await this.#announce(params as AnnounceParams)
       case 'endpoint.leave': return this.#leave(params as LeaveParams)
+      case 'relay.offer': return this.#recordRelay(params as RelayOffer)
       default: return assertNever(method)
     }
   }
@@ -127,9 +130,10 @@
 
   // Endpoints
 
-  async #announce ({ endpoint, clockMs }: AnnounceParams): Promise<object> {
-    await this.#options.dispatcher.announce(endpoint, clockMs)
-    return {}
+  async #announce ({ endpoint, clockMs }: AnnounceParams): Promise<AnnounceAnswer> {
+    const { dispatcher, relays, timers } = this.#options
+    await dispatcher.announce(endpoint, clockMs)
+    return { announceTo: relays.getAnnounceAddress(endpoint, timers.now()) }
   }
 
   #leave ({ endpointId, bornMs }: LeaveParams): object {
@@ -137,6 +141,12 @@
     return {}
   }
 
+  #recordRelay (offer: RelayOffer): object {
+    const { relays, timers } = this.#options
+    relays.record(offer, timers.now())
+    return {}
+  }
+
   async #propose (command: StateCommand): Promise<StateResult> {
     return await this.#options.propose(command, COMMAND_TIMEOUT_MS)
   }
--- a/packages/cluster/src/types.ts
+++ b/packages/cluster/src/types.ts
@@ -38,6 +38,11 @@
   readonly bornMs: number | null
 }
 
+export interface AnnounceAnswer {
+  /** IP:PORT at which the endpoint's next announcements are preferred; null for any control process. */
+  readonly announceTo: string | null
+}
+
 export interface ConfigureParams {
   readonly config: ServiceConfig
 }
@@ -60,3 +65,4 @@
   | 'job.submit' | 'job.status' | 'job.cancel' | 'queue.pending'
   | 'config.put' | 'config.get'
   | 'endpoint.announce' | 'endpoint.leave'
+  | 'relay.offer'
--- a/packages/dispatch/tests/support/test-cluster.ts
+++ b/packages/dispatch/tests/support/test-cluster.ts
@@ -5,7 +5,7 @@
 import { ManualTimerService, RandomSource } from '@ibisstair/timers'
 import { accept, createEndpoint, createSpec, register } from '../../../jobs/tests/support/samples.ts'
 import { COMMIT_TIMEOUT_MS } from '../../src/constants.ts'
-import { Dispatcher } from '../../src/index.ts'
+import { Dispatcher, type EndpointPort } from '../../src/index.ts'
 import { FakeFleet, LEASE_MAX_MS, type FakeFaults } from './fake-fleet.ts'
 
 const ANNOUNCE_MS = 500
@@ -21,6 +21,8 @@
   readonly metrics = new Metrics({ node: 'n' })
   readonly logLines: Array<{ readonly message: string, readonly fields: Readonly<Record<string, unknown>> }> = []
   readonly fleet: FakeFleet
+  /** How leaders that are elected from now on call the endpoints. */
+  port: EndpointPort
   readonly endpoints: readonly EndpointRecord[]
   /** False while the leader has lost its quorum. */
   hasQuorum = true
@@ -45,6 +47,7 @@
     this.random = new RandomSource(seed)
     this.endpoints = endpoints ?? ['w1', 'w2', 'w3', 'w4'].map((id, i) => createEndpoint(id, { address: `10.0.0.${i}:1`, rack: asId<RackId>(i < 2 ? 'r1' : 'r2') }))
     this.fleet = new FakeFleet(this.timers, this.random, this.endpoints, () => this.state, faults)
+    this.port = this.fleet
     for (const endpoint of this.endpoints) this.state.apply(register(endpoint))
     this.timers.every(ANNOUNCE_MS, () => this.#announceAll())
   }
@@ -66,7 +69,7 @@
       state: this.state,
       propose,
       isLeading: () => this.#term === term && this.hasQuorum,
-      port: this.fleet,
+      port: this.port,
       timers: this.timers,
       logger: { error: log, warn: log, info: log, debug: log },
       metrics: this.metrics,
--- /dev/null
+++ b/packages/relay/src/index.ts
@@ -0,0 +1,7 @@
+export { EndpointPath } from './endpoint-path.ts'
+export { RelayDirectory } from './relay-directory.ts'
+export { RelayOfferer } from './relay-offerer.ts'
+export { RelayServer } from './relay-server.ts'
+export { RelayingEndpointPort, type RelayingEndpointPortOptions } from './relaying-endpoint-port.ts'
+export { RELAY_METHOD } from './constants.ts'
+export type * from './types.ts'
