dispatch tests: fake endpoints announce their own clock

Cause: the stand-in announced a clock of 0, so that no random run started work by the clock of an announcement, as a deployment does. Read in PROTOCOL.md (Service discovery): each announcement carries the endpoint's clock. Once its lease has ended, EndpointLease.getEndMs counts 300 ms from the last announcement, and announcements come every 500 ms, so that the end is never reached. Change: FakeFleet.readClock; TestCluster announces it. A late announcement carries the clock of when it was sent. Conclusion: the random runs now meet the clock of announcements.

--- a/packages/dispatch/tests/support/fake-fleet.ts
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -239,6 +239,11 @@
     return [...this.#endpoints.values()].filter(({ isCrashed }) => !isCrashed).map(({ record }) => record)
   }
 
+  /** The endpoint's own clock, which it tells with each announcement. */
+  readClock (life: EndpointIncarnation): number {
+    return this.#endpoints.get(life)!.clockMs
+  }
+
   /** The endpoints that run, with what they run. */
   listViews (): FakeEndpointView[] {
     const { unreachable, hanging, refusing, refusingStarts, failing } = this.faults
--- a/packages/dispatch/tests/support/test-cluster.ts
+++ b/packages/dispatch/tests/support/test-cluster.ts
@@ -100,13 +100,15 @@
       const isLate = this.lateAnnouncementShare > 0 && this.random.float() < this.lateAnnouncementShare
       const delayMs = isLate ? this.random.int(LATE_ANNOUNCEMENT_MIN_MS, LATE_ANNOUNCEMENT_MAX_MS) : 0
       const record = { ...endpoint, sequence: ++this.#announcements }
-      if (isLate) this.timers.subscribe(delayMs, () => this.#announce(record))
-      else this.#announce(record)
+      // A late announcement carries the clock of the moment at which it was sent.
+      const clockMs = this.fleet.readClock(endpoint.life)
+      if (isLate) this.timers.subscribe(delayMs, () => this.#announce(record, clockMs))
+      else this.#announce(record, clockMs)
     }
   }
 
-  #announce (record: EndpointRecord): void {
-    this.#dispatcher?.announce(record, 0).catch(() => {})
+  #announce (record: EndpointRecord, clockMs: number): void {
+    this.#dispatcher?.announce(record, clockMs).catch(() => {})
   }
 
   /** Ends the leader and starts none. */
