dispatch: plan starts again only when the outcome of the last ones is known

Cause: a proposal that misses COMMIT_TIMEOUT_MS may be committed all the same. The leader took its outcome, which was not known, for a no: the next plan did not count those starts, and both commands were applied. Change: after a proposal of starts that failed, a barrier is committed before the next plan; commands are applied in the order of the log. Not a check of room in the state machine: replicas of builds without it would diverge (docs/decisions/14-unknown-outcomes.md). The log line says what the leader does now. Case 2 guards that work starts again after a lost quorum; it passes on both. Conclusion: a plan never rests on a state that an earlier proposal may still change.

--- a/apps/explain/src/timeline.ts
+++ b/apps/explain/src/timeline.ts
@@ -9,7 +9,7 @@
 /** Messages of changes in the deployment that may affect a job but do not mention its id. */
 const CHANGE_MESSAGES: ReadonlySet<string> = new Set([
   'begins to lead', 'no longer leads', 'configuration in force', 'endpoint does not answer', 'endpoint removed', 'endpoint leaves', 'endpoint crashed', 'endpoint ended', 'endpoints out of use', 'endpoints back in use',
-  'starts were not committed; planning again', 'planning pass failed; no work starts until one succeeds',
+  'starts were not committed in time; planning again once their outcome is known', 'planning pass failed; no work starts until one succeeds',
   'lease of an unreachable endpoint expired; its runs count as lost', 'endpoint that leaves accepts no more connections; its runs count as lost',
   'successor of an endpoint does not tell what became of its runs; they count as lost', 'control started', 'control stops', 'entry started', 'entry stops'
 ])
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -55,6 +55,9 @@
 /** Timeout for the commit of a command. */
 export const COMMIT_TIMEOUT_MS = 3_000
 
+/** Time after a barrier that was not committed before the next one is proposed. */
+export const BARRIER_RETRY_DELAY_MS = 250
+
 /** An endpoint that has not announced itself for this time gets no new work. */
 export const ANNOUNCEMENT_EXPIRY_MS = 4_000
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -4,7 +4,7 @@
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { Announcements } from './announcements.ts'
-import { COMMIT_TIMEOUT_MS, FAILED_PASS_DELAY_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
+import { BARRIER_RETRY_DELAY_MS, COMMIT_TIMEOUT_MS, FAILED_PASS_DELAY_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
 import { EndpointHealth } from './endpoint-health.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
 import { EndpointUse, type OutOfUseReason } from './endpoint-use.ts'
@@ -423,17 +423,33 @@
     const proposedAtMs = timers.now()
     this.#isProposing = true
     this.#propose({ type: 'start', groups, atMs: timers.wallClock() })
+      .finally(() => metrics.timing('starts.commit', timers.now() - proposedAtMs))
       .catch((err: unknown) => {
         metrics.increment('starts.uncommitted', groups.length)
-        logger.warn('starts were not committed; planning again', { groups: groups.length, err })
+        logger.warn('starts were not committed in time; planning again once their outcome is known', { groups: groups.length, err })
+        return this.#awaitEarlierProposals()
       })
       .finally(() => {
-        metrics.timing('starts.commit', timers.now() - proposedAtMs)
         this.#isProposing = false
         this.#schedulePass()
       })
   }
 
+  /**
+   * Resolves once every earlier proposal of this term is applied or will never be: commands are applied in the order of
+   * the log, so that those before an applied barrier are applied, too. A proposal that has failed may still be committed.
+   */
+  async #awaitEarlierProposals (): Promise<void> {
+    while (!this.#isClosed) {
+      try {
+        await this.#propose({ type: 'barrier' })
+        return
+      } catch {
+        await this.#options.timers.delay(BARRIER_RETRY_DELAY_MS)
+      }
+    }
+  }
+
   /** Returns why the endpoint gets no new work; null when it may get some. */
   #getOutOfUse ({ life, draining }: EndpointRecord): OutOfUseReason | null {
     if (draining) return 'draining'
