dispatch: commit what an endpoint announces after a record whose commit is pending

Callers would see: LIMIT. An endpoint grew and shrank again while commits were slow, and got twice the work it holds. Cause: an announcement was compared with the replicated state alone. While the larger capacity was proposed and not applied, the announcement of the old one looked like no news; then the larger one was applied, and was the last word until the next announcement was committed. Evidence: unknown-outcomes.test.ts, case 3: four starts beyond the capacity. Change: PendingRecords keeps the newest proposed record of each endpoint until it is applied; as long as there is one, each announcement is proposed, and an older announcement than the pending one is outdated. Conclusion: the last announcement is the last record, however late the commits are.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -8,6 +8,7 @@
 import { EndpointHealth } from './endpoint-health.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
 import { EndpointUse, type OutOfUseReason } from './endpoint-use.ts'
+import { PendingRecords } from './pending-records.ts'
 import { Planner, type Plan } from './planner.ts'
 import { describeSilence } from './silence.ts'
 import type { EndpointPort } from './ports.ts'
@@ -41,6 +42,7 @@
   readonly #health: EndpointHealth
   readonly #sessions = new Map<EndpointIncarnation, EndpointSession>()
   readonly #announcements: Announcements
+  readonly #pendingRecords = new PendingRecords()
   readonly #unwantedRuns: UnwantedRuns
   /** When each endpoint said that it leaves. */
   readonly #leavingSinceMs = new Map<EndpointIncarnation, number>()
@@ -108,21 +110,27 @@
     const { state, timers, metrics } = this.#options
     const now = timers.now()
     const known = state.endpoints.get(record.life)
-    if (this.#announcements.isOutdated(record, known)) return metrics.increment('announcements.outdated')
+    if (this.#announcements.isOutdated(record, this.#pendingRecords.get(record.life) ?? known)) return metrics.increment('announcements.outdated')
     if (known) this.#announcements.recordArrival(record)
-    if (state.endpoints.wouldChange(record)) await this.#register(record, known)
+    if (this.#isNews(record)) await this.#register(record, known)
     if (!state.endpoints.get(record.life)) return
     this.#announcements.recordApplied(record, now)
     this.#sessions.get(record.life)?.handleAnnouncement(clockMs, now)
   }
 
+  /** Whether the record has to be committed. An earlier one whose commit is pending would otherwise be the last. */
+  #isNews (record: EndpointRecord): boolean {
+    return this.#pendingRecords.get(record.life) !== undefined || this.#options.state.endpoints.wouldChange(record)
+  }
+
   async #register (record: EndpointRecord, known: EndpointRecord | undefined): Promise<void> {
     const { state, timers, logger } = this.#options
     const replaced = state.endpoints.listReplacedBy(record)
     try {
       await this.#handOver(record)
-      if (!state.endpoints.wouldChange(record)) return
+      if (!this.#isNews(record)) return
       const silences = state.endpoints.listReplacedBy(record).flatMap(({ life }) => this.#describeSilence(life) ?? [])
+      this.#pendingRecords.add(record)
       await this.#propose({ type: 'register-endpoint', endpoint: record, atMs: timers.wallClock(), silences })
     } catch (err) {
       // The successor may not announce itself again.
@@ -200,6 +208,7 @@
     if (this.#isClosed) return
     if (result.type === 'started') for (const group of result.groups) this.#orderStarts(group)
     if (command.type === 'end') for (const { task, run } of command.ends) this.#sessions.get(command.endpoint)?.release(task, run)
+    if (command.type === 'register-endpoint') this.#pendingRecords.handleApplied(command.endpoint)
     if (result.type === 'registered') for (const ended of result.replaced) this.#reportEnded(ended)
     if (result.type === 'removed' && result.ended) this.#reportEnded(result.ended)
     if (command.type === 'register-endpoint' || command.type === 'remove-endpoint') this.#closeStaleSessions()
--- a/packages/dispatch/tests/unknown-outcomes.test.ts
+++ b/packages/dispatch/tests/unknown-outcomes.test.ts
@@ -41,3 +41,20 @@
   await cluster.run(1_500)
   t.equal(cluster.fleet.starts, 4)
 })
+
+t.test('a capacity that grew and shrank again while the commits were slow gets no more work than it holds', async (t) => {
+  const cluster = createCluster()
+  cluster.elect()
+  cluster.setCapacity('w1', { accelerators: 4 })
+  await cluster.run(1_000)
+  cluster.slowCommitMs = SLOW_COMMIT_MS
+  cluster.setCapacity('w1', { accelerators: 8 })
+  await cluster.run(600)
+  cluster.setCapacity('w1', { accelerators: 4 })
+  await cluster.run(SLOW_COMMIT_MS - 500)
+  cluster.slowCommitMs = null
+  cluster.submit('a1', [tasks(8, 1)])
+  await cluster.run(30_000)
+  t.same(cluster.fleet.violations, [])
+  t.equal(cluster.statusOf('a1'), 'completed')
+})
