dispatch: check a committed start against its endpoint before the order leaves

Callers would see: LIMIT and DRAIN. A start that was committed late was ordered on an endpoint that had shrunk or begun to drain since the plan, although its announcement had reached the leader. Cause: between the plan and the order nothing asked for the endpoint again. The commit may take seconds. Evidence: unknown-outcomes.test.ts, cases 4 and 5: four starts beyond the capacity; a start on a draining endpoint. Change: findObstacle checks draining and room against the committed record and the proposed one. A start that must not be ordered is withheld: `not-started` is committed in its place, again if that fails; of a gang, for all members. Conclusion: how late a commit comes no longer decides whether an endpoint is overloaded.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,6 +1,6 @@
 import type { EndpointId, TaskId } from '@ibisstair/common'
-import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
-import { toTaskId } from '@ibisstair/jobs'
+import type { ActiveRun, EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, JobEntry, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
+import { mustParseTaskId, toTaskId } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { Announcements } from './announcements.ts'
@@ -16,6 +16,7 @@
 import { UnsettledRuns, type RunStatus } from './unsettled-runs.ts'
 import { UnwantedRuns } from './unwanted-runs.ts'
 import { WaitingReport } from './waiting-report.ts'
+import { findObstacle, type WithheldReason } from './withheld-starts.ts'
 
 export interface DispatcherOptions {
   readonly state: SchedulingState
@@ -232,19 +233,59 @@
     }
   }
 
-  #orderStarts ({ job: id, occurrence, step, run, members }: StartGroup): void {
-    const { state, logger, metrics } = this.#options
-    const job = state.jobs.get(id)
+  #orderStarts (group: StartGroup): void {
+    const { state, metrics } = this.#options
+    const job = state.jobs.get(group.job)
     if (!job) return
-    const entry = job.getOccurrence(occurrence).steps[step]!
-    metrics.increment('runs.ordered', members.length)
-    for (const { index, endpoint } of members) {
-      const task = toTaskId({ job: id, occurrence, step, index })
-      const active = state.jobs.listRuns(endpoint).get(task)
+    const { gang } = job.spec.steps[group.step]!
+    const obstacles = new Map(group.members.map(({ endpoint }) => [endpoint, this.#findObstacle(endpoint)]))
+    const gangObstacle = gang ? [...obstacles.values()].find((obstacle) => obstacle !== null) ?? null : null
+    for (const { index, endpoint } of group.members) {
+      const task = toTaskId({ job: group.job, occurrence: group.occurrence, step: group.step, index })
+      const run = state.jobs.listRuns(endpoint).get(task)
       const session = this.#openSession(endpoint)
-      if (!active || !session) continue
-      logger.info('run ordered', { task, run, endpoint: session.endpoint.id, waitedMs: Math.round(this.#options.timers.wallClock() - job.acceptedAtMs) })
-      session.start(active, job.spec.payload, job.spec.steps[step]!.gang ? entry.checkpoint : entry.tasks[index]!.checkpoint)
+      if (!run || !session) continue
+      const obstacle = gangObstacle ?? obstacles.get(endpoint) ?? null
+      if (obstacle !== null) {
+        this.#withholdStart(session.endpoint, run, obstacle)
+        continue
+      }
+      metrics.increment('runs.ordered')
+      this.#orderStart(session, run, job)
+    }
+  }
+
+  #orderStart (session: EndpointSession, run: ActiveRun, job: JobEntry): void {
+    const { logger, timers } = this.#options
+    const { occurrence, step, index } = mustParseTaskId(run.task)
+    const entry = job.getOccurrence(occurrence).steps[step]!
+    logger.info('run ordered', { task: run.task, run: run.run, endpoint: session.endpoint.id, waitedMs: Math.round(timers.wallClock() - job.acceptedAtMs) })
+    session.start(run, job.spec.payload, job.spec.steps[step]!.gang ? entry.checkpoint : entry.tasks[index]!.checkpoint)
+  }
+
+  /** The endpoint may have changed between the plan and the commit of its starts. */
+  #findObstacle (life: EndpointIncarnation): WithheldReason | null {
+    const { state } = this.#options
+    const records = [state.endpoints.get(life), this.#pendingRecords.get(life)].filter((record) => record !== undefined)
+    return findObstacle(records, state.jobs.getUsage(life))
+  }
+
+  #withholdStart (endpoint: EndpointRecord, run: ActiveRun, reason: WithheldReason): void {
+    const { logger, metrics } = this.#options
+    metrics.increment(`starts.withheld.${reason}`)
+    logger.info('start withheld', { task: run.task, run: run.run, endpoint: endpoint.id, reason })
+    this.#endWithheldRun(run).catch((err: unknown) => logger.error('end of a withheld start failed unexpectedly', { task: run.task, run: run.run, err }))
+  }
+
+  /** Commits that the run was not started. Until then it is active in the replicated state, and no session tracks it. */
+  async #endWithheldRun ({ task, run, endpoint }: ActiveRun): Promise<void> {
+    const { state, timers } = this.#options
+    while (!this.#isClosed && state.jobs.listRuns(endpoint).get(task)?.run === run) {
+      try {
+        await this.#propose({ type: 'end', endpoint, ends: [{ task, run, outcome: 'not-started', checkpoint: '' }], atMs: timers.wallClock() })
+      } catch {
+        await this.#awaitEarlierProposals()
+      }
     }
   }
 
--- a/packages/dispatch/tests/unknown-outcomes.test.ts
+++ b/packages/dispatch/tests/unknown-outcomes.test.ts
@@ -58,3 +58,33 @@
   t.same(cluster.fleet.violations, [])
   t.equal(cluster.statusOf('a1'), 'completed')
 })
+
+t.test('a start that is committed after its endpoint has shrunk is not ordered there', async (t) => {
+  const cluster = createCluster()
+  cluster.elect()
+  await cluster.run(1_000)
+  cluster.slowCommitMs = SLOW_COMMIT_MS
+  cluster.submit('a1', [tasks(8, 1)])
+  await cluster.run(100)
+  cluster.setCapacity('w1', { accelerators: 4 })
+  await cluster.run(1_000)
+  cluster.slowCommitMs = null
+  await cluster.run(40_000)
+  t.same(cluster.fleet.violations, [])
+  t.equal(cluster.statusOf('a1'), 'completed')
+})
+
+t.test('a start that is committed after its endpoint has begun to drain is not ordered there', async (t) => {
+  const cluster = new TestCluster(1, { runMs: 8_000 }, [createEndpoint('w1'), createEndpoint('w2')])
+  cluster.elect()
+  await cluster.run(1_000)
+  cluster.slowCommitMs = SLOW_COMMIT_MS
+  cluster.submit('a1', [tasks(1, 1)])
+  await cluster.run(100)
+  cluster.fleet.drain(createEndpoint('w1').life)
+  cluster.fleet.drain(createEndpoint('w2').life)
+  await cluster.run(1_000)
+  cluster.slowCommitMs = null
+  await cluster.run(10_000)
+  t.equal(cluster.fleet.starts, 0)
+})
