--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,13 +1,14 @@
 import type { EndpointId, TaskId } from '@ibisstair/common'
-import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
-import { toTaskId } from '@ibisstair/jobs'
+import type { ActiveRun, EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, JobEntry, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
+import { mustParseTaskId, toTaskId } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { Announcements } from './announcements.ts'
-import { COMMIT_TIMEOUT_MS, FAILED_PASS_DELAY_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
+import { BARRIER_RETRY_DELAY_MS, COMMIT_TIMEOUT_MS, FAILED_PASS_DELAY_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
 import { EndpointHealth } from './endpoint-health.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
 import { EndpointUse, type OutOfUseReason } from './endpoint-use.ts'
+import { PendingRecords } from './pending-records.ts'
 import { Planner, type Plan } from './planner.ts'
 import { describeSilence } from './silence.ts'
 import type { EndpointPort } from './ports.ts'
@@ -15,6 +16,7 @@
 import { UnsettledRuns, type RunStatus } from './unsettled-runs.ts'
 import { UnwantedRuns } from './unwanted-runs.ts'
 import { WaitingReport } from './waiting-report.ts'
+import { findObstacle, type WithheldReason } from './withheld-starts.ts'
 
 export interface DispatcherOptions {
   readonly state: SchedulingState
@@ -41,6 +43,7 @@
   readonly #health: EndpointHealth
   readonly #sessions = new Map<EndpointIncarnation, EndpointSession>()
   readonly #announcements: Announcements
+  readonly #pendingRecords = new PendingRecords()
   readonly #unwantedRuns: UnwantedRuns
   /** When each endpoint said that it leaves. */
   readonly #leavingSinceMs = new Map<EndpointIncarnation, number>()
@@ -108,21 +111,27 @@
     const { state, timers, metrics } = this.#options
     const now = timers.now()
     const known = state.endpoints.get(record.life)
-    if (this.#announcements.isOutdated(record, known)) return metrics.increment('announcements.outdated')
+    if (this.#announcements.isOutdated(record, this.#pendingRecords.get(record.life) ?? known)) return metrics.increment('announcements.outdated')
     if (known) this.#announcements.recordArrival(record)
-    if (state.endpoints.wouldChange(record)) await this.#register(record, known)
+    if (this.#isNews(record)) await this.#register(record, known)
     if (!state.endpoints.get(record.life)) return
     this.#announcements.recordApplied(record, now)
     this.#sessions.get(record.life)?.handleAnnouncement(clockMs, now)
   }
 
+  /** Whether the record has to be committed. An earlier one whose commit is pending would otherwise be the last. */
+  #isNews (record: EndpointRecord): boolean {
+    return this.#pendingRecords.get(record.life) !== undefined || this.#options.state.endpoints.wouldChange(record)
+  }
+
   async #register (record: EndpointRecord, known: EndpointRecord | undefined): Promise<void> {
     const { state, timers, logger } = this.#options
     const replaced = state.endpoints.listReplacedBy(record)
     try {
       await this.#handOver(record)
-      if (!state.endpoints.wouldChange(record)) return
+      if (!this.#isNews(record)) return
       const silences = state.endpoints.listReplacedBy(record).flatMap(({ life }) => this.#describeSilence(life) ?? [])
+      this.#pendingRecords.add(record)
       await this.#propose({ type: 'register-endpoint', endpoint: record, atMs: timers.wallClock(), silences })
     } catch (err) {
       // The successor may not announce itself again.
@@ -200,6 +209,7 @@
     if (this.#isClosed) return
     if (result.type === 'started') for (const group of result.groups) this.#orderStarts(group)
     if (command.type === 'end') for (const { task, run } of command.ends) this.#sessions.get(command.endpoint)?.release(task, run)
+    if (command.type === 'register-endpoint') this.#pendingRecords.handleApplied(command.endpoint)
     if (result.type === 'registered') for (const ended of result.replaced) this.#reportEnded(ended)
     if (result.type === 'removed' && result.ended) this.#reportEnded(result.ended)
     if (command.type === 'register-endpoint' || command.type === 'remove-endpoint') this.#closeStaleSessions()
@@ -223,19 +233,59 @@
     }
   }
 
-  #orderStarts ({ job: id, occurrence, step, run, members }: StartGroup): void {
-    const { state, logger, metrics } = this.#options
-    const job = state.jobs.get(id)
+  #orderStarts (group: StartGroup): void {
+    const { state, metrics } = this.#options
+    const job = state.jobs.get(group.job)
     if (!job) return
-    const entry = job.getOccurrence(occurrence).steps[step]!
-    metrics.increment('runs.ordered', members.length)
-    for (const { index, endpoint } of members) {
-      const task = toTaskId({ job: id, occurrence, step, index })
-      const active = state.jobs.listRuns(endpoint).get(task)
+    const { gang } = job.spec.steps[group.step]!
+    const obstacles = new Map(group.members.map(({ endpoint }) => [endpoint, this.#findObstacle(endpoint)]))
+    const gangObstacle = gang ? [...obstacles.values()].find((obstacle) => obstacle !== null) ?? null : null
+    for (const { index, endpoint } of group.members) {
+      const task = toTaskId({ job: group.job, occurrence: group.occurrence, step: group.step, index })
+      const run = state.jobs.listRuns(endpoint).get(task)
       const session = this.#openSession(endpoint)
-      if (!active || !session) continue
-      logger.info('run ordered', { task, run, endpoint: session.endpoint.id, waitedMs: Math.round(this.#options.timers.wallClock() - job.acceptedAtMs) })
-      session.start(active, job.spec.payload, job.spec.steps[step]!.gang ? entry.checkpoint : entry.tasks[index]!.checkpoint)
+      if (!run || !session) continue
+      const obstacle = gangObstacle ?? obstacles.get(endpoint) ?? null
+      if (obstacle !== null) {
+        this.#withholdStart(session.endpoint, run, obstacle)
+        continue
+      }
+      metrics.increment('runs.ordered')
+      this.#orderStart(session, run, job)
+    }
+  }
+
+  #orderStart (session: EndpointSession, run: ActiveRun, job: JobEntry): void {
+    const { logger, timers } = this.#options
+    const { occurrence, step, index } = mustParseTaskId(run.task)
+    const entry = job.getOccurrence(occurrence).steps[step]!
+    logger.info('run ordered', { task: run.task, run: run.run, endpoint: session.endpoint.id, waitedMs: Math.round(timers.wallClock() - job.acceptedAtMs) })
+    session.start(run, job.spec.payload, job.spec.steps[step]!.gang ? entry.checkpoint : entry.tasks[index]!.checkpoint)
+  }
+
+  /** The endpoint may have changed between the plan and the commit of its starts. */
+  #findObstacle (life: EndpointIncarnation): WithheldReason | null {
+    const { state } = this.#options
+    const records = [state.endpoints.get(life), this.#pendingRecords.get(life)].filter((record) => record !== undefined)
+    return findObstacle(records, state.jobs.getUsage(life))
+  }
+
+  #withholdStart (endpoint: EndpointRecord, run: ActiveRun, reason: WithheldReason): void {
+    const { logger, metrics } = this.#options
+    metrics.increment(`starts.withheld.${reason}`)
+    logger.info('start withheld', { task: run.task, run: run.run, endpoint: endpoint.id, reason })
+    this.#endWithheldRun(run).catch((err: unknown) => logger.error('end of a withheld start failed unexpectedly', { task: run.task, run: run.run, err }))
+  }
+
+  /** Commits that the run was not started. Until then it is active in the replicated state, and no session tracks it. */
+  async #endWithheldRun ({ task, run, endpoint }: ActiveRun): Promise<void> {
+    const { state, timers } = this.#options
+    while (!this.#isClosed && state.jobs.listRuns(endpoint).get(task)?.run === run) {
+      try {
+        await this.#propose({ type: 'end', endpoint, ends: [{ task, run, outcome: 'not-started', checkpoint: '' }], atMs: timers.wallClock() })
+      } catch {
+        await this.#awaitEarlierProposals()
+      }
     }
   }
 
@@ -423,17 +473,33 @@
     const proposedAtMs = timers.now()
     this.#isProposing = true
     this.#propose({ type: 'start', groups, atMs: timers.wallClock() })
+      .finally(() => metrics.timing('starts.commit', timers.now() - proposedAtMs))
       .catch((err: unknown) => {
         metrics.increment('starts.uncommitted', groups.length)
-        logger.warn('starts were not committed; planning again', { groups: groups.length, err })
+        logger.warn('starts were not committed in time; planning again once their outcome is known', { groups: groups.length, err })
+        return this.#awaitEarlierProposals()
       })
       .finally(() => {
-        metrics.timing('starts.commit', timers.now() - proposedAtMs)
         this.#isProposing = false
         this.#schedulePass()
       })
   }
 
+  /**
+   * Resolves once every earlier proposal of this term is applied or will never be: commands are applied in the order of
+   * the log, so that those before an applied barrier are applied, too. A proposal that has failed may still be committed.
+   */
+  async #awaitEarlierProposals (): Promise<void> {
+    while (!this.#isClosed) {
+      try {
+        await this.#propose({ type: 'barrier' })
+        return
+      } catch {
+        await this.#options.timers.delay(BARRIER_RETRY_DELAY_MS)
+      }
+    }
+  }
+
   /** Returns why the endpoint gets no new work; null when it may get some. */
   #getOutOfUse ({ life, draining }: EndpointRecord): OutOfUseReason | null {
     if (draining) return 'draining'
