dispatch: the wait of work runs from its last confirmed run, and one part owns it

Callers saw accepted work that had room and did not start while its starts were refused or got no answer. Cause: the clocks of waiting work were set back by what the scheduler had chosen. A suspect's second of patience was forgotten with each pass in which its start was under way, and 3 s after an order the work counted as having run although no endpoint had confirmed it. Change: `WorkWaits` holds the one clock of each work, with the patience of a suspect. Only a run that an endpoint has confirmed, and that has lasted, begins it anew (for a gang, all members). A run that is not confirmed within 1.5 s hides waiting work no longer. `FleetView.isConfirmed` tells the planner.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -380,6 +380,7 @@
       mayPreempt: this.#isSurveyDone(),
       fleet: {
         isUsable: (endpoint) => this.#getOutOfUse(endpoint) === null,
+        isConfirmed: ({ endpoint, task }) => this.#sessions.get(endpoint)?.isConfirmed(task) ?? false,
         getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
         estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null
       }
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -1,7 +1,6 @@
 import type { TaskId } from '@ibisstair/common'
 import type { ActiveRun, EndpointIncarnation, EndpointRecord, SchedulingState, StartGroup } from '@ibisstair/jobs'
 import { countFits, subtractResources } from '@ibisstair/jobs'
-import { SUSPECT_PATIENCE_MS } from './constants.ts'
 import { isGuaranteed } from './guarantees.ts'
 import { couldEverFit, placeTasks, deductAssigned, type Assignment, type Candidate, type PlacementOptions } from './placement.ts'
 import { PlanningPass } from './planning-pass.ts'
@@ -12,6 +11,7 @@
 import { UrgentDemand } from './urgent-demand.ts'
 import { WaitingWork, type WaitingSurvey } from './waiting-work.ts'
 import { toCoreEquivalents } from './work-cost.ts'
+import { WorkWaits } from './work-waits.ts'
 
 /** State of the endpoints that is not in the replicated state. */
 export interface FleetView {
@@ -19,6 +19,8 @@
   isUsable (endpoint: EndpointRecord): boolean
   /** Endpoints with a higher penalty are used later. */
   getPenalty (endpoint: EndpointRecord): number
+  /** Whether the endpoint has confirmed to this leader that it runs the task. */
+  isConfirmed (run: ActiveRun): boolean
   /** Returns the estimated time until a run ends by itself; null when its progress is not known. */
   estimateRemainingMs (run: ActiveRun): number | null
 }
@@ -75,9 +77,8 @@
   readonly #demand = new UrgentDemand()
   /** Time of the next search for victims, for each work for which the last search failed. */
   readonly #retryAtMs = new Map<string, number>()
-  /** Since when suspect work has waited for an endpoint. */
-  readonly #suspectSinceMs = new Map<string, number>()
-  readonly #stalledWork = new StalledWork()
+  readonly #waits = new WorkWaits()
+  readonly #stalledWork = new StalledWork(this.#waits)
   readonly #waitingWork = new WaitingWork()
   /** Whether a shape fits only across racks, for the endpoints and capacities that `#fleetKey` names. */
   readonly #acceptFar = new Map<string, boolean>()
@@ -86,21 +87,23 @@
   plan (input: PlanInput): Plan {
     const pass = new PlanningPass(input)
     this.#clearCacheOnFleetChange(pass)
+    this.#waits.observe(pass)
     const ready = this.#moveClaimantsToFront(pass.listWork(), pass)
     const starts: StartGroup[] = []
-    const progressed = new Set<string>()
+    const placed = new Map<string, StartGroup[]>()
+    const hasProgress = (work: ReadyWork): boolean => placed.has(toWorkKey(work))
     const place = (work: ReadyWork): boolean => {
       const groups = this.#place(work, pass)
       starts.push(...groups)
       pass.isolation.recordPlacement(work, groups.flatMap(({ members }) => members))
-      if (groups.length > 0) progressed.add(toWorkKey(work))
+      if (groups.length > 0) placed.set(toWorkKey(work), [...placed.get(toWorkKey(work)) ?? [], ...groups])
       return groups.length > 0
     }
     const waiting = ready.filter((work) => !isDeferred(work) && !place(work))
     const placeIfStalled = (work: ReadyWork): boolean => this.#isStalled(work, pass) && place(limitStalled(work))
     const beyondShare = placeShare(ready.filter(isDeferred), pass, place)
     const held = beyondShare.filter((work) => !this.#stalledWork.precedesReservations(work, pass) || !placeIfStalled(work))
-    for (const work of ready) if (!progressed.has(toWorkKey(work))) this.#stalledWork.recordRoom(work, pass)
+    for (const work of ready) if (!hasProgress(work)) this.#stalledWork.recordRoom(work, pass)
     const reservingGangs = waiting.filter(({ job, spec }) => spec.gang && job.spec.priority > 0).slice(0, MAX_RESERVING_GANGS)
     for (const work of reservingGangs) reserveForGang(work, pass.listCandidates(work))
     const deferred = held.filter((work) => !placeIfStalled(work))
@@ -109,13 +112,13 @@
       const limited = limitToAccelerators(work, sumFreeAccelerators(pass.candidates) - reserve)
       if (limited) place(limited)
     }
-    for (const work of ready) if (progressed.has(toWorkKey(work))) this.#stalledWork.recordPlacement(work, pass.nowMs)
-    this.#removeEntriesExcept(ready, pass.nowMs)
-    const examineWaiting = (): WaitingSurvey | null => this.#waitingWork.examine(ready, (work) => progressed.has(toWorkKey(work)), {
+    for (const work of ready) if (hasProgress(work)) this.#waits.recordPlacement(work, placed.get(toWorkKey(work))!, pass.nowMs)
+    this.#removeEntriesExcept(ready, pass)
+    const examineWaiting = (): WaitingSurvey | null => this.#waitingWork.examine(ready, hasProgress, {
       pass,
       starts,
       hasClaim: (work) => this.#claims.has(toWorkKey(work)),
-      isKeptApart: (work) => work.isSuspect && pass.nowMs - (this.#suspectSinceMs.get(toWorkKey(work)) ?? pass.nowMs) < SUSPECT_PATIENCE_MS,
+      isKeptApart: (work) => this.#stalledWork.isKeptApart(work, pass),
       isStalled: (work) => this.#isStalled(work, pass),
       countOn: (work) => pass.createCounter(work)
     })
@@ -140,10 +143,10 @@
     return [...claimants, ...ready.filter((work) => !claimants.has(work))]
   }
 
-  #removeEntriesExcept (ready: readonly ReadyWork[], nowMs: number): void {
+  #removeEntriesExcept (ready: readonly ReadyWork[], pass: PlanningPass): void {
     const known = new Set(ready.map(toWorkKey))
-    for (const entries of [this.#claims, this.#retryAtMs, this.#suspectSinceMs]) for (const key of entries.keys()) if (!known.has(key)) entries.delete(key)
-    this.#stalledWork.removeExcept(known, nowMs)
+    for (const entries of [this.#claims, this.#retryAtMs]) for (const key of entries.keys()) if (!known.has(key)) entries.delete(key)
+    this.#waits.removeExcept(known, pass)
   }
 
   /** Clears the cache of shapes when the set of endpoints or a capacity has changed, or the cache is full. */
@@ -170,7 +173,7 @@
     const key = toWorkKey(work)
     const claim = this.#claims.get(key)
     if (claim && pass.nowMs < claim.untilMs) return this.#placeClaimed(work, claim, pass)
-    if (work.isSuspect && !this.#hasPatienceEnded(key, pass.nowMs)) return toGroups(work, this.#placeApart(work, pass))
+    if (this.#stalledWork.isKeptApart(work, pass)) return toGroups(work, this.#placeApart(work, pass))
     const hasClaimExpired = this.#claims.delete(key)
     const shape = toShape(work)
     const isUrgent = job.spec.priority === 0
@@ -185,13 +188,6 @@
     return toGroups(work, assignments)
   }
 
-  /** Suspect work waits for an endpoint of its own only for a while, since it may be innocent. */
-  #hasPatienceEnded (key: string, nowMs: number): boolean {
-    const sinceMs = this.#suspectSinceMs.get(key) ?? nowMs
-    this.#suspectSinceMs.set(key, sinceMs)
-    return nowMs - sinceMs >= SUSPECT_PATIENCE_MS
-  }
-
   /** Places suspect work where no other job runs. */
   #placeApart (work: ReadyWork, pass: PlanningPass): Assignment[] {
     const empty = pass.isolation.listEmpty(listUncrashed(work, pass), work)
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -4,7 +4,7 @@
 import { isGuaranteed, sumUrgentNeeds } from './guarantees.ts'
 import { Isolation } from './isolation.ts'
 import { indexByIncarnation, type Candidate, type CountOnEndpoint } from './placement.ts'
-import type { PlanInput } from './planner.ts'
+import type { FleetView, PlanInput } from './planner.ts'
 import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
 import { getIdleness, sumFree, type Idleness } from './service-load.ts'
 import { VictimList, type EstimateRemaining } from './victims.ts'
@@ -19,6 +19,7 @@
 /** The data of one planning pass; each part is computed at most once. */
 export class PlanningPass {
   readonly state: SchedulingState
+  readonly fleet: FleetView
   readonly nowMs: number
   readonly wallMs: number
   readonly mayPreempt: boolean
@@ -37,6 +38,7 @@
 
   constructor ({ state, fleet, nowMs, wallMs, mayPreempt }: PlanInput) {
     this.state = state
+    this.fleet = fleet
     this.nowMs = nowMs
     this.wallMs = wallMs
     this.mayPreempt = mayPreempt
--- a/packages/dispatch/src/stalled-work.ts
+++ b/packages/dispatch/src/stalled-work.ts
@@ -1,20 +1,15 @@
+import type { ActiveRun } from '@ibisstair/jobs'
+import { SUSPECT_PATIENCE_MS } from './constants.ts'
 import type { PlanningPass } from './planning-pass.ts'
-import { toWorkKey, type ReadyWork } from './ready-work.ts'
+import type { ReadyWork } from './ready-work.ts'
 import { fitsTwice } from './service-load.ts'
+import type { WorkWaits } from './work-waits.ts'
 
 /** Time for which work waits for the best place before it takes any. */
 const STALL_PATIENCE_MS = 1_500
 
-/** Work that waits again within this time of its start has not run: the start was refused, or the run failed at once. */
-const STEADY_RUN_MS = 3_000
-
-interface Wait {
-  sinceMs: number
-  /** When a part of the work was last placed; null while none was. */
-  placedAtMs: number | null
-  /** Since when each pass has left room for the work twice over; null while there is no such room. */
-  roomSinceMs: number | null
-}
+/** A run that its endpoint has not confirmed within this time is not known to run. */
+const CONFIRMATION_MS = 1_500
 
 /**
  * Tells which work has waited for too long for a place that may never come: in one rack, near its data, or beside
@@ -23,13 +18,17 @@
  * for it has been left unused. On a busy fleet a better place becomes free by itself.
  */
 export class StalledWork {
-  readonly #waits = new Map<string, Wait>()
+  readonly #waits: WorkWaits
+
+  constructor (waits: WorkWaits) {
+    this.#waits = waits
+  }
 
   isStalled (work: ReadyWork, pass: PlanningPass): boolean {
-    const wait = this.#waits.get(toWorkKey(work))
+    const wait = this.#waits.get(work)
     if (wait === undefined) return false
     if (work.spec.longRunning) return hasLasted(wait.sinceMs, pass)
-    if (hasRuns(work)) return false
+    if (hasRuns(work, pass)) return false
     return hasLasted(pass.getIdleness(work) === 'idle' ? wait.sinceMs : wait.roomSinceMs, pass)
   }
 
@@ -38,46 +37,32 @@
     return work.spec.longRunning || pass.getIdleness(work) === 'idle'
   }
 
+  /** Whether suspect work still waits for an endpoint of its own; it does so only for a while, since it may be innocent. */
+  isKeptApart (work: ReadyWork, { nowMs }: PlanningPass): boolean {
+    if (!work.isSuspect) return false
+    const wait = this.#waits.begin(work, nowMs)
+    wait.suspectSinceMs ??= nowMs
+    return nowMs - wait.suspectSinceMs < SUSPECT_PATIENCE_MS
+  }
+
   /** Records whether a pass leaves room unused for work that it has not placed so far; to be called before capacity is reserved. */
   recordRoom (work: ReadyWork, pass: PlanningPass): void {
-    const wait = this.#getWait(work, pass.nowMs)
-    const isRoomUnused = !hasRuns(work) && hasUnusedRoom(work, pass)
+    const wait = this.#waits.begin(work, pass.nowMs)
+    const isRoomUnused = !hasRuns(work, pass) && hasUnusedRoom(work, pass)
     wait.roomSinceMs = isRoomUnused ? wait.roomSinceMs ?? pass.nowMs : null
   }
-
-  /** Records that a pass has placed a part of the work. */
-  recordPlacement (work: ReadyWork, nowMs: number): void {
-    const wait = this.#getWait(work, nowMs)
-    wait.placedAtMs = nowMs
-    wait.roomSinceMs = null
-  }
-
-  /** Forgets work that is no longer waiting, but for work that was placed just now: its start may fail. */
-  removeExcept (known: ReadonlySet<string>, nowMs: number): void {
-    for (const [key, wait] of this.#waits) {
-      const mayReturn = wait.placedAtMs !== null && !hasRunSteadily(wait, nowMs)
-      if (!known.has(key) && !mayReturn) this.#waits.delete(key)
-    }
-  }
-
-  /** The wait begins anew for work of which a part has run; the start of one task that lasts is no progress for the others. */
-  #getWait (work: ReadyWork, nowMs: number): Wait {
-    const key = toWorkKey(work)
-    const known = this.#waits.get(key)
-    if (known && (work.spec.longRunning || !hasRunSteadily(known, nowMs))) return known
-    const wait = { sinceMs: nowMs, placedAtMs: null, roomSinceMs: null }
-    this.#waits.set(key, wait)
-    return wait
-  }
 }
 
 const hasLasted = (sinceMs: number | null, { nowMs }: PlanningPass): boolean => sinceMs !== null && nowMs - sinceMs >= STALL_PATIENCE_MS
 
-const hasRunSteadily = ({ placedAtMs }: Wait, nowMs: number): boolean => placedAtMs !== null && nowMs - placedAtMs >= STEADY_RUN_MS
-
-/** Each occurrence of a repeated job is due by itself, whatever the others do. A run of a task that is done does not count. */
-const hasRuns = ({ job, occurrence }: ReadyWork): boolean =>
-  job.getOccurrence(occurrence).steps.some(({ activeTasks, tasks }) => activeTasks > 0 && tasks.some(({ active, isDone }) => active !== null && !isDone))
+/**
+ * Each occurrence of a repeated job is due by itself, whatever the others do. A run of a task that is done does not count,
+ * and neither does one that its endpoint has not confirmed in time.
+ */
+const hasRuns = ({ job, occurrence }: ReadyWork, { fleet, wallMs }: PlanningPass): boolean => {
+  const isRun = (active: ActiveRun): boolean => wallMs - active.startedAtMs < CONFIRMATION_MS || fleet.isConfirmed(active)
+  return job.getOccurrence(occurrence).steps.some(({ activeTasks, tasks }) => activeTasks > 0 && tasks.some(({ active, isDone }) => active !== null && !isDone && isRun(active)))
+}
 
 const hasUnusedRoom = (work: ReadyWork, pass: PlanningPass): boolean =>
   pass.getIdleness(work) !== 'busy' && fitsTwice(work, pass)
--- a/packages/dispatch/tests/stalled-work.test.ts
+++ b/packages/dispatch/tests/stalled-work.test.ts
@@ -243,3 +243,29 @@
     }
   })
 }
+
+t.test('a suspect whose starts are refused does not wait for an empty endpoint anew each time', async (t) => {
+  // No endpoint is empty. Each refused start took the work out of the list for a pass, so that the second of
+  // SUSPECT_PATIENCE_MS began anew.
+  const fleet = new Fleet([4])
+  fleet.submit('s1', { count: 1, longRunning: true }, { priority: 1 })
+  fleet.run(8_000)
+  for (let i = 0; i < 2; i++) {
+    fleet.crash(fleet.findEndpointOf('s1')!)
+    fleet.run(i === 0 ? 8_000 : 0)
+  }
+  fleet.submit('b1', { count: 4, maxPerEndpoint: 1, longRunning: true }, { priority: 0 })
+  fleet.run(0)
+  let attempts = 0
+  for (let ms = 0; ms < 4_000; ms += PASS_MS) {
+    fleet.run(PASS_MS)
+    const endpoint = fleet.findEndpointOf('s1')
+    if (!endpoint) continue
+    attempts += 1
+    fleet.run(PASS_MS)
+    ms += PASS_MS
+    const ends = [...fleet.state.jobs.listRuns(endpoint.life).values()].filter(({ task }) => task.startsWith('s1.')).map(({ task, run }) => ({ task, run, outcome: 'stopped' as const, checkpoint: '' }))
+    fleet.state.apply({ type: 'end', endpoint: endpoint.life, ends, atMs: fleet.nowMs })
+  }
+  t.ok(attempts > 8, `${attempts} attempts in 4 s`)
+})
--- a/scripts/measure-planner.ts
+++ b/scripts/measure-planner.ts
@@ -1,5 +1,6 @@
 // Measures the time of one planning pass by the number of endpoints and queued jobs.
 import { Planner } from '@ibisstair/dispatch'
+import { createFleetView } from '../packages/dispatch/tests/support/fleet-view.ts'
 import { createLargeFleet } from '../packages/dispatch/tests/support/large-fleet.ts'
 
 const SIZES: ReadonlyArray<{ readonly endpoints: number, readonly queued: number }> = [
@@ -10,7 +11,7 @@
 for (const { endpoints, queued } of SIZES) {
   const state = createLargeFleet(endpoints, endpoints + queued)
   const planner = new Planner()
-  const fleet = { isUsable: () => true, getPenalty: () => 0, estimateRemainingMs: () => null }
+  const fleet = createFleetView()
   const times: number[] = []
   for (let pass = 0; pass < PASSES; pass++) {
     const began = performance.now()
