dispatch: urgent work chooses other victims when the ones it has chosen do not end

Callers saw urgent work that waited without a limit while only one of several less urgent jobs was to be stopped for it. Cause: a claim expires after 1.5 s, and the search chose the same runs again, since nothing remembered that their stop had had no effect. Evidence: open-stalls.test.ts, "urgent work looks for other victims ..." ("in 20 s only b0.0.0.0 of 3 runs ..."). Change: an expired claim records the endpoints on which its stopped runs have not ended, with the clock of the work. The next search leaves out these endpoints and the victims there, unless there is no other way.

--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -4,7 +4,7 @@
 import { isGuaranteed } from './guarantees.ts'
 import { couldEverFit, placeTasks, deductAssigned, type Assignment, type Candidate, type PlacementOptions } from './placement.ts'
 import { PlanningPass } from './planning-pass.ts'
-import { planPreemption, type PreemptionPlan } from './preemption.ts'
+import { planPreemptionBeyond, type PreemptionPlan } from './preemption.ts'
 import { toShape, toWorkKey, type ReadyWork } from './ready-work.ts'
 import { getDeferrableBudget, getReserve, isDeferrable, limitToAccelerators, sumFreeAccelerators } from './shares.ts'
 import { StalledWork } from './stalled-work.ts'
@@ -45,6 +45,8 @@
 /** Capacity that is reserved for urgent work until its victims have ended. */
 interface Claim {
   readonly assignments: readonly Assignment[]
+  /** Runs that were to be stopped for it. */
+  readonly stopped: readonly ActiveRun[]
   readonly untilMs: number
 }
 
@@ -62,6 +64,8 @@
 /** Urgent work beyond its customer's guarantee may cause the loss of at most this multiple of its own work. */
 const MAX_LOST_WORK_FACTOR = 2
 
+const NO_ENDPOINTS: ReadonlySet<EndpointIncarnation> = new Set()
+
 /** Number of waiting gangs for which capacity is reserved at a time, in the order of the pass. */
 const MAX_RESERVING_GANGS = 3
 
@@ -174,6 +178,7 @@
     const claim = this.#claims.get(key)
     if (claim && pass.nowMs < claim.untilMs) return this.#placeClaimed(work, claim, pass)
     if (this.#stalledWork.isKeptApart(work, pass)) return toGroups(work, this.#placeApart(work, pass))
+    if (claim) this.#waits.recordTried(work, listUnended(claim, pass), pass.nowMs)
     const hasClaimExpired = this.#claims.delete(key)
     const shape = toShape(work)
     const isUrgent = job.spec.priority === 0
@@ -214,13 +219,13 @@
     const countRunning = pass.createCounter(work)
     const countOn = (incarnation: EndpointIncarnation): number => countRunning(incarnation) + placed.filter(({ endpoint }) => endpoint === incarnation).length
     const search = { spec: work.spec, indexes, candidates: pass.listCandidates(work), countOn, acceptFar }
-    const plan = planPreemption(search, pass.victims.listFor(work.job))
+    const plan = planPreemptionBeyond(this.#waits.get(work)?.triedInVain ?? NO_ENDPOINTS, search, pass.victims.listFor(work.job))
     if (!plan || !isWorthwhile(work, plan, pass)) {
       this.#retryAtMs.set(key, pass.nowMs + PREEMPTION_RETRY_MS)
       return
     }
-    pass.victims.select(plan.victims, { stopAll })
-    this.#claims.set(key, { assignments: plan.assignments, untilMs: pass.nowMs + CLAIM_MS })
+    const stopped = pass.victims.select(plan.victims, { stopAll })
+    this.#claims.set(key, { assignments: plan.assignments, stopped, untilMs: pass.nowMs + CLAIM_MS })
     deductAssigned(work.spec, plan.assignments, pass.byIncarnation)
   }
 }
@@ -240,6 +245,10 @@
   return pass.listCandidates(work).filter(({ endpoint }) => !crashed.has(endpoint.address))
 }
 
+/** Returns the endpoints on which runs that were stopped for the claim have not ended. */
+const listUnended = ({ stopped }: Claim, { state }: PlanningPass): EndpointIncarnation[] =>
+  stopped.filter(({ task, run, endpoint }) => state.jobs.listRuns(endpoint).get(task)?.run === run).map(({ endpoint }) => endpoint)
+
 interface WorkPlacementOptions extends PlacementOptions {
   /** Use endpoints that are kept for suspects of other jobs if no other one has room. */
   readonly useKept: boolean
--- a/packages/dispatch/src/preemption.ts
+++ b/packages/dispatch/src/preemption.ts
@@ -117,3 +117,16 @@
   const incarnations = new Set(candidates.map(({ endpoint }) => endpoint.life))
   return planWithin(search, victims.filter(({ runs }) => runs.some(({ endpoint }) => incarnations.has(endpoint))))
 }
+
+/**
+ * Like `planPreemption`, with victims and endpoints other than the given ones, on which the work has been tried in vain;
+ * with all of them if there is no other way.
+ */
+export const planPreemptionBeyond = (tried: ReadonlySet<EndpointIncarnation>, search: Search, victims: readonly Victim[]): PreemptionPlan | null => {
+  if (tried.size === 0) return planPreemption(search, victims)
+  const others = {
+    candidates: search.candidates.filter(({ endpoint }) => !tried.has(endpoint.life)),
+    victims: victims.filter(({ runs }) => !runs.some(({ endpoint }) => tried.has(endpoint)))
+  }
+  return planPreemption({ ...search, candidates: others.candidates }, others.victims) ?? planPreemption(search, victims)
+}
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -55,13 +55,15 @@
       .map(({ victim }) => victim)
   }
 
-  /** Marks the runs as selected, so that `listFor` offers them to no other work. With `stopAll`, runs that end soon are stopped, too. */
-  select (victims: readonly Victim[], { stopAll }: { readonly stopAll: boolean }): void {
-    for (const { runs, endsSoon } of victims) {
-      const tasks = runs.map(({ task }) => task)
-      for (const task of tasks) this.#selected.add(task)
-      if (stopAll || !endsSoon) this.#stopped.push(...tasks)
-    }
+  /**
+   * Marks the runs as selected, so that `listFor` offers them to no other work, and returns those to stop. With `stopAll`,
+   * runs that end soon are stopped, too.
+   */
+  select (victims: readonly Victim[], { stopAll }: { readonly stopAll: boolean }): ActiveRun[] {
+    for (const { runs } of victims) for (const { task } of runs) this.#selected.add(task)
+    const stopped = victims.filter(({ endsSoon }) => stopAll || !endsSoon).flatMap(({ runs }) => runs)
+    this.#stopped.push(...stopped.map(({ task }) => task))
+    return stopped
   }
 }
 
--- a/packages/dispatch/src/work-waits.ts
+++ b/packages/dispatch/src/work-waits.ts
@@ -28,7 +28,7 @@
   isConfirmed: boolean
   /** Unconfirmed starts by the index of the task. */
   readonly attempts: Map<number, Attempt>
-  /** Endpoints on which runs of the work were started and ended unconfirmed. */
+  /** Endpoints on which runs of the work ended unconfirmed, or on which runs that were stopped for it did not end in time. */
   readonly triedInVain: Set<EndpointIncarnation>
 }
 
@@ -67,6 +67,12 @@
     for (const { run, members } of groups) for (const { index, endpoint } of members) wait.attempts.set(index, { run, endpoint })
   }
 
+  /** Records endpoints that did not do in time what they were ordered for this work. */
+  recordTried (work: ReadyWork, endpoints: readonly EndpointIncarnation[], nowMs: number): void {
+    const { triedInVain } = this.begin(work, nowMs)
+    for (const endpoint of endpoints) addTried(triedInVain, endpoint)
+  }
+
   /** Forgets work that is no longer waiting, but for work that was placed and has not run for long: its start may fail. */
   removeExcept (known: ReadonlySet<string>, { nowMs, state }: PlanningPass): void {
     for (const [key, wait] of this.#waits) {
--- a/packages/dispatch/tests/open-stalls.test.ts
+++ b/packages/dispatch/tests/open-stalls.test.ts
@@ -1,14 +1,9 @@
-import { SchedulingState, type StepSpec } from '@ibisstair/jobs'
+import type { StepSpec } from '@ibisstair/jobs'
 import t from 'tap'
-import { accept, createEndpoint, createSpec, createStep, register } from '../../jobs/tests/support/samples.ts'
-import { Planner } from '../src/index.ts'
+import { createStep } from '../../jobs/tests/support/samples.ts'
 import { FleetStallObserver } from './support/fleet-stall-observer.ts'
-import { ACCELERATORS } from './support/planned-fleet.ts'
 import { runRandomDay } from './support/random-fleet.ts'
 import { TestCluster } from './support/test-cluster.ts'
-import { createFleetView } from './support/fleet-view.ts'
-
-const PASS_MS = 100
 
 const lasting = (count: number, accelerators = 1): StepSpec =>
   createStep({ count, longRunning: true, resources: { cpuMilli: 1_000, memMb: 1, accelerators } })
@@ -17,29 +12,6 @@
 const listEndpointsOf = (cluster: TestCluster, job: string) =>
   cluster.fleet.listViews().filter(({ tasks }) => tasks.some((task) => task.startsWith(`${job}.`))).map(({ record }) => record.life)
 
-t.test('urgent work looks for other victims when the ones it has chosen do not end', async (t) => {
-  // The claim expires after 1.5 s, and the search chooses the same runs again: nothing remembers that a stop has had no effect.
-  const state = new SchedulingState()
-  const planner = new Planner()
-  for (let i = 0; i < 3; i++) state.apply(register(createEndpoint(`w${i}`, { address: `10.0.0.${i}:1` })))
-  const whole = { cpuMilli: 1_000, memMb: 100, accelerators: ACCELERATORS }
-  const fleet = createFleetView()
-  const preempted = new Set<string>()
-  const plan = (nowMs: number): void => {
-    const { starts, preempted: stopped } = planner.plan({ state, fleet, nowMs, wallMs: nowMs, mayPreempt: true })
-    state.apply({ type: 'start', groups: starts, atMs: nowMs })
-    for (const task of stopped) preempted.add(task)
-  }
-  for (let i = 0; i < 3; i++) {
-    state.apply(accept(createSpec(`b${i}`, [createStep({ resources: whole, estimateMs: 60_000 })], { priority: 2 - Math.min(i, 1) }), 0))
-    plan(100 * i)
-  }
-  plan(400)
-  state.apply(accept(createSpec('a1', [createStep({ resources: whole, estimateMs: 60_000 })], { priority: 0 }), 500))
-  for (let nowMs = 500; nowMs < 20_000; nowMs += PASS_MS) plan(nowMs)
-  t.ok(preempted.size > 1, `in 20 s only ${[...preempted].join()} of 3 runs was to be stopped`)
-})
-
 t.test('a run that its endpoint had reported runs elsewhere while the next life of the endpoint does not answer', async (t) => {
   // The hand-over waits up to 18 s for orders without an answer, and holds the runs that had been reported, too.
   const cluster = new TestCluster(4, { runMs: 5_000 })
--- a/packages/dispatch/tests/stalled-work.test.ts
+++ b/packages/dispatch/tests/stalled-work.test.ts
@@ -1,5 +1,9 @@
 import { asId, type JobId, type RackId } from '@ibisstair/common'
+import { SchedulingState } from '@ibisstair/jobs'
 import t from 'tap'
+import { accept, createEndpoint, createSpec, createStep, register } from '../../jobs/tests/support/samples.ts'
+import { Planner } from '../src/index.ts'
+import { createFleetView } from './support/fleet-view.ts'
 import { ACCELERATORS, Fleet } from './support/planned-fleet.ts'
 
 /** Within this time, work that fits must have started on an idle fleet. */
@@ -269,3 +273,26 @@
   }
   t.ok(attempts > 8, `${attempts} attempts in 4 s`)
 })
+
+t.test('urgent work looks for other victims when the ones it has chosen do not end', async (t) => {
+  // The claim expires after 1.5 s, and the search chose the same runs again: nothing remembered that a stop had had no effect.
+  const state = new SchedulingState()
+  const planner = new Planner()
+  for (let i = 0; i < 3; i++) state.apply(register(createEndpoint(`w${i}`, { address: `10.0.0.${i}:1` })))
+  const whole = { cpuMilli: 1_000, memMb: 100, accelerators: ACCELERATORS }
+  const fleet = createFleetView()
+  const preempted = new Set<string>()
+  const plan = (nowMs: number): void => {
+    const { starts, preempted: stopped } = planner.plan({ state, fleet, nowMs, wallMs: nowMs, mayPreempt: true })
+    state.apply({ type: 'start', groups: starts, atMs: nowMs })
+    for (const task of stopped) preempted.add(task)
+  }
+  for (let i = 0; i < 3; i++) {
+    state.apply(accept(createSpec(`b${i}`, [createStep({ resources: whole, estimateMs: 60_000 })], { priority: 2 - Math.min(i, 1) }), 0))
+    plan(100 * i)
+  }
+  plan(400)
+  state.apply(accept(createSpec('a1', [createStep({ resources: whole, estimateMs: 60_000 })], { priority: 0 }), 500))
+  for (let nowMs = 500; nowMs < 20_000; nowMs += PASS_MS) plan(nowMs)
+  t.ok(preempted.size > 1, `in 20 s only ${[...preempted].join()} of 3 runs was to be stopped`)
+})
