dispatch: work that has waited uses suspect endpoints when there is no other one

Callers saw an empty fleet that started nothing for 6 s after runs of two jobs had failed on each endpoint. Cause: an endpoint on which runs of several jobs have failed gets no work for 6 s, one that has refused a start for 1.5 s, also when all others are out of use, too. Evidence: open-stalls.test.ts, "a job starts within 3 s on an empty fleet ..." (not started after 3 s). Change: `FleetView.isSuspect` names endpoints that are out of use for nothing but suspicion. Work that has waited for 1.5 s, has nothing running and finds no other room on an idle fleet may use them, the fewest failures first, at most once a second. Work that was tried in vain goes to endpoints that have answered this leader (`FleetView.hasAnswered`) before others, and to those where it was tried last; all other work goes where it went. The rungs are in placement-ladder.ts.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -380,6 +380,8 @@
       mayPreempt: this.#isSurveyDone(),
       fleet: {
         isUsable: (endpoint) => this.#getOutOfUse(endpoint) === null,
+        isSuspect: (endpoint) => this.#health.isSuspect(endpoint.life) && this.#getOutOfUseBesideSuspicion(endpoint) === null,
+        hasAnswered: ({ life }) => this.#sessions.get(life)?.hasHadContact ?? false,
         isConfirmed: ({ endpoint, task }) => this.#sessions.get(endpoint)?.isConfirmed(task) ?? false,
         getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
         estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null
@@ -436,11 +438,16 @@
   }
 
   /** Returns why the endpoint gets no new work; null when it may get some. */
-  #getOutOfUse ({ life, draining }: EndpointRecord): OutOfUseReason | null {
+  #getOutOfUse (endpoint: EndpointRecord): OutOfUseReason | null {
+    const reason = this.#getOutOfUseBesideSuspicion(endpoint)
+    if (!this.#health.isSuspect(endpoint.life)) return reason
+    return reason === null || reason === 'unanswered' || reason === 'unannounced' ? 'suspect' : reason
+  }
+
+  #getOutOfUseBesideSuspicion ({ life, draining }: EndpointRecord): Exclude<OutOfUseReason, 'suspect'> | null {
     if (draining) return 'draining'
     if (this.#leavingSinceMs.has(life)) return 'leaving'
     if (this.#replaced.has(life)) return 'replaced'
-    if (this.#health.isSuspect(life)) return 'suspect'
     if ((this.#sessions.get(life)?.failures ?? 0) > 0) return 'unanswered'
     return this.#announcements.isCurrent(life, this.#options.timers.now()) ? null : 'unannounced'
   }
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -3,6 +3,7 @@
 import { countFits, subtractResources } from '@ibisstair/jobs'
 import { isGuaranteed } from './guarantees.ts'
 import { couldEverFit, placeTasks, deductAssigned, type Assignment, type Candidate, type PlacementOptions } from './placement.ts'
+import { listUncrashed, placeOnSuspects, placeWork } from './placement-ladder.ts'
 import { PlanningPass } from './planning-pass.ts'
 import { planPreemptionBeyond, type PreemptionPlan } from './preemption.ts'
 import { toShape, toWorkKey, type ReadyWork } from './ready-work.ts'
@@ -17,6 +18,10 @@
 export interface FleetView {
   /** Whether the endpoint may be given new work. */
   isUsable (endpoint: EndpointRecord): boolean
+  /** Whether the endpoint gets no new work only since runs failed there or since it refused a start. */
+  isSuspect (endpoint: EndpointRecord): boolean
+  /** Whether the endpoint has answered a call of this leader. */
+  hasAnswered (endpoint: EndpointRecord): boolean
   /** Endpoints with a higher penalty are used later. */
   getPenalty (endpoint: EndpointRecord): number
   /** Whether the endpoint has confirmed to this leader that it runs the task. */
@@ -64,8 +69,6 @@
 /** Urgent work beyond its customer's guarantee may cause the loss of at most this multiple of its own work. */
 const MAX_LOST_WORK_FACTOR = 2
 
-const NO_ENDPOINTS: ReadonlySet<EndpointIncarnation> = new Set()
-
 /** Number of waiting gangs for which capacity is reserved at a time, in the order of the pass. */
 const MAX_RESERVING_GANGS = 3
 
@@ -96,13 +99,13 @@
     const starts: StartGroup[] = []
     const placed = new Map<string, StartGroup[]>()
     const hasProgress = (work: ReadyWork): boolean => placed.has(toWorkKey(work))
-    const place = (work: ReadyWork): boolean => {
-      const groups = this.#place(work, pass)
+    const accept = (work: ReadyWork, groups: readonly StartGroup[]): boolean => {
       starts.push(...groups)
       pass.isolation.recordPlacement(work, groups.flatMap(({ members }) => members))
       if (groups.length > 0) placed.set(toWorkKey(work), [...placed.get(toWorkKey(work)) ?? [], ...groups])
       return groups.length > 0
     }
+    const place = (work: ReadyWork): boolean => accept(work, this.#place(work, pass))
     const waiting = ready.filter((work) => !isDeferred(work) && !place(work))
     const placeIfStalled = (work: ReadyWork): boolean => this.#isStalled(work, pass) && place(limitStalled(work))
     const beyondShare = placeShare(ready.filter(isDeferred), pass, place)
@@ -114,7 +117,8 @@
     const reserve = getReserve(pass, this.#demand)
     for (const work of deferred) {
       const limited = limitToAccelerators(work, sumFreeAccelerators(pass.candidates) - reserve)
-      if (limited) place(limited)
+      if (limited && place(limited)) continue
+      if (this.#stalledWork.mayUseSuspects(work, pass)) accept(work, toGroups(work, placeOnSuspects(limitStalled(work), pass, this.#waits.getTried(work))))
     }
     for (const work of ready) if (hasProgress(work)) this.#waits.recordPlacement(work, placed.get(toWorkKey(work))!, pass.nowMs)
     this.#removeEntriesExcept(ready, pass)
@@ -184,9 +188,10 @@
     const isUrgent = job.spec.priority === 0
     const isStalled = this.#isStalled(work, pass)
     const acceptFar = isStalled || this.#mustSpanRacks(work, shape, pass)
-    const failedShape = `${shape},${acceptFar},${isStalled}`
+    const useSuspects = this.#stalledWork.mayUseSuspects(work, pass)
+    const failedShape = `${shape},${acceptFar},${isStalled},${useSuspects}`
     if (!isUrgent && pass.failedShapes.has(failedShape)) return []
-    const assignments = placeWork(work, pass, { acceptFar, useKept: isStalled })
+    const assignments = placeWork(work, pass, { acceptFar, useKept: isStalled, useSuspects, triedInVain: this.#waits.getTried(work) })
     // With a limit for each endpoint the outcome depends on the job, so that it does not hold for other jobs of this shape.
     if (assignments.length === 0 && spec.maxPerEndpoint === null) pass.failedShapes.add(failedShape)
     if (assignments.length < indexes.length && isUrgent && pass.mayPreempt) this.#preemptFor(work, assignments, pass, { acceptFar, stopAll: hasClaimExpired })
@@ -219,7 +224,7 @@
     const countRunning = pass.createCounter(work)
     const countOn = (incarnation: EndpointIncarnation): number => countRunning(incarnation) + placed.filter(({ endpoint }) => endpoint === incarnation).length
     const search = { spec: work.spec, indexes, candidates: pass.listCandidates(work), countOn, acceptFar }
-    const plan = planPreemptionBeyond(this.#waits.get(work)?.triedInVain ?? NO_ENDPOINTS, search, pass.victims.listFor(work.job))
+    const plan = planPreemptionBeyond(this.#waits.getTried(work), search, pass.victims.listFor(work.job))
     if (!plan || !isWorthwhile(work, plan, pass)) {
       this.#retryAtMs.set(key, pass.nowMs + PREEMPTION_RETRY_MS)
       return
@@ -237,34 +242,10 @@
 const limitStalled = (work: ReadyWork): ReadyWork =>
   work.spec.gang || work.spec.longRunning ? work : { ...work, indexes: work.indexes.slice(0, 1) }
 
-/** Returns the candidates other than those that have crashed under the work: one of them may be at fault itself. */
-const listUncrashed = (work: ReadyWork, pass: PlanningPass): Candidate[] => {
-  const { job, occurrence, step, indexes } = work
-  const { tasks } = job.getOccurrence(occurrence).steps[step]!
-  const crashed = new Set(indexes.flatMap((index) => tasks[index]!.crashes.map(({ address }) => address)))
-  return pass.listCandidates(work).filter(({ endpoint }) => !crashed.has(endpoint.address))
-}
-
 /** Returns the endpoints on which runs that were stopped for the claim have not ended. */
 const listUnended = ({ stopped }: Claim, { state }: PlanningPass): EndpointIncarnation[] =>
   stopped.filter(({ task, run, endpoint }) => state.jobs.listRuns(endpoint).get(task)?.run === run).map(({ endpoint }) => endpoint)
 
-interface WorkPlacementOptions extends PlacementOptions {
-  /** Use endpoints that are kept for suspects of other jobs if no other one has room. */
-  readonly useKept: boolean
-}
-
-const placeWork = (work: ReadyWork, pass: PlanningPass, { acceptFar, useKept }: WorkPlacementOptions): Assignment[] => {
-  const placeOn = (candidates: readonly Candidate[]): Assignment[] =>
-    placeTasks(work.spec, work.indexes, candidates, pass.createCounter(work), { acceptFar, emptiestFirst: work.isSuspect })
-  const choices = [work.isSuspect ? listUncrashed(work, pass) : [], pass.listCandidates(work), useKept ? pass.listServiceCandidates(work) : []]
-  for (const candidates of choices) {
-    const assignments = placeOn(candidates)
-    if (assignments.length > 0) return assignments
-  }
-  return []
-}
-
 /** Gives deferrable work its share of the fleet and returns the work that was not placed. */
 const placeShare = (works: readonly ReadyWork[], { state, candidates }: PlanningPass, place: (work: ReadyWork) => boolean): ReadyWork[] => {
   let budget = getDeferrableBudget(state, candidates)
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -1,5 +1,5 @@
 import type { CustomerId, TaskId } from '@ibisstair/common'
-import type { EndpointIncarnation, Resources, SchedulingState } from '@ibisstair/jobs'
+import type { EndpointIncarnation, EndpointRecord, Resources, SchedulingState } from '@ibisstair/jobs'
 import { mustParseTaskId, subtractResources } from '@ibisstair/jobs'
 import { isGuaranteed, sumUrgentNeeds } from './guarantees.ts'
 import { Isolation } from './isolation.ts'
@@ -31,7 +31,9 @@
   readonly failedShapes = new Set<string>()
   readonly isolation: Isolation
   readonly #byService = new Map<string, Candidate[]>()
+  readonly #suspectsByService = new Map<string, Candidate[]>()
   readonly #idleness = new Map<string, Idleness>()
+  readonly #isIdleWithSuspects = new Map<string, boolean>()
   readonly #free = new Map<string, Resources>()
   readonly #estimateRemaining: EstimateRemaining
   #victims: VictimList | null = null
@@ -45,13 +47,10 @@
     this.#estimateRemaining = (run) => fleet.estimateRemainingMs(run)
     this.needs = sumUrgentNeeds(state)
     this.isolation = new Isolation(state, wallMs)
-    this.candidates = [...state.endpoints.list()].filter((endpoint) => fleet.isUsable(endpoint)).map((endpoint) => ({
-      endpoint,
-      free: subtractResources(endpoint.capacity, state.jobs.getUsage(endpoint.life)),
-      penalty: fleet.getPenalty(endpoint)
-    }))
+    this.candidates = [...state.endpoints.list()].filter((endpoint) => fleet.isUsable(endpoint)).map((endpoint) => this.#toCandidate(endpoint))
     this.byIncarnation = indexByIncarnation(this.candidates)
-    for (const candidate of this.candidates) this.#addToService(candidate)
+    for (const candidate of this.candidates) addToService(this.#byService, candidate)
+    for (const endpoint of state.endpoints.list()) if (fleet.isSuspect(endpoint)) addToService(this.#suspectsByService, this.#toCandidate(endpoint))
   }
 
   /** Runs that the pass has chosen to preempt. */
@@ -69,6 +68,22 @@
     return this.#byService.get(job.spec.service) ?? NO_CANDIDATES
   }
 
+  /** The endpoints of the service that get no new work only since they are suspect; their free capacity shrinks as they are used. */
+  listSuspects ({ job }: ReadyWork): readonly Candidate[] {
+    return this.#suspectsByService.get(job.spec.service) ?? NO_CANDIDATES
+  }
+
+  /** Whether less than half of any measure is in use on usable and suspect endpoints together, when this is first asked in a pass. */
+  isIdleWithSuspects (work: ReadyWork): boolean {
+    const { service } = work.job.spec
+    const known = this.#isIdleWithSuspects.get(service)
+    if (known !== undefined) return known
+    const candidates = [...this.listServiceCandidates(work), ...this.listSuspects(work)]
+    const isIdle = getIdleness(candidates.map(({ endpoint }) => endpoint), candidates) !== 'busy'
+    this.#isIdleWithSuspects.set(service, isIdle)
+    return isIdle
+  }
+
   /** How much of the service's capacity is free when this is first asked in a pass. */
   getIdleness (work: ReadyWork): Idleness {
     const { service } = work.job.spec
@@ -123,10 +138,18 @@
     return { rank, lateness: getLateness(job, this.wallMs) }
   }
 
-  #addToService (candidate: Candidate): void {
-    const { service } = candidate.endpoint
-    const known = this.#byService.get(service)
-    if (known) known.push(candidate)
-    else this.#byService.set(service, [candidate])
+  #toCandidate (endpoint: EndpointRecord): Candidate {
+    return {
+      endpoint,
+      free: subtractResources(endpoint.capacity, this.state.jobs.getUsage(endpoint.life)),
+      penalty: this.fleet.getPenalty(endpoint)
+    }
   }
 }
+
+const addToService = (byService: Map<string, Candidate[]>, candidate: Candidate): void => {
+  const { service } = candidate.endpoint
+  const known = byService.get(service)
+  if (known) known.push(candidate)
+  else byService.set(service, [candidate])
+}
--- a/packages/dispatch/src/stalled-work.ts
+++ b/packages/dispatch/src/stalled-work.ts
@@ -8,6 +8,9 @@
 /** Time for which work waits for the best place before it takes any. */
 const STALL_PATIENCE_MS = 1_500
 
+/** Shortest time between a start of work and its next start on a suspect endpoint. */
+const SUSPECT_ENDPOINT_RETRY_MS = 1_000
+
 /** A run that its endpoint has not confirmed within this time is not known to run. */
 const CONFIRMATION_MS = 1_500
 
@@ -32,6 +35,17 @@
     return hasLasted(pass.getIdleness(work) === 'idle' ? wait.sinceMs : wait.roomSinceMs, pass)
   }
 
+  /**
+   * Whether the work may be placed on suspect endpoints if no other one has room. It is tried there at most once in a
+   * while, since most suspects fail or refuse again.
+   */
+  mayUseSuspects (work: ReadyWork, pass: PlanningPass): boolean {
+    const wait = this.#waits.get(work)
+    if (wait === undefined || !hasLasted(wait.sinceMs, pass) || pass.listSuspects(work).length === 0) return false
+    if (wait.placedAtMs !== null && pass.nowMs - wait.placedAtMs < SUSPECT_ENDPOINT_RETRY_MS) return false
+    return work.spec.longRunning || (!hasRuns(work, pass) && pass.isIdleWithSuspects(work))
+  }
+
   /** Whether the stalled work goes before capacity that is reserved for gangs, which on a fleet in use would starve them. */
   precedesReservations (work: ReadyWork, pass: PlanningPass): boolean {
     return work.spec.longRunning || pass.getIdleness(work) === 'idle'
--- a/packages/dispatch/src/work-waits.ts
+++ b/packages/dispatch/src/work-waits.ts
@@ -8,6 +8,8 @@
 /** Endpoints that are remembered for one piece of work; the oldest are forgotten first. */
 const MAX_TRIED_ENDPOINTS = 256
 
+const NO_ENDPOINTS: ReadonlySet<EndpointIncarnation> = new Set()
+
 /** The last start of a task whose endpoint has not confirmed it so far. */
 interface Attempt {
   readonly run: number
@@ -44,6 +46,11 @@
     return this.#waits.get(toWorkKey(work))
   }
 
+  /** Returns the endpoints that this work has tried in vain since a run of it was last confirmed. */
+  getTried (work: ReadyWork): ReadonlySet<EndpointIncarnation> {
+    return this.get(work)?.triedInVain ?? NO_ENDPOINTS
+  }
+
   /** Returns the wait of the work, which begins anew if a part of it has run; the start of one task that lasts is no progress for the others. */
   begin (work: ReadyWork, nowMs: number): Wait {
     const key = toWorkKey(work)
--- a/packages/dispatch/tests/support/fleet-view.ts
+++ b/packages/dispatch/tests/support/fleet-view.ts
@@ -3,6 +3,8 @@
 /** A fleet without faults, but for what a test replaces. */
 export const createFleetView = (part: Partial<FleetView> = {}): FleetView => ({
   isUsable: () => true,
+  isSuspect: () => false,
+  hasAnswered: () => true,
   getPenalty: () => 0,
   isConfirmed: () => true,
   estimateRemainingMs: () => null,
