--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -1,24 +1,31 @@
 import type { TaskId } from '@ibisstair/common'
 import type { ActiveRun, EndpointIncarnation, EndpointRecord, SchedulingState, StartGroup } from '@ibisstair/jobs'
 import { countFits, subtractResources } from '@ibisstair/jobs'
-import { SUSPECT_PATIENCE_MS } from './constants.ts'
 import { isGuaranteed } from './guarantees.ts'
 import { couldEverFit, placeTasks, deductAssigned, type Assignment, type Candidate, type PlacementOptions } from './placement.ts'
+import { listUncrashed, placeOnSuspects, placeWork } from './placement-ladder.ts'
 import { PlanningPass } from './planning-pass.ts'
-import { planPreemption, type PreemptionPlan } from './preemption.ts'
+import { planPreemptionBeyond, type PreemptionPlan } from './preemption.ts'
 import { toShape, toWorkKey, type ReadyWork } from './ready-work.ts'
 import { getDeferrableBudget, getReserve, isDeferrable, limitToAccelerators, sumFreeAccelerators } from './shares.ts'
 import { StalledWork } from './stalled-work.ts'
 import { UrgentDemand } from './urgent-demand.ts'
 import { WaitingWork, type WaitingSurvey } from './waiting-work.ts'
 import { toCoreEquivalents } from './work-cost.ts'
+import { WorkWaits } from './work-waits.ts'
 
 /** State of the endpoints that is not in the replicated state. */
 export interface FleetView {
   /** Whether the endpoint may be given new work. */
   isUsable (endpoint: EndpointRecord): boolean
+  /** Whether the endpoint gets no new work only since runs failed there or since it refused a start. */
+  isSuspect (endpoint: EndpointRecord): boolean
+  /** Whether the endpoint has answered a call of this leader. */
+  hasAnswered (endpoint: EndpointRecord): boolean
   /** Endpoints with a higher penalty are used later. */
   getPenalty (endpoint: EndpointRecord): number
+  /** Whether the endpoint has confirmed to this leader that it runs the task. */
+  isConfirmed (run: ActiveRun): boolean
   /** Returns the estimated time until a run ends by itself; null when its progress is not known. */
   estimateRemainingMs (run: ActiveRun): number | null
 }
@@ -43,6 +50,8 @@
 /** Capacity that is reserved for urgent work until its victims have ended. */
 interface Claim {
   readonly assignments: readonly Assignment[]
+  /** Runs that were to be stopped for it. */
+  readonly stopped: readonly ActiveRun[]
   readonly untilMs: number
 }
 
@@ -75,9 +84,8 @@
   readonly #demand = new UrgentDemand()
   /** Time of the next search for victims, for each work for which the last search failed. */
   readonly #retryAtMs = new Map<string, number>()
-  /** Since when suspect work has waited for an endpoint. */
-  readonly #suspectSinceMs = new Map<string, number>()
-  readonly #stalledWork = new StalledWork()
+  readonly #waits = new WorkWaits()
+  readonly #stalledWork = new StalledWork(this.#waits)
   readonly #waitingWork = new WaitingWork()
   /** Whether a shape fits only across racks, for the endpoints and capacities that `#fleetKey` names. */
   readonly #acceptFar = new Map<string, boolean>()
@@ -86,36 +94,39 @@
   plan (input: PlanInput): Plan {
     const pass = new PlanningPass(input)
     this.#clearCacheOnFleetChange(pass)
+    this.#waits.observe(pass)
     const ready = this.#moveClaimantsToFront(pass.listWork(), pass)
     const starts: StartGroup[] = []
-    const progressed = new Set<string>()
-    const place = (work: ReadyWork): boolean => {
-      const groups = this.#place(work, pass)
+    const placed = new Map<string, StartGroup[]>()
+    const hasProgress = (work: ReadyWork): boolean => placed.has(toWorkKey(work))
+    const accept = (work: ReadyWork, groups: readonly StartGroup[]): boolean => {
       starts.push(...groups)
       pass.isolation.recordPlacement(work, groups.flatMap(({ members }) => members))
-      if (groups.length > 0) progressed.add(toWorkKey(work))
+      if (groups.length > 0) placed.set(toWorkKey(work), [...placed.get(toWorkKey(work)) ?? [], ...groups])
       return groups.length > 0
     }
+    const place = (work: ReadyWork): boolean => accept(work, this.#place(work, pass))
     const waiting = ready.filter((work) => !isDeferred(work) && !place(work))
     const placeIfStalled = (work: ReadyWork): boolean => this.#isStalled(work, pass) && place(limitStalled(work))
     const beyondShare = placeShare(ready.filter(isDeferred), pass, place)
     const held = beyondShare.filter((work) => !this.#stalledWork.precedesReservations(work, pass) || !placeIfStalled(work))
-    for (const work of ready) if (!progressed.has(toWorkKey(work))) this.#stalledWork.recordRoom(work, pass)
+    for (const work of ready) if (!hasProgress(work)) this.#stalledWork.recordRoom(work, pass)
     const reservingGangs = waiting.filter(({ job, spec }) => spec.gang && job.spec.priority > 0).slice(0, MAX_RESERVING_GANGS)
     for (const work of reservingGangs) reserveForGang(work, pass.listCandidates(work))
     const deferred = held.filter((work) => !placeIfStalled(work))
     const reserve = getReserve(pass, this.#demand)
     for (const work of deferred) {
       const limited = limitToAccelerators(work, sumFreeAccelerators(pass.candidates) - reserve)
-      if (limited) place(limited)
+      if (limited && place(limited)) continue
+      if (this.#stalledWork.mayUseSuspects(work, pass)) accept(work, toGroups(work, placeOnSuspects(limitStalled(work), pass, this.#waits.getTried(work))))
     }
-    for (const work of ready) if (progressed.has(toWorkKey(work))) this.#stalledWork.recordPlacement(work, pass.nowMs)
-    this.#removeEntriesExcept(ready, pass.nowMs)
-    const examineWaiting = (): WaitingSurvey | null => this.#waitingWork.examine(ready, (work) => progressed.has(toWorkKey(work)), {
+    for (const work of ready) if (hasProgress(work)) this.#waits.recordPlacement(work, placed.get(toWorkKey(work))!, pass.nowMs)
+    this.#removeEntriesExcept(ready, pass)
+    const examineWaiting = (): WaitingSurvey | null => this.#waitingWork.examine(ready, hasProgress, {
       pass,
       starts,
       hasClaim: (work) => this.#claims.has(toWorkKey(work)),
-      isKeptApart: (work) => work.isSuspect && pass.nowMs - (this.#suspectSinceMs.get(toWorkKey(work)) ?? pass.nowMs) < SUSPECT_PATIENCE_MS,
+      isKeptApart: (work) => this.#stalledWork.isKeptApart(work, pass),
       isStalled: (work) => this.#isStalled(work, pass),
       countOn: (work) => pass.createCounter(work)
     })
@@ -140,10 +151,10 @@
     return [...claimants, ...ready.filter((work) => !claimants.has(work))]
   }
 
-  #removeEntriesExcept (ready: readonly ReadyWork[], nowMs: number): void {
+  #removeEntriesExcept (ready: readonly ReadyWork[], pass: PlanningPass): void {
     const known = new Set(ready.map(toWorkKey))
-    for (const entries of [this.#claims, this.#retryAtMs, this.#suspectSinceMs]) for (const key of entries.keys()) if (!known.has(key)) entries.delete(key)
-    this.#stalledWork.removeExcept(known, nowMs)
+    for (const entries of [this.#claims, this.#retryAtMs]) for (const key of entries.keys()) if (!known.has(key)) entries.delete(key)
+    this.#waits.removeExcept(known, pass)
   }
 
   /** Clears the cache of shapes when the set of endpoints or a capacity has changed, or the cache is full. */
@@ -170,28 +181,23 @@
     const key = toWorkKey(work)
     const claim = this.#claims.get(key)
     if (claim && pass.nowMs < claim.untilMs) return this.#placeClaimed(work, claim, pass)
-    if (work.isSuspect && !this.#hasPatienceEnded(key, pass.nowMs)) return toGroups(work, this.#placeApart(work, pass))
+    if (this.#stalledWork.isKeptApart(work, pass)) return toGroups(work, this.#placeApart(work, pass))
+    if (claim) this.#waits.recordTried(work, listUnended(claim, pass), pass.nowMs)
     const hasClaimExpired = this.#claims.delete(key)
     const shape = toShape(work)
     const isUrgent = job.spec.priority === 0
     const isStalled = this.#isStalled(work, pass)
     const acceptFar = isStalled || this.#mustSpanRacks(work, shape, pass)
-    const failedShape = `${shape},${acceptFar},${isStalled}`
+    const useSuspects = this.#stalledWork.mayUseSuspects(work, pass)
+    const failedShape = `${shape},${acceptFar},${isStalled},${useSuspects}`
     if (!isUrgent && pass.failedShapes.has(failedShape)) return []
-    const assignments = placeWork(work, pass, { acceptFar, useKept: isStalled })
+    const assignments = placeWork(work, pass, { acceptFar, useKept: isStalled, useSuspects, triedInVain: this.#waits.getTried(work) })
     // With a limit for each endpoint the outcome depends on the job, so that it does not hold for other jobs of this shape.
     if (assignments.length === 0 && spec.maxPerEndpoint === null) pass.failedShapes.add(failedShape)
     if (assignments.length < indexes.length && isUrgent && pass.mayPreempt) this.#preemptFor(work, assignments, pass, { acceptFar, stopAll: hasClaimExpired })
     return toGroups(work, assignments)
   }
 
-  /** Suspect work waits for an endpoint of its own only for a while, since it may be innocent. */
-  #hasPatienceEnded (key: string, nowMs: number): boolean {
-    const sinceMs = this.#suspectSinceMs.get(key) ?? nowMs
-    this.#suspectSinceMs.set(key, sinceMs)
-    return nowMs - sinceMs >= SUSPECT_PATIENCE_MS
-  }
-
   /** Places suspect work where no other job runs. */
   #placeApart (work: ReadyWork, pass: PlanningPass): Assignment[] {
     const empty = pass.isolation.listEmpty(listUncrashed(work, pass), work)
@@ -218,13 +224,13 @@
     const countRunning = pass.createCounter(work)
     const countOn = (incarnation: EndpointIncarnation): number => countRunning(incarnation) + placed.filter(({ endpoint }) => endpoint === incarnation).length
     const search = { spec: work.spec, indexes, candidates: pass.listCandidates(work), countOn, acceptFar }
-    const plan = planPreemption(search, pass.victims.listFor(work.job))
+    const plan = planPreemptionBeyond(this.#waits.getTried(work), search, pass.victims.listFor(work.job))
     if (!plan || !isWorthwhile(work, plan, pass)) {
       this.#retryAtMs.set(key, pass.nowMs + PREEMPTION_RETRY_MS)
       return
     }
-    pass.victims.select(plan.victims, { stopAll })
-    this.#claims.set(key, { assignments: plan.assignments, untilMs: pass.nowMs + CLAIM_MS })
+    const stopped = pass.victims.select(plan.victims, { stopAll })
+    this.#claims.set(key, { assignments: plan.assignments, stopped, untilMs: pass.nowMs + CLAIM_MS })
     deductAssigned(work.spec, plan.assignments, pass.byIncarnation)
   }
 }
@@ -236,29 +242,9 @@
 const limitStalled = (work: ReadyWork): ReadyWork =>
   work.spec.gang || work.spec.longRunning ? work : { ...work, indexes: work.indexes.slice(0, 1) }
 
-/** Returns the candidates other than those that have crashed under the work: one of them may be at fault itself. */
-const listUncrashed = (work: ReadyWork, pass: PlanningPass): Candidate[] => {
-  const { job, occurrence, step, indexes } = work
-  const { tasks } = job.getOccurrence(occurrence).steps[step]!
-  const crashed = new Set(indexes.flatMap((index) => tasks[index]!.crashes.map(({ address }) => address)))
-  return pass.listCandidates(work).filter(({ endpoint }) => !crashed.has(endpoint.address))
-}
-
-interface WorkPlacementOptions extends PlacementOptions {
-  /** Use endpoints that are kept for suspects of other jobs if no other one has room. */
-  readonly useKept: boolean
-}
-
-const placeWork = (work: ReadyWork, pass: PlanningPass, { acceptFar, useKept }: WorkPlacementOptions): Assignment[] => {
-  const placeOn = (candidates: readonly Candidate[]): Assignment[] =>
-    placeTasks(work.spec, work.indexes, candidates, pass.createCounter(work), { acceptFar, emptiestFirst: work.isSuspect })
-  const choices = [work.isSuspect ? listUncrashed(work, pass) : [], pass.listCandidates(work), useKept ? pass.listServiceCandidates(work) : []]
-  for (const candidates of choices) {
-    const assignments = placeOn(candidates)
-    if (assignments.length > 0) return assignments
-  }
-  return []
-}
+/** Returns the endpoints on which runs that were stopped for the claim have not ended. */
+const listUnended = ({ stopped }: Claim, { state }: PlanningPass): EndpointIncarnation[] =>
+  stopped.filter(({ task, run, endpoint }) => state.jobs.listRuns(endpoint).get(task)?.run === run).map(({ endpoint }) => endpoint)
 
 /** Gives deferrable work its share of the fleet and returns the work that was not placed. */
 const placeShare = (works: readonly ReadyWork[], { state, candidates }: PlanningPass, place: (work: ReadyWork) => boolean): ReadyWork[] => {
--- a/packages/dispatch/tests/stalled-work.test.ts
+++ b/packages/dispatch/tests/stalled-work.test.ts
@@ -1,5 +1,9 @@
 import { asId, type JobId, type RackId } from '@ibisstair/common'
+import { SchedulingState } from '@ibisstair/jobs'
 import t from 'tap'
+import { accept, createEndpoint, createSpec, createStep, register } from '../../jobs/tests/support/samples.ts'
+import { Planner } from '../src/index.ts'
+import { createFleetView } from './support/fleet-view.ts'
 import { ACCELERATORS, Fleet } from './support/planned-fleet.ts'
 
 /** Within this time, work that fits must have started on an idle fleet. */
@@ -243,3 +247,52 @@
     }
   })
 }
+
+t.test('a suspect whose starts are refused does not wait for an empty endpoint anew each time', async (t) => {
+  // No endpoint is empty. Each refused start took the work out of the list for a pass, so that the second of
+  // SUSPECT_PATIENCE_MS began anew.
+  const fleet = new Fleet([4])
+  fleet.submit('s1', { count: 1, longRunning: true }, { priority: 1 })
+  fleet.run(8_000)
+  for (let i = 0; i < 2; i++) {
+    fleet.crash(fleet.findEndpointOf('s1')!)
+    fleet.run(i === 0 ? 8_000 : 0)
+  }
+  fleet.submit('b1', { count: 4, maxPerEndpoint: 1, longRunning: true }, { priority: 0 })
+  fleet.run(0)
+  let attempts = 0
+  for (let ms = 0; ms < 4_000; ms += PASS_MS) {
+    fleet.run(PASS_MS)
+    const endpoint = fleet.findEndpointOf('s1')
+    if (!endpoint) continue
+    attempts += 1
+    fleet.run(PASS_MS)
+    ms += PASS_MS
+    const ends = [...fleet.state.jobs.listRuns(endpoint.life).values()].filter(({ task }) => task.startsWith('s1.')).map(({ task, run }) => ({ task, run, outcome: 'stopped' as const, checkpoint: '' }))
+    fleet.state.apply({ type: 'end', endpoint: endpoint.life, ends, atMs: fleet.nowMs })
+  }
+  t.ok(attempts > 8, `${attempts} attempts in 4 s`)
+})
+
+t.test('urgent work looks for other victims when the ones it has chosen do not end', async (t) => {
+  // The claim expires after 1.5 s, and the search chose the same runs again: nothing remembered that a stop had had no effect.
+  const state = new SchedulingState()
+  const planner = new Planner()
+  for (let i = 0; i < 3; i++) state.apply(register(createEndpoint(`w${i}`, { address: `10.0.0.${i}:1` })))
+  const whole = { cpuMilli: 1_000, memMb: 100, accelerators: ACCELERATORS }
+  const fleet = createFleetView()
+  const preempted = new Set<string>()
+  const plan = (nowMs: number): void => {
+    const { starts, preempted: stopped } = planner.plan({ state, fleet, nowMs, wallMs: nowMs, mayPreempt: true })
+    state.apply({ type: 'start', groups: starts, atMs: nowMs })
+    for (const task of stopped) preempted.add(task)
+  }
+  for (let i = 0; i < 3; i++) {
+    state.apply(accept(createSpec(`b${i}`, [createStep({ resources: whole, estimateMs: 60_000 })], { priority: 2 - Math.min(i, 1) }), 0))
+    plan(100 * i)
+  }
+  plan(400)
+  state.apply(accept(createSpec('a1', [createStep({ resources: whole, estimateMs: 60_000 })], { priority: 0 }), 500))
+  for (let nowMs = 500; nowMs < 20_000; nowMs += PASS_MS) plan(nowMs)
+  t.ok(preempted.size > 1, `in 20 s only ${[...preempted].join()} of 3 runs was to be stopped`)
+})
