dispatch: announcements don't put off the end of a lease that has ended

What callers saw: a task on an endpoint that refuses every call, or answers none, and goes on to announce itself with its clock, was held for ever. Cause: the end of a lease is the last clock reading, plus the time left by that clock, plus a margin. Once the clock has passed the end, each announcement begins the margin anew, and announcements come more often. Change: the earliest end that a reading has shown for the latest grant stands; a grant or an answer takes it back.

--- a/packages/dispatch/src/endpoint-lease.ts
+++ b/packages/dispatch/src/endpoint-lease.ts
@@ -16,6 +16,8 @@
   #clock: ClockReading | null = null
   /** Latest end that may have been granted, on the endpoint's clock. */
   #untilMs = 0
+  /** Earliest end that a reading has shown for the latest grant, in the leader's time. */
+  #shownEndMs = Infinity
   #hasHadContact = false
 
   /** `maxMs` is the longest lease that an endpoint accepts. */
@@ -36,14 +38,18 @@
   /** Takes the reading of an announcement, which may be behind the endpoint's clock, never ahead. */
   recordAnnouncement (valueMs: number, atMs: number): void {
     const estimateMs = this.#estimateClock(atMs)
-    if (estimateMs === null || estimateMs < valueMs) this.#clock = { valueMs, atMs }
+    if (estimateMs !== null && estimateMs >= valueMs) return
+    // The margin counts once, from the reading that first shows the end.
+    if (this.#hasHadContact) this.#shownEndMs = this.getEndMs()
+    this.#clock = { valueMs, atMs }
   }
 
   /** Takes the reading of an answer. */
   recordAnswer (valueMs: number, atMs: number): void {
     this.#clock = { valueMs, atMs }
     // An earlier leader may have granted the longest lease just before this first contact.
-    if (!this.#hasHadContact) this.#untilMs = Math.max(this.#untilMs, valueMs + this.#maxMs)
+    if (!this.#hasHadContact) this.#grant(valueMs + this.#maxMs)
+    this.#shownEndMs = Infinity
     this.#hasHadContact = true
   }
 
@@ -57,14 +63,21 @@
     const clockMs = this.#estimateClock(nowMs)
     if (clockMs === null) return null
     const untilMs = Math.floor(clockMs + this.#maxMs - LEASE_SAFETY_MARGIN_MS)
-    this.#untilMs = Math.max(this.#untilMs, untilMs)
+    this.#grant(untilMs)
     return untilMs
   }
 
   /** Returns the leader's time by which every lease of this and earlier leaders has expired. */
   getEndMs (): number {
     if (!this.#clock || !this.#hasHadContact) return this.#openedAtMs + DEPOSED_LEADER_GRACE_MS + this.#maxMs / (1 - MAX_CLOCK_DRIFT) + LEASE_END_MARGIN_MS
-    return this.#clock.atMs + Math.max(0, this.#untilMs - this.#clock.valueMs) / (1 - MAX_CLOCK_DRIFT) + LEASE_END_MARGIN_MS
+    const endMs = this.#clock.atMs + Math.max(0, this.#untilMs - this.#clock.valueMs) / (1 - MAX_CLOCK_DRIFT) + LEASE_END_MARGIN_MS
+    return Math.min(this.#shownEndMs, endMs)
+  }
+
+  #grant (untilMs: number): void {
+    if (untilMs <= this.#untilMs) return
+    this.#untilMs = untilMs
+    this.#shownEndMs = Infinity
   }
 
   /** Returns a lower bound: the reading was taken before it arrived, and the clock may be slow. */
