--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -238,29 +238,31 @@
     const job = state.jobs.get(group.job)
     if (!job) return
     const { gang } = job.spec.steps[group.step]!
-    const obstacles = new Map(group.members.map(({ endpoint }) => [endpoint, this.#findObstacle(endpoint)]))
-    const gangObstacle = gang ? [...obstacles.values()].find((obstacle) => obstacle !== null) ?? null : null
-    for (const { index, endpoint } of group.members) {
+    const orders = group.members.flatMap(({ index, endpoint }) => {
       const task = toTaskId({ job: group.job, occurrence: group.occurrence, step: group.step, index })
       const run = state.jobs.listRuns(endpoint).get(task)
       const session = this.#openSession(endpoint)
-      if (!run || !session) continue
-      const obstacle = gangObstacle ?? obstacles.get(endpoint) ?? null
-      if (obstacle !== null) {
-        this.#withholdStart(session.endpoint, run, obstacle)
-        continue
-      }
-      metrics.increment('runs.ordered')
-      this.#orderStart(session, run, job)
-    }
+      return run && session ? [{ run, session, obstacle: this.#findObstacle(endpoint) }] : []
+    })
+    const gangObstacle = gang ? orders.find(({ obstacle }) => obstacle !== null)?.obstacle ?? null : null
+    const accepted = orders.filter(({ run, session, obstacle }) => {
+      const reason = gangObstacle ?? obstacle
+      if (reason !== null) this.#withholdStart(session, run, reason)
+      return reason === null
+    })
+    metrics.increment('runs.ordered', accepted.length)
+    const contacts = accepted.map(({ session }) => session.makeContact())
+    // The members of a gang work only together: none is ordered while one of their endpoints does not answer.
+    const gangContact = Promise.all(contacts).then((answers) => answers.every(Boolean))
+    accepted.forEach(({ run, session }, i) => this.#orderStart(session, run, job, gang ? gangContact : contacts[i]!))
   }
 
-  #orderStart (session: EndpointSession, run: ActiveRun, job: JobEntry): void {
+  #orderStart (session: EndpointSession, run: ActiveRun, job: JobEntry, mayOrder: Promise<boolean>): void {
     const { logger, timers } = this.#options
     const { occurrence, step, index } = mustParseTaskId(run.task)
     const entry = job.getOccurrence(occurrence).steps[step]!
     logger.info('run ordered', { task: run.task, run: run.run, endpoint: session.endpoint.id, waitedMs: Math.round(timers.wallClock() - job.acceptedAtMs) })
-    session.start(run, job.spec.payload, job.spec.steps[step]!.gang ? entry.checkpoint : entry.tasks[index]!.checkpoint)
+    session.start(run, job.spec.payload, job.spec.steps[step]!.gang ? entry.checkpoint : entry.tasks[index]!.checkpoint, mayOrder)
   }
 
   /** The endpoint may have changed between the plan and the commit of its starts. */
@@ -270,23 +272,11 @@
     return findObstacle(records, state.jobs.getUsage(life))
   }
 
-  #withholdStart (endpoint: EndpointRecord, run: ActiveRun, reason: WithheldReason): void {
+  #withholdStart (session: EndpointSession, run: ActiveRun, reason: WithheldReason): void {
     const { logger, metrics } = this.#options
     metrics.increment(`starts.withheld.${reason}`)
-    logger.info('start withheld', { task: run.task, run: run.run, endpoint: endpoint.id, reason })
-    this.#endWithheldRun(run).catch((err: unknown) => logger.error('end of a withheld start failed unexpectedly', { task: run.task, run: run.run, err }))
-  }
-
-  /** Commits that the run was not started. Until then it is active in the replicated state, and no session tracks it. */
-  async #endWithheldRun ({ task, run, endpoint }: ActiveRun): Promise<void> {
-    const { state, timers } = this.#options
-    while (!this.#isClosed && state.jobs.listRuns(endpoint).get(task)?.run === run) {
-      try {
-        await this.#propose({ type: 'end', endpoint, ends: [{ task, run, outcome: 'not-started', checkpoint: '' }], atMs: timers.wallClock() })
-      } catch {
-        await this.#awaitEarlierProposals()
-      }
-    }
+    logger.info('start withheld', { task: run.task, run: run.run, endpoint: session.endpoint.id, reason })
+    session.withhold(run)
   }
 
   #openSession (incarnation: EndpointIncarnation): EndpointSession | null {
--- a/packages/dispatch/tests/open-stalls.test.ts
+++ b/packages/dispatch/tests/open-stalls.test.ts
@@ -29,19 +29,6 @@
   t.same(observer.describe().filter((line) => line.startsWith('a1.')), [])
 })
 
-t.test('a job is not sent to one endpoint after another that answers no calls', async (t) => {
-  // An endpoint without runs is not called, so that each one that hangs costs the job a lease.
-  const cluster = new TestCluster(7, {})
-  const observer = new FleetStallObserver(cluster)
-  for (const { life } of cluster.endpoints.slice(0, 3)) cluster.fleet.faults.hanging.add(life)
-  await cluster.run(5_000)
-  cluster.elect()
-  await cluster.run(5_000)
-  cluster.submit('a1', [createStep()])
-  await cluster.run(60_000)
-  t.same(observer.describe(), [])
-})
-
 t.test('deferrable work starts on a fleet that is idle in cores and memory while gangs wait for accelerators (seed 606)', async (t) => {
   // The capacity that is reserved for the gangs holds it back, for as long as they wait.
   const { observer } = runRandomDay(606)
--- a/packages/dispatch/tests/stalls.test.ts
+++ b/packages/dispatch/tests/stalls.test.ts
@@ -156,3 +156,16 @@
   await cluster.run(3_000)
   t.not(cluster.statusOf('b1'), 'queued')
 })
+
+t.test('a job is not sent to one endpoint after another that answers no calls', async (t) => {
+  // An endpoint without runs is not called, so that each one that hangs costs the job a lease.
+  const cluster = new TestCluster(7, {})
+  const observer = new FleetStallObserver(cluster)
+  for (const { life } of cluster.endpoints.slice(0, 3)) cluster.fleet.faults.hanging.add(life)
+  await cluster.run(5_000)
+  cluster.elect()
+  await cluster.run(5_000)
+  cluster.submit('a1', [createStep()])
+  await cluster.run(60_000)
+  t.same(observer.describe(), [])
+})
