--- a/packages/cluster/src/core-node.ts
+++ b/packages/cluster/src/core-node.ts
@@ -34,7 +34,7 @@
 }
 
 const LEADER_METHODS: readonly LeaderMethod[] = [
-  'job.submit', 'job.status', 'job.cancel', 'queue.pending', 'config.put', 'config.get', 'endpoint.announce', 'endpoint.leave', 'relay.offer'
+  'job.submit', 'job.status', 'job.cancel', 'queue.pending', 'config.put', 'config.get', 'endpoint.announce', 'endpoint.leave', 'relay.offer', 'relay.withdraw'
 ]
 
 interface Leadership {
--- a/packages/cluster/src/leader-service.ts
+++ b/packages/cluster/src/leader-service.ts
@@ -40,6 +40,7 @@
       case 'endpoint.announce': return await this.#announce(params as AnnounceParams)
       case 'endpoint.leave': return this.#leave(params as LeaveParams)
       case 'relay.offer': return this.#recordRelay(params as RelayOffer)
+      case 'relay.withdraw': return this.#removeRelay(params as RelayOffer)
       default: return assertNever(method)
     }
   }
@@ -141,6 +142,11 @@
     return {}
   }
 
+  #removeRelay ({ node }: RelayOffer): object {
+    this.#options.relays.remove(node)
+    return {}
+  }
+
   #recordRelay (offer: RelayOffer): object {
     const { relays, timers } = this.#options
     relays.record(offer, timers.now())
--- a/packages/cluster/src/types.ts
+++ b/packages/cluster/src/types.ts
@@ -65,4 +65,4 @@
   | 'job.submit' | 'job.status' | 'job.cancel' | 'queue.pending'
   | 'config.put' | 'config.get'
   | 'endpoint.announce' | 'endpoint.leave'
-  | 'relay.offer'
+  | 'relay.offer' | 'relay.withdraw'
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -329,7 +329,7 @@
 
   /** Returns how long the endpoint may hold back its answer until a run ends. */
   #getWaitMs (): number {
-    if (this.#runs.size === 0 || this.#ackedUpto < this.#committedUpto) return 0
+    if (this.#failures > 0 || this.#runs.size === 0 || this.#ackedUpto < this.#committedUpto) return 0
     const phases = new Set([...this.#runs.values()].map(({ phase }) => phase))
     if (phases.has('inherited') || phases.has('unconfirmed') || phases.has('stopping')) return 0
     // A start is usually answered; if it is not, the next report shows its outcome.
--- a/packages/relay/src/constants.ts
+++ b/packages/relay/src/constants.ts
@@ -25,8 +25,11 @@
 export const MAX_DIRECT_PROBE_INTERVAL_MS = 16_000
 export const DIRECT_PROBE_TIMEOUT_MS = 700
 
-/** Calls that the leader has relayed at a time; further ones go the direct way. */
-export const MAX_RELAYED_CALLS = 512
+/** Relays that are tried one after the other before the direct path is tried again. */
+export const MAX_RELAYS_IN_A_ROW = 2
+
+/** Calls that the leader has relayed at a time; further ones fail. Each holds a connection to its relay. */
+export const MAX_RELAYED_CALLS = 1_536
 
 /** Calls that one relay passes on at a time; further ones are refused. */
 export const MAX_CALLS_PER_RELAY = 64
--- a/packages/relay/src/endpoint-path.ts
+++ b/packages/relay/src/endpoint-path.ts
@@ -1,5 +1,5 @@
 import type { NodeId } from '@ibisstair/common'
-import { MAX_DIRECT_PROBE_INTERVAL_MS, MAX_RELAY_RETRY_MS, MIN_DIRECT_PROBE_INTERVAL_MS, MIN_RELAY_RETRY_MS } from './constants.ts'
+import { MAX_DIRECT_PROBE_INTERVAL_MS, MAX_RELAY_RETRY_MS, MAX_RELAYS_IN_A_ROW, MIN_DIRECT_PROBE_INTERVAL_MS, MIN_RELAY_RETRY_MS } from './constants.ts'
 import type { Path } from './types.ts'
 
 const DIRECT: Path = { type: 'direct' }
@@ -11,15 +11,19 @@
 const backOff = (minMs: number, maxMs: number, failures: number): number => Math.min(maxMs, minMs * 2 ** (failures - 1))
 
 /**
- * The path of calls to one endpoint. Only renewals decide it: an order without an answer says little, as the endpoint may
- * have carried it out. After a renewal without an answer the next one takes another path, so that a fault of one path does
- * not count as a fault of the endpoint; the direct path is used again as soon as it works.
+ * The path of calls to one endpoint. Renewals decide it, which are repeated all the time: one order without an answer says
+ * little. After a renewal without an answer the next one takes another path, so that a fault of one path does not count as
+ * a fault of the endpoint; the direct path is used again as soon as it works.
  */
 export class EndpointPath {
+  /** Whether a renewal is in progress. */
+  isRenewing = false
   #path: Path = DIRECT
   /** Whether the endpoint has answered on the present path. */
   #hasAnswered = false
   #nextRelay = 0
+  /** Relays that were tried since the direct path was. */
+  #relaysInARow = 0
   /** Attempts in a row in which a relay did not reach the endpoint. */
   #relayFailures = 0
   #relayRetryAtMs = -Infinity
@@ -54,10 +58,10 @@
     if (!isSamePath(path, this.#path)) return
     const hadAnswered = this.#hasAnswered
     this.#hasAnswered = false
-    if (path.type === 'direct') return this.#useRelay(relays, nowMs)
-    this.#nextRelay += 1
-    // A relay that has worked may itself have failed: the next one may reach the endpoint at once.
-    if (hadAnswered) return this.#useRelay(relays, nowMs)
+    if (path.type === 'direct' || hadAnswered) this.#relaysInARow = 0
+    if (path.type === 'relayed') this.#nextRelay += 1
+    // The relay itself may have failed, or be cut off as well: another one may reach the endpoint.
+    if (this.#relaysInARow < Math.min(MAX_RELAYS_IN_A_ROW, relays.length)) return this.#useRelay(relays, nowMs)
     this.#relayFailures += 1
     this.#relayRetryAtMs = nowMs + backOff(MIN_RELAY_RETRY_MS, MAX_RELAY_RETRY_MS, this.#relayFailures)
     this.#path = DIRECT
@@ -77,6 +81,11 @@
 
   #useRelay (relays: readonly NodeId[], nowMs: number): void {
     const relay = relays[this.#nextRelay % relays.length]
-    this.#path = relay === undefined || nowMs < this.#relayRetryAtMs ? DIRECT : { type: 'relayed', relay }
+    if (relay === undefined || nowMs < this.#relayRetryAtMs) {
+      this.#path = DIRECT
+      return
+    }
+    this.#relaysInARow += 1
+    this.#path = { type: 'relayed', relay }
   }
 }
--- a/packages/relay/src/relay-directory.ts
+++ b/packages/relay/src/relay-directory.ts
@@ -12,8 +12,14 @@
 export class RelayDirectory {
   readonly #offers = new Map<NodeId, KnownOffer>()
 
-  get size (): number {
-    return this.#offers.size
+  /** Returns the number of processes whose offer holds. */
+  count (nowMs: number): number {
+    return this.#listCurrent(nowMs).length
+  }
+
+  /** Forgets the offer of a process that is about to stop. */
+  remove (node: NodeId): void {
+    this.#offers.delete(node)
   }
 
   record (offer: RelayOffer, nowMs: number): void {
@@ -28,7 +34,7 @@
    */
   listFor (endpoint: EndpointRecord, nowMs: number): RelayOffer[] {
     const byDomain = new Map<DomainId, RelayOffer[]>([[endpoint.domain, []]])
-    for (const offer of this.#sortFor(endpoint, nowMs)) {
+    for (const offer of this.#sortFor(endpoint, this.#listCurrent(nowMs))) {
       const others = byDomain.get(offer.domain)
       if (others) others.push(offer)
       else byDomain.set(offer.domain, [offer])
@@ -44,13 +50,16 @@
 
   /** Returns the address to which the endpoint should send its announcements: that of a relay in its failure domain; null if there is none. */
   getAnnounceAddress (endpoint: EndpointRecord, nowMs: number): string | null {
-    const [offer] = this.#sortFor(endpoint, nowMs).filter(({ domain, announceAddress }) => domain === endpoint.domain && announceAddress !== null)
-    return offer?.announceAddress ?? null
+    const offers = this.#listCurrent(nowMs).filter(({ domain, announceAddress }) => domain === endpoint.domain && announceAddress !== null)
+    return this.#sortFor(endpoint, offers)[0]?.announceAddress ?? null
+  }
+
+  #listCurrent (nowMs: number): RelayOffer[] {
+    return [...this.#offers.values()].filter(({ atMs }) => nowMs - atMs < OFFER_EXPIRY_MS).map(({ offer }) => offer)
   }
 
-  #sortFor ({ id }: EndpointRecord, nowMs: number): RelayOffer[] {
-    const current = [...this.#offers.values()].filter(({ atMs }) => nowMs - atMs < OFFER_EXPIRY_MS)
-    return rankByRendezvous(id, current.map(({ offer }) => offer.node)).map((node) => this.#offers.get(node)!.offer)
+  #sortFor ({ id }: EndpointRecord, offers: readonly RelayOffer[]): RelayOffer[] {
+    return rankByRendezvous(id, offers.map(({ node }) => node)).map((node) => this.#offers.get(node)!.offer)
   }
 
   #removeExpired (nowMs: number): void {
--- a/packages/relay/src/relay-offerer.ts
+++ b/packages/relay/src/relay-offerer.ts
@@ -8,6 +8,8 @@
   readonly offer: RelayOffer
   /** Sends the offer to the present leader. */
   readonly send: (offer: RelayOffer) => Promise<unknown>
+  /** Takes the offer back. */
+  readonly withdraw: (offer: RelayOffer) => Promise<unknown>
   readonly timers: TimerService
   readonly logger: Logger
 }
@@ -17,6 +19,8 @@
   readonly #options: RelayOffererOptions
   #stopTimer: Unsubscribe = () => {}
   #isSending = false
+  /** Whether an offer was asked for while another one was on its way, perhaps to an earlier leader. */
+  #mustRepeat = false
   #hasFailed = false
 
   constructor (options: RelayOffererOptions) {
@@ -28,12 +32,17 @@
     this.offer()
   }
 
+  /** Takes the offer back. Calls that are sent all the same should still be served for a while. */
   stop (): void {
+    const { offer, withdraw, logger } = this.#options
     this.#stopTimer()
+    this.#mustRepeat = false
+    withdraw(offer).catch((err: unknown) => logger.info('the leader does not know that this process relays no more calls', { detail: IbisError.from(err).message }))
   }
 
-  /** Sends the offer now, unless one is on its way; called when another leader has taken over. */
+  /** Sends the offer now, or after the one that is on its way; called when another leader has taken over. */
   offer (): void {
+    this.#mustRepeat = this.#isSending
     if (this.#isSending) return
     const { offer, send, logger } = this.#options
     this.#isSending = true
@@ -43,6 +52,9 @@
         if (!this.#hasFailed) logger.info('offer to relay calls did not reach the leader; it is repeated', { kind: IbisError.from(err).kind, detail: IbisError.from(err).message })
         this.#hasFailed = true
       })
-      .finally(() => { this.#isSending = false })
+      .finally(() => {
+        this.#isSending = false
+        if (this.#mustRepeat) this.offer()
+      })
   }
 }
--- a/packages/relay/src/relay-server.ts
+++ b/packages/relay/src/relay-server.ts
@@ -1,5 +1,5 @@
-import { checkValue, IbisError } from '@ibisstair/common'
-import type { EndpointPort } from '@ibisstair/dispatch'
+import { assertNever, checkValue, IbisError } from '@ibisstair/common'
+import type { EndpointPort, OrderResult, RenewResult } from '@ibisstair/dispatch'
 import type { EndpointIncarnation, EndpointRecord } from '@ibisstair/jobs'
 import type { RpcServer } from '@ibisstair/rpc'
 import type { Metrics } from '@ibisstair/telemetry'
@@ -7,7 +7,7 @@
 import * as v from 'valibot'
 import { IDLE_CHECK_PERIOD_MS, MAX_CALLS_PER_RELAY, RELAY_IDLE_MS, RELAY_METHOD } from './constants.ts'
 import { callEndpoint } from './endpoint-call.ts'
-import type { RelayAnswer, RelayRequest } from './types.ts'
+import type { EndpointCall, RelayAnswer, RelayRequest } from './types.ts'
 
 const MAX_RELAY_TIMEOUT_MS = 10_000
 
@@ -48,13 +48,13 @@
   async handle (params: unknown): Promise<RelayAnswer> {
     checkValue(RequestSchema, params, 'relayed call')
     const { endpoint, call, timeoutMs } = params as RelayRequest
-    const { port, timers, metrics } = this.#options
+    const { timers, metrics } = this.#options
     if (this.#inProgress >= MAX_CALLS_PER_RELAY) throw new IbisError('overloaded', `this process is already relaying ${this.#inProgress} calls`)
     this.#inProgress += 1
     this.#used.set(endpoint.life, { endpoint, atMs: timers.now() })
     metrics.increment(`relay.passed-on.${call.type}`)
     try {
-      return { type: 'answered', result: await callEndpoint(port, endpoint, call, timeoutMs) }
+      return { type: 'answered', result: await this.#passOn(endpoint, call, timeoutMs) }
     } catch (err) {
       const { kind, message, details } = IbisError.from(err)
       if (kind !== 'unreachable') throw err
@@ -64,6 +64,20 @@
     }
   }
 
+  /**
+   * A relay that has stood still may hold a call that was meant for an earlier incarnation, which has ended meanwhile. The
+   * next one knows neither its fencing token nor its runs, so that it is asked who it is first.
+   */
+  async #passOn (endpoint: EndpointRecord, call: EndpointCall, timeoutMs: number): Promise<OrderResult | RenewResult> {
+    const { port, timers } = this.#options
+    if (!changesEndpoint(call)) return await callEndpoint(port, endpoint, call, timeoutMs)
+    const beganAtMs = timers.now()
+    const { fencingToken } = call.order
+    const check = await port.renew(endpoint, { fencingToken, ackedUpto: 0, leaseUntilMs: null, waitMs: 0 }, timeoutMs)
+    if (check.type !== 'report') return check
+    return await callEndpoint(port, endpoint, call, Math.max(1, timeoutMs - (timers.now() - beganAtMs)))
+  }
+
   close (): void {
     this.#stopTimer()
     for (const { endpoint } of this.#used.values()) this.#options.port.closeConnections(endpoint)
@@ -79,3 +93,13 @@
     }
   }
 }
+
+/** Whether the call may start, keep or forget anything at the endpoint; a stop does no harm to a later incarnation. */
+const changesEndpoint = (call: EndpointCall): boolean => {
+  switch (call.type) {
+    case 'start': return true
+    case 'stop': return false
+    case 'renew': return call.order.leaseUntilMs !== null || call.order.ackedUpto > 0
+    default: return assertNever(call)
+  }
+}
--- a/packages/relay/src/relaying-endpoint-port.ts
+++ b/packages/relay/src/relaying-endpoint-port.ts
@@ -3,18 +3,13 @@
 import type { EndpointIncarnation, EndpointRecord } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService } from '@ibisstair/timers'
-import * as v from 'valibot'
 import { DIRECT_PROBE_TIMEOUT_MS, MAX_RELAYED_CALLS, RELAY_HOP_MS } from './constants.ts'
 import { EndpointPath } from './endpoint-path.ts'
 import { callEndpoint } from './endpoint-call.ts'
+import { RelayAnswerSchema, toResultSchema } from './relay-answer.ts'
 import type { RelayDirectory } from './relay-directory.ts'
 import type { EndpointCall, Path, RelayAnswer, RelayRequest } from './types.ts'
 
-const AnswerSchema = v.variant('type', [
-  v.object({ type: v.literal('answered'), result: v.looseObject({ type: v.string() }) }),
-  v.object({ type: v.literal('unreachable'), detail: v.string(), code: v.nullable(v.string()) })
-])
-
 export interface RelayingEndpointPortOptions {
   /** Calls endpoints from this process. */
   readonly direct: EndpointPort
@@ -44,16 +39,31 @@
   }
 
   async stop (endpoint: EndpointRecord, order: StopOrder, timeoutMs: number): Promise<OrderResult> {
-    return await this.#send(endpoint, this.#getPath(endpoint).current, { type: 'stop', order }, timeoutMs) as OrderResult
+    const path = this.#getPath(endpoint)
+    const call: EndpointCall = { type: 'stop', order }
+    // While no renewal tells whether the path works, as when the runs of an ended incarnation are settled, stops do.
+    if (!path.isRenewing) return await this.#sendAndDecide(endpoint, path, call, timeoutMs) as OrderResult
+    return await this.#send(endpoint, path.current, call, timeoutMs) as OrderResult
   }
 
   async renew (endpoint: EndpointRecord, order: RenewOrder, timeoutMs: number): Promise<RenewResult> {
-    const { timers, logger } = this.#options
     const path = this.#getPath(endpoint)
+    if (path.isProbeDue(this.#options.timers.now())) this.#probeDirectly(endpoint, path, order)
+    path.isRenewing = true
+    return await this.#sendAndDecide(endpoint, path, { type: 'renew', order }, timeoutMs).finally(() => { path.isRenewing = false }) as RenewResult
+  }
+
+  closeConnections (endpoint: EndpointRecord): void {
+    this.#paths.delete(endpoint.life)
+    this.#options.direct.closeConnections(endpoint)
+  }
+
+  /** Sends a call on the present path; its outcome decides the path of the next ones. */
+  async #sendAndDecide (endpoint: EndpointRecord, path: EndpointPath, call: EndpointCall, timeoutMs: number): Promise<OrderResult | RenewResult> {
+    const { timers, logger } = this.#options
     const { current } = path
-    if (path.isProbeDue(timers.now())) this.#probeDirectly(endpoint, path, order)
     try {
-      const result = await this.#send(endpoint, current, { type: 'renew', order }, timeoutMs) as RenewResult
+      const result = await this.#send(endpoint, current, call, timeoutMs)
       if (path.recordAnswer(current, timers.now())) logger.info('endpoint does not answer directly, but through a relay', { endpoint: endpoint.id, address: endpoint.address, ...current })
       return result
     } catch (err) {
@@ -62,11 +72,6 @@
     }
   }
 
-  closeConnections (endpoint: EndpointRecord): void {
-    this.#paths.delete(endpoint.life)
-    this.#options.direct.closeConnections(endpoint)
-  }
-
   #getPath ({ life }: EndpointRecord): EndpointPath {
     const known = this.#paths.get(life)
     if (known) return known
@@ -92,7 +97,7 @@
     this.#relayedCalls += 1
     metrics.increment('relay.calls')
     try {
-      return toResult(relay, await this.#readAnswer(callRelay, relay, req))
+      return toResult(relay, req, await this.#readAnswer(callRelay, relay, req))
     } finally {
       this.#relayedCalls -= 1
     }
@@ -101,7 +106,7 @@
   /** A failure of the relay itself says nothing about the endpoint, whose error code it must not pass for. */
   async #readAnswer (callRelay: RelayingEndpointPortOptions['callRelay'], relay: NodeId, req: RelayRequest): Promise<RelayAnswer> {
     try {
-      return checkValue(AnswerSchema, await callRelay(relay, req, req.timeoutMs + RELAY_HOP_MS), 'relay answer')
+      return checkValue(RelayAnswerSchema, await callRelay(relay, req, req.timeoutMs + RELAY_HOP_MS), 'relay answer')
     } catch (err) {
       this.#options.metrics.increment('relay.failures')
       throw new IbisError('unreachable', `relay ${relay}: ${IbisError.from(err).message}`, { info: { reason: 'relay' } })
@@ -122,10 +127,19 @@
   }
 }
 
-const toResult = (relay: NodeId, answer: RelayAnswer): OrderResult | RenewResult => {
+/** Throws `unreachable` for what is no answer of an endpoint. */
+const toResult = (relay: NodeId, { call }: RelayRequest, answer: RelayAnswer): OrderResult | RenewResult => {
   switch (answer.type) {
-    case 'answered': return answer.result as OrderResult | RenewResult
+    case 'answered': return checkResult(relay, call, answer.result)
     case 'unreachable': throw new IbisError('unreachable', `through ${relay}: ${answer.detail}`, { info: { reason: 'relayed', ...(answer.code !== null && { code: answer.code }) } })
     default: return assertNever(answer)
   }
 }
+
+const checkResult = (relay: NodeId, call: EndpointCall, result: unknown): OrderResult | RenewResult => {
+  try {
+    return checkValue(toResultSchema(call), result, 'relayed result') as OrderResult | RenewResult
+  } catch (err) {
+    throw new IbisError('unreachable', `through ${relay}: ${IbisError.from(err).message}`, { info: { reason: 'malformed' } })
+  }
+}
