dispatch tests: the fake endpoints follow the pages on leases, refusals and reports

Cause: compared with PROTOCOL.md (Running tasks), the stand-in was kinder: a start refused with `old`, or of a run that is there, did not lengthen the lease; a refusal of an unhealthy endpoint took note of the fencing token; a report listed all ends at once; a stop or lapse could end a later run of the task; a second run of a task on one endpoint was no violation. Change: all five as the pages say. Tests: more ends than one report lists (dispatcher.test.ts), and a gang that is withheld whole (unknown-outcomes.test.ts, case 6); both pass on the product as it is.

--- a/packages/dispatch/tests/dispatcher.test.ts
+++ b/packages/dispatch/tests/dispatcher.test.ts
@@ -1,7 +1,8 @@
 import { asId, type JobId } from '@ibisstair/common'
 import type { StepSpec } from '@ibisstair/jobs'
 import t from 'tap'
-import { createStep } from '../../jobs/tests/support/samples.ts'
+import { createEndpoint, createStep } from '../../jobs/tests/support/samples.ts'
+import { MAX_ENDS_PER_REPORT } from './support/fake-fleet.ts'
 import { TestCluster } from './support/test-cluster.ts'
 
 const gang = (count: number, accelerators: number, part: Partial<StepSpec> = {}): StepSpec =>
@@ -186,3 +187,14 @@
     for (let round = 0; round < 40; round++) t.match(cluster.statusOf(`a${round}`), /completed|failed/, `seed ${seed}, job ${round}`)
   }
 })
+
+t.test('more ends than one report lists are committed', async (t) => {
+  const capacity = { cpuMilli: 1_000_000, memMb: 1_000_000, accelerators: 1_000 }
+  const cluster = new TestCluster(1, { runMs: 200 }, [createEndpoint('w1', { capacity })])
+  cluster.elect()
+  cluster.submit('a1', [createStep({ count: MAX_ENDS_PER_REPORT + 100, resources: { cpuMilli: 1, memMb: 1, accelerators: 1 } })])
+  await cluster.run(5_000)
+  t.equal(cluster.statusOf('a1'), 'completed')
+  t.equal(cluster.fleet.starts, MAX_ENDS_PER_REPORT + 100)
+  t.same(cluster.fleet.violations, [])
+})
--- a/packages/dispatch/tests/support/fake-fleet.ts
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -44,6 +44,12 @@
 
 const FAILURE_MS = 50
 
+/** Time from the order to stop a run until it has ended. */
+const STOP_MS = 100
+
+/** Ends that one report lists; the others follow once these are acknowledged. */
+export const MAX_ENDS_PER_REPORT = 500
+
 /** Longest lease that an endpoint accepts. */
 export const LEASE_MAX_MS = 6_000
 
@@ -109,18 +115,21 @@
   }
 
   start (order: StartOrder): OrderResult {
-    if (!this.#accept(order.fencingToken)) return { type: 'fenced' }
+    // An endpoint that is not healthy has done nothing: it does not even take note of the fencing token.
     if (this.#fleet.faults.refusingStarts.has(this.record.life)) return { type: 'refused', reason: 'status-503' }
-    if (this.runs.get(order.task)?.run === order.run) return { type: 'ok', clockMs: this.clockMs }
-    if (order.run <= (this.#highestRuns.get(order.task) ?? 0)) return { type: 'refused', reason: 'old' }
+    if (!this.#accept(order.fencingToken)) return { type: 'fenced' }
     if (order.leaseUntilMs <= this.clockMs) return { type: 'refused', reason: 'late' }
+    // The lease is for all that runs here, and is taken from a start that is refused, too.
     this.#extendLease(order.leaseUntilMs)
+    if (this.runs.get(order.task)?.run === order.run) return { type: 'ok', clockMs: this.clockMs }
+    if (order.run <= (this.#highestRuns.get(order.task) ?? 0)) return { type: 'refused', reason: 'old' }
+    if (this.runs.has(order.task)) this.#fleet.violations.push(`${order.task} runs twice on ${this.record.life}, started as run ${order.run}`)
     this.#highestRuns.set(order.task, order.run)
     if (this.#fleet.faults.crashingTasks.has(order.task)) this.#fleet.timers.subscribe(this.#fleet.faults.crashAfterMs, () => { if (this.runs.get(order.task)?.run === order.run) this.#fleet.crash(this.record.life) })
     const isFailing = this.#fleet.faults.failing.has(this.record.life)
     const outcome: RunOutcome = isFailing || this.#fleet.random.float() < this.#fleet.faults.failingShare ? 'failed' : 'done'
     const endsByItself = isFailing || !this.#fleet.isLasting(order.task)
-    const stopTimer = endsByItself ? this.#fleet.timers.subscribe(isFailing ? FAILURE_MS : this.#fleet.faults.runMs, () => this.#end(order.task, outcome)) : () => {}
+    const stopTimer = endsByItself ? this.#fleet.timers.subscribe(isFailing ? FAILURE_MS : this.#fleet.faults.runMs, () => this.#end(order.task, order.run, outcome)) : () => {}
     this.runs.set(order.task, { task: order.task, run: order.run, stopTimer })
     this.#fleet.recordStart(this, order)
     return { type: 'ok', clockMs: this.clockMs }
@@ -129,7 +138,8 @@
   stop ({ task, run, fencingToken }: StopOrder): OrderResult {
     if (!this.#accept(fencingToken)) return { type: 'fenced' }
     this.#highestRuns.set(task, Math.max(run, this.#highestRuns.get(task) ?? 0))
-    if ((this.runs.get(task)?.run ?? Infinity) <= run) this.#fleet.timers.subscribe(100, () => this.#end(task, 'stopped'))
+    const present = this.runs.get(task)?.run ?? Infinity
+    if (present <= run) this.#fleet.timers.subscribe(STOP_MS, () => this.#end(task, present, 'stopped'))
     return { type: 'ok', clockMs: this.clockMs }
   }
 
@@ -139,7 +149,7 @@
     for (const { task, run, number } of this.#ended) if (number <= ackedUpto) this.#fleet.recordAck(this, task, run)
     this.#ended = this.#ended.filter(({ number }) => number > ackedUpto)
     const running = [...this.#fleet.faults.strayRuns, ...[...this.runs.values()].map(({ task, run }) => ({ task, run, percent: 50 }))]
-    return { type: 'report', report: { clockMs: this.clockMs, running, ended: [...this.#ended], hasMore: false } }
+    return { type: 'report', report: { clockMs: this.clockMs, running, ended: this.#ended.slice(0, MAX_ENDS_PER_REPORT), hasMore: this.#ended.length >= MAX_ENDS_PER_REPORT } }
   }
 
   /** Ends the process: its runs are gone, and nothing is reported about them. */
@@ -163,18 +173,18 @@
     this.#leaseUntilMs = untilMs
     this.#cancelLeaseTimer()
     this.#cancelLeaseTimer = this.#fleet.timers.subscribe(untilMs - this.clockMs, () => {
-      for (const task of [...this.runs.keys()]) this.#end(task, 'lapsed')
+      for (const { task, run } of [...this.runs.values()]) this.#end(task, run, 'lapsed')
       this.#fleet.recordLapse(this)
     })
   }
 
-  #end (task: TaskId, outcome: RunOutcome): void {
-    const run = this.runs.get(task)
-    if (!run) return
-    run.stopTimer()
+  #end (task: TaskId, run: number, outcome: RunOutcome): void {
+    const present = this.runs.get(task)
+    if (present?.run !== run) return
+    present.stopTimer()
     this.runs.delete(task)
-    this.#ended.push({ number: ++this.#number, task, run: run.run, outcome, checkpoint: '' })
-    if (outcome === 'done') this.#fleet.recordDone(this, task, run.run)
+    this.#ended.push({ number: ++this.#number, task, run, outcome, checkpoint: '' })
+    if (outcome === 'done') this.#fleet.recordDone(this, task, run)
   }
 }
 
--- a/packages/dispatch/tests/unknown-outcomes.test.ts
+++ b/packages/dispatch/tests/unknown-outcomes.test.ts
@@ -88,3 +88,21 @@
   await cluster.run(10_000)
   t.equal(cluster.fleet.starts, 0)
 })
+
+t.test('a gang is withheld whole when one of its endpoints has shrunk before the commit', async (t) => {
+  const cluster = new TestCluster(1, { runMs: 1_000 }, [createEndpoint('w1'), createEndpoint('w2')])
+  cluster.elect()
+  await cluster.run(1_000)
+  cluster.slowCommitMs = SLOW_COMMIT_MS
+  cluster.submit('a1', [{ ...tasks(2, 8), gang: true }])
+  await cluster.run(100)
+  cluster.setCapacity('w2', { accelerators: 4 })
+  await cluster.run(1_000)
+  cluster.slowCommitMs = null
+  await cluster.run(10_000)
+  t.equal(cluster.fleet.starts, 0)
+  cluster.setCapacity('w2', { accelerators: 8 })
+  await cluster.run(5_000)
+  t.same(cluster.fleet.violations, [])
+  t.equal(cluster.statusOf('a1'), 'completed')
+})
