dispatch tests: commands of a leader without quorum are committed when the quorum is back

Cause: the stand-in of the group dropped what was on its way when the leader lost its quorum, and told the proposer at once. A leader's log keeps such a command and commits it once the quorum is back in the same term; the proposer learns only that the outcome is not known. The kinder stand-in hid the class of docs/decisions/14-unknown-outcomes.md. Change: TestCluster holds such commits until the quorum is back, in their order; a new leader drops them. A proposal without a quorum is refused at once, as before. waiting-report.test.ts, case 6, waited 500 ms for the rejection; it waits for COMMIT_TIMEOUT_MS now, with the same checks. Conclusion: lost quorums now test unknown outcomes, too.

--- a/packages/dispatch/tests/support/test-cluster.ts
+++ b/packages/dispatch/tests/support/test-cluster.ts
@@ -22,8 +22,6 @@
   readonly logLines: Array<{ readonly message: string, readonly fields: Readonly<Record<string, unknown>> }> = []
   readonly fleet: FakeFleet
   readonly endpoints: readonly EndpointRecord[]
-  /** False while the leader has lost its quorum. */
-  hasQuorum = true
   commitMs = 5
   /** Time that commits take; null if it is `commitMs`. After COMMIT_TIMEOUT_MS the proposer is told that the outcome is not known. */
   slowCommitMs: number | null = null
@@ -36,6 +34,9 @@
   /** When the last of the slow commits is applied; commands are applied in the order of the log. */
   #commitsUntilMs = 0
   #announcements = 0
+  #hasQuorum = true
+  /** Commits that wait for the quorum, in the order of the log; those of a leader that was replaced are dropped. */
+  #heldCommits: Array<() => void> = []
   #term = 0
   #dispatcher: Dispatcher | null = null
   /** End of the last leader's term as its successor knows it. */
@@ -49,6 +50,19 @@
     this.timers.every(ANNOUNCE_MS, () => this.#announceAll())
   }
 
+  get hasQuorum (): boolean {
+    return this.#hasQuorum
+  }
+
+  /** False while the leader has lost its quorum. What it had proposed before stays in its log, and is committed once the quorum is back. */
+  set hasQuorum (hasQuorum: boolean) {
+    this.#hasQuorum = hasQuorum
+    if (!hasQuorum) return
+    const held = this.#heldCommits
+    this.#heldCommits = []
+    for (const commit of held) commit()
+  }
+
   /** Starts a new leader with a higher fencing token; the old one sends no more orders. */
   elect (): void {
     if (this.#dispatcher) this.depose()
@@ -56,10 +70,9 @@
     this.leaderChangedAtMs = this.timers.now()
     const propose = async (command: StateCommand): Promise<StateResult> => {
       const copy = JSON.parse(JSON.stringify(command)) as StateCommand
-      if (this.slowCommitMs !== null || this.#commitsUntilMs > this.timers.now()) return await this.#commitSlowly(copy, term)
-      await this.timers.delay(this.commitMs)
       if (this.#term !== term || !this.hasQuorum) throw new Error('not the leader')
-      return this.state.apply(copy)
+      const isSlow = this.slowCommitMs !== null || this.#commitsUntilMs > this.timers.now()
+      return await (isSlow ? this.#commitSlowly(copy, term) : this.#commit(copy, term, this.commitMs))
     }
     const log = (message: string, fields: Readonly<Record<string, unknown>> = {}): void => { this.logLines.push({ message, fields }) }
     this.#dispatcher = new Dispatcher({
@@ -129,12 +142,22 @@
 
   async #commitSlowly (command: StateCommand, term: number): Promise<StateResult> {
     this.#commitsUntilMs = Math.max(this.#commitsUntilMs, this.timers.now() + (this.slowCommitMs ?? this.commitMs))
-    const delayMs = this.#commitsUntilMs - this.timers.now()
-    let result: StateResult | null = null
-    this.timers.subscribe(delayMs, () => { if (this.#term === term) result = this.state.apply(command) })
-    await this.timers.delay(Math.min(delayMs, COMMIT_TIMEOUT_MS))
-    if (result === null) throw new Error('not committed in time')
-    return result
+    return await this.#commit(command, term, this.#commitsUntilMs - this.timers.now())
+  }
+
+  /** Rejects after COMMIT_TIMEOUT_MS, or when the leader is replaced; in the first case the command may still be applied. */
+  async #commit (command: StateCommand, term: number, delayMs: number): Promise<StateResult> {
+    return await new Promise((resolve, reject) => {
+      const apply = (): void => {
+        if (this.#term === term) resolve(this.state.apply(command))
+        else reject(new Error('not the leader'))
+      }
+      this.timers.subscribe(COMMIT_TIMEOUT_MS, () => reject(new Error('not committed in time')))
+      this.timers.subscribe(delayMs, () => {
+        if (this.hasQuorum) apply()
+        else this.#heldCommits.push(apply)
+      })
+    })
   }
 
   cancel (id: string): void {
--- a/packages/dispatch/tests/waiting-report.test.ts
+++ b/packages/dispatch/tests/waiting-report.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap'
 import { createStep } from '../../jobs/tests/support/samples.ts'
 import { EXAMINATION_PERIOD_MS, MAX_EXAMINED_WORK, MIN_EXAMINED_WAIT_MS } from '../src/waiting-work.ts'
+import { COMMIT_TIMEOUT_MS } from '../src/constants.ts'
 import { TestCluster } from './support/test-cluster.ts'
 
 const WHOLE_ENDPOINT = { cpuMilli: 1_000, memMb: 1, accelerators: 8 }
@@ -97,7 +98,7 @@
   cluster.submit('a1', [createStep()])
   await cluster.run(800)
   cluster.hasQuorum = false
-  await cluster.run(500)
+  await cluster.run(COMMIT_TIMEOUT_MS)
   t.equal(cluster.metrics.counter('starts.uncommitted'), 1)
   t.ok(cluster.metrics.counter('planner.awaits-commit') > 0)
   t.equal(cluster.metrics.read().timings['starts.commit']?.count, 1)
