dispatch: guaranteed work does not wait out a claim that can't be met

Cause: guaranteed work that has chosen victims waits for 1.5 s before it looks again, also when an endpoint of its claim has gone out of use or has shrunk below the work, and before it stops a run that was to end by itself within 0.8 s and has not. Change: for guaranteed work only, a claim is given up after an endpoint has been out of use for 0.3 s, and at once when its victims have ended and an endpoint has shrunk too far; a run that was to end soon is stopped after 1 s.

--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -1,5 +1,6 @@
 import type { TaskId } from '@ibisstair/common'
-import type { ActiveRun, EndpointIncarnation, EndpointRecord, SchedulingState, StartGroup } from '@ibisstair/jobs'
+import type { ActiveRun, EndpointIncarnation, EndpointRecord, Resources, SchedulingState, StartGroup } from '@ibisstair/jobs'
+import { countFits, isSufficientFor, subtractResources } from '@ibisstair/jobs'
 import { GangReservations } from './gang-reservations.ts'
 import { isGuaranteed } from './guarantees.ts'
 import { couldEverFit, placeTasks, deductAssigned, type Assignment, type PlacementOptions } from './placement.ts'
@@ -50,9 +51,16 @@
 /** Capacity that is reserved for urgent work until its victims have ended. */
 interface Claim {
   readonly assignments: readonly Assignment[]
+  /** Capacity of its endpoints when it was made. */
+  readonly capacities: ReadonlyMap<EndpointIncarnation, Resources>
   /** Runs that were to be stopped for it. */
   readonly stopped: readonly ActiveRun[]
+  /** Runs that were to end by themselves about as soon. */
+  readonly spared: readonly ActiveRun[]
+  readonly sinceMs: number
   readonly untilMs: number
+  /** Since when an endpoint of the claim has been out of use; null while none is. */
+  goneSinceMs: number | null
 }
 
 interface PreemptionOptions extends PlacementOptions {
@@ -63,6 +71,12 @@
 /** A claim expires after this time if its victims have not ended; victims are then searched again. */
 const CLAIM_MS = 1_500
 
+/** A run that was to end soon is stopped if it has not ended this long after the claim of guaranteed work. */
+const MAX_SPARED_MS = 1_000
+
+/** Guaranteed work gives up a claim of which an endpoint has been out of use for this time. */
+const MAX_GONE_MS = 300
+
 /** Delay before a failed search for victims is repeated; few runs end in a shorter time. */
 const PREEMPTION_RETRY_MS = 100
 
@@ -182,9 +196,9 @@
     const { job, spec, indexes } = work
     const key = toWorkKey(work)
     const claim = this.#claims.get(key)
-    if (claim && pass.nowMs < claim.untilMs) return this.#placeClaimed(work, claim, pass)
+    if (claim && pass.nowMs < claim.untilMs && !this.#isClaimVoid(work, claim, pass)) return this.#placeClaimed(work, claim, pass)
     if (this.#stalledWork.isKeptApart(work, pass)) return toGroups(work, this.#placeApart(work, pass))
-    if (claim) this.#waits.recordTried(work, listUnended(claim, pass), pass.nowMs)
+    if (claim && pass.nowMs >= claim.untilMs) this.#waits.recordTried(work, listUnended(claim.stopped, pass).map(({ endpoint }) => endpoint), pass.nowMs)
     const hasClaimExpired = this.#claims.delete(key)
     const shape = toShape(work)
     const isUrgent = job.spec.priority === 0
@@ -211,18 +225,41 @@
     return placeTasks(work.spec, work.indexes, empty, pass.createCounter(work), { acceptFar })
   }
 
-  #placeClaimed (work: ReadyWork, { assignments }: Claim, { byIncarnation }: PlanningPass): StartGroup[] {
+  #placeClaimed (work: ReadyWork, claim: Claim, pass: PlanningPass): StartGroup[] {
+    const { assignments } = claim
+    const { byIncarnation } = pass
     // The free resources are negative while the victims still run, which keeps other work out.
     deductAssigned(work.spec, assignments, byIncarnation)
     const isFree = assignments.every(({ endpoint }) => {
       const free = byIncarnation.get(endpoint)?.free
       return free !== undefined && Math.min(free.cpuMilli, free.memMb, free.accelerators) >= 0
     })
-    if (!isFree) return []
+    if (!isFree) {
+      this.#stopOverdue(work, claim, pass)
+      return []
+    }
     this.#claims.delete(toWorkKey(work))
     return toGroups(work, assignments)
   }
 
+  /** Whether guaranteed work waits in vain: an endpoint is out of use, or has shrunk so that the end of all victims is not enough. */
+  #isClaimVoid (work: ReadyWork, claim: Claim, pass: PlanningPass): boolean {
+    if (!isGuaranteed(pass.state, work.job, pass.needs)) return false
+    const isGone = claim.assignments.some(({ endpoint }) => !pass.byIncarnation.has(endpoint))
+    claim.goneSinceMs = isGone ? claim.goneSinceMs ?? pass.nowMs : null
+    if (claim.goneSinceMs !== null) return pass.nowMs - claim.goneSinceMs >= MAX_GONE_MS
+    return listUnended([...claim.stopped, ...claim.spared], pass).length === 0 && hasShrunkBelow(work, claim, pass)
+  }
+
+  /** Stops runs that were to end soon, once guaranteed work has waited for them for too long. */
+  #stopOverdue (work: ReadyWork, claim: Claim, pass: PlanningPass): void {
+    if (claim.spared.length === 0 || pass.nowMs - claim.sinceMs < MAX_SPARED_MS || !isGuaranteed(pass.state, work.job, pass.needs)) return
+    const overdue = listUnended(claim.spared, pass)
+    if (overdue.length === 0) return
+    pass.stopOverdue(overdue)
+    this.#claims.set(toWorkKey(work), { ...claim, stopped: [...claim.stopped, ...overdue], spared: [], untilMs: pass.nowMs + CLAIM_MS })
+  }
+
   #preemptFor (work: ReadyWork, placed: readonly Assignment[], pass: PlanningPass, { acceptFar, stopAll }: PreemptionOptions): void {
     const key = toWorkKey(work)
     if (pass.nowMs < (this.#retryAtMs.get(key) ?? -Infinity)) return
@@ -236,7 +273,9 @@
       return
     }
     const stopped = pass.victims.select(plan.victims, { stopAll })
-    this.#claims.set(key, { assignments: plan.assignments, stopped, untilMs: pass.nowMs + CLAIM_MS })
+    const spared = stopAll ? [] : plan.victims.filter(({ endsSoon }) => endsSoon).flatMap(({ runs }) => runs)
+    const capacities = new Map(plan.assignments.map(({ endpoint }) => [endpoint, pass.byIncarnation.get(endpoint)!.endpoint.capacity]))
+    this.#claims.set(key, { assignments: plan.assignments, capacities, stopped, spared, sinceMs: pass.nowMs, untilMs: pass.nowMs + CLAIM_MS, goneSinceMs: null })
     deductAssigned(work.spec, plan.assignments, pass.byIncarnation)
   }
 }
@@ -248,9 +287,19 @@
 const limitStalled = (work: ReadyWork): ReadyWork =>
   work.spec.gang || work.spec.longRunning ? work : { ...work, indexes: work.indexes.slice(0, 1) }
 
-/** Returns the endpoints on which runs that were stopped for the claim have not ended. */
-const listUnended = ({ stopped }: Claim, { state }: PlanningPass): EndpointIncarnation[] =>
-  stopped.filter(({ task, run, endpoint }) => state.jobs.listRuns(endpoint).get(task)?.run === run).map(({ endpoint }) => endpoint)
+const listUnended = (runs: readonly ActiveRun[], { state }: PlanningPass): ActiveRun[] =>
+  runs.filter(({ task, run, endpoint }) => state.jobs.listRuns(endpoint).get(task)?.run === run)
+
+/** Whether an endpoint has shrunk since it was claimed, so that it has no room for the work beside the runs that are active there. */
+const hasShrunkBelow = ({ spec }: ReadyWork, { assignments, capacities }: Claim, { state, byIncarnation }: PlanningPass): boolean => {
+  const tasks = new Map<EndpointIncarnation, number>()
+  for (const { endpoint } of assignments) tasks.set(endpoint, (tasks.get(endpoint) ?? 0) + 1)
+  return [...tasks].some(([life, count]) => {
+    const { capacity } = byIncarnation.get(life)!.endpoint
+    const hasShrunk = !isSufficientFor(capacity, capacities.get(life)!)
+    return hasShrunk && countFits(subtractResources(capacity, state.jobs.getUsage(life)), spec.resources) < count
+  })
+}
 
 /** Gives deferrable work its share of the fleet and returns the work that was not placed. */
 const placeShare = (works: readonly ReadyWork[], { state, candidates }: PlanningPass, place: (work: ReadyWork) => boolean): ReadyWork[] => {
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -1,5 +1,5 @@
 import type { CustomerId, TaskId } from '@ibisstair/common'
-import type { EndpointIncarnation, EndpointRecord, Resources, SchedulingState } from '@ibisstair/jobs'
+import type { ActiveRun, EndpointIncarnation, EndpointRecord, Resources, SchedulingState } from '@ibisstair/jobs'
 import { mustParseTaskId, subtractResources } from '@ibisstair/jobs'
 import { isGuaranteed, sumUrgentNeeds } from './guarantees.ts'
 import { Isolation } from './isolation.ts'
@@ -36,6 +36,7 @@
   readonly #isIdleWithSuspects = new Map<string, boolean>()
   readonly #free = new Map<string, Resources>()
   readonly #estimateRemaining: EstimateRemaining
+  readonly #overdue: TaskId[] = []
   #victims: VictimList | null = null
 
   constructor ({ state, fleet, nowMs, wallMs, mayPreempt }: PlanInput) {
@@ -55,7 +56,12 @@
 
   /** Runs that the pass has chosen to preempt. */
   get preempted (): TaskId[] {
-    return [...this.#victims?.stopped ?? []]
+    return [...this.#victims?.stopped ?? [], ...this.#overdue]
+  }
+
+  /** Stops runs that a claim has waited for in vain. */
+  stopOverdue (runs: readonly ActiveRun[]): void {
+    this.#overdue.push(...runs.map(({ task }) => task))
   }
 
   get victims (): VictimList {
