dispatch: commit a start only where the endpoint has answered of late

What callers saw: work whose start was committed and never ordered was held for 8.9 s by the next leader. Change: a start on an endpoint that has not answered for 2 s is left out of the plan; the endpoint is called, and a later pass places the work there or elsewhere. A call that only makes contact acknowledges no ends.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -395,7 +395,8 @@
       this.#stopTask(task)
     }
     this.#reportWaiting(plan)
-    if (plan.starts.length > 0) this.#commitStarts(plan.starts)
+    const starts = this.#selectAnswering(plan.starts)
+    if (starts.length > 0) this.#commitStarts(starts)
   }
 
   /** An error in what is only reported must not keep work from starting. */
@@ -423,6 +424,29 @@
     return this.#unsurveyed.length === 0
   }
 
+  /**
+   * Returns the starts on endpoints that have answered of late; a gang starts on such endpoints alone. The others are
+   * called, so that a later pass starts the work there or elsewhere: what is not committed holds no task.
+   */
+  #selectAnswering (groups: readonly StartGroup[]): StartGroup[] {
+    const { state } = this.#options
+    return groups.flatMap((group) => {
+      const isGang = state.jobs.get(group.job)?.spec.steps[group.step]!.gang ?? false
+      const answering = group.members.filter(({ endpoint }) => this.#isAnswering(endpoint))
+      if (answering.length === group.members.length) return [group]
+      return isGang || answering.length === 0 ? [] : [{ ...group, members: answering }]
+    })
+  }
+
+  /** Calls the endpoint if it has not answered of late; a pass follows the answer. */
+  #isAnswering (incarnation: EndpointIncarnation): boolean {
+    const session = this.#openSession(incarnation)
+    if (!session) return false
+    if (session.hasAnsweredOfLate) return true
+    session.makeContact().catch(() => {}).finally(() => this.#schedulePass())
+    return false
+  }
+
   #commitStarts (groups: readonly StartGroup[]): void {
     const { timers, logger, metrics } = this.#options
     const proposedAtMs = timers.now()
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -151,12 +151,17 @@
     this.poll()
   }
 
+  /** Whether the endpoint has answered the last call, and that was so short ago that it may be given an order. */
+  get hasAnsweredOfLate (): boolean {
+    return this.#failures === 0 && this.#lease.hasAnsweredSince(this.#options.timers.now() - CONTACT_VALIDITY_MS)
+  }
+
   /**
    * Returns whether the endpoint answers calls. One that has not answered of late is asked without a lease, so that it
    * can't start or keep any run because of the call.
    */
   async makeContact (): Promise<boolean> {
-    if (this.#failures === 0 && this.#lease.hasAnsweredSince(this.#options.timers.now() - CONTACT_VALIDITY_MS)) return true
+    if (this.hasAnsweredOfLate) return true
     this.#contact ??= this.#renew(0, false).finally(() => { this.#contact = null })
     return await this.#contact
   }
@@ -368,7 +373,8 @@
     const { port, fencingToken, timers } = this.#options
     // The lease of an unreachable or leaving endpoint is not extended, so that its end stays certain.
     const leaseUntilMs = mayExtend && this.#failures === 0 && this.#leavingSinceMs === null && this.#runs.size > 0 ? this.#lease.extend(timers.now()) : null
-    const ackedUpto = this.#getNumberToAcknowledge()
+    // A call that only makes contact acknowledges nothing: another life may have taken the place meanwhile.
+    const ackedUpto = mayExtend ? this.#getNumberToAcknowledge() : 0
     const sentAtMs = timers.now()
     const result = await port.renew(this.#endpoint, { fencingToken, ackedUpto, leaseUntilMs, waitMs }, waitMs + RENEW_TIMEOUT_MARGIN_MS).catch(IbisError.from)
     if (this.#isClosed) return true
--- a/packages/dispatch/tests/unconfirmed-runs.test.ts
+++ b/packages/dispatch/tests/unconfirmed-runs.test.ts
@@ -44,3 +44,18 @@
   await cluster.run(1_000)
   t.equal(cluster.statusOf('a1'), 'completed')
 })
+
+t.test('a run that was not ordered is not held by the next leader', async (t) => {
+  // The start was committed before the endpoint was called, and the next leader can't know that no order followed.
+  const cluster = new TestCluster(4, { runMs: 300 })
+  cluster.fleet.faults.hanging.add(cluster.endpoints[0]!.life)
+  cluster.elect()
+  cluster.submit('a1', [createStep()])
+  await cluster.run(300)
+  cluster.hasQuorum = false
+  await cluster.run(1_500)
+  cluster.hasQuorum = true
+  cluster.elect()
+  await cluster.run(3_000)
+  t.equal(cluster.statusOf('a1'), 'completed')
+})
--- a/packages/dispatch/tests/waiting-report.test.ts
+++ b/packages/dispatch/tests/waiting-report.test.ts
@@ -77,10 +77,12 @@
 t.test('a run whose endpoint does not confirm it is reported, and counts among the runs of its job', async (t) => {
   const cluster = new TestCluster(5, { runMs: 60_000 })
   cluster.elect()
-  // The orders get no answer.
   await cluster.run(100)
-  for (const { life } of cluster.endpoints) cluster.fleet.faults.unreachable.add(life)
+  // The endpoints answer a call before the starts are committed, and the orders after that get no answer.
+  cluster.commitMs = 1_000
   cluster.submit('a1', [createStep({ count: 6, resources: WHOLE_ENDPOINT })])
+  await cluster.run(500)
+  for (const { life } of cluster.endpoints) cluster.fleet.faults.unreachable.add(life)
   await cluster.run(5_000)
   const unsettled = listLines(cluster, 'run unsettled')
   t.ok(unsettled.length > 0)
