dispatch: the end of a run that no report lists is committed once, not with each report

Callers would see: late starts and acknowledgements while the log is slow. Cause: a run that an endpoint neither runs nor lists as ended was ended again with each report until the commit was applied, and the renewals in between had no pause. Change: a run whose end awaits its commit is passed over in reports, and renewals pause for the commit meanwhile.

--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -1,4 +1,4 @@
-import { IbisError, type TaskId } from '@ibisstair/common'
+import { assertNever, IbisError, type TaskId } from '@ibisstair/common'
 import type { ActiveRun, EndpointRecord, RunEnd } from '@ibisstair/jobs'
 import type { TimerService } from '@ibisstair/timers'
 import {
@@ -8,7 +8,7 @@
 import { Handover } from './handover.ts'
 import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
 import { StrayRuns } from './stray-runs.ts'
-import { createTrackedRun, mayBeActive, toEnd, type RunPhase, type TrackedRun } from './tracked-run.ts'
+import { createTrackedRun, mayBeActive, toEnd, type AbsentRun, type RunPhase, type TrackedRun } from './tracked-run.ts'
 
 /** Callbacks of a session to its owner. */
 export interface SessionEvents {
@@ -264,9 +264,16 @@
   /** The order of the run was not and will not be carried out. A commit that fails is tried again while this process leads. */
   #endNotStarted (tracked: TrackedRun): void {
     if (tracked.isEnding) return
-    tracked.isEnding = true
     this.#setPhase(tracked, 'not-started')
-    this.#submit([toEnd(tracked, 'not-started')]).catch(() => {}).finally(() => { tracked.isEnding = false })
+    this.#commitEnds([{ tracked, outcome: 'not-started' }])
+  }
+
+  /** Commits ends that no report lists. Until that is over, no report leads to the same commit again. */
+  #commitEnds (ends: readonly AbsentRun[]): void {
+    for (const { tracked } of ends) tracked.isEnding = true
+    this.#submit(ends.map(({ tracked, outcome }) => toEnd(tracked, outcome)))
+      .catch(() => {})
+      .finally(() => { for (const { tracked } of ends) tracked.isEnding = false })
   }
 
   async #sendStop (tracked: TrackedRun): Promise<void> {
@@ -343,7 +350,8 @@
 
   #getPauseMs (): number {
     // The endpoint lists the same ends again until they are acknowledged, which needs their commit.
-    if (this.#submittedUpto > this.#committedUpto) return COMMIT_POLL_INTERVAL_MS
+    const awaitsCommit = this.#submittedUpto > this.#committedUpto || [...this.#runs.values()].some(({ isEnding }) => isEnding)
+    if (awaitsCommit) return COMMIT_POLL_INTERVAL_MS
     // Stops take some time to be reported; polling more often would not speed them up.
     return [...this.#runs.values()].some(({ phase }) => phase === 'stopping' || phase === 'unconfirmed') ? STOP_POLL_INTERVAL_MS : 0
   }
@@ -409,18 +417,20 @@
   #handleReport (report: EndpointReport, requestedAtMs: number): void {
     const newEnds = report.ended.filter(({ number }) => number > this.#submittedUpto)
     const ends: RunEnd[] = newEnds.map(({ task, run, outcome, checkpoint }) => ({ task, run, outcome, checkpoint }))
+    const absent: AbsentRun[] = []
     const reportedEnds = new Set(report.ended.map(({ task, run }) => `${task}#${run}`))
     const running = new Map(report.running.map((run) => [run.task, run] as const))
     for (const tracked of this.#runs.values()) {
       const isEnded = reportedEnds.has(`${tracked.task}#${tracked.run}`)
-      if (isEnded) continue
+      if (isEnded || tracked.isEnding) continue
       const reported = running.get(tracked.task)
       if (reported?.run === tracked.run) this.#confirmRun(tracked, reported.percent)
-      else if (!report.hasMore && tracked.sinceMs < requestedAtMs) this.#handleAbsent(tracked, ends)
+      else if (!report.hasMore && tracked.sinceMs < requestedAtMs) absent.push(...this.#handleAbsent(tracked))
     }
     for (const { task, run } of report.running) if ((this.#runs.get(task)?.run ?? -1) < run) this.#strayRuns.stop(this.#endpoint, task, run)
     const upto = newEnds.reduce((max, { number }) => Math.max(max, number), this.#submittedUpto)
     if (ends.length > 0) this.#submit(ends, upto).catch(() => {})
+    if (absent.length > 0) this.#commitEnds(absent)
   }
 
   #confirmRun (tracked: TrackedRun, percent: number): void {
@@ -429,25 +439,23 @@
     if (tracked.phase === 'inherited' || tracked.phase === 'unconfirmed') this.#setPhase(tracked, 'present')
   }
 
-  /** Handles a run that the report lists neither as running nor as ended. */
-  #handleAbsent (tracked: TrackedRun, ends: RunEnd[]): void {
+  /** Handles a run that the report lists neither as running nor as ended; returns it if that tells how it ended. */
+  #handleAbsent (tracked: TrackedRun): AbsentRun[] {
     switch (tracked.phase) {
       case 'starting':
-      case 'not-started': return
+      case 'not-started': return []
       // The endpoint has seen this leader's fencing token and rejects late orders of the earlier leader.
-      case 'inherited': {
-        ends.push(toEnd(tracked, 'not-started'))
-        return
-      }
-      case 'unconfirmed': return this.stop(tracked.task)
-      case 'stopping': {
-        if (tracked.isStopAcked) ends.push(toEnd(tracked, 'not-started'))
-        return
+      case 'inherited': return [{ tracked, outcome: 'not-started' }]
+      case 'unconfirmed': {
+        this.stop(tracked.task)
+        return []
       }
+      case 'stopping': return tracked.isStopAcked ? [{ tracked, outcome: 'not-started' }] : []
       case 'present': {
         this.#options.events.log('run is missing from the report of its endpoint; it counts as lost', { task: tracked.task, run: tracked.run, endpoint: this.#endpoint.id })
-        ends.push(toEnd(tracked, 'lost'))
+        return [{ tracked, outcome: 'lost' }]
       }
+      default: return assertNever(tracked.phase)
     }
   }
 
--- a/packages/dispatch/src/tracked-run.ts
+++ b/packages/dispatch/src/tracked-run.ts
@@ -22,15 +22,21 @@
   isConfirmed: boolean
   /** Whether a report has listed the run; an answer to an order does not tell which incarnation gave it. */
   isReported: boolean
-  /** Whether the commit of its end as `not-started` is in progress. */
+  /** Whether the commit of its end is in progress, which no report lists. */
   isEnding: boolean
   readonly progress: RunProgress
 }
 
+/** A run that an endpoint neither runs nor lists as ended, and how it counts. */
+export interface AbsentRun {
+  readonly tracked: TrackedRun
+  readonly outcome: 'lost' | 'not-started'
+}
+
 export const createTrackedRun = (task: TaskId, run: number, phase: RunPhase, sinceMs: number): TrackedRun =>
   ({ task, run, phase, sinceMs, isStopAcked: false, isConfirmed: false, isReported: false, isEnding: false, progress: new RunProgress() })
 
 /** Whether the run may be active on the endpoint for all that the leader can find out without a call. */
 export const mayBeActive = ({ phase }: TrackedRun): boolean => phase !== 'starting' && phase !== 'not-started'
 
-export const toEnd = ({ task, run }: TrackedRun, outcome: 'lost' | 'not-started'): RunEnd => ({ task, run, outcome, checkpoint: '' })
+export const toEnd = ({ task, run }: TrackedRun, outcome: AbsentRun['outcome']): RunEnd => ({ task, run, outcome, checkpoint: '' })
