--- a/packages/relay/tests/cut-from-leader.test.ts
+++ b/packages/relay/tests/cut-from-leader.test.ts
@@ -95,6 +95,21 @@
   t.same(cluster.fleet.violations, [])
 })
 
+t.test('while calls are relayed, a direct call grants and acknowledges nothing', async (t) => {
+  const cluster = new TestCluster(45, { runMs: 2_000 })
+  const paths = new RelayedPaths(cluster, DOMAINS)
+  cluster.elect()
+  await cluster.run(1_000)
+  cluster.submit('a1', [createStep({ count: 600 })])
+  cutFromLeader(cluster, paths, 0)
+  await cluster.run(6_000)
+  const before = paths.direct.renewals.length
+  await cluster.run(20_000)
+  const probes = paths.direct.renewals.slice(before)
+  t.ok(probes.length >= 4 && probes.length <= 4 * 12, `${probes.length} probes`)
+  t.same(new Set(probes.map((order) => JSON.stringify(order))), new Set([JSON.stringify({ fencingToken: 1, ackedUpto: 0, leaseUntilMs: null, waitMs: 0 })]))
+})
+
 t.test('a deposed leader does nothing through a relay', async (t) => {
   const cluster = new TestCluster(41, { runMs: 5_000 })
   const paths = new RelayedPaths(cluster, DOMAINS)
--- a/packages/relay/tests/relay-faults.test.ts
+++ b/packages/relay/tests/relay-faults.test.ts
@@ -166,6 +166,21 @@
   }
 })
 
+t.test('the error code of a relay that refuses connections is not that of the endpoint', async (t) => {
+  const timers = new ManualTimerService()
+  const relays = new RelayDirectory()
+  const endpoint = createEndpoint('w1')
+  relays.record({ node: asId<NodeId>('e1'), domain: endpoint.domain, announceAddress: null }, 0)
+  const fail = async (): Promise<never> => { throw new IbisError('unreachable', 'no answer') }
+  const direct: EndpointPort = { start: fail, stop: fail, renew: fail, closeConnections: () => {} }
+  const callRelay = async (): Promise<never> => { throw new IbisError('unreachable', 'connection refused', { info: { reason: 'connect', code: 'ECONNREFUSED' } }) }
+  const port = new RelayingEndpointPort({ direct, relays, callRelay, timers, logger: LOGGER, metrics: new Metrics({ node: 'n' }) })
+  await port.renew(endpoint, RENEWAL, 700).catch(() => {})
+  const err = await port.renew(endpoint, RENEWAL, 700).catch((err: unknown) => err) as IbisError
+  t.match(err.message, /relay e1/)
+  t.equal(err.details?.code, undefined)
+})
+
 t.test('an offer that falls into one on its way to the earlier leader is sent afterwards', async (t) => {
   const timers = new ManualTimerService()
   const sent: number[] = []
--- a/packages/relay/tests/support/cut-paths.ts
+++ b/packages/relay/tests/support/cut-paths.ts
@@ -1,5 +1,5 @@
 import { asId, IbisError, type DomainId, type NodeId } from '@ibisstair/common'
-import type { EndpointPort } from '@ibisstair/dispatch'
+import type { EndpointPort, RenewOrder } from '@ibisstair/dispatch'
 import type { EndpointIncarnation, EndpointRecord } from '@ibisstair/jobs'
 import { Metrics } from '@ibisstair/telemetry'
 import type { TimerService } from '@ibisstair/timers'
@@ -16,6 +16,7 @@
   readonly deaf = new Set<EndpointIncarnation>()
   readonly closed: EndpointIncarnation[] = []
   calls = 0
+  readonly renewals: RenewOrder[] = []
   readonly #port: EndpointPort
   readonly #timers: TimerService
 
@@ -26,7 +27,10 @@
 
   start: EndpointPort['start'] = async (endpoint, order, timeoutMs) => await this.#call(endpoint, timeoutMs, () => this.#port.start(endpoint, order, timeoutMs))
   stop: EndpointPort['stop'] = async (endpoint, order, timeoutMs) => await this.#call(endpoint, timeoutMs, () => this.#port.stop(endpoint, order, timeoutMs))
-  renew: EndpointPort['renew'] = async (endpoint, order, timeoutMs) => await this.#call(endpoint, timeoutMs, () => this.#port.renew(endpoint, order, timeoutMs))
+  renew: EndpointPort['renew'] = async (endpoint, order, timeoutMs) => {
+    this.renewals.push(order)
+    return await this.#call(endpoint, timeoutMs, () => this.#port.renew(endpoint, order, timeoutMs))
+  }
 
   closeConnections ({ life }: EndpointRecord): void {
     this.closed.push(life)
