--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,6 +1,5 @@
 import type { EndpointId, TaskId } from '@ibisstair/common'
-import type { ActiveRun, EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, JobEntry, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
-import { mustParseTaskId, toTaskId } from '@ibisstair/jobs'
+import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { Announcements } from './announcements.ts'
@@ -11,12 +10,12 @@
 import { PendingRecords } from './pending-records.ts'
 import { Planner, type Plan } from './planner.ts'
 import { describeSilence } from './silence.ts'
+import { StartOrders } from './start-orders.ts'
 import type { EndpointPort } from './ports.ts'
 import { ReplacedEndpoints } from './replaced-endpoints.ts'
 import { UnsettledRuns, type RunStatus } from './unsettled-runs.ts'
 import { UnwantedRuns } from './unwanted-runs.ts'
 import { WaitingReport } from './waiting-report.ts'
-import { findObstacle, type WithheldReason } from './withheld-starts.ts'
 
 export interface DispatcherOptions {
   readonly state: SchedulingState
@@ -44,6 +43,7 @@
   readonly #sessions = new Map<EndpointIncarnation, EndpointSession>()
   readonly #announcements: Announcements
   readonly #pendingRecords = new PendingRecords()
+  readonly #startOrders: StartOrders
   readonly #unwantedRuns: UnwantedRuns
   /** When each endpoint said that it leaves. */
   readonly #leavingSinceMs = new Map<EndpointIncarnation, number>()
@@ -66,6 +66,15 @@
     this.#options = options
     this.#health = new EndpointHealth(options.timers)
     this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
+    this.#startOrders = new StartOrders({
+      state: options.state,
+      timers: options.timers,
+      logger: options.logger,
+      metrics: options.metrics,
+      pendingRecords: this.#pendingRecords,
+      openSession: (life) => this.#openSession(life),
+      handleAnswer: () => this.#schedulePass()
+    })
     this.#unwantedRuns = new UnwantedRuns(options.state)
     this.#unsettledRuns = new UnsettledRuns(options.logger, options.metrics)
     this.#replaced = new ReplacedEndpoints({
@@ -207,7 +216,7 @@
 
   #handleApplied (command: StateCommand, result: StateResult): void {
     if (this.#isClosed) return
-    if (result.type === 'started') for (const group of result.groups) this.#orderStarts(group)
+    if (result.type === 'started') for (const group of result.groups) this.#startOrders.send(group)
     if (command.type === 'end') for (const { task, run } of command.ends) this.#sessions.get(command.endpoint)?.release(task, run)
     if (command.type === 'register-endpoint') this.#pendingRecords.handleApplied(command.endpoint)
     if (result.type === 'registered') for (const ended of result.replaced) this.#reportEnded(ended)
@@ -233,52 +242,6 @@
     }
   }
 
-  #orderStarts (group: StartGroup): void {
-    const { state, metrics } = this.#options
-    const job = state.jobs.get(group.job)
-    if (!job) return
-    const { gang } = job.spec.steps[group.step]!
-    const orders = group.members.flatMap(({ index, endpoint }) => {
-      const task = toTaskId({ job: group.job, occurrence: group.occurrence, step: group.step, index })
-      const run = state.jobs.listRuns(endpoint).get(task)
-      const session = this.#openSession(endpoint)
-      return run && session ? [{ run, session, obstacle: this.#findObstacle(endpoint) }] : []
-    })
-    const gangObstacle = gang ? orders.find(({ obstacle }) => obstacle !== null)?.obstacle ?? null : null
-    const accepted = orders.filter(({ run, session, obstacle }) => {
-      const reason = gangObstacle ?? obstacle
-      if (reason !== null) this.#withholdStart(session, run, reason)
-      return reason === null
-    })
-    metrics.increment('runs.ordered', accepted.length)
-    const contacts = accepted.map(({ session }) => session.makeContact())
-    // The members of a gang work only together: none is ordered while one of their endpoints does not answer.
-    const gangContact = Promise.all(contacts).then((answers) => answers.every(Boolean))
-    accepted.forEach(({ run, session }, i) => this.#orderStart(session, run, job, gang ? gangContact : contacts[i]!))
-  }
-
-  #orderStart (session: EndpointSession, run: ActiveRun, job: JobEntry, mayOrder: Promise<boolean>): void {
-    const { logger, timers } = this.#options
-    const { occurrence, step, index } = mustParseTaskId(run.task)
-    const entry = job.getOccurrence(occurrence).steps[step]!
-    logger.info('run ordered', { task: run.task, run: run.run, endpoint: session.endpoint.id, waitedMs: Math.round(timers.wallClock() - job.acceptedAtMs) })
-    session.start(run, job.spec.payload, job.spec.steps[step]!.gang ? entry.checkpoint : entry.tasks[index]!.checkpoint, mayOrder)
-  }
-
-  /** The endpoint may have changed between the plan and the commit of its starts. */
-  #findObstacle (life: EndpointIncarnation): WithheldReason | null {
-    const { state } = this.#options
-    const records = [state.endpoints.get(life), this.#pendingRecords.get(life)].filter((record) => record !== undefined)
-    return findObstacle(records, state.jobs.getUsage(life))
-  }
-
-  #withholdStart (session: EndpointSession, run: ActiveRun, reason: WithheldReason): void {
-    const { logger, metrics } = this.#options
-    metrics.increment(`starts.withheld.${reason}`)
-    logger.info('start withheld', { task: run.task, run: run.run, endpoint: session.endpoint.id, reason })
-    session.withhold(run)
-  }
-
   #openSession (incarnation: EndpointIncarnation): EndpointSession | null {
     const { state, port, timers, fencingToken, leaseMaxMs } = this.#options
     const known = this.#sessions.get(incarnation)
@@ -433,7 +396,7 @@
       this.#stopTask(task)
     }
     this.#reportWaiting(plan)
-    const starts = this.#selectAnswering(plan.starts)
+    const starts = this.#startOrders.selectAnswering(plan.starts)
     if (starts.length > 0) this.#commitStarts(starts)
   }
 
@@ -462,29 +425,6 @@
     return this.#unsurveyed.length === 0
   }
 
-  /**
-   * Returns the starts on endpoints that have answered of late; a gang starts on such endpoints alone. The others are
-   * called, so that a later pass starts the work there or elsewhere: what is not committed holds no task.
-   */
-  #selectAnswering (groups: readonly StartGroup[]): StartGroup[] {
-    const { state } = this.#options
-    return groups.flatMap((group) => {
-      const isGang = state.jobs.get(group.job)?.spec.steps[group.step]!.gang ?? false
-      const answering = group.members.filter(({ endpoint }) => this.#isAnswering(endpoint))
-      if (answering.length === group.members.length) return [group]
-      return isGang || answering.length === 0 ? [] : [{ ...group, members: answering }]
-    })
-  }
-
-  /** Calls the endpoint if it has not answered of late; a pass follows the answer. */
-  #isAnswering (incarnation: EndpointIncarnation): boolean {
-    const session = this.#openSession(incarnation)
-    if (!session) return false
-    if (session.hasAnsweredOfLate) return true
-    session.makeContact().catch(() => {}).finally(() => this.#schedulePass())
-    return false
-  }
-
   #commitStarts (groups: readonly StartGroup[]): void {
     const { timers, logger, metrics } = this.#options
     const proposedAtMs = timers.now()
