--- a/packages/relay/src/endpoint-path.ts
+++ b/packages/relay/src/endpoint-path.ts
@@ -27,7 +27,7 @@
   /** Attempts in a row in which a relay did not reach the endpoint. */
   #relayFailures = 0
   #relayRetryAtMs = -Infinity
-  #probeFailures = 0
+  #unansweredProbes = 0
   #probeAtMs = Infinity
 
   get current (): Path {
@@ -47,7 +47,7 @@
     this.#relayFailures = 0
     this.#relayRetryAtMs = -Infinity
     if (isNewRelay) {
-      this.#probeFailures = 0
+      this.#unansweredProbes = 0
       this.#probeAtMs = nowMs + MIN_DIRECT_PROBE_INTERVAL_MS
     }
     return isNewRelay
@@ -67,16 +67,17 @@
     this.#path = DIRECT
   }
 
-  /** Records whether the endpoint has answered directly while its calls are relayed. */
-  recordProbe (isAnswered: boolean, nowMs: number): void {
+  /** Records that the endpoint is being called directly while its calls are relayed; sets the time of the next attempt. */
+  beginProbe (nowMs: number): void {
+    this.#unansweredProbes += 1
+    this.#probeAtMs = nowMs + backOff(MIN_DIRECT_PROBE_INTERVAL_MS, MAX_DIRECT_PROBE_INTERVAL_MS, this.#unansweredProbes)
+  }
+
+  /** Records that the endpoint has answered a direct call. */
+  recordDirectAnswer (): void {
     if (this.#path.type === 'direct') return
-    if (isAnswered) {
-      this.#path = DIRECT
-      this.#hasAnswered = true
-      return
-    }
-    this.#probeFailures += 1
-    this.#probeAtMs = nowMs + backOff(MIN_DIRECT_PROBE_INTERVAL_MS, MAX_DIRECT_PROBE_INTERVAL_MS, this.#probeFailures)
+    this.#path = DIRECT
+    this.#hasAnswered = true
   }
 
   #useRelay (relays: readonly NodeId[], nowMs: number): void {
--- a/packages/relay/src/relaying-endpoint-port.ts
+++ b/packages/relay/src/relaying-endpoint-port.ts
@@ -116,11 +116,11 @@
   /** Renews nothing and acknowledges nothing: the call only shows whether the direct path works again. */
   #probeDirectly (endpoint: EndpointRecord, path: EndpointPath, { fencingToken }: RenewOrder): void {
     const { direct, timers, logger, metrics } = this.#options
-    path.recordProbe(false, timers.now())
+    path.beginProbe(timers.now())
     metrics.increment('relay.direct-probes')
     direct.renew(endpoint, { fencingToken, ackedUpto: 0, leaseUntilMs: null, waitMs: 0 }, DIRECT_PROBE_TIMEOUT_MS)
       .then(() => {
-        path.recordProbe(true, timers.now())
+        path.recordDirectAnswer()
         logger.info('endpoint answers directly again', { endpoint: endpoint.id })
       })
       .catch(() => { /* The next probe is scheduled already. */ })
