dispatch: guaranteed work keeps its claim until its endpoint has answered a call

Callers would see RECLAIM: guaranteed work whose victims had ended lost its place to other guaranteed work. Cause: since a start on an endpoint that has not answered for 2 s is not committed in the same pass; the planner counted it as started and dropped the claim. Change: what starts only after its endpoint has answered stays claimed, until the claim expires.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -385,6 +385,7 @@
         isUsable: (endpoint) => this.#getOutOfUse(endpoint) === null,
         isSuspect: (endpoint) => this.#health.isSuspect(endpoint.life) && this.#getOutOfUseBesideSuspicion(endpoint) === null,
         hasAnswered: ({ life }) => this.#sessions.get(life)?.hasHadContact ?? false,
+        hasAnsweredOfLate: (life) => this.#sessions.get(life)?.hasAnsweredOfLate ?? false,
         isConfirmed: ({ endpoint, task }) => this.#sessions.get(endpoint)?.isConfirmed(task) ?? false,
         getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
         estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -23,6 +23,8 @@
   isSuspect (endpoint: EndpointRecord): boolean
   /** Whether the endpoint has answered a call of this leader. */
   hasAnswered (endpoint: EndpointRecord): boolean
+  /** Whether the endpoint has answered so short ago that a start there is committed; otherwise it is called first. */
+  hasAnsweredOfLate (life: EndpointIncarnation): boolean
   /** Endpoints with a higher penalty are used later. */
   getPenalty (endpoint: EndpointRecord): number
   /** Whether the endpoint has confirmed to this leader that it runs the task. */
@@ -238,10 +240,17 @@
       this.#stopOverdue(work, claim, pass)
       return []
     }
-    this.#claims.delete(toWorkKey(work))
+    this.#releaseClaim(work, claim, pass)
     return toGroups(work, assignments)
   }
 
+  /** Keeps what starts only after its endpoint has answered a call, so that no other work takes its place until then. */
+  #releaseClaim (work: ReadyWork, claim: Claim, { fleet }: PlanningPass): void {
+    const awaited = claim.assignments.filter(({ endpoint }) => !fleet.hasAnsweredOfLate(endpoint))
+    if (awaited.length === 0) this.#claims.delete(toWorkKey(work))
+    else this.#claims.set(toWorkKey(work), { ...claim, assignments: work.spec.gang ? claim.assignments : awaited })
+  }
+
   /** Whether guaranteed work waits in vain: an endpoint is out of use, or has shrunk so that the end of all victims is not enough. */
   #isClaimVoid (work: ReadyWork, claim: Claim, pass: PlanningPass): boolean {
     if (!isGuaranteed(pass.state, work.job, pass.needs)) return false
--- a/packages/dispatch/tests/claims.test.ts
+++ b/packages/dispatch/tests/claims.test.ts
@@ -1,5 +1,5 @@
 import { asId, type CustomerId, type TaskId } from '@ibisstair/common'
-import { SchedulingState, type EndpointRecord } from '@ibisstair/jobs'
+import { SchedulingState, type EndpointIncarnation, type EndpointRecord } from '@ibisstair/jobs'
 import t from 'tap'
 import { accept, createEndpoint, createSpec, createStep, register } from '../../jobs/tests/support/samples.ts'
 import { Planner } from '../src/planner.ts'
@@ -13,6 +13,7 @@
 const ACCEPTED_AT_MS = 1_000
 const WHOLE = { cpuMilli: 1_000, memMb: 100, accelerators: 8 }
 const CUSTOMER = asId<CustomerId>('c1')
+const OTHER_CUSTOMER = asId<CustomerId>('c0')
 
 /** Three full endpoints, each with one run that is less urgent, and a guaranteed job for one of them. */
 class Fixture {
@@ -96,3 +97,32 @@
   fixture.plan(START_BOUND_MS - 2 * PASS_MS)
   t.ok(fixture.hasBegun)
 })
+
+t.test('guaranteed work keeps its claim until the endpoint has answered a call, so that no other work takes its place (RECLAIM)', async (t) => {
+  const state = new SchedulingState()
+  const planner = new Planner()
+  const answering = new Set<EndpointIncarnation>()
+  const fleet = createFleetView({ hasAnsweredOfLate: (life) => answering.has(life) })
+  const endpoint = createEndpoint('w0')
+  state.apply(register(endpoint))
+  state.apply({ type: 'configure', config: { version: 1, queues: [], services: [], customers: [CUSTOMER, OTHER_CUSTOMER].map((name) => ({ name, keys: [], guaranteedAccelerators: 8 })), document: '' } })
+  /** As the dispatcher does, a start is proposed only where the endpoint has answered. */
+  const plan = (nowMs: number): string[] => {
+    const starts = planner.plan({ state, fleet, nowMs, wallMs: nowMs, mayPreempt: true }).starts.filter(({ members }) => members.every((member) => answering.has(member.endpoint)))
+    state.apply({ type: 'start', groups: starts, atMs: nowMs })
+    return starts.map(({ job }) => job)
+  }
+  answering.add(endpoint.life)
+  state.apply(accept(createSpec('b1', [createStep({ resources: WHOLE })], { priority: 1 }), 0))
+  plan(0)
+  state.apply(accept(createSpec('a1', [createStep({ resources: WHOLE })], { priority: 0, customer: CUSTOMER }), 1_000))
+  plan(1_000)
+  // The victim has ended, and the endpoint has not answered for a while; then an older urgent job is accepted.
+  state.apply({ type: 'end', endpoint: endpoint.life, ends: [{ task: asId<TaskId>('b1.0.0.0'), run: 1, outcome: 'stopped', checkpoint: '' }], atMs: 1_500 })
+  state.apply({ type: 'cancel', job: asId('b1'), atMs: 1_500 })
+  answering.clear()
+  t.same(plan(1_500), [])
+  state.apply(accept(createSpec('a0', [createStep({ resources: WHOLE })], { priority: 0, customer: OTHER_CUSTOMER, targetLatencyMs: 1 }), 0))
+  answering.add(endpoint.life)
+  t.same(plan(1_600), ['a1'])
+})
--- a/packages/dispatch/tests/support/fleet-view.ts
+++ b/packages/dispatch/tests/support/fleet-view.ts
@@ -5,6 +5,7 @@
   isUsable: () => true,
   isSuspect: () => false,
   hasAnswered: () => true,
+  hasAnsweredOfLate: () => true,
   getPenalty: () => 0,
   isConfirmed: () => true,
   estimateRemainingMs: () => null,
