dispatch: an announcement that speaks for no endpoint changes nothing

What callers saw: a task ran on two endpoints for about four seconds. Cause: Dispatcher.announce took every well-formed announcement, and EndpointStore.put lets the later start time at an id or address win. So any writer could replace a sound endpoint, or under its incarnation set its service, address, drain, number and clock. Change: the leader checks first whether the service is named by the configuration or by accepted work, and whether a registered incarnation keeps its service and address. What is ignored is counted and logged once. The replicated state is applied as before, so that old logs give the same result. Conclusion: one announcement of a stranger ends no work any more.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -7,6 +7,7 @@
 import { EndpointHealth } from './endpoint-health.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
 import { EndpointUse, type OutOfUseReason } from './endpoint-use.ts'
+import { findIgnoredReason, IgnoredAnnouncements } from './ignored-announcements.ts'
 import { PendingRecords } from './pending-records.ts'
 import { Planner, type Plan } from './planner.ts'
 import { describeSilence } from './silence.ts'
@@ -42,6 +43,7 @@
   readonly #health: EndpointHealth
   readonly #sessions = new Map<EndpointIncarnation, EndpointSession>()
   readonly #announcements: Announcements
+  readonly #ignoredAnnouncements: IgnoredAnnouncements
   readonly #pendingRecords = new PendingRecords()
   readonly #startOrders: StartOrders
   readonly #unwantedRuns: UnwantedRuns
@@ -66,6 +68,7 @@
     this.#options = options
     this.#health = new EndpointHealth(options.timers)
     this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
+    this.#ignoredAnnouncements = new IgnoredAnnouncements(options.logger, options.metrics)
     this.#startOrders = new StartOrders({
       state: options.state,
       timers: options.timers,
@@ -120,7 +123,10 @@
     const { state, timers, metrics } = this.#options
     const now = timers.now()
     const known = state.endpoints.get(record.life)
-    if (this.#announcements.isOutdated(record, this.#pendingRecords.get(record.life) ?? known)) return metrics.increment('announcements.outdated')
+    const newest = this.#pendingRecords.get(record.life) ?? known
+    const ignoredReason = findIgnoredReason(record, newest, state)
+    if (ignoredReason) return this.#ignoredAnnouncements.report(record, ignoredReason, state.config.version)
+    if (this.#announcements.isOutdated(record, newest)) return metrics.increment('announcements.outdated')
     if (known) this.#announcements.recordArrival(record)
     if (this.#isNews(record)) await this.#register(record, known)
     if (!state.endpoints.get(record.life)) return
--- a/packages/dispatch/tests/support/fake-fleet.ts
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -324,6 +324,11 @@
     this.#endpoints.set(successor.record.life, successor)
   }
 
+  /** Adds an endpoint, which announces itself from now on. */
+  add (record: EndpointRecord): void {
+    this.#endpoints.set(record.life, new FakeEndpoint(record, this))
+  }
+
   setCapacity (id: EndpointId, capacity: Partial<Resources>): void {
     for (const fake of this.#endpoints.values()) if (fake.record.id === id) fake.setCapacity(capacity)
   }
--- a/packages/dispatch/tests/support/test-cluster.ts
+++ b/packages/dispatch/tests/support/test-cluster.ts
@@ -1,5 +1,5 @@
 import { asId, type EndpointId, type JobId, type RackId } from '@ibisstair/common'
-import { SchedulingState, type EndpointIncarnation, type EndpointRecord, type JobSpec, type Resources, type StateCommand, type StateResult, type StepSpec } from '@ibisstair/jobs'
+import { SchedulingState, type EndpointIncarnation, type EndpointRecord, type JobSpec, type QueueConfig, type Resources, type StateCommand, type StateResult, type StepSpec } from '@ibisstair/jobs'
 import { packValue, unpackValue } from '@ibisstair/storage'
 import { Metrics } from '@ibisstair/telemetry'
 import { ManualTimerService, RandomSource } from '@ibisstair/timers'
@@ -49,6 +49,7 @@
     this.endpoints = endpoints ?? ['w1', 'w2', 'w3', 'w4'].map((id, i) => createEndpoint(id, { address: `10.0.0.${i}:1`, rack: asId<RackId>(i < 2 ? 'r1' : 'r2') }))
     this.fleet = new FakeFleet(this.timers, this.random, this.endpoints, () => this.state, faults)
     this.port = this.fleet
+    this.configure(1, [...new Set(this.endpoints.map(({ service }) => service))])
     for (const endpoint of this.endpoints) this.state.apply(register(endpoint))
     this.timers.every(ANNOUNCE_MS, () => this.#announceAll())
   }
@@ -118,12 +119,12 @@
       const record = { ...endpoint, sequence: ++this.#announcements }
       // A late announcement carries the clock of the moment at which it was sent.
       const clockMs = this.fleet.readClock(endpoint.life)
-      if (isLate) this.timers.subscribe(delayMs, () => this.#announce(record, clockMs))
-      else this.#announce(record, clockMs)
+      if (isLate) this.timers.subscribe(delayMs, () => this.announce(record, clockMs))
+      else this.announce(record, clockMs)
     }
   }
 
-  #announce (record: EndpointRecord, clockMs: number): void {
+  announce (record: EndpointRecord, clockMs: number): void {
     this.#dispatcher?.announce(record, clockMs).catch(() => {})
   }
 
@@ -135,6 +136,10 @@
     this.#term += 1
   }
 
+  configure (version: number, services: readonly string[], queues: readonly QueueConfig[] = []): void {
+    this.state.apply({ type: 'configure', config: { version, queues, services, customers: [], document: '' } })
+  }
+
   submit (id: string, steps: readonly StepSpec[], priority = 1, overrides: Partial<JobSpec> = {}): void {
     this.state.apply(accept(createSpec(id, steps, { priority, maxAttempts: 50, ...overrides }), this.timers.now()))
   }
--- a/packages/jobs/src/config-store.ts
+++ b/packages/jobs/src/config-store.ts
@@ -33,6 +33,10 @@
     return this.#queuesByHost.get(host)?.find((queue) => path.startsWith(queue.pathPrefix))
   }
 
+  hasService (service: string): boolean {
+    return this.#config?.services.includes(service) ?? false
+  }
+
   findCustomer (key: string): CustomerId | undefined {
     return this.#customerByKey.get(key)
   }
--- a/packages/jobs/src/job-store.ts
+++ b/packages/jobs/src/job-store.ts
@@ -44,6 +44,12 @@
     return this.#activeJobs.values()
   }
 
+  /** Whether an active job runs on endpoints of the service. */
+  needsService (service: string): boolean {
+    for (const job of this.#activeJobs) if (job.spec.service === service) return true
+    return false
+  }
+
   /** Active jobs with a task under which an endpoint has crashed. */
   listWithCrashes (): IterableIterator<JobEntry> {
     return this.#jobsWithCrashes.values()
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -54,6 +54,11 @@
     this.jobs.earlyCancels.restore(earlyCancels)
   }
 
+  /** Whether the configuration in force, or a job that is still to be done, names the service. */
+  isServiceNamed (service: string): boolean {
+    return this.config.hasService(service) || this.jobs.needsService(service)
+  }
+
   #apply (command: StateCommand): StateResult {
     switch (command.type) {
       case 'configure': {
