jobs: accepted jobs follow their queue when the configuration changes it

What callers saw: a job waited for ever while all endpoints of its queue's service were idle. Cause: toJobSpec copies what the queue says into the job, and the planner, the order of work, the attempts and the count of pending jobs went by that copy for good. Ruled out: the planner's view of the endpoints: jobs that are handed in after the change run there at once. A queue that is gone leaves the last policy. A claim on another service is dropped. Conclusion: what is waiting goes where its queue goes, in each state of a job and its steps.

--- a/packages/cluster/src/leader-service.ts
+++ b/packages/cluster/src/leader-service.ts
@@ -50,17 +50,18 @@
   async #submit (params: SubmitParams): Promise<JobAnswer> {
     const { state, timers, logger, metrics } = this.#options
     const { queue, customer, job } = this.#resolveJob(params)
+    const configVersion = state.config.version
     const existingJob = state.jobs.get(job)
     if (existingJob) return { status: existingJob.status }
     checkJob(params.submission)
     const atMs = timers.wallClock()
-    const result = await this.#propose({ type: 'accept', spec: toJobSpec(job, queue, customer, params.submission), atMs })
+    const result = await this.#propose({ type: 'accept', spec: toJobSpec(job, queue, customer, params.submission), atMs, configVersion })
     if (result.type === 'refused') throw new IbisError('queue-full', `the limit on stored jobs is reached: ${result.reason}`, { retryAfterMs: RETRY_AFTER_MS })
     if (result.type !== 'accepted') throw new IbisError('internal', `unexpected result ${result.type}`)
     if (result.isNew) {
       metrics.increment('jobs.accepted')
       const { steps } = params.submission
-      logger.info('job accepted', { job, queue: queue.name, customer, priority: queue.priority, tasks: steps.reduce((sum, { count }) => sum + count, 0), accelerators: steps[0]?.resources.accelerators, configVersion: state.config.version })
+      logger.info('job accepted', { job, queue: queue.name, customer, priority: queue.priority, tasks: steps.reduce((sum, { count }) => sum + count, 0), accelerators: steps[0]?.resources.accelerators, configVersion })
     }
     return { status: result.status }
   }
@@ -113,11 +114,14 @@
   // Configuration
 
   async #configure ({ config }: ConfigureParams): Promise<object> {
-    const { state, logger } = this.#options
+    const { state, timers, logger, metrics } = this.#options
     const before = state.config.version
-    const result = await this.#propose({ type: 'configure', config })
+    const result = await this.#propose({ type: 'configure', config, atMs: timers.wallClock() })
     if (result.type !== 'configured') throw new IbisError('internal', `unexpected result ${result.type}`)
-    if (result.isChanged) logger.info('configuration in force', { version: config.version, before, queues: config.queues.length, customers: config.customers.length })
+    const { movedJobs, failedJobs } = result.effect
+    if (result.isChanged) logger.info('configuration in force', { version: config.version, before, queues: config.queues.length, customers: config.customers.length, movedJobs, failedJobs: failedJobs.length })
+    for (const job of failedJobs) logger.warn('job failed: a task has used up the attempts of the new configuration', { job, configVersion: config.version })
+    metrics.increment('jobs.moved', movedJobs)
     return { version: result.version }
   }
 
@@ -161,6 +165,7 @@
 const toJobSpec = (id: JobId, queue: QueueConfig, customer: CustomerId | null, { payload, steps, recurrence }: JobSubmission): JobSpec => ({
   id,
   queue: queue.name,
+  route: { host: queue.host, pathPrefix: queue.pathPrefix },
   service: queue.service,
   customer,
   priority: queue.priority,
--- a/packages/dispatch/src/guarantees.ts
+++ b/packages/dispatch/src/guarantees.ts
@@ -6,12 +6,12 @@
 export const sumUrgentNeeds = (state: SchedulingState): Map<CustomerId | null, number> => {
   const needs = new Map<CustomerId | null, number>()
   for (const job of state.jobs.listActive()) {
-    if (job.spec.priority !== 0) continue
+    if (job.policy.priority !== 0) continue
     needs.set(job.spec.customer, (needs.get(job.spec.customer) ?? 0) + countPeakAccelerators(job))
   }
   return needs
 }
 
 /** Whether all urgent jobs of the customer together stay within its guarantee. */
-export const isGuaranteed = (state: SchedulingState, { spec }: JobEntry, needs: ReadonlyMap<CustomerId | null, number>): boolean =>
-  spec.priority === 0 && (needs.get(spec.customer) ?? 0) <= state.config.getGuarantee(spec.customer)
+export const isGuaranteed = (state: SchedulingState, { spec, policy }: JobEntry, needs: ReadonlyMap<CustomerId | null, number>): boolean =>
+  policy.priority === 0 && (needs.get(spec.customer) ?? 0) <= state.config.getGuarantee(spec.customer)
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -127,7 +127,7 @@
     const beyondShare = placeShare(ready.filter(isDeferred), pass, place)
     const held = beyondShare.filter((work) => !this.#stalledWork.precedesReservations(work, pass) || !placeIfStalled(work))
     for (const work of ready) if (!hasProgress(work)) this.#stalledWork.recordRoom(work, pass)
-    const reservingGangs = waiting.filter(({ job, spec }) => spec.gang && job.spec.priority > 0).slice(0, MAX_RESERVING_GANGS)
+    const reservingGangs = waiting.filter(({ job, spec }) => spec.gang && job.policy.priority > 0).slice(0, MAX_RESERVING_GANGS)
     const reservations = new GangReservations(pass)
     for (const work of reservingGangs) reservations.reserve(work, { acceptFar: this.#isStalled(work, pass) || this.#mustSpanRacks(work, toShape(work), pass) })
     const backfillIfStalled = (work: ReadyWork): boolean => this.#isStalled(work, pass) && accept(work, reservations.backfill(work, () => this.#placeAnywhere(limitStalled(work), pass)))
@@ -203,7 +203,7 @@
     if (claim && pass.nowMs >= claim.untilMs) this.#waits.recordTried(work, listUnended(claim.stopped, pass).map(({ endpoint }) => endpoint), pass.nowMs)
     const hasClaimExpired = this.#claims.delete(key)
     const shape = toShape(work)
-    const isUrgent = job.spec.priority === 0
+    const isUrgent = job.policy.priority === 0
     const isStalled = this.#isStalled(work, pass)
     const acceptFar = isStalled || this.#mustSpanRacks(work, shape, pass)
     const useSuspects = this.#stalledWork.mayUseSuspects(work, pass)
@@ -251,8 +251,12 @@
     else this.#claims.set(toWorkKey(work), { ...claim, assignments: work.spec.gang ? claim.assignments : awaited })
   }
 
-  /** Whether guaranteed work waits in vain: an endpoint is out of use, or has shrunk so that the end of all victims is not enough. */
+  /**
+   * Whether the work goes to another service since, or guaranteed work waits in vain: an endpoint is out of use, or has
+   * shrunk so that the end of all victims is not enough.
+   */
   #isClaimVoid (work: ReadyWork, claim: Claim, pass: PlanningPass): boolean {
+    if (isOfOtherService(work, claim, pass)) return true
     if (!isGuaranteed(pass.state, work.job, pass.needs)) return false
     const isGone = claim.assignments.some(({ endpoint }) => !pass.byIncarnation.has(endpoint))
     claim.goneSinceMs = isGone ? claim.goneSinceMs ?? pass.nowMs : null
@@ -310,6 +314,13 @@
   })
 }
 
+/** Whether the claim was made before the configuration sent the work to another service. */
+const isOfOtherService = ({ job }: ReadyWork, { assignments }: Claim, { byIncarnation }: PlanningPass): boolean =>
+  assignments.some(({ endpoint }) => {
+    const candidate = byIncarnation.get(endpoint)
+    return candidate !== undefined && candidate.endpoint.service !== job.policy.service
+  })
+
 /** Gives deferrable work its share of the fleet and returns the work that was not placed. */
 const placeShare = (works: readonly ReadyWork[], { state, candidates }: PlanningPass, place: (work: ReadyWork) => boolean): ReadyWork[] => {
   let budget = getDeferrableBudget(state, candidates)
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -71,17 +71,17 @@
 
   /** The endpoints of the service that runs the job. */
   listServiceCandidates ({ job }: ReadyWork): readonly Candidate[] {
-    return this.#byService.get(job.spec.service) ?? NO_CANDIDATES
+    return this.#byService.get(job.policy.service) ?? NO_CANDIDATES
   }
 
   /** The endpoints of the service that get no new work only since they are suspect; their free capacity shrinks as they are used. */
   listSuspects ({ job }: ReadyWork): readonly Candidate[] {
-    return this.#suspectsByService.get(job.spec.service) ?? NO_CANDIDATES
+    return this.#suspectsByService.get(job.policy.service) ?? NO_CANDIDATES
   }
 
   /** Whether less than half of any measure is in use on usable and suspect endpoints together, when this is first asked in a pass. */
   isIdleWithSuspects (work: ReadyWork): boolean {
-    const { service } = work.job.spec
+    const { service } = work.job.policy
     const known = this.#isIdleWithSuspects.get(service)
     if (known !== undefined) return known
     const candidates = [...this.listServiceCandidates(work), ...this.listSuspects(work)]
@@ -92,7 +92,7 @@
 
   /** How much of the service's capacity is free when this is first asked in a pass. */
   getIdleness (work: ReadyWork): Idleness {
-    const { service } = work.job.spec
+    const { service } = work.job.policy
     const known = this.#idleness.get(service)
     if (known !== undefined) return known
     const registered = [...this.state.endpoints.list()].filter((endpoint) => endpoint.service === service)
@@ -103,7 +103,7 @@
 
   /** Returns the free capacity of the service's endpoints when this is first asked in a pass; it only shrinks later. */
   getFree (work: ReadyWork): Resources {
-    const { service } = work.job.spec
+    const { service } = work.job.policy
     const known = this.#free.get(service)
     if (known !== undefined) return known
     const free = sumFree(this.listServiceCandidates(work))
@@ -140,7 +140,7 @@
   /** A guarantee does not end when the job is late, so that the lateness of guaranteed work does not count. */
   #getRank ({ job, isSuspect }: ReadyWork): { readonly rank: number, readonly lateness: number } {
     if (isGuaranteed(this.state, job, this.needs)) return { rank: RANK_GUARANTEED, lateness: 0 }
-    const rank = job.spec.priority === 0 ? RANK_URGENT : isSuspect ? RANK_SUSPECT : RANK_SUSPECT + job.spec.priority
+    const rank = job.policy.priority === 0 ? RANK_URGENT : isSuspect ? RANK_SUSPECT : RANK_SUSPECT + job.policy.priority
     return { rank, lateness: getLateness(job, this.wallMs) }
   }
 
--- a/packages/dispatch/src/ready-work.ts
+++ b/packages/dispatch/src/ready-work.ts
@@ -21,7 +21,7 @@
 export const toShape = ({ job, spec, indexes }: ReadyWork): string => {
   const { resources: { cpuMilli, memMb, accelerators }, gang, tightlyCoupled, requiredLabel, dataRack, maxPerEndpoint } = spec
   const tasks = gang || tightlyCoupled ? `${spec.count}/${indexes.length}` : 'single'
-  return [job.spec.service, tasks, cpuMilli, memMb, accelerators, gang, tightlyCoupled, requiredLabel, dataRack, maxPerEndpoint].join()
+  return [job.policy.service, tasks, cpuMilli, memMb, accelerators, gang, tightlyCoupled, requiredLabel, dataRack, maxPerEndpoint].join()
 }
 
 /** Whether the task may crash its endpoint: a run that has lasted long enough shows that it does not. */
@@ -84,7 +84,7 @@
 /** Returns 0 when the job can meet its objective if it starts now and runs as estimated, 1 when it is late but of some use, 2 when it is too late. */
 export const getLateness = (job: JobEntry, wallMs: number): 0 | 1 | 2 => {
   const chainMs = estimateChainMs(job)
-  const objectiveMs = job.spec.targetLatencyMs + job.spec.stretch * chainMs
+  const objectiveMs = job.policy.targetLatencyMs + job.policy.stretch * chainMs
   const endMs = wallMs - job.acceptedAtMs + chainMs
   if (endMs <= objectiveMs) return 0
   return endMs <= LATE_FACTOR * objectiveMs ? 1 : 2
--- a/packages/dispatch/src/shares.ts
+++ b/packages/dispatch/src/shares.ts
@@ -16,7 +16,7 @@
 /** Least share of the fleet that is kept free for unforeseen urgent work. */
 const MIN_RESERVE_SHARE = 0.1
 
-export const isDeferrable = ({ spec }: JobEntry): boolean => spec.priority >= DEFERRABLE_PRIORITY
+export const isDeferrable = ({ policy }: JobEntry): boolean => policy.priority >= DEFERRABLE_PRIORITY
 
 const sumTotalAccelerators = (candidates: readonly Candidate[]): number =>
   candidates.reduce((sum, { endpoint }) => sum + endpoint.capacity.accelerators, 0)
--- a/packages/dispatch/src/urgent-demand.ts
+++ b/packages/dispatch/src/urgent-demand.ts
@@ -17,8 +17,8 @@
   Math.max(...job.spec.steps.map(({ count, resources }) => count * resources.accelerators))
 
 /** Whether more jobs like this one are to be expected: urgent ones that end by themselves. */
-export const isRecurring = ({ spec }: JobEntry): boolean =>
-  spec.priority === 0 && !spec.steps.some(({ longRunning }) => longRunning)
+export const isRecurring = ({ spec, policy }: JobEntry): boolean =>
+  policy.priority === 0 && !spec.steps.some(({ longRunning }) => longRunning)
 
 /**
  * Estimates how many accelerators urgent work occupies at a time, from recent arrivals: the mean plus
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -49,7 +49,7 @@
   listFor (job: JobEntry): Victim[] {
     const mayPreemptUrgent = isGuaranteed(this.#state, job, this.#needs)
     const isLower = (other: JobEntry): boolean =>
-      other.spec.priority > 0 || (mayPreemptUrgent && !isGuaranteed(this.#state, other, this.#needs))
+      other.policy.priority > 0 || (mayPreemptUrgent && !isGuaranteed(this.#state, other, this.#needs))
     return this.#preemptible
       .filter(({ job: other, victim }) => other !== job && isLower(other) && !victim.runs.some(({ task }) => this.#selected.has(task)))
       .map(({ victim }) => victim)
@@ -89,13 +89,13 @@
   return [...groups.values()]
 }
 
-const toVictim = ({ spec }: JobEntry, step: number, runs: readonly ActiveRun[], wallMs: number, estimateRemaining: EstimateRemaining): Victim => {
+const toVictim = ({ spec, policy }: JobEntry, step: number, runs: readonly ActiveRun[], wallMs: number, estimateRemaining: EstimateRemaining): Victim => {
   const { resources, checkpointing } = spec.steps[step]!
   const cores = runs.length * toCoreEquivalents(resources)
   const remainingMs = Math.max(...runs.map((run) => estimateRemaining(run) ?? Infinity))
   if (remainingMs <= MAX_REMAINING_MS) return { runs, resources, endsSoon: true, lostWork: 0, cost: 0 }
   const workedMs = Math.max(0, wallMs - runs[0]!.startedAtMs)
   const lostMs = checkpointing ? Math.min(workedMs, CHECKPOINT_INTERVAL_MS) : workedMs
-  const factor = PRIORITY_COST[Math.min(spec.priority, PRIORITY_COST.length - 1)]!
+  const factor = PRIORITY_COST[Math.min(policy.priority, PRIORITY_COST.length - 1)]!
   return { runs, resources, endsSoon: false, lostWork: cores * lostMs, cost: cores * (lostMs + RESTART_MS) * factor }
 }
--- a/packages/dispatch/src/waiting-report.ts
+++ b/packages/dispatch/src/waiting-report.ts
@@ -46,7 +46,7 @@
   #toFields ({ work, reason: { type, ...details }, waitedMs, isStalled, mayPreempt, fittingTasks, usable, unclaimed, registered }: WaitingEntry): Readonly<Record<string, unknown>> {
     const { job, occurrence, step, spec, indexes, isSuspect } = work
     const runs = listActiveRuns(job)
-    const endpoints = [...this.#view.listEndpoints()].filter(({ service }) => service === job.spec.service)
+    const endpoints = [...this.#view.listEndpoints()].filter(({ service }) => service === job.policy.service)
     const byUse = countByUse(endpoints, (endpoint) => this.#view.getOutOfUse(endpoint))
     return {
       job: job.spec.id,
@@ -54,8 +54,8 @@
       reason: type,
       ...details,
       waitedMs: Math.round(waitedMs),
-      priority: job.spec.priority,
-      service: job.spec.service,
+      priority: job.policy.priority,
+      service: job.policy.service,
       gang: spec.gang,
       tightlyCoupled: spec.tightlyCoupled,
       longRunning: spec.longRunning,
--- a/packages/dispatch/src/waiting-work.ts
+++ b/packages/dispatch/src/waiting-work.ts
@@ -117,7 +117,7 @@
     due.sort((a, b) => (a.waiting.examinedAtMs ?? a.waiting.sinceMs) - (b.waiting.examinedAtMs ?? b.waiting.sinceMs))
     const fleets = new Map<string, ServiceFleet>()
     const entries = due.slice(0, MAX_EXAMINED_WORK).map(({ work, waiting }) => {
-      const { service } = work.job.spec
+      const { service } = work.job.policy
       const fleet = fleets.get(service) ?? new ServiceFleet(service, context)
       fleets.set(service, fleet)
       const entry = describeWait(work, nowMs - waiting.sinceMs, fleet, context)
--- a/packages/dispatch/tests/support/stall-observer.ts
+++ b/packages/dispatch/tests/support/stall-observer.ts
@@ -53,7 +53,7 @@
     const found = new Set<string>()
     const idleByService = new Map<string, readonly Measure[]>()
     for (const job of state.jobs.listActive()) {
-      const { service } = job.spec
+      const { service } = job.policy
       const idle = idleByService.get(service) ?? listIdle(views.filter(({ endpoint }) => endpoint.service === service))
       idleByService.set(service, idle)
       for (const waiting of this.#listWaiting(job, nowMs)) {
@@ -125,7 +125,7 @@
     .filter((ref) => ref.job === job.spec.id && ref.occurrence === occurrence && ref.step === step).length
   let fitting = 0
   for (const { endpoint, free, isUsable } of views) {
-    if (endpoint.service !== job.spec.service || endpoint.draining || (room === 'usable' && !isUsable)) continue
+    if (endpoint.service !== job.policy.service || endpoint.draining || (room === 'usable' && !isUsable)) continue
     if (spec.requiredLabel !== null && !endpoint.labels.includes(spec.requiredLabel)) continue
     // Endpoints that have shrunk below what runs there must not get anything more.
     if (Math.min(free.cpuMilli, free.memMb, free.accelerators) < 0) continue
--- a/packages/jobs/src/config-store.ts
+++ b/packages/jobs/src/config-store.ts
@@ -1,10 +1,14 @@
 import type { CustomerId } from '@ibisstair/common'
-import type { QueueConfig, ServiceConfig } from './types.ts'
+import type { JobSpec, QueueConfig, QueueRoute, ServiceConfig } from './types.ts'
+
+const toRouteKey = ({ host, pathPrefix }: QueueRoute): string => `${host} ${pathPrefix}`
 
 /** The configuration in force, indexed by what requests look up: host and path, API key and customer. */
 export class ConfigStore {
   #config: ServiceConfig | null = null
   #queuesByHost = new Map<string, QueueConfig[]>()
+  #queueByRoute = new Map<string, QueueConfig>()
+  #queueByName = new Map<string, QueueConfig>()
   #customerByKey = new Map<string, CustomerId>()
   #guarantees = new Map<CustomerId, number>()
 
@@ -37,6 +41,11 @@
     return this.#config?.services.includes(service) ?? false
   }
 
+  /** Returns the queue of an accepted job; undefined if the configuration has dropped it. Callers know a queue by its route. */
+  findQueueOf ({ queue, route }: JobSpec): QueueConfig | undefined {
+    return (route && this.#queueByRoute.get(toRouteKey(route))) ?? this.#queueByName.get(queue)
+  }
+
   findCustomer (key: string): CustomerId | undefined {
     return this.#customerByKey.get(key)
   }
@@ -50,6 +59,8 @@
     for (const queue of queues) this.#queuesByHost.set(queue.host, [...this.#queuesByHost.get(queue.host) ?? [], queue])
     // Sorted so that `findQueue` returns the queue with the longest matching prefix.
     for (const list of this.#queuesByHost.values()) list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+    this.#queueByRoute = new Map(queues.map((queue) => [toRouteKey(queue), queue]))
+    this.#queueByName = new Map(queues.map((queue) => [queue.name, queue]))
     this.#customerByKey = new Map(customers.flatMap(({ name, keys }) => keys.map((key) => [key, name] as const)))
     this.#guarantees = new Map(customers.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]))
   }
--- a/packages/jobs/src/job-entry.ts
+++ b/packages/jobs/src/job-entry.ts
@@ -1,7 +1,7 @@
 import { invariant, type TaskId } from '@ibisstair/common'
 import { getProbationMs, judge, MAX_REMEMBERED_CRASHES, type TaskCrash, type Verdict } from '@ibisstair/crashes'
 import { countMaxOpenTasks, countTasksPerOccurrence, getMaxOpenOccurrences } from './job-size.ts'
-import type { ActiveRun, EndpointIncarnation, JobSpec, JobState, JobStatus, RunEnd, StepSpec } from './types.ts'
+import type { ActiveRun, EndpointIncarnation, JobSpec, JobState, JobStatus, QueueConfig, QueuePolicy, RunEnd, StepSpec } from './types.ts'
 
 /** Progress of one task of one occurrence. */
 export interface TaskEntry {
@@ -34,6 +34,8 @@
 
 export interface JobSnapshot {
   readonly spec: JobSpec
+  /** Absent while it is the one of the spec, and in snapshots of builds that never changed it. */
+  readonly policy?: QueuePolicy
   readonly acceptedAtMs: number
   readonly state: JobState
   readonly endedAtMs: number
@@ -76,6 +78,8 @@
 export class JobEntry {
   readonly spec: JobSpec
   readonly acceptedAtMs: number
+  /** Of the queue as the last configuration that had it described it. */
+  #policy: QueuePolicy
   readonly #occurrences = new Map<number, OccurrenceEntry>()
   /** All earlier occurrences are done, and their state is no longer kept. */
   #closedOccurrences = 0
@@ -88,11 +92,13 @@
 
   constructor (spec: JobSpec, acceptedAtMs: number) {
     this.spec = spec
+    this.#policy = spec
     this.acceptedAtMs = acceptedAtMs
   }
 
   static restore (snapshot: JobSnapshot): JobEntry {
     const job = new JobEntry(snapshot.spec, snapshot.acceptedAtMs)
+    job.#policy = snapshot.policy ?? snapshot.spec
     job.#state = snapshot.state
     job.#endedAtMs = snapshot.endedAtMs
     job.#hasBegun = snapshot.hasBegun
@@ -111,7 +117,12 @@
   }
 
   toSnapshot (): JobSnapshot {
-    return { spec: this.spec, acceptedAtMs: this.acceptedAtMs, state: this.#state, endedAtMs: this.#endedAtMs, hasBegun: this.#hasBegun, crashedTask: this.#crashedTask, closedOccurrences: this.#closedOccurrences, occurrences: [...this.#occurrences] }
+    const policy = this.#policy === this.spec ? {} : { policy: this.#policy }
+    return { spec: this.spec, ...policy, acceptedAtMs: this.acceptedAtMs, state: this.#state, endedAtMs: this.#endedAtMs, hasBegun: this.#hasBegun, crashedTask: this.#crashedTask, closedOccurrences: this.#closedOccurrences, occurrences: [...this.#occurrences] }
+  }
+
+  get policy (): QueuePolicy {
+    return this.#policy
   }
 
   get state (): JobState {
@@ -233,6 +244,35 @@
     this.#end('failed', atMs)
   }
 
+  /** Takes over the policy of the queue as a configuration describes it, but for the number of attempts. */
+  followQueue ({ name, service, priority, stretch, targetLatencyMs }: QueueConfig): void {
+    const before = this.#policy
+    const isSame = before.queue === name && before.service === service && before.priority === priority && before.stretch === stretch && before.targetLatencyMs === targetLatencyMs
+    if (!isSame) this.#policy = { queue: name, service, priority, maxAttempts: before.maxAttempts, stretch, targetLatencyMs }
+  }
+
+  /** Takes over the number of attempts. A task that waits and has used them up fails the job; one that runs may still succeed. */
+  followAttempts ({ maxAttempts }: QueueConfig, atMs: number): void {
+    if (maxAttempts === this.#policy.maxAttempts) return
+    const { queue, service, priority, stretch, targetLatencyMs } = this.#policy
+    this.#policy = { queue, service, priority, maxAttempts, stretch, targetLatencyMs }
+    if (this.isActive && this.#hasWaitingTaskWithoutAttempts()) this.#end('failed', atMs)
+  }
+
+  #hasWaitingTaskWithoutAttempts (): boolean {
+    const { steps } = this.spec
+    return [...this.#occurrences.values()].some((occurrence) => occurrence.steps.some((entry, step) => {
+      const { gang, longRunning } = steps[step]!
+      if (longRunning) return false
+      if (gang) return entry.activeTasks === 0 && entry.doneTasks < entry.tasks.length && this.#hasNoAttemptLeft(entry)
+      return entry.tasks.some((task) => task.active === null && !task.isDone && this.#hasNoAttemptLeft(task))
+    }))
+  }
+
+  #hasNoAttemptLeft ({ failedRuns }: Pick<TaskEntry | StepEntry, 'failedRuns'>): boolean {
+    return failedRuns.length >= this.#policy.maxAttempts
+  }
+
   cancel (atMs: number): void {
     if (this.isActive) this.#end('cancelled', atMs)
   }
@@ -276,10 +316,11 @@
       if (gang) stepEntry.checkpoint = end.checkpoint
       else task.checkpoint = end.checkpoint
     }
-    if (end.outcome !== 'failed' || longRunning) return
-    const { failedRuns } = gang ? stepEntry : task
-    if (!failedRuns.includes(end.run)) failedRuns.push(end.run)
-    if (failedRuns.length >= this.spec.maxAttempts) this.#end('failed', atMs)
+    if (longRunning) return
+    const attempts = gang ? stepEntry : task
+    if (end.outcome === 'failed' && !attempts.failedRuns.includes(end.run)) attempts.failedRuns.push(end.run)
+    // The limit may have been lowered during a run that ended without a failure.
+    if (this.#hasNoAttemptLeft(attempts)) this.#end('failed', atMs)
   }
 
   #end (state: JobState, atMs: number): void {
--- a/packages/jobs/src/job-store.ts
+++ b/packages/jobs/src/job-store.ts
@@ -1,4 +1,5 @@
 import type { JobId, TaskId } from '@ibisstair/common'
+import type { ConfigStore } from './config-store.ts'
 import { MAX_JOBS, MAX_OPEN_TASKS, STATUS_RETENTION_MS } from './constants.ts'
 import { EarlyCancels } from './early-cancels.ts'
 import { JobEntry, type JobSnapshot } from './job-entry.ts'
@@ -7,13 +8,21 @@
 import { addResources, NO_RESOURCES, subtractResources } from './resources.ts'
 import { SilentLosses, type SilentLoss } from './silent-losses.ts'
 import { mustParseTaskId, parseTaskId, toTaskId } from './task-id.ts'
-import type { ActiveRun, EndedIncarnation, EndpointIncarnation, EndpointRecord, GivenUpJob, JobLimit, JobSpec, LostRun, Resources, RunEnd, Silence, StartGroup } from './types.ts'
+import type { ActiveRun, ConfigEffect, EndedIncarnation, EndpointIncarnation, EndpointRecord, GivenUpJob, JobLimit, JobSpec, LostRun, Resources, RunEnd, Silence, StartGroup } from './types.ts'
 
 const toLostRun = ({ task, run, ranMs }: Omit<LostRun, 'blame'>): Omit<LostRun, 'blame'> => ({ task, run, ranMs })
 
+/** Returns the queue in which the job counts as pending; null if it has begun or ended. */
+const getPendingQueue = ({ status, policy }: JobEntry): string | null => status === 'queued' ? policy.queue : null
+
 /** Whether the endpoint has not answered since the loss, so that it may have crashed under that run. */
 const isOfSilence = ({ atMs }: SilentLoss, silence: Silence | null): boolean => (silence?.sinceMs ?? -Infinity) <= atMs
 
+export interface FollowOptions {
+  /** Time of the change if the number of attempts changes, too; null if it stays. */
+  readonly attemptsAtMs: number | null
+}
+
 /** All accepted jobs and the runs that occupy endpoints. */
 export class JobStore {
   readonly #jobs = new Map<JobId, JobEntry>()
@@ -46,7 +55,7 @@
 
   /** Whether an active job runs on endpoints of the service. */
   needsService (service: string): boolean {
-    for (const job of this.#activeJobs) if (job.spec.service === service) return true
+    for (const job of this.#activeJobs) if (job.policy.service === service) return true
     return false
   }
 
@@ -89,6 +98,28 @@
     return { job, isNew: true }
   }
 
+  /** Gives active jobs the policy that the configuration has for their queues; a job whose queue is gone keeps its own. */
+  followConfig (config: ConfigStore, options: FollowOptions): ConfigEffect {
+    let movedJobs = 0
+    const failedJobs: JobId[] = []
+    for (const job of [...this.#activeJobs]) {
+      const { service } = job.policy
+      this.followQueue(job, config, options)
+      if (job.policy.service !== service) movedJobs += 1
+      if (!job.isActive) failedJobs.push(job.spec.id)
+    }
+    return { movedJobs, failedJobs }
+  }
+
+  followQueue (job: JobEntry, config: ConfigStore, { attemptsAtMs }: FollowOptions): void {
+    const queue = config.findQueueOf(job.spec)
+    if (!queue || !job.isActive) return
+    this.#update(job, () => {
+      job.followQueue(queue)
+      if (attemptsAtMs !== null) job.followAttempts(queue, attemptsAtMs)
+    })
+  }
+
   /** Returns null for a job that is not known; should it be submitted later, it is cancelled at once. */
   cancel (id: JobId, atMs: number): JobEntry | null {
     const job = this.#jobs.get(id)
@@ -151,7 +182,7 @@
       this.#jobs.set(job.spec.id, job)
       if (job.isActive) this.#addActive(job)
       if (job.isActive && job.hasCrashes) this.#jobsWithCrashes.add(job)
-      if (job.status === 'queued') this.#addPending(job.spec.queue, 1)
+      if (job.status === 'queued') this.#addPending(job.policy.queue, 1)
       for (const [, { steps }] of snapshot.occurrences) {
         steps.forEach(({ tasks }, step) => {
           for (const { active } of tasks) if (active) this.#occupy(active, job.spec.steps[step]!.resources)
@@ -222,9 +253,9 @@
 
   /** Applies a change to the job and updates the indexes. */
   #update (job: JobEntry, change: () => void): void {
-    const wasPending = job.status === 'queued'
+    const pendingIn = getPendingQueue(job)
     change()
-    if (wasPending && job.status !== 'queued') this.#addPending(job.spec.queue, -1)
+    this.#movePending(pendingIn, getPendingQueue(job))
     if (job.isActive) return
     if (this.#activeJobs.delete(job)) this.#openTasks -= job.maxOpenTasks
     this.#jobsWithCrashes.delete(job)
@@ -235,6 +266,12 @@
     this.#openTasks += job.maxOpenTasks
   }
 
+  #movePending (from: string | null, to: string | null): void {
+    if (from === to) return
+    if (from !== null) this.#addPending(from, -1)
+    if (to !== null) this.#addPending(to, 1)
+  }
+
   #addPending (queue: string, by: number): void {
     this.#pendingByQueue.set(queue, (this.#pendingByQueue.get(queue) ?? 0) + by)
   }
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -6,7 +6,7 @@
 import type { JobSnapshot } from './job-entry.ts'
 import { JobStore } from './job-store.ts'
 import type { SilentLosses } from './silent-losses.ts'
-import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, ServiceConfig, Silence, StateCommand, StateResult } from './types.ts'
+import type { ConfigEffect, EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, ServiceConfig, Silence, StateCommand, StateResult } from './types.ts'
 
 interface StateSnapshot {
   readonly config: ServiceConfig | null
@@ -20,6 +20,8 @@
   readonly earlyCancels?: ReturnType<EarlyCancels['toSnapshot']>
 }
 
+const NO_EFFECT: ConfigEffect = { movedJobs: 0, failedJobs: [] }
+
 export type StateListener = (command: StateCommand, result: StateResult) => void
 
 /** The replicated state: configuration, endpoints and jobs, changed by commands in the order of the log. */
@@ -50,6 +52,8 @@
     this.config.restore(config)
     this.endpoints.restore(endpoints, endedIncarnations)
     this.jobs.restore(jobs)
+    // Earlier builds left accepted jobs as they were; attempts decide in the replicated state, so that they stay.
+    this.jobs.followConfig(this.config, { attemptsAtMs: null })
     this.jobs.silentLosses.restore(silentLosses)
     this.jobs.earlyCancels.restore(earlyCancels)
   }
@@ -63,11 +67,14 @@
     switch (command.type) {
       case 'configure': {
         const isChanged = this.config.put(command.config)
-        return { type: 'configured', version: this.config.version, isChanged }
+        const effect = isChanged ? this.jobs.followConfig(this.config, { attemptsAtMs: command.atMs ?? null }) : NO_EFFECT
+        return { type: 'configured', version: this.config.version, isChanged, effect }
       }
       case 'accept': {
         const accepted = this.jobs.accept(command.spec, command.atMs)
         if (typeof accepted === 'string') return { type: 'refused', reason: accepted }
+        // Another configuration may have been committed since the spec was made.
+        if (accepted.isNew) this.jobs.followQueue(accepted.job, this.config, { attemptsAtMs: command.configVersion === undefined ? null : command.atMs })
         return { type: 'accepted', isNew: accepted.isNew, status: accepted.job.status }
       }
       case 'cancel': return { type: 'cancelled', status: this.jobs.cancel(command.job, command.atMs)?.status ?? null }
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -42,13 +42,12 @@
   readonly intervalMs: number
 }
 
-export interface JobSpec {
-  readonly id: JobId
-  /** Name of the queue that accepted the job. */
+/** What a queue decides about its jobs. A configuration may change it while they wait or run. */
+export interface QueuePolicy {
+  /** Name of the queue. */
   readonly queue: string
+  /** Names the endpoints that run the tasks. */
   readonly service: string
-  /** Null for a public queue. */
-  readonly customer: CustomerId | null
   /** 0 is the most urgent and may preempt the others. */
   readonly priority: number
   /** Number of failed runs of one task, or of one gang, after which the job fails. */
@@ -56,6 +55,22 @@
   /** Accepted ratio of the completion time to the run time of the longest chain of dependent steps. */
   readonly stretch: number
   readonly targetLatencyMs: number
+}
+
+/** How callers reach a queue; no two queues of a configuration share it. */
+export interface QueueRoute {
+  readonly host: string
+  /** The queue with the longest matching prefix of the path is selected. */
+  readonly pathPrefix: string
+}
+
+/** A job as it was accepted; the policy of its queue is that of the moment. */
+export interface JobSpec extends QueuePolicy {
+  readonly id: JobId
+  /** Absent in jobs that earlier builds accepted; their queue is found by its name. */
+  readonly route?: QueueRoute
+  /** Null for a public queue. */
+  readonly customer: CustomerId | null
   /** Passed to every task unchanged. */
   readonly payload: string
   readonly steps: readonly StepSpec[]
@@ -113,11 +128,8 @@
   readonly sequence: number
 }
 
-export interface QueueConfig {
+export interface QueueConfig extends QueueRoute {
   readonly name: string
-  readonly host: string
-  /** The queue with the longest matching prefix of the path is selected. */
-  readonly pathPrefix: string
   readonly service: string
   readonly priority: number
   readonly maxAttempts: number
@@ -182,8 +194,10 @@
 }
 
 export type StateCommand =
-  | { readonly type: 'configure', readonly config: ServiceConfig }
-  | { readonly type: 'accept', readonly spec: JobSpec, readonly atMs: number }
+  /** Without `atMs`, as in commands of earlier builds, accepted jobs keep the number of attempts that they had. */
+  | { readonly type: 'configure', readonly config: ServiceConfig, readonly atMs?: number }
+  /** `configVersion` is the version from which the policy was taken; absent in commands of earlier builds. */
+  | { readonly type: 'accept', readonly spec: JobSpec, readonly atMs: number, readonly configVersion?: number }
   | { readonly type: 'cancel', readonly job: JobId, readonly atMs: number }
   | { readonly type: 'start', readonly groups: readonly StartGroup[], readonly atMs: number }
   | { readonly type: 'end', readonly endpoint: EndpointIncarnation, readonly ends: readonly RunEnd[], readonly atMs: number, readonly silence?: Silence }
@@ -197,11 +211,19 @@
   /** Changes nothing; a read that waits for it sees all earlier commands. */
   | { readonly type: 'barrier' }
 
+/** What a configuration changed about jobs that were accepted before. */
+export interface ConfigEffect {
+  /** Jobs whose queue sends them to another service now. */
+  readonly movedJobs: number
+  /** Jobs with a task that has failed as often as the new configuration allows. */
+  readonly failedJobs: readonly JobId[]
+}
+
 /** Limit on the stored jobs, or on their tasks, that refuses a job. */
 export type JobLimit = 'too-many-jobs' | 'too-many-tasks'
 
 export type StateResult =
-  | { readonly type: 'configured', readonly version: number, readonly isChanged: boolean }
+  | { readonly type: 'configured', readonly version: number, readonly isChanged: boolean, readonly effect: ConfigEffect }
   | { readonly type: 'accepted', readonly isNew: boolean, readonly status: JobStatus }
   | { readonly type: 'refused', readonly reason: JobLimit }
   | { readonly type: 'cancelled', readonly status: JobStatus | null }
