dispatch: announcements are turned into records in a module of their own

Cause: dispatcher.ts was the largest file of the package, and the check of announcements made it longer. Change: EndpointRegistrar holds what stood together in the dispatcher; moved, not changed.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -5,9 +5,9 @@
 import { Announcements } from './announcements.ts'
 import { BARRIER_RETRY_DELAY_MS, COMMIT_TIMEOUT_MS, FAILED_PASS_DELAY_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
 import { EndpointHealth } from './endpoint-health.ts'
+import { EndpointRegistrar } from './endpoint-registrar.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
 import { EndpointUse, type OutOfUseReason } from './endpoint-use.ts'
-import { findIgnoredReason, IgnoredAnnouncements } from './ignored-announcements.ts'
 import { PendingRecords } from './pending-records.ts'
 import { Planner, type Plan } from './planner.ts'
 import { describeSilence } from './silence.ts'
@@ -43,8 +43,8 @@
   readonly #health: EndpointHealth
   readonly #sessions = new Map<EndpointIncarnation, EndpointSession>()
   readonly #announcements: Announcements
-  readonly #ignoredAnnouncements: IgnoredAnnouncements
   readonly #pendingRecords = new PendingRecords()
+  readonly #registrar: EndpointRegistrar
   readonly #startOrders: StartOrders
   readonly #unwantedRuns: UnwantedRuns
   /** When each endpoint said that it leaves. */
@@ -68,7 +68,6 @@
     this.#options = options
     this.#health = new EndpointHealth(options.timers)
     this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
-    this.#ignoredAnnouncements = new IgnoredAnnouncements(options.logger, options.metrics)
     this.#startOrders = new StartOrders({
       state: options.state,
       timers: options.timers,
@@ -86,6 +85,19 @@
       remove: (life) => this.#removeReplaced(life),
       log: (message, fields) => options.logger.warn(message, fields)
     })
+    this.#registrar = new EndpointRegistrar({
+      state: options.state,
+      timers: options.timers,
+      logger: options.logger,
+      metrics: options.metrics,
+      announcements: this.#announcements,
+      pendingRecords: this.#pendingRecords,
+      propose: (command) => this.#propose(command),
+      handOver: async (life) => { await this.#sessions.get(life)?.handOver() },
+      describeSilence: (life) => this.#describeSilence(life),
+      removeReplaced: (life) => this.#replaced.add(life),
+      handleAnnounced: (life, clockMs, atMs) => this.#sessions.get(life)?.handleAnnouncement(clockMs, atMs)
+    })
     this.#endpointUse = new EndpointUse(options.logger, options.metrics)
     this.#waitingReport = new WaitingReport(options.logger, options.metrics, {
       listEndpoints: () => options.state.endpoints.list(),
@@ -120,49 +132,7 @@
 
   /** Handles the announcement of an endpoint. Resolves once a changed record is committed. */
   async announce (record: EndpointRecord, clockMs: number): Promise<void> {
-    const { state, timers, metrics } = this.#options
-    const now = timers.now()
-    const known = state.endpoints.get(record.life)
-    const newest = this.#pendingRecords.get(record.life) ?? known
-    const ignoredReason = findIgnoredReason(record, newest, state)
-    if (ignoredReason) return this.#ignoredAnnouncements.report(record, ignoredReason, state.config.version)
-    if (this.#announcements.isOutdated(record, newest)) return metrics.increment('announcements.outdated')
-    if (known) this.#announcements.recordArrival(record)
-    if (this.#isNews(record)) await this.#register(record, known)
-    if (!state.endpoints.get(record.life)) return
-    this.#announcements.recordApplied(record, now)
-    this.#sessions.get(record.life)?.handleAnnouncement(clockMs, now)
-  }
-
-  /** Whether the record has to be committed. An earlier one whose commit is pending would otherwise be the last. */
-  #isNews (record: EndpointRecord): boolean {
-    return this.#pendingRecords.get(record.life) !== undefined || this.#options.state.endpoints.wouldChange(record)
-  }
-
-  async #register (record: EndpointRecord, known: EndpointRecord | undefined): Promise<void> {
-    const { state, timers, logger } = this.#options
-    const replaced = state.endpoints.listReplacedBy(record)
-    try {
-      await this.#handOver(record)
-      if (!this.#isNews(record)) return
-      const silences = state.endpoints.listReplacedBy(record).flatMap(({ life }) => this.#describeSilence(life) ?? [])
-      this.#pendingRecords.add(record)
-      await this.#propose({ type: 'register-endpoint', endpoint: record, atMs: timers.wallClock(), silences })
-    } catch (err) {
-      // The successor may not announce itself again.
-      for (const { life } of replaced) this.#replaced.add(life)
-      throw err
-    }
-    logger.info('endpoint announced', { endpoint: record.id, life: record.life, domain: record.domain, rack: record.rack, draining: record.draining, capacity: record.capacity, ...(known && { capacityBefore: known.capacity }) })
-  }
-
-  /**
-   * Waits until no run of an earlier incarnation under the same id can be active on the announced one. Only one at the
-   * same address can have received orders that were meant for the earlier one.
-   */
-  async #handOver (record: EndpointRecord): Promise<void> {
-    const replaced = this.#options.state.endpoints.listReplacedBy(record).filter(({ id, address }) => id === record.id && address === record.address)
-    await Promise.all(replaced.map(({ life }) => this.#sessions.get(life)?.handOver()))
+    await this.#registrar.announce(record, clockMs)
   }
 
   /**
