jobs: a queue that was renamed and moved in turn keeps its jobs; random commands change the configuration

Cause: a job looked for its queue by the name and route of its acceptance, so that a rename followed by another prefix left it behind. Change: the policy carries name and route of the queue as the last configuration had it, and the next one is asked for these. One method takes over a policy. Evidence: followed-config.test.ts "a queue is known by its route …" with two further steps, which failed before; the random test of the replicated state draws configurations, too, and compares restored copies. Conclusion: a job of an earlier build gets its route with the first configuration that has its queue.

--- a/packages/jobs/src/config-store.ts
+++ b/packages/jobs/src/config-store.ts
@@ -1,5 +1,5 @@
 import type { CustomerId } from '@ibisstair/common'
-import type { JobSpec, QueueConfig, QueueRoute, ServiceConfig } from './types.ts'
+import type { QueueConfig, QueuePolicy, QueueRoute, ServiceConfig } from './types.ts'
 
 const toRouteKey = ({ host, pathPrefix }: QueueRoute): string => `${host} ${pathPrefix}`
 
@@ -41,8 +41,8 @@
     return this.#config?.services.includes(service) ?? false
   }
 
-  /** Returns the queue of an accepted job; undefined if the configuration has dropped it. Callers know a queue by its route. */
-  findQueueOf ({ queue, route }: JobSpec): QueueConfig | undefined {
+  /** Returns the queue of a policy; undefined if the configuration has dropped it. Callers know a queue by its route. */
+  findQueueOf ({ queue, route }: QueuePolicy): QueueConfig | undefined {
     return (route && this.#queueByRoute.get(toRouteKey(route))) ?? this.#queueByName.get(queue)
   }
 
--- a/packages/jobs/src/job-entry.ts
+++ b/packages/jobs/src/job-entry.ts
@@ -53,6 +53,13 @@
 export const hasPassedProbation = ({ crashes }: TaskEntry, { startedAtMs }: ActiveRun, atMs: number): boolean =>
   crashes.length === 0 || atMs - startedAtMs >= getProbationMs(crashes)
 
+const toPolicy = ({ name, host, pathPrefix, service, priority, stretch, targetLatencyMs }: QueueConfig, maxAttempts: number): QueuePolicy =>
+  ({ queue: name, route: { host, pathPrefix }, service, priority, maxAttempts, stretch, targetLatencyMs })
+
+const isSamePolicy = (a: QueuePolicy, b: QueuePolicy): boolean =>
+  a.queue === b.queue && a.route?.host === b.route?.host && a.route?.pathPrefix === b.route?.pathPrefix && a.service === b.service &&
+  a.priority === b.priority && a.maxAttempts === b.maxAttempts && a.stretch === b.stretch && a.targetLatencyMs === b.targetLatencyMs
+
 const createTask = (): TaskEntry => ({ isDone: false, failedRuns: [], lastRun: 0, checkpoint: '', active: null, crashes: NO_CRASHES })
 
 const createStep = ({ count }: StepSpec): StepEntry => ({
@@ -244,19 +251,17 @@
     this.#end('failed', atMs)
   }
 
-  /** Takes over the policy of the queue as a configuration describes it, but for the number of attempts. */
-  followQueue ({ name, service, priority, stretch, targetLatencyMs }: QueueConfig): void {
+  /**
+   * Takes over the policy of the queue, but for the number of attempts if `attemptsAtMs` is null. A task that waits and
+   * has used up a lower number fails the job; one that runs may still succeed.
+   */
+  followQueue (queue: QueueConfig, attemptsAtMs: number | null): void {
     const before = this.#policy
-    const isSame = before.queue === name && before.service === service && before.priority === priority && before.stretch === stretch && before.targetLatencyMs === targetLatencyMs
-    if (!isSame) this.#policy = { queue: name, service, priority, maxAttempts: before.maxAttempts, stretch, targetLatencyMs }
-  }
-
-  /** Takes over the number of attempts. A task that waits and has used them up fails the job; one that runs may still succeed. */
-  followAttempts ({ maxAttempts }: QueueConfig, atMs: number): void {
-    if (maxAttempts === this.#policy.maxAttempts) return
-    const { queue, service, priority, stretch, targetLatencyMs } = this.#policy
-    this.#policy = { queue, service, priority, maxAttempts, stretch, targetLatencyMs }
-    if (this.isActive && this.#hasWaitingTaskWithoutAttempts()) this.#end('failed', atMs)
+    const policy = toPolicy(queue, attemptsAtMs === null ? before.maxAttempts : queue.maxAttempts)
+    if (isSamePolicy(policy, before)) return
+    this.#policy = policy
+    if (attemptsAtMs === null || policy.maxAttempts === before.maxAttempts) return
+    if (this.isActive && this.#hasWaitingTaskWithoutAttempts()) this.#end('failed', attemptsAtMs)
   }
 
   #hasWaitingTaskWithoutAttempts (): boolean {
--- a/packages/jobs/src/job-store.ts
+++ b/packages/jobs/src/job-store.ts
@@ -112,12 +112,9 @@
   }
 
   followQueue (job: JobEntry, config: ConfigStore, { attemptsAtMs }: FollowOptions): void {
-    const queue = config.findQueueOf(job.spec)
+    const queue = config.findQueueOf(job.policy)
     if (!queue || !job.isActive) return
-    this.#update(job, () => {
-      job.followQueue(queue)
-      if (attemptsAtMs !== null) job.followAttempts(queue, attemptsAtMs)
-    })
+    this.#update(job, () => job.followQueue(queue, attemptsAtMs))
   }
 
   /** Returns null for a job that is not known; should it be submitted later, it is cancelled at once. */
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -42,10 +42,19 @@
   readonly intervalMs: number
 }
 
+/** How callers reach a queue; no two queues of a configuration share it. */
+export interface QueueRoute {
+  readonly host: string
+  /** The queue with the longest matching prefix of the path is selected. */
+  readonly pathPrefix: string
+}
+
 /** What a queue decides about its jobs. A configuration may change it while they wait or run. */
 export interface QueuePolicy {
   /** Name of the queue. */
   readonly queue: string
+  /** Absent in jobs that earlier builds accepted, until a configuration has their queue; it is found by its name. */
+  readonly route?: QueueRoute
   /** Names the endpoints that run the tasks. */
   readonly service: string
   /** 0 is the most urgent and may preempt the others. */
@@ -57,18 +66,9 @@
   readonly targetLatencyMs: number
 }
 
-/** How callers reach a queue; no two queues of a configuration share it. */
-export interface QueueRoute {
-  readonly host: string
-  /** The queue with the longest matching prefix of the path is selected. */
-  readonly pathPrefix: string
-}
-
 /** A job as it was accepted; the policy of its queue is that of the moment. */
 export interface JobSpec extends QueuePolicy {
   readonly id: JobId
-  /** Absent in jobs that earlier builds accepted; their queue is found by its name. */
-  readonly route?: QueueRoute
   /** Null for a public queue. */
   readonly customer: CustomerId | null
   /** Passed to every task unchanged. */
--- a/packages/jobs/tests/followed-config.test.ts
+++ b/packages/jobs/tests/followed-config.test.ts
@@ -79,8 +79,12 @@
   }
   state.apply(start('1', 0, 1, [a]))
   t.equal(state.jobs.countPending('renamed'), 0)
-  const old = createState(configure(1, [createQueue()], 0), accept(createSpec('1', [createStep()])), configure(2, [renamed, other], 1))
+  state.apply(configure(3, [{ ...renamed, pathPrefix: '/moved/', service: 'third' }, other], 2))
+  t.equal(policyOf(state).service, 'third', 'by its new name once its route has changed')
+  const old = createState(accept(createSpec('1', [createStep()])), configure(1, [renamed, other], 0))
   t.equal(policyOf(old).service, 'other')
+  old.apply(configure(2, [{ ...other, name: 'third', service: 'third' }], 1))
+  t.equal(policyOf(old).service, 'third', 'by the route that its queue had')
 })
 
 t.test('a job that was accepted beside a change of the configuration follows the newer one', async (t) => {
--- a/packages/jobs/tests/state.test.ts
+++ b/packages/jobs/tests/state.test.ts
@@ -181,11 +181,17 @@
   fc.record({ op: fc.constant('end' as const), job: fc.integer({ min: 1, max: 4 }), run: fc.integer({ min: 1, max: 5 }), index: fc.integer({ min: 0, max: 2 }), on: fc.constantFrom(a, b), outcome: fc.constantFrom('done', 'failed', 'stopped', 'lost', 'not-started') }),
   fc.record({ op: fc.constant('cancel' as const), job: fc.integer({ min: 1, max: 4 }) }),
   fc.record({ op: fc.constant('remove' as const), on: fc.constantFrom(a, b) }),
-  fc.record({ op: fc.constant('register' as const), on: fc.constantFrom(a, b) })
+  fc.record({ op: fc.constant('register' as const), on: fc.constantFrom(a, b) }),
+  fc.record({ op: fc.constant('configure' as const), version: fc.integer({ min: 1, max: 9 }), name: fc.constantFrom('q', 'r'), service: fc.constantFrom('s', 'next'), maxAttempts: fc.integer({ min: 1, max: 3 }), isDropped: fc.boolean() })
 )
 
 type Step = typeof commandArbitrary extends fc.Arbitrary<infer T> ? T : never
 
+const configure = ({ version, name, service, maxAttempts, isDropped }: Extract<Step, { op: 'configure' }>, atMs: number): StateCommand => {
+  const queue = { name, host: 'h', pathPrefix: `/${name}/`, service, priority: 1, maxAttempts, stretch: 2, targetLatencyMs: 1_000, timeoutMs: 3_000, isPublic: false }
+  return { type: 'configure', config: { version, queues: isDropped ? [] : [queue], services: [service], customers: [], document: '' }, atMs }
+}
+
 const toCommand = (step: Step, i: number): StateCommand => {
   switch (step.op) {
     case 'accept': return accept(createSpec(`${step.job}`, [createStep({ count: step.count, gang: step.gang })]), i)
@@ -194,6 +200,7 @@
     case 'cancel': return { type: 'cancel', job: asId<JobId>(`${step.job}`), atMs: i }
     case 'remove': return { type: 'remove-endpoint', life: step.on.life, atMs: i }
     case 'register': return register(step.on, i)
+    case 'configure': return configure(step, i)
   }
 }
 
@@ -211,7 +218,8 @@
     copy.restore(unpackValue(packValue(state.toSnapshot())))
     const isSame = JSON.stringify(copy.toSnapshot()) === JSON.stringify(state.toSnapshot())
     const isIndexed = [a, b].every(({ life: incarnation }) => JSON.stringify(copy.jobs.getUsage(incarnation)) === JSON.stringify(state.jobs.getUsage(incarnation)))
-    return new Set(tasks).size === tasks.length && isSame && isIndexed && copy.jobs.countPending('q') === state.jobs.countPending('q')
+    const arePendingSame = ['q', 'r'].every((queue) => copy.jobs.countPending(queue) === state.jobs.countPending(queue))
+    return new Set(tasks).size === tasks.length && isSame && isIndexed && arePendingSame
   }), { seed: 7, numRuns: 300 })
   t.pass()
 })
