dispatch: a leave that names another service or address is of another writer

Cause: a leave without a start time, as the platform sends it, was believed for any endpoint that drains, whatever else the message said; all runs there were stopped. Change: the codec decodes what a leave says, and one that contradicts the registered incarnation is ignored and logged. Evidence: ignored-announcements.test.ts "a message that an endpoint leaves …" fails without the two checks in six assertions. Conclusion: an empty leave is believed as before.

--- a/packages/cluster/src/leader-service.ts
+++ b/packages/cluster/src/leader-service.ts
@@ -1,4 +1,4 @@
-import { asId, assertNever, IbisError, type CustomerId, type EndpointId, type JobId } from '@ibisstair/common'
+import { asId, assertNever, IbisError, type CustomerId, type JobId } from '@ibisstair/common'
 import { checkJob, type JobSpec, type JobStatus, type QueueConfig, type SchedulingState, type StateCommand, type StateResult } from '@ibisstair/jobs'
 import type { Dispatcher } from '@ibisstair/dispatch'
 import type { RelayDirectory, RelayOffer } from '@ibisstair/relay'
@@ -141,8 +141,8 @@
     return { announceTo: relays.getAnnounceAddress(endpoint, timers.now()) }
   }
 
-  #leave ({ endpointId, bornMs }: LeaveParams): object {
-    this.#options.dispatcher.leave(asId<EndpointId>(endpointId), bornMs ?? null)
+  #leave ({ endpointId, bornMs = null, service = null, address = null }: LeaveParams): object {
+    this.#options.dispatcher.leave({ endpointId, bornMs, service, address })
     return {}
   }
 
--- a/packages/cluster/src/types.ts
+++ b/packages/cluster/src/types.ts
@@ -1,4 +1,5 @@
 import type { NodeId } from '@ibisstair/common'
+import type { LeaveNotice } from '@ibisstair/dispatch'
 import type { EndpointRecord, JobStatus, Recurrence, ServiceConfig, StepSpec } from '@ibisstair/jobs'
 
 /** The cluster as one control process sees it. */
@@ -32,11 +33,8 @@
   readonly clockMs: number
 }
 
-export interface LeaveParams {
-  readonly endpointId: string
-  /** Start time of the incarnation that leaves, in Unix milliseconds; null if the message does not tell. */
-  readonly bornMs: number | null
-}
+/** Earlier builds send neither service nor address. */
+export type LeaveParams = Pick<LeaveNotice, 'endpointId'> & Partial<LeaveNotice>
 
 export interface AnnounceAnswer {
   /** IP:PORT at which the endpoint's next announcements are preferred; null for any control process. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,4 +1,4 @@
-import type { EndpointId, TaskId } from '@ibisstair/common'
+import type { TaskId } from '@ibisstair/common'
 import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
@@ -8,6 +8,7 @@
 import { EndpointRegistrar } from './endpoint-registrar.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
 import { EndpointUse, type OutOfUseReason } from './endpoint-use.ts'
+import { isNoticeOf, type LeaveNotice } from './leave-notice.ts'
 import { PendingRecords } from './pending-records.ts'
 import { Planner, type Plan } from './planner.ts'
 import { describeSilence } from './silence.ts'
@@ -138,15 +139,14 @@
   /**
    * Handles the message that an endpoint shuts down: removes it after a grace period, once no run is active there.
    * An endpoint whose message got no answer may still run for some seconds. The message may arrive late, after another
-   * incarnation has registered under the id. Without a start time it counts only for an incarnation that has announced
-   * that it will leave; the runs of others end with their lease.
+   * incarnation has registered under the id; the runs of an endpoint whose message is ignored end with their lease.
    */
-  leave (id: EndpointId, bornMs: number | null): void {
+  leave (notice: LeaveNotice): void {
     const { state, timers, logger } = this.#options
+    const { endpointId: id } = notice
     const record = [...state.endpoints.list()].find((endpoint) => endpoint.id === id)
     if (!record) return
-    const hasLeft = bornMs === null ? record.draining : record.bornMs === bornMs
-    if (!hasLeft) return logger.info('message that an endpoint leaves is not of its present incarnation; ignored', { endpoint: id, life: record.life, bornMs })
+    if (!isNoticeOf(notice, record)) return logger.info('message that an endpoint leaves is not of its present incarnation; ignored', { ...notice, life: record.life, draining: record.draining })
     logger.info('endpoint leaves', { endpoint: id, life: record.life })
     if (!this.#leavingSinceMs.has(record.life)) this.#leavingSinceMs.set(record.life, timers.now())
     this.#sessions.get(record.life)?.handleLeaving()
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,5 +1,6 @@
 export { Dispatcher, type DispatcherOptions } from './dispatcher.ts'
 export { EndpointSession, type SessionEvents, type SessionOptions } from './endpoint-session.ts'
+export type { LeaveNotice } from './leave-notice.ts'
 export { Planner, type FleetView, type Plan, type PlanInput } from './planner.ts'
 export { couldEverFit, placeTasks, type Assignment, type Candidate } from './placement.ts'
 export type * from './ports.ts'
--- a/packages/dispatch/tests/ignored-announcements.test.ts
+++ b/packages/dispatch/tests/ignored-announcements.test.ts
@@ -66,6 +66,22 @@
   t.equal(cluster.state.endpoints.get(endpoint.life)?.capacity.accelerators, 4)
 })
 
+t.test('a message that an endpoint leaves stops nothing there if another writer sent it', async (t) => {
+  // It was believed for any endpoint that drains, whatever service or address it named; all runs there were stopped.
+  for (const claims of [{ service: 'backups' }, { address: '10.9.9.9:1' }, { bornMs: 77 }]) {
+    const { cluster, endpoint } = await startTasks()
+    cluster.mutedAnnouncements.add(endpoint.life)
+    cluster.announce({ ...endpoint, draining: true, sequence: 1_000_000 }, 1)
+    await cluster.run(500)
+    t.ok(cluster.state.endpoints.get(endpoint.life)?.draining)
+    cluster.leave(endpoint.id, null, claims)
+    await cluster.run(RUN_MS)
+    t.equal(cluster.statusOf('a1'), 'completed', JSON.stringify(claims))
+    t.equal(cluster.fleet.starts, TASKS)
+    t.ok(cluster.state.endpoints.get(endpoint.life))
+  }
+})
+
 t.test('an endpoint that announces itself before the configuration names its service is used once it does', async (t) => {
   const cluster = new TestCluster(1)
   cluster.elect()
--- a/packages/dispatch/tests/support/test-cluster.ts
+++ b/packages/dispatch/tests/support/test-cluster.ts
@@ -5,7 +5,7 @@
 import { ManualTimerService, RandomSource } from '@ibisstair/timers'
 import { accept, createEndpoint, createSpec, register } from '../../../jobs/tests/support/samples.ts'
 import { COMMIT_TIMEOUT_MS } from '../../src/constants.ts'
-import { Dispatcher, type EndpointPort } from '../../src/index.ts'
+import { Dispatcher, type EndpointPort, type LeaveNotice } from '../../src/index.ts'
 import { FakeFleet, LEASE_MAX_MS, type FakeFaults } from './fake-fleet.ts'
 
 const ANNOUNCE_MS = 500
@@ -172,8 +172,8 @@
     this.state.apply({ type: 'cancel', job: asId<JobId>(id), atMs: this.timers.now() })
   }
 
-  leave (id: string, bornMs: number | null): void {
-    this.#dispatcher?.leave(asId<EndpointId>(id), bornMs)
+  leave (id: string, bornMs: number | null, claims: Partial<LeaveNotice> = {}): void {
+    this.#dispatcher?.leave({ endpointId: asId<EndpointId>(id), bornMs, service: null, address: null, ...claims })
   }
 
   /** Announces the endpoints with another capacity from now on. */
