--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -252,8 +252,8 @@
   }
 
   /**
-   * Whether the work goes to another service since, or guaranteed work waits in vain: an endpoint is out of use, or has
-   * shrunk so that the end of all victims is not enough.
+   * Whether the queue of the work was sent to another service after the claim, or guaranteed work waits in vain: an
+   * endpoint is out of use, or has shrunk so that the end of all victims is not enough.
    */
   #isClaimVoid (work: ReadyWork, claim: Claim, pass: PlanningPass): boolean {
     if (isOfOtherService(work, claim, pass)) return true
--- a/packages/jobs/src/job-entry.ts
+++ b/packages/jobs/src/job-entry.ts
@@ -85,7 +85,7 @@
 export class JobEntry {
   readonly spec: JobSpec
   readonly acceptedAtMs: number
-  /** Of the queue as the last configuration that had it described it. */
+  /** What the last configuration that had the queue says of it. */
   #policy: QueuePolicy
   readonly #occurrences = new Map<number, OccurrenceEntry>()
   /** All earlier occurrences are done, and their state is no longer kept. */
