dispatch, platform: types of a planning pass in a file of their own, settings for scheduling rules

Change: PlanInput, FleetView, Plan and PassView, the narrow view that decisions read of a pass, are in plan-types.ts, the results of the examination of waiting work in waiting-types.ts. Before/after: depcruise with type imports finds no circle in packages/dispatch/src (48 modules). The tests of dispatch that were run pass (planner, dispatcher, waiting-work, claims, stalled-work, placement-ladder, waiting-report).

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,6 +1,6 @@
 const ORDER = [
   'common', 'crashes', 'timers', 'telemetry', 'settings', 'model', 'questionnaire', 'storage', 'consensus',
-  'registers', 'membership', 'scheduler', 'endpoint-tasks', 'gang', 'rpc', 'operator-client', 'endpoint-client', 'config-sync', 'gateway',
+  'registers', 'membership', 'estimation', 'fairness', 'admission', 'scheduler', 'endpoint-tasks', 'gang', 'rpc', 'operator-client', 'endpoint-client', 'config-sync', 'gateway',
   'control', 'jobs', 'dispatch', 'relay', 'cluster'
 ]
 
--- a/packages/cluster/src/core-node.ts
+++ b/packages/cluster/src/core-node.ts
@@ -1,6 +1,6 @@
 import { asId, IbisError, type NodeId } from '@ibisstair/common'
 import { ReplicaDriver, type Member, type ReplicaStatus } from '@ibisstair/consensus'
-import { Dispatcher, type EndpointPort } from '@ibisstair/dispatch'
+import { Dispatcher, type EndpointPort, type SchedulingPolicy } from '@ibisstair/dispatch'
 import { SchedulingState, type StateCommand, type StateResult } from '@ibisstair/jobs'
 import type { RelayDirectory } from '@ibisstair/relay'
 import { MessageSender, type MessageBatch, type RpcClient, type RpcServer, type Target } from '@ibisstair/rpc'
@@ -26,6 +26,7 @@
   /** Processes that relay calls to endpoints; filled in with their offers while this node leads. */
   readonly relays: RelayDirectory
   readonly leaseMaxMs: number
+  readonly policy?: SchedulingPolicy
   readonly timers: TimerService
   readonly random: RandomSource
   readonly logger: Logger
@@ -186,7 +187,7 @@
   }
 
   #startLeading ({ term, sinceOtherLeaderMs }: ReplicaStatus): void {
-    const { timers, logger, metrics, endpoints, relays, leaseMaxMs } = this.#options
+    const { timers, logger, metrics, endpoints, relays, leaseMaxMs, policy } = this.#options
     const replica = this.#replica!
     const propose = (command: StateCommand, timeoutMs: number): Promise<StateResult> => replica.propose(command, timeoutMs)
     const isLeading = (): boolean => {
@@ -204,7 +205,8 @@
       metrics,
       fencingToken: term,
       leaseMaxMs,
-      announcedUntilMs: timers.now() - sinceOtherLeaderMs
+      announcedUntilMs: timers.now() - sinceOtherLeaderMs,
+      ...(policy && { policy })
     })
     this.#leadership = { term, dispatcher, service: new LeaderService({ state: this.#state, dispatcher, relays, propose, timers, logger, metrics }) }
     dispatcher.start()
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -10,7 +10,8 @@
 import { EndpointUse, type OutOfUseReason } from './endpoint-use.ts'
 import { isNoticeOf, type LeaveNotice } from './leave-notice.ts'
 import { PendingRecords } from './pending-records.ts'
-import { Planner, type Plan } from './planner.ts'
+import type { Plan, SchedulingPolicy } from './plan-types.ts'
+import { Planner } from './planner.ts'
 import { describeSilence } from './silence.ts'
 import { StartOrders } from './start-orders.ts'
 import type { EndpointPort } from './ports.ts'
@@ -32,6 +33,8 @@
   readonly leaseMaxMs: number
   /** Time by `timers.now()` until which earlier leaders took announcements; -Infinity if it is not known. */
   readonly announcedUntilMs: number
+  /** Every rule is off by default. */
+  readonly policy?: SchedulingPolicy
 }
 
 /**
@@ -351,12 +354,13 @@
   #runPass (): void {
     for (const { task, endpoint } of this.#unwantedRuns.listDue(this.#options.timers.now())) this.#sessions.get(endpoint)?.stop(task)
     if (this.#isProposing) return this.#options.metrics.increment('planner.awaits-commit')
-    const { state, timers, logger } = this.#options
+    const { state, timers, logger, policy } = this.#options
     const plan = this.#planner.plan({
       state,
       nowMs: timers.now(),
       wallMs: timers.wallClock(),
       mayPreempt: this.#isSurveyDone(),
+      ...(policy && { policy }),
       fleet: {
         isUsable: (endpoint) => this.#getOutOfUse(endpoint) === null,
         isSuspect: (endpoint) => this.#health.isSuspect(endpoint.life) && this.#getOutOfUseBesideSuspicion(endpoint) === null,
@@ -364,7 +368,9 @@
         hasAnsweredOfLate: (life) => this.#sessions.get(life)?.hasAnsweredOfLate ?? false,
         isConfirmed: ({ endpoint, task }) => this.#sessions.get(endpoint)?.isConfirmed(task) ?? false,
         getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
-        estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null
+        estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null,
+        getSpeed: () => 1,
+        isCold: () => false
       }
     })
     for (const task of plan.preempted) {
--- a/packages/dispatch/src/gang-reservations.ts
+++ b/packages/dispatch/src/gang-reservations.ts
@@ -1,7 +1,7 @@
 import type { ActiveRun, Resources } from '@ibisstair/jobs'
 import { addResources, countFits, mustParseTaskId, NO_RESOURCES, subtractResources } from '@ibisstair/jobs'
 import { placeTasks, type Candidate } from './placement.ts'
-import type { PlanningPass } from './planning-pass.ts'
+import type { PassView } from './plan-types.ts'
 import { toShape, type ReadyWork } from './ready-work.ts'
 
 interface RunningTask {
@@ -20,14 +20,14 @@
  * of the gangs can start may use it meanwhile (backfill).
  */
 export class GangReservations {
-  readonly #pass: PlanningPass
+  readonly #pass: PassView
   readonly #gangs: ReservingGang[] = []
   readonly #reserved = new Map<Candidate, Resources>()
   /** Shapes that did not fit with the reserved capacity; free capacity only shrinks during a pass. */
   readonly #failedShapes = new Set<string>()
   #earliestStartMs: number | null = null
 
-  constructor (pass: PlanningPass) {
+  constructor (pass: PassView) {
     this.#pass = pass
   }
 
--- a/packages/dispatch/src/placement-ladder.ts
+++ b/packages/dispatch/src/placement-ladder.ts
@@ -1,6 +1,6 @@
 import type { EndpointIncarnation } from '@ibisstair/jobs'
 import { placeTasks, type Assignment, type Candidate, type PlacementOptions } from './placement.ts'
-import type { PlanningPass } from './planning-pass.ts'
+import type { PassView } from './plan-types.ts'
 import type { ReadyWork } from './ready-work.ts'
 
 /** How far the work has come on the ladder of places; each rung is used only if the earlier ones have no room. */
@@ -15,7 +15,7 @@
 }
 
 /** Places as much of the work as fits on the first rung that has room. */
-export const placeWork = (work: ReadyWork, pass: PlanningPass, { acceptFar, useKept, useSuspects, triedInVain }: LadderOptions): Assignment[] => {
+export const placeWork = (work: ReadyWork, pass: PassView, { acceptFar, useKept, useSuspects, triedInVain }: LadderOptions): Assignment[] => {
   const rungs = [
     work.isSuspect ? listUncrashed(work, pass) : [],
     pass.listCandidates(work),
@@ -29,11 +29,11 @@
 }
 
 /** Places work on suspect endpoints, those with the fewest failures first. */
-export const placeOnSuspects = (work: ReadyWork, pass: PlanningPass, triedInVain: ReadonlySet<EndpointIncarnation>): Assignment[] =>
+export const placeOnSuspects = (work: ReadyWork, pass: PassView, triedInVain: ReadonlySet<EndpointIncarnation>): Assignment[] =>
   placeOn(work, pass, listTiers(work, pass.listSuspects(work), triedInVain, pass), { acceptFar: true })
 
 /** Returns the candidates other than those that have crashed under the work: one of them may be at fault itself. */
-export const listUncrashed = (work: ReadyWork, pass: PlanningPass): Candidate[] => {
+export const listUncrashed = (work: ReadyWork, pass: PassView): Candidate[] => {
   const { job, occurrence, step, indexes } = work
   const { tasks } = job.getOccurrence(occurrence).steps[step]!
   const crashed = new Set(indexes.flatMap((index) => tasks[index]!.crashes.map(({ address }) => address)))
@@ -46,13 +46,13 @@
  * Work that has been tried in vain uses endpoints that have answered of late first, and those where it was tried last.
  * Each tier of work that is placed together includes the earlier ones.
  */
-const listTiers = (work: ReadyWork, candidates: readonly Candidate[], triedInVain: ReadonlySet<EndpointIncarnation>, { fleet }: PlanningPass): Array<readonly Candidate[]> => {
+const listTiers = (work: ReadyWork, candidates: readonly Candidate[], triedInVain: ReadonlySet<EndpointIncarnation>, { fleet }: PassView): Array<readonly Candidate[]> => {
   if (triedInVain.size === 0 || candidates.length === 0) return [candidates]
   const getTier = ({ endpoint }: Candidate): number => triedInVain.has(endpoint.life) ? 2 : fleet.hasAnswered(endpoint) ? 0 : 1
   return [0, 1, 2].map((tier) => candidates.filter((candidate) => isPlacedTogether(work) ? getTier(candidate) <= tier : getTier(candidate) === tier))
 }
 
-const placeOn = (work: ReadyWork, pass: PlanningPass, tiers: ReadonlyArray<readonly Candidate[]>, options: PlacementOptions): Assignment[] => {
+const placeOn = (work: ReadyWork, pass: PassView, tiers: ReadonlyArray<readonly Candidate[]>, options: PlacementOptions): Assignment[] => {
   const assignments: Assignment[] = []
   for (const candidates of tiers) {
     if (assignments.length > 0 && isPlacedTogether(work)) break
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -1,55 +1,21 @@
-import type { TaskId } from '@ibisstair/common'
-import type { ActiveRun, EndpointIncarnation, EndpointRecord, Resources, SchedulingState, StartGroup } from '@ibisstair/jobs'
+import type { ActiveRun, EndpointIncarnation, Resources, StartGroup } from '@ibisstair/jobs'
 import { countFits, isSufficientFor, subtractResources } from '@ibisstair/jobs'
 import { GangReservations } from './gang-reservations.ts'
 import { isGuaranteed } from './guarantees.ts'
 import { couldEverFit, placeTasks, deductAssigned, type Assignment, type PlacementOptions } from './placement.ts'
 import { listUncrashed, placeOnSuspects, placeWork } from './placement-ladder.ts'
+import type { Plan, PlanInput } from './plan-types.ts'
 import { PlanningPass } from './planning-pass.ts'
 import { planPreemptionBeyond, type PreemptionPlan } from './preemption.ts'
 import { toShape, toWorkKey, type ReadyWork } from './ready-work.ts'
 import { getDeferrableBudget, getReserve, isDeferrable, limitToAccelerators, sumFreeAccelerators } from './shares.ts'
 import { StalledWork } from './stalled-work.ts'
 import { UrgentDemand } from './urgent-demand.ts'
-import { WaitingWork, type WaitingSurvey } from './waiting-work.ts'
+import type { WaitingSurvey } from './waiting-types.ts'
+import { WaitingWork } from './waiting-work.ts'
 import { toCoreEquivalents } from './work-cost.ts'
 import { WorkWaits } from './work-waits.ts'
 
-/** State of the endpoints that is not in the replicated state. */
-export interface FleetView {
-  /** Whether the endpoint may be given new work. */
-  isUsable (endpoint: EndpointRecord): boolean
-  /** Whether the endpoint gets no new work only since runs failed there or since it refused a start. */
-  isSuspect (endpoint: EndpointRecord): boolean
-  /** Whether the endpoint has answered a call of this leader. */
-  hasAnswered (endpoint: EndpointRecord): boolean
-  /** Whether the endpoint has answered so short ago that a start there is committed; otherwise it is called first. */
-  hasAnsweredOfLate (life: EndpointIncarnation): boolean
-  /** Endpoints with a higher penalty are used later. */
-  getPenalty (endpoint: EndpointRecord): number
-  /** Whether the endpoint has confirmed to this leader that it runs the task. */
-  isConfirmed (run: ActiveRun): boolean
-  /** Returns the estimated time until a run ends by itself; null when its progress is not known. */
-  estimateRemainingMs (run: ActiveRun): number | null
-}
-
-export interface PlanInput {
-  readonly state: SchedulingState
-  readonly fleet: FleetView
-  readonly nowMs: number
-  readonly wallMs: number
-  /** False while it is not known which of the active runs have ended, so that no run is stopped in vain. */
-  readonly mayPreempt: boolean
-}
-
-export interface Plan {
-  readonly starts: readonly StartGroup[]
-  /** Runs to stop so that more urgent work fits. */
-  readonly preempted: readonly TaskId[]
-  /** Tells what work waits for; null between two examinations. To be called before the starts are applied. */
-  readonly examineWaiting: () => WaitingSurvey | null
-}
-
 /** Capacity that is reserved for urgent work until its victims have ended. */
 interface Claim {
   readonly assignments: readonly Assignment[]
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -4,9 +4,9 @@
 import { isGuaranteed, sumUrgentNeeds } from './guarantees.ts'
 import { Isolation } from './isolation.ts'
 import { indexByIncarnation, type Candidate, type CountOnEndpoint } from './placement.ts'
-import type { FleetView, PlanInput } from './planner.ts'
+import { NO_SCHEDULING_POLICY, type FleetView, type Idleness, type PassView, type PlanInput, type SchedulingPolicy } from './plan-types.ts'
 import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
-import { getIdleness, sumFree, type Idleness } from './service-load.ts'
+import { getIdleness, sumFree } from './service-load.ts'
 import { VictimList, type EstimateRemaining } from './victims.ts'
 
 const NO_CANDIDATES: readonly Candidate[] = []
@@ -17,12 +17,13 @@
 const RANK_SUSPECT = 2
 
 /** The data of one planning pass; each part is computed at most once. */
-export class PlanningPass {
+export class PlanningPass implements PassView {
   readonly state: SchedulingState
   readonly fleet: FleetView
   readonly nowMs: number
   readonly wallMs: number
   readonly mayPreempt: boolean
+  readonly policy: SchedulingPolicy
   readonly candidates: readonly Candidate[]
   readonly byIncarnation: ReadonlyMap<EndpointIncarnation, Candidate>
   /** Accelerators that the urgent jobs of each customer need. */
@@ -39,12 +40,13 @@
   readonly #overdue: TaskId[] = []
   #victims: VictimList | null = null
 
-  constructor ({ state, fleet, nowMs, wallMs, mayPreempt }: PlanInput) {
+  constructor ({ state, fleet, nowMs, wallMs, mayPreempt, policy = NO_SCHEDULING_POLICY }: PlanInput) {
     this.state = state
     this.fleet = fleet
     this.nowMs = nowMs
     this.wallMs = wallMs
     this.mayPreempt = mayPreempt
+    this.policy = policy
     this.#estimateRemaining = (run) => fleet.estimateRemainingMs(run)
     this.needs = sumUrgentNeeds(state)
     this.isolation = new Isolation(state, wallMs)
--- a/packages/dispatch/src/service-load.ts
+++ b/packages/dispatch/src/service-load.ts
@@ -1,19 +1,11 @@
 import { addResources, countFits, NO_RESOURCES, subtractResources, type EndpointRecord, type Resources } from '@ibisstair/jobs'
 import { hasRoomFor, type Candidate } from './placement.ts'
-import type { PlanningPass } from './planning-pass.ts'
+import type { Idleness, PassView } from './plan-types.ts'
 import type { ReadyWork } from './ready-work.ts'
 
 /** A service counts as idle while less than this share of its capacity is in use. */
 const IDLE_SHARE = 0.5
 
-/**
- * How much of a service's capacity is free:
- * `idle`: less than half of the accelerators of usable endpoints are in use, or of their cores if there are no accelerators;
- * `partly`: the same holds for another measure, or if the endpoints count that get no new work at present;
- * `busy`: neither.
- */
-export type Idleness = 'idle' | 'partly' | 'busy'
-
 const MEASURES = ['accelerators', 'cpuMilli', 'memMb'] as const satisfies ReadonlyArray<keyof Resources>
 
 const sumCapacity = (endpoints: readonly EndpointRecord[]): Resources =>
@@ -37,7 +29,7 @@
 const COPIES = 2
 
 /** Whether the free capacity holds the work twice over: two copies of a gang, or two single tasks. */
-export const fitsTwice = (work: ReadyWork, pass: PlanningPass): boolean => {
+export const fitsTwice = (work: ReadyWork, pass: PassView): boolean => {
   const { spec, indexes } = work
   const tasks = COPIES * (spec.gang ? indexes.length : 1)
   if (countFits(pass.getFree(work), spec.resources) < tasks) return false
--- a/packages/dispatch/src/shares.ts
+++ b/packages/dispatch/src/shares.ts
@@ -1,6 +1,6 @@
 import type { JobEntry, SchedulingState } from '@ibisstair/jobs'
 import type { Candidate } from './placement.ts'
-import type { PlanningPass } from './planning-pass.ts'
+import type { PassView } from './plan-types.ts'
 import type { ReadyWork } from './ready-work.ts'
 import { countPeakAccelerators, isRecurring, type UrgentDemand } from './urgent-demand.ts'
 
@@ -36,7 +36,7 @@
 }
 
 /** Returns the accelerators to keep free for expected urgent work, which would otherwise wait for victims to end. */
-export const getReserve = ({ state, nowMs, wallMs, candidates }: PlanningPass, demand: UrgentDemand): number => {
+export const getReserve = ({ state, nowMs, wallMs, candidates }: PassView, demand: UrgentDemand): number => {
   let running = 0
   for (const job of state.jobs.listActive()) {
     demand.begin(nowMs)
--- a/packages/dispatch/src/stalled-work.ts
+++ b/packages/dispatch/src/stalled-work.ts
@@ -1,6 +1,6 @@
 import type { ActiveRun } from '@ibisstair/jobs'
 import { SUSPECT_PATIENCE_MS } from './constants.ts'
-import type { PlanningPass } from './planning-pass.ts'
+import type { PassView } from './plan-types.ts'
 import type { ReadyWork } from './ready-work.ts'
 import { fitsTwice } from './service-load.ts'
 import type { WorkWaits } from './work-waits.ts'
@@ -27,7 +27,7 @@
     this.#waits = waits
   }
 
-  isStalled (work: ReadyWork, pass: PlanningPass): boolean {
+  isStalled (work: ReadyWork, pass: PassView): boolean {
     const wait = this.#waits.get(work)
     if (wait === undefined) return false
     if (work.spec.longRunning) return hasLasted(wait.sinceMs, pass)
@@ -39,7 +39,7 @@
    * Whether the work may be placed on suspect endpoints if no other one has room. It is tried there at most once in a
    * while, since most suspects fail or refuse again.
    */
-  mayUseSuspects (work: ReadyWork, pass: PlanningPass): boolean {
+  mayUseSuspects (work: ReadyWork, pass: PassView): boolean {
     const wait = this.#waits.get(work)
     if (wait === undefined || !hasLasted(wait.sinceMs, pass) || pass.listSuspects(work).length === 0) return false
     if (wait.placedAtMs !== null && pass.nowMs - wait.placedAtMs < SUSPECT_ENDPOINT_RETRY_MS) return false
@@ -47,12 +47,12 @@
   }
 
   /** Whether the stalled work goes before capacity that is reserved for gangs, which on a fleet in use would starve them. */
-  precedesReservations (work: ReadyWork, pass: PlanningPass): boolean {
+  precedesReservations (work: ReadyWork, pass: PassView): boolean {
     return work.spec.longRunning || pass.getIdleness(work) === 'idle'
   }
 
   /** Whether suspect work still waits for an endpoint of its own; it does so only for a while, since it may be innocent. */
-  isKeptApart (work: ReadyWork, { nowMs }: PlanningPass): boolean {
+  isKeptApart (work: ReadyWork, { nowMs }: PassView): boolean {
     if (!work.isSuspect) return false
     const wait = this.#waits.begin(work, nowMs)
     wait.suspectSinceMs ??= nowMs
@@ -60,23 +60,23 @@
   }
 
   /** Records whether a pass leaves room unused for work that it has not placed so far; to be called before capacity is reserved. */
-  recordRoom (work: ReadyWork, pass: PlanningPass): void {
+  recordRoom (work: ReadyWork, pass: PassView): void {
     const wait = this.#waits.begin(work, pass.nowMs)
     const isRoomUnused = !hasRuns(work, pass) && hasUnusedRoom(work, pass)
     wait.roomSinceMs = isRoomUnused ? wait.roomSinceMs ?? pass.nowMs : null
   }
 }
 
-const hasLasted = (sinceMs: number | null, { nowMs }: PlanningPass): boolean => sinceMs !== null && nowMs - sinceMs >= STALL_PATIENCE_MS
+const hasLasted = (sinceMs: number | null, { nowMs }: PassView): boolean => sinceMs !== null && nowMs - sinceMs >= STALL_PATIENCE_MS
 
 /**
  * Each occurrence of a repeated job is due by itself, whatever the others do. A run of a task that is done does not count,
  * and neither does one that its endpoint has not confirmed in time.
  */
-const hasRuns = ({ job, occurrence }: ReadyWork, { fleet, wallMs }: PlanningPass): boolean => {
+const hasRuns = ({ job, occurrence }: ReadyWork, { fleet, wallMs }: PassView): boolean => {
   const isRun = (active: ActiveRun): boolean => wallMs - active.startedAtMs < CONFIRMATION_MS || fleet.isConfirmed(active)
   return job.getOccurrence(occurrence).steps.some(({ activeTasks, tasks }) => activeTasks > 0 && tasks.some(({ active, isDone }) => active !== null && !isDone && isRun(active)))
 }
 
-const hasUnusedRoom = (work: ReadyWork, pass: PlanningPass): boolean =>
+const hasUnusedRoom = (work: ReadyWork, pass: PassView): boolean =>
   pass.getIdleness(work) !== 'busy' && fitsTwice(work, pass)
--- a/packages/dispatch/src/waiting-report.ts
+++ b/packages/dispatch/src/waiting-report.ts
@@ -2,7 +2,7 @@
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import { countByUse, type OutOfUseReason } from './endpoint-use.ts'
 import { toWorkKey } from './ready-work.ts'
-import { WAIT_REASON_TYPES, type WaitingEntry, type WaitingSurvey } from './waiting-work.ts'
+import { WAIT_REASON_TYPES, type WaitingEntry, type WaitingSurvey } from './waiting-types.ts'
 
 /** What the leader knows of endpoints and of runs on them. */
 export interface RunsView {
--- a/packages/dispatch/src/work-waits.ts
+++ b/packages/dispatch/src/work-waits.ts
@@ -1,5 +1,5 @@
 import type { ActiveRun, EndpointIncarnation, StartGroup } from '@ibisstair/jobs'
-import type { PlanningPass } from './planning-pass.ts'
+import type { PassView } from './plan-types.ts'
 import { toWorkKey, type ReadyWork } from './ready-work.ts'
 
 /** A confirmed run of this age shows that the work runs; one that ends earlier has failed at once. */
@@ -62,7 +62,7 @@
   }
 
   /** Takes note of which starts of earlier passes were confirmed and which ended unconfirmed; to be called first in a pass. */
-  observe (pass: PlanningPass): void {
+  observe (pass: PassView): void {
     for (const wait of this.#waits.values()) if (wait.attempts.size > 0) observeAttempts(wait, pass)
   }
 
@@ -81,7 +81,7 @@
   }
 
   /** Forgets work that is no longer waiting, but for work that was placed and has not run for long: its start may fail. */
-  removeExcept (known: ReadonlySet<string>, { nowMs, state }: PlanningPass): void {
+  removeExcept (known: ReadonlySet<string>, { nowMs, state }: PassView): void {
     for (const [key, wait] of this.#waits) {
       const { job } = wait.work
       const isGone = !job.isActive || state.jobs.get(job.spec.id) !== job
@@ -94,7 +94,7 @@
 const hasRunSteadily = ({ placedAtMs, isConfirmed }: Wait, nowMs: number): boolean =>
   isConfirmed && placedAtMs !== null && nowMs - placedAtMs >= STEADY_RUN_MS
 
-const observeAttempts = (wait: Wait, { fleet }: PlanningPass): void => {
+const observeAttempts = (wait: Wait, { fleet }: PassView): void => {
   const { work: { job, occurrence, step, spec }, attempts, triedInVain } = wait
   const isConfirmed = (active: ActiveRun | null): boolean => active !== null && fleet.isConfirmed(active)
   for (const [index, { run, endpoint }] of attempts) {
--- a/packages/dispatch/tests/placement-ladder.test.ts
+++ b/packages/dispatch/tests/placement-ladder.test.ts
@@ -2,7 +2,8 @@
 import { SchedulingState, type EndpointRecord, type StepSpec } from '@ibisstair/jobs'
 import t from 'tap'
 import { accept, createEndpoint, createSpec, createStep, register } from '../../jobs/tests/support/samples.ts'
-import { Planner, type FleetView } from '../src/planner.ts'
+import type { FleetView } from '../src/plan-types.ts'
+import { Planner } from '../src/planner.ts'
 import { createFleetView } from './support/fleet-view.ts'
 
 const PASS_MS = 100
--- a/packages/dispatch/tests/support/fleet-view.ts
+++ b/packages/dispatch/tests/support/fleet-view.ts
@@ -1,4 +1,4 @@
-import type { FleetView } from '../../src/planner.ts'
+import type { FleetView } from '../../src/plan-types.ts'
 
 /** A fleet without faults, but for what a test replaces. */
 export const createFleetView = (part: Partial<FleetView> = {}): FleetView => ({
@@ -9,5 +9,7 @@
   getPenalty: () => 0,
   isConfirmed: () => true,
   estimateRemainingMs: () => null,
+  getSpeed: () => 1,
+  isCold: () => false,
   ...part
 })
--- a/packages/dispatch/tests/waiting-work.test.ts
+++ b/packages/dispatch/tests/waiting-work.test.ts
@@ -5,7 +5,8 @@
 import { Planner } from '../src/index.ts'
 import { PlanningPass } from '../src/planning-pass.ts'
 import { listReadyWork, type ReadyWork } from '../src/ready-work.ts'
-import { EXAMINATION_PERIOD_MS, MAX_EXAMINED_WORK, MIN_EXAMINED_WAIT_MS, REEXAMINATION_MS, WaitingWork, type WaitContext, type WaitingEntry, type WaitingSurvey } from '../src/waiting-work.ts'
+import { EXAMINATION_PERIOD_MS, MAX_EXAMINED_WORK, MIN_EXAMINED_WAIT_MS, REEXAMINATION_MS, WaitingWork, type WaitContext } from '../src/waiting-work.ts'
+import type { WaitingEntry, WaitingSurvey } from '../src/waiting-types.ts'
 import { createFleetView } from './support/fleet-view.ts'
 
 const PASS_MS = 100
