dispatch: an order without an answer is sent again after 300 ms

A gang of which one member's start is lost was stopped whole and began again 2.3 s to 2.6 s after its submission, 11 urgent jobs of the first 20 s among them, which made them late. Change: starts and stops are sent once more after 300 ms; both attempts together take the 800 ms of the present time-out. An endpoint goes by the run number, so that a repeated order is carried out once, also if the first attempt arrives seconds later. After an attempt without an answer, a refusal or a refused connection does not show that the run is not started: such a run is stopped before it is placed again.

--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -10,7 +10,10 @@
 /** A deposed leader may renew leases until it has been without a quorum for this time. */
 export const DEPOSED_LEADER_GRACE_MS = 2_500
 
+/** An order is given up as unanswered after this time, its repetition included. */
 export const ORDER_TIMEOUT_MS = 800
+/** An order without an answer is repeated after this time; endpoints answer within some tens of milliseconds. */
+export const ORDER_REPEAT_MS = 300
 /** Answers may overtake each other by less than this. */
 export const MAX_ANSWER_DELAY_MS = 3_000
 /** Longest time after which an order without an answer may still be carried out. */
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -2,11 +2,12 @@
 import type { ActiveRun, EndpointRecord, RunEnd } from '@ibisstair/jobs'
 import type { TimerService } from '@ibisstair/timers'
 import {
-  COMMIT_POLL_INTERVAL_MS, CONTACT_VALIDITY_MS, ORDER_TIMEOUT_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS
+  COMMIT_POLL_INTERVAL_MS, CONTACT_VALIDITY_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS
 } from './constants.ts'
 import { EndpointLease } from './endpoint-lease.ts'
 import { Handover } from './handover.ts'
 import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
+import { isConnectionRefused, sendRepeatedly } from './repeated-order.ts'
 import { StrayRuns } from './stray-runs.ts'
 import { createTrackedRun, mayBeActive, toEnd, type AbsentRun, type RunPhase, type TrackedRun } from './tracked-run.ts'
 
@@ -33,8 +34,6 @@
   readonly events: SessionEvents
 }
 
-const isRefused = (err: IbisError): boolean => err.details?.code === 'ECONNREFUSED'
-
 /** Leases, orders and reports of one incarnation of an endpoint, during the term of one leader. */
 export class EndpointSession {
   readonly #options: SessionOptions
@@ -231,17 +230,18 @@
     const leaseUntilMs = await mayOrder && this.#mayOrder() ? this.#lease.extend(this.#options.timers.now()) : null
     if (leaseUntilMs === null) return this.#endNotStarted(tracked)
     const order = { task: tracked.task, run: tracked.run, payload, checkpoint, fencingToken, leaseUntilMs }
-    const result = await port.start(this.#endpoint, order, ORDER_TIMEOUT_MS).catch(IbisError.from)
+    const { result, isUncertain } = await sendRepeatedly((timeoutMs) => port.start(this.#endpoint, order, timeoutMs))
     if (this.#isClosed) return
     if (result instanceof IbisError) {
       this.#recordFailure()
-      this.#handleUnansweredStart(tracked, result)
+      this.#handleUnansweredStart(tracked, result, isUncertain)
     } else if (result.type === 'ok') {
       if (!this.#recordAnswer(result.clockMs)) return
       this.#setPhase(tracked, 'present')
     } else if (result.type === 'refused') {
       events.handleStartRefused(this.#endpoint, tracked.task, result.reason)
-      this.#endNotStarted(tracked)
+      if (isUncertain) this.#setPhase(tracked, 'unconfirmed')
+      else this.#endNotStarted(tracked)
     } else {
       this.#setPhase(tracked, 'unconfirmed')
       this.#handleRejection(result)
@@ -253,11 +253,11 @@
     return !this.#isClosed && this.#leavingSinceMs === null && this.#options.events.isLeading()
   }
 
-  #handleUnansweredStart (tracked: TrackedRun, err: IbisError): void {
+  #handleUnansweredStart (tracked: TrackedRun, err: IbisError, isUncertain: boolean): void {
     const { task, run } = tracked
     this.#options.events.log('endpoint did not answer a start order', { task, run, endpoint: this.#endpoint.id, detail: err.message })
     // An order that was sent on no connection can't be carried out late.
-    if (isRefused(err)) this.#endNotStarted(tracked)
+    if (isConnectionRefused(err) && !isUncertain) this.#endNotStarted(tracked)
     else this.#setPhase(tracked, 'unconfirmed')
   }
 
@@ -279,7 +279,8 @@
   async #sendStop (tracked: TrackedRun): Promise<void> {
     const { port, fencingToken, events, timers } = this.#options
     while (!this.#isClosed && this.#runs.get(tracked.task) === tracked && !tracked.isStopAcked && events.isLeading()) {
-      const result = await port.stop(this.#endpoint, { task: tracked.task, run: tracked.run, fencingToken }, ORDER_TIMEOUT_MS).catch(IbisError.from)
+      const order = { task: tracked.task, run: tracked.run, fencingToken }
+      const { result } = await sendRepeatedly((timeoutMs) => port.stop(this.#endpoint, order, timeoutMs))
       if (this.#isClosed) return
       if (result instanceof IbisError) {
         this.#recordFailure()
@@ -393,7 +394,7 @@
     if (this.#isClosed) return true
     if (result instanceof IbisError) {
       this.#recordFailure()
-      this.#hasLeft ||= isRefused(result) && this.#leavingSinceMs !== null && sentAtMs >= this.#leavingSinceMs
+      this.#hasLeft ||= isConnectionRefused(result) && this.#leavingSinceMs !== null && sentAtMs >= this.#leavingSinceMs
       if (this.#failures === 1) this.#options.events.log('endpoint does not answer', { endpoint: this.#endpoint.id, address: this.#endpoint.address, runs: this.#runs.size, detail: result.message })
       return false
     }
