rpc, dispatch, platform: connections of a leader to endpoints are bounded

The leader keeps up to three connections to each endpoint for good, and each endpoint with runs holds one for a renewal that waits. Change: ConnectionPool keeps connections to the 800 endpoints that were used last; LongPolls lets at most 800 renewals wait at endpoints at a time, and the other endpoints are asked every 500 ms.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -11,6 +11,7 @@
 import { isNoticeOf, type LeaveNotice } from './leave-notice.ts'
 import { PendingRecords } from './pending-records.ts'
 import type { Plan, SchedulingPolicy } from './plan-types.ts'
+import { LongPolls } from './long-polls.ts'
 import { Planner } from './planner.ts'
 import { describeSilence } from './silence.ts'
 import { StartOrders } from './start-orders.ts'
@@ -50,6 +51,7 @@
   readonly #pendingRecords = new PendingRecords()
   readonly #registrar: EndpointRegistrar
   readonly #startOrders: StartOrders
+  readonly #longPolls = new LongPolls()
   readonly #unwantedRuns: UnwantedRuns
   /** When each endpoint said that it leaves. */
   readonly #leavingSinceMs = new Map<EndpointIncarnation, number>()
@@ -227,7 +229,7 @@
     if (known) return known
     const endpoint = state.endpoints.get(incarnation)
     if (!endpoint) return null
-    const session = new EndpointSession({ endpoint, port, timers, fencingToken, leaseMaxMs, events: this })
+    const session = new EndpointSession({ endpoint, port, timers, fencingToken, leaseMaxMs, longPolls: this.#longPolls, events: this })
     this.#sessions.set(incarnation, session)
     if (this.#leavingSinceMs.has(incarnation)) session.handleLeaving()
     return session
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -2,10 +2,11 @@
 import type { ActiveRun, EndpointRecord, RunEnd } from '@ibisstair/jobs'
 import type { TimerService } from '@ibisstair/timers'
 import {
-  COMMIT_POLL_INTERVAL_MS, CONTACT_VALIDITY_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS
+  COMMIT_POLL_INTERVAL_MS, CONTACT_VALIDITY_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, SHORT_POLL_INTERVAL_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS
 } from './constants.ts'
 import { EndpointLease } from './endpoint-lease.ts'
 import { Handover } from './handover.ts'
+import type { LongPolls } from './long-polls.ts'
 import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
 import { isConnectionRefused, sendRepeatedly } from './repeated-order.ts'
 import { StrayRuns } from './stray-runs.ts'
@@ -31,6 +32,8 @@
   readonly timers: TimerService
   readonly fencingToken: number
   readonly leaseMaxMs: number
+  /** Shared by the sessions of a leader. */
+  readonly longPolls: LongPolls
   readonly events: SessionEvents
 }
 
@@ -331,11 +334,15 @@
   // Renewals and reports
 
   async #pollLoop (): Promise<void> {
-    const { events, timers } = this.#options
+    const { events, timers, longPolls } = this.#options
     while (!this.#isClosed && events.isLeading() && (this.#pollAgain || this.#needsPoll())) {
       this.#pollAgain = false
-      const answered = await this.#renew(this.#getWaitMs(), true)
-      if (answered) await this.#pause(this.#getPauseMs())
+      let mayWait = true
+      const answered = await longPolls.run(this.#getWaitMs(), (waitMs) => {
+        mayWait = waitMs > 0
+        return this.#renew(waitMs, true)
+      })
+      if (answered) await this.#pause(this.#getPauseMs(mayWait))
       else await timers.delay(RETRY_DELAY_MS)
     }
   }
@@ -349,12 +356,14 @@
     return phases.has('starting') ? START_LONG_POLL_MS : RENEW_LONG_POLL_MS
   }
 
-  #getPauseMs (): number {
+  /** `mayWait` tells whether the last renewal could wait at the endpoint for the end of a run. */
+  #getPauseMs (mayWait: boolean): number {
     // The endpoint lists the same ends again until they are acknowledged, which needs their commit.
     const awaitsCommit = this.#submittedUpto > this.#committedUpto || [...this.#runs.values()].some(({ isEnding }) => isEnding)
     if (awaitsCommit) return COMMIT_POLL_INTERVAL_MS
     // Stops take some time to be reported; polling more often would not speed them up.
-    return [...this.#runs.values()].some(({ phase }) => phase === 'stopping' || phase === 'unconfirmed') ? STOP_POLL_INTERVAL_MS : 0
+    if ([...this.#runs.values()].some(({ phase }) => phase === 'stopping' || phase === 'unconfirmed')) return STOP_POLL_INTERVAL_MS
+    return mayWait || this.#getWaitMs() === 0 ? 0 : SHORT_POLL_INTERVAL_MS
   }
 
   /** Waits for the time, or until `poll` is called. */
--- a/packages/dispatch/tests/replaced-endpoints.test.ts
+++ b/packages/dispatch/tests/replaced-endpoints.test.ts
@@ -4,6 +4,7 @@
 import t from 'tap'
 import { createEndpoint, createStep } from '../../jobs/tests/support/samples.ts'
 import { EndpointSession } from '../src/endpoint-session.ts'
+import { LongPolls } from '../src/long-polls.ts'
 import { ReplacedEndpoints } from '../src/replaced-endpoints.ts'
 import { TestCluster } from './support/test-cluster.ts'
 
@@ -125,7 +126,7 @@
   }
   const events = { handleEnds: async () => {}, handleReplaced: () => {}, handleFenced: () => {}, handleStartRefused: () => {}, isLeading: () => true, log: () => {} }
   const endpoint = createEndpoint('w1')
-  const session = new EndpointSession({ endpoint, port, timers, fencingToken: 1, leaseMaxMs: 6_000, events })
+  const session = new EndpointSession({ endpoint, port, timers, fencingToken: 1, leaseMaxMs: 6_000, longPolls: new LongPolls(), events })
   session.adopt({ task: asId('a1.0.0.0'), run: 1, endpoint: endpoint.life, startedAtMs: 0 })
   await settleMicrotasks()
   for (let i = 0; i < 3; i++) await t.rejects(session.handOver(), /newer leader/)
--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -1,5 +1,6 @@
 export { ByteBudget } from './byte-budget.ts'
 export * from './client.ts'
+export { ConnectionPool, type ConnectionPoolOptions } from './connection-pool.ts'
 export * from './constants.ts'
 export * from './draining-server.ts'
 export * from './http.ts'
