jobs: drained failure domains in the replicated state

Change: DomainDrains holds, for each failure domain, whether it is drained, since when, and a revision that rises over all domains. An order that would change the state must name the present revision; a committed start on an endpoint of a drained domain is not carried out.

--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -26,3 +26,6 @@
 /** A submission that its caller has cancelled already arrives within this time, if at all. */
 export const EARLY_CANCEL_RETENTION_MS = 60_000
 export const MAX_EARLY_CANCELS = 10_000
+
+/** Restored failure domains whose revision is remembered; a fleet has few failure domains, and orders are delayed by seconds. */
+export const MAX_RESTORED_DOMAINS = 256
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,5 +1,7 @@
 export * from './constants.ts'
 export { ConfigStore } from './config-store.ts'
+export { DomainDrains } from './domain-drains.ts'
+export type { DomainDrain, DomainDrainsSnapshot, DrainChange } from './domain-drains.ts'
 export { EndpointStore, toEndpointIncarnation } from './endpoint-store.ts'
 export { JobStore } from './job-store.ts'
 export * from './job-entry.ts'
--- a/packages/jobs/src/state.ts
+++ b/packages/jobs/src/state.ts
@@ -1,6 +1,7 @@
 import { assertNever } from '@ibisstair/common'
 import type { StateMachine } from '@ibisstair/consensus'
 import { ConfigStore } from './config-store.ts'
+import { DomainDrains, NO_DOMAIN_DRAINS, type DomainDrainsSnapshot } from './domain-drains.ts'
 import type { EarlyCancels } from './early-cancels.ts'
 import { EndpointStore } from './endpoint-store.ts'
 import type { JobSnapshot } from './job-entry.ts'
@@ -18,16 +19,19 @@
   readonly silentLosses?: ReturnType<SilentLosses['toSnapshot']>
   /** Absent in snapshots of builds that forgot the cancellation of a job that was not known. */
   readonly earlyCancels?: ReturnType<EarlyCancels['toSnapshot']>
+  /** Absent in snapshots of builds that could not drain failure domains. */
+  readonly domainDrains?: DomainDrainsSnapshot
 }
 
 const NO_EFFECT: ConfigEffect = { movedJobs: 0, failedJobs: [] }
 
 export type StateListener = (command: StateCommand, result: StateResult) => void
 
-/** The replicated state: configuration, endpoints and jobs, changed by commands in the order of the log. */
+/** The replicated state: configuration, endpoints, drained failure domains and jobs, changed by commands in the order of the log. */
 export class SchedulingState implements StateMachine<StateCommand, StateResult> {
   readonly config = new ConfigStore()
   readonly endpoints = new EndpointStore()
+  readonly domainDrains = new DomainDrains()
   readonly jobs = new JobStore()
   readonly #listeners = new Set<StateListener>()
 
@@ -44,11 +48,19 @@
   }
 
   toSnapshot (): StateSnapshot {
-    return { config: this.config.config, endpoints: [...this.endpoints.list()], endedIncarnations: [...this.endpoints.listEnded()], jobs: this.jobs.toSnapshot(), silentLosses: this.jobs.silentLosses.toSnapshot(), earlyCancels: this.jobs.earlyCancels.toSnapshot() }
+    return {
+      config: this.config.config,
+      endpoints: [...this.endpoints.list()],
+      endedIncarnations: [...this.endpoints.listEnded()],
+      jobs: this.jobs.toSnapshot(),
+      silentLosses: this.jobs.silentLosses.toSnapshot(),
+      earlyCancels: this.jobs.earlyCancels.toSnapshot(),
+      domainDrains: this.domainDrains.toSnapshot()
+    }
   }
 
   restore (snapshot: unknown): void {
-    const { config, endpoints, endedIncarnations = [], jobs, silentLosses = [], earlyCancels = [] } = snapshot as StateSnapshot
+    const { config, endpoints, endedIncarnations = [], jobs, silentLosses = [], earlyCancels = [], domainDrains = NO_DOMAIN_DRAINS } = snapshot as StateSnapshot
     this.config.restore(config)
     this.endpoints.restore(endpoints, endedIncarnations)
     this.jobs.restore(jobs)
@@ -56,6 +68,7 @@
     this.jobs.followConfig(this.config, { attemptsAtMs: null })
     this.jobs.silentLosses.restore(silentLosses)
     this.jobs.earlyCancels.restore(earlyCancels)
+    this.domainDrains.restore(domainDrains)
   }
 
   /** Whether the configuration in force, or a job that is still to be done, names the service. */
@@ -79,8 +92,8 @@
       }
       case 'cancel': return { type: 'cancelled', status: this.jobs.cancel(command.job, command.atMs)?.status ?? null }
       case 'start': {
-        // A group with an endpoint that was replaced or removed in the meantime is not started.
-        const groups = command.groups.filter(({ members }) => members.every(({ endpoint }) => this.endpoints.get(endpoint)))
+        // A group with an endpoint that was replaced, removed or drained with its failure domain in the meantime is not started.
+        const groups = command.groups.filter(({ members }) => members.every(({ endpoint }) => this.#mayStartOn(endpoint)))
         return { type: 'started', groups: this.jobs.start(groups, command.atMs) }
       }
       case 'end': {
@@ -97,11 +110,18 @@
         else this.endpoints.remove(command.life)
         return { type: 'removed', ended: endpoint ? this.#endIncarnation(endpoint, toEnd(command), command.silence ?? null, command.atMs) : null }
       }
+      case 'drain-domain': return { type: 'domain-drain', ...this.domainDrains.apply({ ...command, isDrained: true }) }
+      case 'restore-domain': return { type: 'domain-drain', ...this.domainDrains.apply({ ...command, isDrained: false }) }
       case 'barrier': return { type: 'passed' }
       default: return assertNever(command)
     }
   }
 
+  #mayStartOn (life: EndpointIncarnation): boolean {
+    const endpoint = this.endpoints.get(life)
+    return endpoint !== undefined && !this.domainDrains.isDrained(endpoint.domain)
+  }
+
   /** An incarnation that was replaced has crashed, unless it had announced that it would leave or is only silent (`end` null). */
   #endIncarnation (endpoint: EndpointRecord, end: IncarnationEnd | null, silence: Silence | null, atMs: number): EndedIncarnation {
     return this.jobs.endIncarnation(endpoint, { hasCrashed: end === 'replaced' && !endpoint.draining, silence, endpoints: this.endpoints.size, atMs })
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -1,5 +1,6 @@
 import type { CustomerId, DomainId, EndpointId, JobId, RackId, TaskId } from '@ibisstair/common'
 import type { Blame, TaskCrash } from '@ibisstair/crashes'
+import type { DrainChange } from './domain-drains.ts'
 
 /** One incarnation of an endpoint, `ID@START`: its id and its start time in Unix milliseconds. */
 export type EndpointIncarnation = string & { readonly _brand: 'EndpointIncarnation' }
@@ -208,6 +209,9 @@
    * Commands of earlier builds do not tell which of the two.
    */
   | { readonly type: 'remove-endpoint', readonly life: EndpointIncarnation, readonly atMs: number, readonly hasEnded?: boolean, readonly cause?: IncarnationEnd, readonly silence?: Silence }
+  /** No work starts in the failure domain from now on. Written only for an order of an operator: earlier builds do not know it. */
+  | { readonly type: 'drain-domain', readonly domain: DomainId, readonly expectedRevision: number, readonly atMs: number }
+  | { readonly type: 'restore-domain', readonly domain: DomainId, readonly expectedRevision: number, readonly atMs: number }
   /** Changes nothing; a read that waits for it sees all earlier commands. */
   | { readonly type: 'barrier' }
 
@@ -231,4 +235,5 @@
   | { readonly type: 'ended' }
   | { readonly type: 'registered', readonly isChanged: boolean, readonly replaced: readonly EndedIncarnation[] }
   | { readonly type: 'removed', readonly ended: EndedIncarnation | null }
+  | DrainChange & { readonly type: 'domain-drain' }
   | { readonly type: 'passed' }
--- a/packages/jobs/tests/support/samples.ts
+++ b/packages/jobs/tests/support/samples.ts
@@ -1,5 +1,5 @@
 import { asId, type CustomerId, type DomainId, type EndpointId, type JobId, type RackId } from '@ibisstair/common'
-import { toEndpointIncarnation, toTaskId, type EndpointRecord, type JobSpec, type RunEnd, type RunOutcome, type StateCommand, type StepSpec } from '../../src/index.ts'
+import { toEndpointIncarnation, toTaskId, type EndpointRecord, type JobSpec, type RunEnd, type RunOutcome, type SchedulingState, type StateCommand, type StateResult, type StepSpec } from '../../src/index.ts'
 
 export const createStep = (overrides: Partial<StepSpec> = {}): StepSpec => ({
   count: 1,
@@ -53,6 +53,12 @@
 
 export const register = (endpoint: EndpointRecord, atMs = 0): StateCommand => ({ type: 'register-endpoint', endpoint, atMs })
 
+/** Drains a failure domain, or restores it; an order without a revision names the present one. */
+export const orderDrain = (state: SchedulingState, domain: string, isDrained: boolean, revision?: number, atMs = 0): StateResult => {
+  const id = asId<DomainId>(domain)
+  return state.apply({ type: isDrained ? 'drain-domain' : 'restore-domain', domain: id, expectedRevision: revision ?? state.domainDrains.getRevision(id), atMs })
+}
+
 export const start = (job: string, step: number, run: number, endpoints: readonly EndpointRecord[], atMs = 0): StateCommand => ({
   type: 'start',
   groups: [{ job: asId<JobId>(job), occurrence: 0, step, run, members: endpoints.map(({ life: incarnation }, index) => ({ index, endpoint: incarnation })) }],
