dispatch: no start in drained failure domains, by any path

Cause: a drain must hold from 5 s after its acknowledgement on. Change: endpoints of drained domains are out of use (domain-drained); claims with one of them are void at once; idle capacity there does not count; a start that waits for a call to its endpoint is withheld if the domain is drained meanwhile. The order of a start carries a lease of at most 4.2 s: one that a partition held back started up to 5.8 s after the drain. Between two renewals leases fall to 4.3 s as it is. Announcements tell how long an endpoint stays cold.

--- a/packages/dispatch/src/announcements.ts
+++ b/packages/dispatch/src/announcements.ts
@@ -1,10 +1,14 @@
 import type { EndpointIncarnation, EndpointRecord } from '@ibisstair/jobs'
-import { ANNOUNCEMENT_EXPIRY_MS, ENDPOINT_EXPIRY_MS } from './constants.ts'
+import { ANNOUNCEMENT_EXPIRY_MS, ENDPOINT_EXPIRY_MS, MAX_COLD_MS } from './constants.ts'
 
-/** When each endpoint last announced itself during a leader's term, and which of its announcements is the newest. */
+/**
+ * When each endpoint last announced itself during a leader's term, which of its announcements is the newest, and how long
+ * it stays slow after its start.
+ */
 export class Announcements {
   readonly #sequences = new Map<EndpointIncarnation, number>()
   readonly #appliedAtMs = new Map<EndpointIncarnation, number>()
+  readonly #coldUntilMs = new Map<EndpointIncarnation, number>()
   readonly #termStartedAtMs: number
   readonly #inheritedAtMs: number
 
@@ -30,7 +34,18 @@
     this.#appliedAtMs.set(life, Math.max(atMs, this.#appliedAtMs.get(life) ?? -Infinity))
   }
 
+  /** Records what the endpoint announced at `atMs` about the time for which it stays slow. */
+  recordCold ({ life }: EndpointRecord, coldLeftMs: number, atMs: number): void {
+    if (coldLeftMs > 0) this.#coldUntilMs.set(life, atMs + Math.min(coldLeftMs, MAX_COLD_MS))
+    else this.#coldUntilMs.delete(life)
+  }
+
+  isCold (incarnation: EndpointIncarnation, nowMs: number): boolean {
+    return nowMs < (this.#coldUntilMs.get(incarnation) ?? -Infinity)
+  }
+
   remove (incarnation: EndpointIncarnation): void {
+    this.#coldUntilMs.delete(incarnation)
     this.#sequences.delete(incarnation)
     this.#appliedAtMs.delete(incarnation)
   }
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -10,6 +10,13 @@
 /** A deposed leader may renew leases until it has been without a quorum for this time. */
 export const DEPOSED_LEADER_GRACE_MS = 2_500
 
+/**
+ * Longest lease that comes with the order of a start; the next renewal extends it. An order that is carried out late starts
+ * nothing after its lease, so that no run starts 5 s after its failure domain was drained, also by a slow clock.
+ * Between two renewals, leases get about as short.
+ */
+export const START_LEASE_MS = 4_200
+
 export const ORDER_TIMEOUT_MS = 800
 /** Answers may overtake each other by less than this. */
 export const MAX_ANSWER_DELAY_MS = 3_000
@@ -63,6 +70,9 @@
 /** An endpoint that has not announced itself for this time gets no new work. */
 export const ANNOUNCEMENT_EXPIRY_MS = 4_000
 
+/** An endpoint that announces a longer time for which it stays slow counts as slow for this time. */
+export const MAX_COLD_MS = 600_000
+
 /** Shortest time between an endpoint's message that it leaves and its removal. */
 export const LEAVE_GRACE_MS = 500
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -135,8 +135,8 @@
   }
 
   /** Handles the announcement of an endpoint. Resolves once a changed record is committed. */
-  async announce (record: EndpointRecord, clockMs: number): Promise<void> {
-    await this.#registrar.announce(record, clockMs)
+  async announce (record: EndpointRecord, clockMs: number, coldLeftMs = 0): Promise<void> {
+    await this.#registrar.announce(record, clockMs, coldLeftMs)
   }
 
   /**
@@ -370,7 +370,7 @@
         getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
         estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null,
         getSpeed: () => 1,
-        isCold: () => false
+        isCold: ({ life }) => this.#announcements.isCold(life, timers.now())
       }
     })
     for (const task of plan.preempted) {
@@ -447,10 +447,11 @@
     return reason === null || reason === 'unanswered' || reason === 'unannounced' ? 'suspect' : reason
   }
 
-  #getOutOfUseBesideSuspicion ({ life, draining }: EndpointRecord): Exclude<OutOfUseReason, 'suspect'> | null {
+  #getOutOfUseBesideSuspicion ({ life, draining, domain }: EndpointRecord): Exclude<OutOfUseReason, 'suspect'> | null {
     if (draining) return 'draining'
     if (this.#leavingSinceMs.has(life)) return 'leaving'
     if (this.#replaced.has(life)) return 'replaced'
+    if (this.#options.state.domainDrains.isDrained(domain)) return 'domain-drained'
     if ((this.#sessions.get(life)?.failures ?? 0) > 0) return 'unanswered'
     return this.#announcements.isCurrent(life, this.#options.timers.now()) ? null : 'unannounced'
   }
--- a/packages/dispatch/src/endpoint-lease.ts
+++ b/packages/dispatch/src/endpoint-lease.ts
@@ -59,11 +59,11 @@
     return this.#clock !== null && valueMs < this.#clock.valueMs - MAX_ANSWER_DELAY_MS
   }
 
-  /** Returns the end to grant now, on the endpoint's clock; null while the clock is not known. */
-  extend (nowMs: number): number | null {
+  /** Returns the end to grant now, on the endpoint's clock, not later than in `limitMs`; null while the clock is not known. */
+  extend (nowMs: number, limitMs = Infinity): number | null {
     const clockMs = this.#estimateClock(nowMs)
     if (clockMs === null) return null
-    const untilMs = Math.floor(clockMs + this.#maxMs - LEASE_SAFETY_MARGIN_MS)
+    const untilMs = Math.floor(clockMs + Math.min(limitMs, this.#maxMs - LEASE_SAFETY_MARGIN_MS))
     this.#grant(untilMs)
     return untilMs
   }
--- a/packages/dispatch/src/endpoint-registrar.ts
+++ b/packages/dispatch/src/endpoint-registrar.ts
@@ -33,7 +33,7 @@
   }
 
   /** Resolves once a changed record is committed. */
-  async announce (record: EndpointRecord, clockMs: number): Promise<void> {
+  async announce (record: EndpointRecord, clockMs: number, coldLeftMs: number): Promise<void> {
     const { state, timers, metrics, announcements, pendingRecords, handleAnnounced } = this.#options
     const now = timers.now()
     const known = state.endpoints.get(record.life)
@@ -45,6 +45,7 @@
     if (this.#isNews(record)) await this.#register(record, known)
     if (!state.endpoints.get(record.life)) return
     announcements.recordApplied(record, now)
+    announcements.recordCold(record, coldLeftMs, now)
     handleAnnounced(record.life, clockMs, now)
   }
 
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -2,7 +2,7 @@
 import type { ActiveRun, EndpointRecord, RunEnd } from '@ibisstair/jobs'
 import type { TimerService } from '@ibisstair/timers'
 import {
-  COMMIT_POLL_INTERVAL_MS, CONTACT_VALIDITY_MS, ORDER_TIMEOUT_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS
+  COMMIT_POLL_INTERVAL_MS, CONTACT_VALIDITY_MS, ORDER_TIMEOUT_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, START_LEASE_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS
 } from './constants.ts'
 import { EndpointLease } from './endpoint-lease.ts'
 import { Handover } from './handover.ts'
@@ -228,7 +228,7 @@
 
   async #sendStart (tracked: TrackedRun, payload: string, checkpoint: string, mayOrder: Promise<boolean>): Promise<void> {
     const { port, fencingToken, events } = this.#options
-    const leaseUntilMs = await mayOrder && this.#mayOrder() ? this.#lease.extend(this.#options.timers.now()) : null
+    const leaseUntilMs = await mayOrder && this.#mayOrder() ? this.#lease.extend(this.#options.timers.now(), START_LEASE_MS) : null
     if (leaseUntilMs === null) return this.#endNotStarted(tracked)
     const order = { task: tracked.task, run: tracked.run, payload, checkpoint, fencingToken, leaseUntilMs }
     const result = await port.start(this.#endpoint, order, ORDER_TIMEOUT_MS).catch(IbisError.from)
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -218,11 +218,11 @@
   }
 
   /**
-   * Whether the queue of the work was sent to another service after the claim, or guaranteed work waits in vain: an
-   * endpoint is out of use, or has shrunk so that the end of all victims is not enough.
+   * Whether the queue of the work was sent to another service after the claim, a failure domain of the claim was drained, or
+   * guaranteed work waits in vain: an endpoint is out of use, or has shrunk so that the end of all victims is not enough.
    */
   #isClaimVoid (work: ReadyWork, claim: Claim, pass: PlanningPass): boolean {
-    if (isOfOtherService(work, claim, pass)) return true
+    if (isOfOtherService(work, claim, pass) || isInDrainedDomain(claim, pass)) return true
     if (!isGuaranteed(pass.state, work.job, pass.needs)) return false
     const isGone = claim.assignments.some(({ endpoint }) => !pass.byIncarnation.has(endpoint))
     claim.goneSinceMs = isGone ? claim.goneSinceMs ?? pass.nowMs : null
@@ -287,6 +287,10 @@
     return candidate !== undefined && candidate.endpoint.service !== job.policy.service
   })
 
+/** Whether an endpoint of the claim gets no start until its failure domain is restored. */
+const isInDrainedDomain = ({ assignments }: Claim, { state }: PlanningPass): boolean =>
+  state.domainDrains.drainedCount > 0 && assignments.some(({ endpoint }) => state.domainDrains.isDrained(state.endpoints.get(endpoint)?.domain))
+
 /** Gives deferrable work its share of the fleet and returns the work that was not placed. */
 const placeShare = (works: readonly ReadyWork[], { state, candidates }: PlanningPass, place: (work: ReadyWork) => boolean): ReadyWork[] => {
   let budget = getDeferrableBudget(state, candidates)
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -97,7 +97,7 @@
     const { service } = work.job.policy
     const known = this.#idleness.get(service)
     if (known !== undefined) return known
-    const registered = [...this.state.endpoints.list()].filter((endpoint) => endpoint.service === service)
+    const registered = [...this.state.endpoints.list()].filter((endpoint) => endpoint.service === service && !this.state.domainDrains.isDrained(endpoint.domain))
     const idleness = getIdleness(registered, this.listServiceCandidates(work))
     this.#idleness.set(service, idleness)
     return idleness
--- a/packages/dispatch/src/start-orders.ts
+++ b/packages/dispatch/src/start-orders.ts
@@ -62,7 +62,12 @@
     const contacts = accepted.map(({ session }) => session.makeContact())
     // The members of a gang work only together: none is ordered while one of their endpoints does not answer.
     const gangContact = Promise.all(contacts).then((answers) => answers.every(Boolean))
-    accepted.forEach(({ run, session }, i) => this.#order(session, run, job, gang ? gangContact : contacts[i]!))
+    accepted.forEach(({ run, session }, i) => {
+      // The failure domain may be drained while the endpoint is being called.
+      const needed = gang ? accepted : [accepted[i]!]
+      const mayOrder = (gang ? gangContact : contacts[i]!).then((hasAnswered) => hasAnswered && !this.#isDrainedMeanwhile(session, run, needed.map((order) => order.session)))
+      this.#order(session, run, job, mayOrder)
+    })
   }
 
   /** Calls the endpoint if it has not answered of late. */
@@ -83,17 +88,29 @@
     session.start(run, job.spec.payload, job.spec.steps[step]!.gang ? entry.checkpoint : entry.tasks[index]!.checkpoint, mayOrder)
   }
 
+  /** Whether the failure domain of an endpoint that the run needs has been drained since its start was committed. */
+  #isDrainedMeanwhile (session: EndpointSession, run: ActiveRun, needed: readonly EndpointSession[]): boolean {
+    const { domainDrains } = this.#options.state
+    const isDrained = needed.some(({ endpoint }) => domainDrains.isDrained(endpoint.domain))
+    if (isDrained) this.#reportWithheld(session, run, 'domain-drained')
+    return isDrained
+  }
+
   /** The endpoint may have changed between the plan and the commit of its starts. */
   #findObstacle (life: EndpointIncarnation): WithheldReason | null {
     const { state, pendingRecords } = this.#options
     const records = [state.endpoints.get(life), pendingRecords.get(life)].filter((record) => record !== undefined)
-    return findObstacle(records, state.jobs.getUsage(life))
+    return findObstacle(records, state.jobs.getUsage(life), state.domainDrains)
   }
 
   #withhold (session: EndpointSession, run: ActiveRun, reason: WithheldReason): void {
+    this.#reportWithheld(session, run, reason)
+    session.withhold(run)
+  }
+
+  #reportWithheld (session: EndpointSession, run: ActiveRun, reason: WithheldReason): void {
     const { logger, metrics } = this.#options
     metrics.increment(`starts.withheld.${reason}`)
     logger.info('start withheld', { task: run.task, run: run.run, endpoint: session.endpoint.id, reason })
-    session.withhold(run)
   }
 }
--- /dev/null
+++ b/packages/dispatch/tests/drained-domains.test.ts
@@ -0,0 +1,152 @@
+import { asId, IbisError, type DomainId, type RackId } from '@ibisstair/common'
+import type { EndpointRecord } from '@ibisstair/jobs'
+import t from 'tap'
+import { createEndpoint, createStep, orderDrain } from '../../jobs/tests/support/samples.ts'
+import type { EndpointPort, OrderResult } from '../src/index.ts'
+import { TestCluster } from './support/test-cluster.ts'
+import type { FakeFaults } from './support/fake-fleet.ts'
+
+const ZONES = ['z1', 'z2', 'z3']
+/** No task starts in a domain later than this after the acknowledgement of its drain. */
+const EVACUATE_MS = 5_000
+
+/** Three failure domains of two endpoints each. `startedAtMs` has the last start on each endpoint that it carried out. */
+class Zones extends TestCluster {
+  readonly startedAtMs = new Map<string, number>()
+
+  constructor (seed: number, faults: Partial<FakeFaults> = {}) {
+    const endpoints = ZONES.flatMap((zone, i) => [0, 1].map((n) => createEndpoint(`${zone}-${n}`, { address: `10.0.${i}.${n}:1`, domain: asId<DomainId>(zone), rack: asId<RackId>(`r${i}`) })))
+    super(seed, faults, endpoints)
+    const recordStart = this.fleet.recordStart.bind(this.fleet)
+    this.fleet.recordStart = (endpoint, order) => {
+      this.startedAtMs.set(endpoint.record.id, this.timers.now())
+      recordStart(endpoint, order)
+    }
+    this.elect()
+  }
+
+  listIn (zone: string): EndpointRecord[] {
+    return this.endpoints.filter(({ domain }) => domain === zone)
+  }
+
+  lastStartIn (zone: string): number {
+    return Math.max(-Infinity, ...this.listIn(zone).map(({ id }) => this.startedAtMs.get(id) ?? -Infinity))
+  }
+
+  countRunsIn (zone: string): number {
+    return this.listIn(zone).reduce((sum, { life }) => sum + this.state.jobs.listRuns(life).size, 0)
+  }
+
+  /** Submits more short tasks than the fleet can run until they have all ended. */
+  submitWave (id: string, count = 200): void {
+    this.submit(id, [createStep({ count })])
+  }
+}
+
+t.test('nothing starts in a drained domain, whatever its runs, until it is restored', async (t) => {
+  const cluster = new Zones(1, { runMs: 700 })
+  cluster.submitWave('a1')
+  await cluster.run(1_000)
+  const before = cluster.countRunsIn('z1')
+  t.ok(before > 0)
+  orderDrain(cluster.state, 'z1', true)
+  const drainedAtMs = cluster.timers.now()
+  const stops = cluster.fleet.stops
+  await cluster.run(6_000)
+  t.ok(cluster.lastStartIn('z1') <= drainedAtMs + 1, 'no order follows the drain')
+  t.equal(cluster.countRunsIn('z1'), 0)
+  t.equal(cluster.fleet.stops, stops, 'runs that end by themselves are not stopped')
+  t.ok(cluster.lastStartIn('z2') > drainedAtMs, 'the rest of the fleet goes on')
+  t.equal(cluster.metrics.read().gauges['endpoints.out-of-use.domain-drained'], 2)
+  cluster.submitWave('a2')
+  orderDrain(cluster.state, 'z1', false)
+  await cluster.run(2_000)
+  t.ok(cluster.lastStartIn('z1') > drainedAtMs + 6_000, 'work returns')
+})
+
+t.test('no start follows a drain by 5 s while orders are carried out late and leaders replace each other', async (t) => {
+  // Guards against late orders, deposed leaders and adopted runs: whatever path leads to the start (hard-load section 3).
+  for (let seed = 1; seed <= 12; seed++) {
+    const cluster = new Zones(seed, { runMs: 600, lostShare: 0.3 })
+    cluster.submitWave('a1')
+    await cluster.run(1_000 + 37 * seed)
+    orderDrain(cluster.state, 'z1', true)
+    const drainedAtMs = cluster.timers.now()
+    if (seed % 2 === 0) cluster.elect()
+    await cluster.run(300)
+    if (seed % 3 === 0) cluster.recover()
+    await cluster.run(20_000)
+    t.ok(cluster.lastStartIn('z1') <= drainedAtMs + EVACUATE_MS, `seed ${seed}: last start after ${cluster.lastStartIn('z1') - drainedAtMs} ms`)
+    t.same(cluster.fleet.violations, [], `seed ${seed}`)
+  }
+})
+
+t.test('a leader that is elected right after the acknowledgement starts nothing in the domain', async (t) => {
+  // Guards against a successor whose first pass knows nothing of the drain.
+  const cluster = new Zones(3)
+  await cluster.run(1_000)
+  orderDrain(cluster.state, 'z1', true)
+  cluster.recover()
+  cluster.submitWave('a1')
+  await cluster.run(5_000)
+  t.equal(cluster.lastStartIn('z1'), -Infinity)
+  t.ok(cluster.lastStartIn('z2') > 0)
+})
+
+t.test('a start that is committed and waits for a call to its endpoint is withheld when the domain is drained', async (t) => {
+  // Guards against an order after the drain: a start is ordered only once each of its endpoints has answered.
+  const cluster = new Zones(4)
+  const { fleet } = cluster
+  let isSlow = false
+  const renew: EndpointPort['renew'] = async (endpoint, order, timeoutMs) => {
+    if (isSlow && order.leaseUntilMs === null) await cluster.timers.delay(300)
+    return await fleet.renew(endpoint, order, timeoutMs)
+  }
+  const ordered: string[] = []
+  const start: EndpointPort['start'] = async (endpoint, order, timeoutMs): Promise<OrderResult> => {
+    ordered.push(endpoint.domain)
+    return await fleet.start(endpoint, order, timeoutMs)
+  }
+  cluster.port = { start, renew, stop: fleet.stop.bind(fleet), closeConnections: () => {} }
+  cluster.elect()
+  await cluster.run(1_000)
+  isSlow = true
+  // The start is committed by an earlier leader's pass, so that this leader has had no contact for a while.
+  cluster.submit('g1', [createStep({ count: 6, gang: true, maxPerEndpoint: 1 })])
+  const members = cluster.endpoints.map(({ life }, index) => ({ index, endpoint: life }))
+  cluster.state.apply({ type: 'start', groups: [{ job: asId('g1'), occurrence: 0, step: 0, run: 1, members }], atMs: cluster.timers.now() })
+  await cluster.run(50)
+  orderDrain(cluster.state, 'z1', true)
+  await cluster.run(3_000)
+  t.same(ordered, [], 'no member of the gang is ordered')
+  t.equal(cluster.state.jobs.get(asId('g1'))!.activeRuns, 0)
+  t.ok(cluster.logLines.some(({ message, fields }) => message === 'start withheld' && fields.reason === 'domain-drained'))
+})
+
+t.test('an order that a partition held back for 5 s after the drain starts nothing', async (t) => {
+  // Guards against the longest lease in the order of a start, by which it started up to 5.8 s after the drain.
+  const cluster = new Zones(5)
+  const { fleet } = cluster
+  let held = 0
+  const start: EndpointPort['start'] = async (endpoint, order, timeoutMs) => {
+    if (endpoint.domain !== 'z1') return await fleet.start(endpoint, order, timeoutMs)
+    held += 1
+    fleet.faults.unreachable.add(endpoint.life)
+    cluster.timers.subscribe(EVACUATE_MS + 100, () => {
+      fleet.faults.unreachable.delete(endpoint.life)
+      fleet.start(endpoint, order, timeoutMs).catch(() => {})
+    })
+    await cluster.timers.delay(timeoutMs)
+    throw new IbisError('unreachable', 'no answer', { info: { reason: 'timeout' } })
+  }
+  cluster.port = { start, renew: fleet.renew.bind(fleet), stop: fleet.stop.bind(fleet), closeConnections: () => {} }
+  cluster.elect()
+  await cluster.run(1_000)
+  cluster.submitWave('a1')
+  await cluster.run(30)
+  t.ok(held > 0)
+  orderDrain(cluster.state, 'z1', true)
+  await cluster.run(15_000)
+  t.equal(cluster.lastStartIn('z1'), -Infinity)
+  t.same(fleet.violations, [])
+})
