cluster, platform: orders that drain and restore failure domains

Cause: operators' orders got 404. The control process attaches the revision that it has applied when the order arrives.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,8 +11,8 @@
 const noProcesses = ['child_process', 'cluster', 'worker_threads'].flatMap((name) => [name, `node:${name}`])
 
 // Names on the wire of the users' platform; only platform/ knows them.
-const PLATFORM_FIELDS = '^(FenceToken|UntilMs|AckedUpto|BeatAddr|DrainRemainingMs|MaxPerServer)$'
-const PLATFORM_TEXTS = '(ibisstair.(run-|hold|Instances|Config)|x-ibisstair-(credential|expected)|IBISSTAIR_SETTINGS)'
+const PLATFORM_FIELDS = '^(FenceToken|UntilMs|AckedUpto|BeatAddr|ColdLeftMs|DrainRemainingMs|MaxPerServer)$'
+const PLATFORM_TEXTS = '(ibisstair.(run-|hold|Instances|Config|Evacuation)|x-ibisstair-(credential|expected)|IBISSTAIR_SETTINGS)'
 const noPlatformNames = [`Identifier[name=/${PLATFORM_FIELDS}/]`, `Literal[value=/${PLATFORM_TEXTS}/]`, `TemplateElement[value.raw=/${PLATFORM_TEXTS}/]`].map((selector) => ({
   selector,
   message: 'A name of the platform belongs into platform/.'
--- a/packages/cluster/src/constants.ts
+++ b/packages/cluster/src/constants.ts
@@ -19,6 +19,9 @@
 /** Time within which a command from a caller or operator must be committed. */
 export const COMMAND_TIMEOUT_MS = 2_500
 
+/** Like `COMMAND_TIMEOUT_MS`, for orders about failure domains: operators try another process after one second. */
+export const DRAIN_COMMIT_TIMEOUT_MS = 800
+
 /** Period at which a control process checks whether it has to start or stop leading. */
 export const ROLE_CHECK_PERIOD_MS = 50
 
--- a/packages/cluster/src/core-node.ts
+++ b/packages/cluster/src/core-node.ts
@@ -35,7 +35,8 @@
 }
 
 const LEADER_METHODS: readonly LeaderMethod[] = [
-  'job.submit', 'job.status', 'job.cancel', 'queue.pending', 'config.put', 'config.get', 'endpoint.announce', 'endpoint.leave', 'relay.offer', 'relay.withdraw'
+  'job.submit', 'job.status', 'job.cancel', 'queue.pending', 'config.put', 'config.get', 'endpoint.announce', 'endpoint.leave',
+  'domain.drain', 'domain.restore', 'domain.list', 'relay.offer', 'relay.withdraw'
 ]
 
 interface Leadership {
--- a/packages/cluster/src/leader-client.ts
+++ b/packages/cluster/src/leader-client.ts
@@ -9,7 +9,7 @@
 const RETRYABLE_KINDS: ReadonlySet<ErrorKind> = new Set(['not-leader', 'no-leader', 'no-quorum', 'unreachable', 'outcome-unknown', 'shutting-down', 'overloaded', 'disk-full'])
 
 /** Calls that change nothing, so that an attempt without an answer does not matter. */
-const READ_METHODS: ReadonlySet<LeaderMethod> = new Set(['job.status', 'queue.pending', 'config.get'])
+const READ_METHODS: ReadonlySet<LeaderMethod> = new Set(['job.status', 'queue.pending', 'config.get', 'domain.list'])
 
 /** Handles a call in this process; rejects with `not-leader` if another process leads. */
 export type LocalCallHandler = (method: LeaderMethod, params: unknown) => Promise<unknown>
--- a/packages/cluster/src/leader-service.ts
+++ b/packages/cluster/src/leader-service.ts
@@ -5,8 +5,9 @@
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService } from '@ibisstair/timers'
 import { COMMAND_TIMEOUT_MS, RETRY_AFTER_MS } from './constants.ts'
+import { DomainService } from './domain-service.ts'
 import type {
-  AnnounceAnswer, AnnounceParams, ConfigAnswer, ConfigureParams, JobAnswer, JobSubmission, LeaderMethod, LeaveParams, PendingAnswer, QueueAddress, SubmitParams
+  AnnounceAnswer, AnnounceParams, ConfigAnswer, ConfigureParams, DomainOrderParams, JobAnswer, JobSubmission, LeaderMethod, LeaveParams, PendingAnswer, QueueAddress, SubmitParams
 } from './types.ts'
 
 export interface LeaderServiceOptions {
@@ -24,9 +25,11 @@
 /** Handles the leader's calls from callers, operators and endpoints. Every answer reflects all committed commands. */
 export class LeaderService {
   readonly #options: LeaderServiceOptions
+  readonly #domains: DomainService
 
   constructor (options: LeaderServiceOptions) {
     this.#options = options
+    this.#domains = new DomainService(options)
   }
 
   async handle (method: LeaderMethod, params: unknown): Promise<unknown> {
@@ -39,6 +42,9 @@
       case 'config.get': return await this.#readConfig()
       case 'endpoint.announce': return await this.#announce(params as AnnounceParams)
       case 'endpoint.leave': return this.#leave(params as LeaveParams)
+      case 'domain.drain': return await this.#domains.drain(params as DomainOrderParams)
+      case 'domain.restore': return await this.#domains.restore(params as DomainOrderParams)
+      case 'domain.list': return await this.#domains.list()
       case 'relay.offer': return this.#recordRelay(params as RelayOffer)
       case 'relay.withdraw': return this.#removeRelay(params as RelayOffer)
       default: return assertNever(method)
@@ -135,9 +141,9 @@
 
   // Endpoints
 
-  async #announce ({ endpoint, clockMs }: AnnounceParams): Promise<AnnounceAnswer> {
+  async #announce ({ endpoint, clockMs, coldLeftMs = 0 }: AnnounceParams): Promise<AnnounceAnswer> {
     const { dispatcher, relays, timers } = this.#options
-    await dispatcher.announce(endpoint, clockMs)
+    await dispatcher.announce(endpoint, clockMs, coldLeftMs)
     return { announceTo: relays.getAnnounceAddress(endpoint, timers.now()) }
   }
 
--- a/packages/cluster/src/types.ts
+++ b/packages/cluster/src/types.ts
@@ -1,4 +1,4 @@
-import type { NodeId } from '@ibisstair/common'
+import type { DomainId, NodeId } from '@ibisstair/common'
 import type { LeaveNotice } from '@ibisstair/dispatch'
 import type { EndpointRecord, JobStatus, Recurrence, ServiceConfig, StepSpec } from '@ibisstair/jobs'
 
@@ -31,6 +31,8 @@
 export interface AnnounceParams {
   readonly endpoint: EndpointRecord
   readonly clockMs: number
+  /** How much longer the endpoint stays slow after its start; absent in calls of earlier builds. */
+  readonly coldLeftMs?: number
 }
 
 /** Earlier builds send neither service nor address. */
@@ -58,9 +60,36 @@
   readonly version: number
 }
 
+export interface DomainOrderParams {
+  readonly domain: DomainId
+  /** Revision of the failure domain that the process at which the order arrived had applied. */
+  readonly expectedRevision: number
+  /** Whether the settings of that process name the failure domain. */
+  readonly isConfigured?: boolean
+}
+
+export interface DomainAnswer {
+  readonly domain: DomainId
+  readonly isDrained: boolean
+  readonly revision: number
+}
+
+export interface DomainStatus extends DomainAnswer {
+  /** Unix milliseconds of the last drain or restoration; null if there was none. */
+  readonly sinceMs: number | null
+  /** Registered endpoints. */
+  readonly endpoints: number
+  readonly runs: number
+}
+
+export interface DomainListAnswer {
+  readonly domains: readonly DomainStatus[]
+}
+
 /** Calls that only the leader handles. */
 export type LeaderMethod =
   | 'job.submit' | 'job.status' | 'job.cancel' | 'queue.pending'
   | 'config.put' | 'config.get'
   | 'endpoint.announce' | 'endpoint.leave'
+  | 'domain.drain' | 'domain.restore' | 'domain.list'
   | 'relay.offer' | 'relay.withdraw'
