dispatch: long-running tasks leave drained domains, cold endpoints come last

Cause: tasks that never end by themselves would stay in a drained domain, and the endpoints of a restored one are slow at first. Cold endpoints are used after warm ones, and a tightly coupled step takes a warm rack first. Gauges, counters and log lines tell of drains, and a warning says when the guarantees exceed the rest of the fleet.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -4,6 +4,7 @@
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { Announcements } from './announcements.ts'
 import { BARRIER_RETRY_DELAY_MS, COMMIT_TIMEOUT_MS, FAILED_PASS_DELAY_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
+import { DrainedDomains } from './drained-domains.ts'
 import { EndpointHealth } from './endpoint-health.ts'
 import { EndpointRegistrar } from './endpoint-registrar.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
@@ -55,6 +56,7 @@
   readonly #leavingSinceMs = new Map<EndpointIncarnation, number>()
   readonly #replaced: ReplacedEndpoints
   readonly #endpointUse: EndpointUse
+  readonly #drainedDomains: DrainedDomains
   readonly #waitingReport: WaitingReport
   readonly #unsettledRuns: UnsettledRuns
   readonly #unsubscribes: Unsubscribe[] = []
@@ -103,6 +105,14 @@
       handleAnnounced: (life, clockMs, atMs) => this.#sessions.get(life)?.handleAnnouncement(clockMs, atMs)
     })
     this.#endpointUse = new EndpointUse(options.logger, options.metrics)
+    this.#drainedDomains = new DrainedDomains({
+      state: options.state,
+      timers: options.timers,
+      logger: options.logger,
+      metrics: options.metrics,
+      isUsable: (endpoint) => this.#getOutOfUse(endpoint) === null,
+      getSession: (life) => this.#sessions.get(life)
+    })
     this.#waitingReport = new WaitingReport(options.logger, options.metrics, {
       listEndpoints: () => options.state.endpoints.list(),
       getOutOfUse: (endpoint) => this.#getOutOfUse(endpoint),
@@ -130,6 +140,7 @@
     for (const unsubscribe of this.#unsubscribes) unsubscribe()
     for (const session of this.#sessions.values()) session.close()
     this.#endpointUse.close()
+    this.#drainedDomains.close()
     this.#waitingReport.close()
     this.#unsettledRuns.close()
   }
@@ -195,6 +206,7 @@
 
   #handleApplied (command: StateCommand, result: StateResult): void {
     if (this.#isClosed) return
+    this.#drainedDomains.handleApplied(command, result)
     if (result.type === 'started') for (const group of result.groups) this.#startOrders.send(group)
     if (command.type === 'end') for (const { task, run } of command.ends) this.#sessions.get(command.endpoint)?.release(task, run)
     if (command.type === 'register-endpoint') this.#pendingRecords.handleApplied(command.endpoint)
@@ -281,6 +293,8 @@
     this.#removeLeftEndpoints()
     this.#replaced.retryDue()
     this.#endpointUse.observe([...this.#options.state.endpoints.list()], (endpoint) => this.#getOutOfUse(endpoint))
+    this.#drainedDomains.observe()
+    if (!this.#isProposing) this.#drainedDomains.moveRuns()
     this.#unsettledRuns.observe(() => this.#listRunStatus(), this.#options.timers.now())
     this.#schedulePass()
   }
--- a/packages/dispatch/src/guarantees.ts
+++ b/packages/dispatch/src/guarantees.ts
@@ -12,6 +12,17 @@
   return needs
 }
 
+/**
+ * Returns how many accelerators the guarantees of all customers exceed the endpoints by that are neither leaving nor in a
+ * drained failure domain; 0 if the guarantees fit.
+ */
+export const findGuaranteeShortage = ({ config, domainDrains, endpoints }: SchedulingState): number => {
+  let shortage = 0
+  for (const { guaranteedAccelerators } of config.config?.customers ?? []) shortage += guaranteedAccelerators
+  for (const { capacity, domain, draining } of endpoints.list()) if (!draining && !domainDrains.isDrained(domain)) shortage -= capacity.accelerators
+  return Math.max(0, shortage)
+}
+
 /** Whether all urgent jobs of the customer together stay within its guarantee. */
 export const isGuaranteed = (state: SchedulingState, { spec, policy }: JobEntry, needs: ReadonlyMap<CustomerId | null, number>): boolean =>
   policy.priority === 0 && (needs.get(spec.customer) ?? 0) <= state.config.getGuarantee(spec.customer)
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -8,6 +8,8 @@
   free: Resources
   /** Candidates with a higher penalty are used later: slow or failing endpoints. */
   readonly penalty: number
+  /** Endpoints that still run slowly after their start are used after others with the same penalty. */
+  readonly isCold?: boolean
 }
 
 export interface Assignment {
@@ -26,12 +28,16 @@
   return spec.maxPerEndpoint === null ? fits : Math.max(0, Math.min(fits, spec.maxPerEndpoint - countOn(candidate.endpoint.life)))
 }
 
+/** The load pattern: a failure domain that is restored returns empty, and its endpoints are slow at first. */
+const byPenalty = (a: Candidate, b: Candidate): number =>
+  a.penalty - b.penalty || Number(a.isCold ?? false) - Number(b.isCold ?? false)
+
 /** Fullest first, so that whole endpoints stay free for large tasks. */
 const byBestFit = (a: Candidate, b: Candidate): number =>
-  a.penalty - b.penalty || a.free.accelerators - b.free.accelerators || a.free.cpuMilli - b.free.cpuMilli
+  byPenalty(a, b) || a.free.accelerators - b.free.accelerators || a.free.cpuMilli - b.free.cpuMilli
 
 const byMostFree = (a: Candidate, b: Candidate): number =>
-  a.penalty - b.penalty || b.free.accelerators - a.free.accelerators || b.free.cpuMilli - a.free.cpuMilli
+  byPenalty(a, b) || b.free.accelerators - a.free.accelerators || b.free.cpuMilli - a.free.cpuMilli
 
 const fill = (spec: StepSpec, indexes: readonly number[], candidates: readonly Candidate[], countOn: CountOnEndpoint): Assignment[] => {
   const assignments: Assignment[] = []
@@ -130,7 +136,9 @@
 
 const choose = (spec: StepSpec, indexes: readonly number[], candidates: Candidate[], countOn: CountOnEndpoint, acceptFar: boolean): Assignment[] => {
   if (spec.tightlyCoupled) {
-    const inOneRack = placeInOneRack(spec, indexes, candidates, countOn)
+    const warm = candidates.filter(({ isCold }) => !isCold)
+    const inOneWarmRack = warm.length < candidates.length ? placeInOneRack(spec, indexes, warm, countOn) : null
+    const inOneRack = inOneWarmRack ?? placeInOneRack(spec, indexes, candidates, countOn)
     if (inOneRack || !acceptFar) return inOneRack ?? []
     return fill(spec, indexes, candidates, countOn)
   }
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -150,7 +150,8 @@
     return {
       endpoint,
       free: subtractResources(endpoint.capacity, this.state.jobs.getUsage(endpoint.life)),
-      penalty: this.fleet.getPenalty(endpoint)
+      penalty: this.fleet.getPenalty(endpoint),
+      isCold: this.fleet.isCold(endpoint)
     }
   }
 }
--- a/packages/dispatch/tests/drained-domains.test.ts
+++ b/packages/dispatch/tests/drained-domains.test.ts
@@ -1,47 +1,13 @@
-import { asId, IbisError, type DomainId, type RackId } from '@ibisstair/common'
-import type { EndpointRecord } from '@ibisstair/jobs'
+import { asId, IbisError, type CustomerId } from '@ibisstair/common'
 import t from 'tap'
-import { createEndpoint, createStep, orderDrain } from '../../jobs/tests/support/samples.ts'
+import { createStep, orderDrain } from '../../jobs/tests/support/samples.ts'
 import type { EndpointPort, OrderResult } from '../src/index.ts'
-import { TestCluster } from './support/test-cluster.ts'
-import type { FakeFaults } from './support/fake-fleet.ts'
+import { Zones } from './support/zones.ts'
 
-const ZONES = ['z1', 'z2', 'z3']
 /** No task starts in a domain later than this after the acknowledgement of its drain. */
 const EVACUATE_MS = 5_000
-
-/** Three failure domains of two endpoints each. `startedAtMs` has the last start on each endpoint that it carried out. */
-class Zones extends TestCluster {
-  readonly startedAtMs = new Map<string, number>()
-
-  constructor (seed: number, faults: Partial<FakeFaults> = {}) {
-    const endpoints = ZONES.flatMap((zone, i) => [0, 1].map((n) => createEndpoint(`${zone}-${n}`, { address: `10.0.${i}.${n}:1`, domain: asId<DomainId>(zone), rack: asId<RackId>(`r${i}`) })))
-    super(seed, faults, endpoints)
-    const recordStart = this.fleet.recordStart.bind(this.fleet)
-    this.fleet.recordStart = (endpoint, order) => {
-      this.startedAtMs.set(endpoint.record.id, this.timers.now())
-      recordStart(endpoint, order)
-    }
-    this.elect()
-  }
-
-  listIn (zone: string): EndpointRecord[] {
-    return this.endpoints.filter(({ domain }) => domain === zone)
-  }
-
-  lastStartIn (zone: string): number {
-    return Math.max(-Infinity, ...this.listIn(zone).map(({ id }) => this.startedAtMs.get(id) ?? -Infinity))
-  }
-
-  countRunsIn (zone: string): number {
-    return this.listIn(zone).reduce((sum, { life }) => sum + this.state.jobs.listRuns(life).size, 0)
-  }
-
-  /** Submits more short tasks than the fleet can run until they have all ended. */
-  submitWave (id: string, count = 200): void {
-    this.submit(id, [createStep({ count })])
-  }
-}
+/** All tasks of a guaranteed job start within this time. */
+const RECLAIM_MS = 2_900
 
 t.test('nothing starts in a drained domain, whatever its runs, until it is restored', async (t) => {
   const cluster = new Zones(1, { runMs: 700 })
@@ -150,3 +116,66 @@
   t.equal(cluster.lastStartIn('z1'), -Infinity)
   t.same(fleet.violations, [])
 })
+
+t.test('at the height of a wave a third of the fleet is drained, and guaranteed and urgent work starts on the rest in time', async (t) => {
+  // Guards against claims and victims in a domain that is drained while guaranteed work waits for them.
+  const customer = asId<CustomerId>('c1')
+  for (let delayMs = 0; delayMs <= 1_400; delayMs += 200) {
+    const cluster = new Zones(6, { runMs: 8_000 })
+    cluster.state.apply({ type: 'configure', config: { version: 2, queues: [], services: ['s'], customers: [{ name: customer, keys: [], guaranteedAccelerators: 16 }], document: '' }, atMs: 0 })
+    for (let i = 0; i < 12; i++) cluster.submit(`w${i}`, [createStep({ count: 8, gang: i % 2 === 0, estimateMs: 8_000 })], 1 + i % 2)
+    await cluster.run(3_000)
+    cluster.submit('g1', [createStep({ count: 2, gang: true, resources: { cpuMilli: 1_000, memMb: 100, accelerators: 8 } })], 0, { customer })
+    await cluster.run(delayMs)
+    orderDrain(cluster.state, 'z1', true)
+    const drainedAtMs = cluster.timers.now()
+    cluster.submit('u1', [createStep({ count: 5, estimateMs: 8_000 })], 0)
+    await cluster.run(RECLAIM_MS - delayMs)
+    const activeRuns = (id: string): number => cluster.state.jobs.get(asId(id))!.activeRuns
+    t.equal(activeRuns('g1'), 2, `guaranteed, drained after ${delayMs} ms`)
+    t.equal(activeRuns('u1'), 5, `urgent, drained after ${delayMs} ms`)
+    t.ok(cluster.lastStartIn('z1') <= drainedAtMs + 1)
+    t.same(cluster.fleet.violations, [])
+  }
+})
+
+t.test('operators are told of drains, outdated orders and guarantees that no longer fit', async (t) => {
+  const cluster = new Zones(7, { runMs: 2_000 })
+  cluster.state.apply({ type: 'configure', config: { version: 2, queues: [], services: ['s'], customers: [{ name: asId('c1'), keys: [], guaranteedAccelerators: 40 }], document: '' }, atMs: 0 })
+  cluster.submitWave('a1')
+  await cluster.run(1_000)
+  const runs = cluster.countRunsIn('z1')
+  orderDrain(cluster.state, 'z1', true, undefined, cluster.timers.wallClock())
+  await cluster.run(500)
+  t.match(cluster.metrics.read().gauges, { 'domains.drained': 1, 'domains.drained-runs': runs, 'domains.guarantee-shortage': 8 })
+  await cluster.run(3_000)
+  t.match(cluster.metrics.read().gauges, { 'domains.drained-runs': 0 })
+  t.ok(cluster.metrics.read().gauges['domains.drain-age-ms']! >= 3_000)
+  t.equal(cluster.metrics.read().counters['domains.finished'], runs)
+  orderDrain(cluster.state, 'z1', false)
+  orderDrain(cluster.state, 'z1', true, 0)
+  await cluster.run(500)
+  t.match(cluster.metrics.read().gauges, { 'domains.drained': 0, 'domains.guarantee-shortage': 0, 'domains.drain-age-ms': 0 })
+  const lines = cluster.logLines.map(({ message }) => message)
+  for (const line of ['failure domain drained', 'failure domain restored', 'failure domain drain order outdated', 'guarantees of all customers exceed the fleet without its drained failure domains']) {
+    t.equal(lines.filter((message) => message === line).length, 1, line)
+  }
+})
+
+t.test('endpoints that are cold after a restoration are used after warm ones', async (t) => {
+  const cluster = new Zones(8, { runMs: 60_000 })
+  await cluster.run(1_000)
+  for (const endpoint of cluster.listIn('z1')) cluster.coldLeftMs.set(endpoint.life, 60_000)
+  await cluster.run(1_000)
+  cluster.submit('a1', [createStep({ count: 32 })])
+  await cluster.run(1_000)
+  t.equal(cluster.countRunsIn('z1'), 0)
+  cluster.submit('a2', [createStep({ count: 8 })])
+  await cluster.run(1_000)
+  t.equal(cluster.countRunsIn('z1'), 8, 'cold endpoints are better than none')
+  cluster.coldLeftMs.clear()
+  await cluster.run(1_000)
+  cluster.submit('a3', [createStep({ count: 8 })])
+  await cluster.run(1_000)
+  t.equal(cluster.countRunsIn('z1'), 16)
+})
--- a/packages/dispatch/tests/support/test-cluster.ts
+++ b/packages/dispatch/tests/support/test-cluster.ts
@@ -31,6 +31,8 @@
   leaderChangedAtMs = 0
   /** Endpoints whose announcements do not arrive, though calls reach them. */
   readonly mutedAnnouncements = new Set<EndpointIncarnation>()
+  /** How much longer endpoints announce that they stay slow; 0 for the others. */
+  readonly coldLeftMs = new Map<EndpointIncarnation, number>()
   /** Share of the announcements that arrive late, after newer ones. */
   lateAnnouncementShare = 0
   /** When the last of the slow commits is applied; commands are applied in the order of the log. */
@@ -125,7 +127,7 @@
   }
 
   announce (record: EndpointRecord, clockMs: number): void {
-    this.#dispatcher?.announce(record, clockMs).catch(() => {})
+    this.#dispatcher?.announce(record, clockMs, this.coldLeftMs.get(record.life)).catch(() => {})
   }
 
   /** Ends the leader and starts none. */
