jobs: an order whose state holds already takes a revision, too

Cause: a restoration that is held up without an answer was carried out after the operator had given up and drained the domain, which was still drained, again. Change: every order that is carried out takes a new revision, also one that changes nothing; the held one is outdated then.

--- a/packages/jobs/src/domain-drains.ts
+++ b/packages/jobs/src/domain-drains.ts
@@ -5,7 +5,7 @@
 export interface DomainDrain {
   readonly domain: DomainId
   readonly isDrained: boolean
-  /** Number of the last change; it rises over all failure domains. */
+  /** Number of the last order that was carried out; it rises over all failure domains. */
   readonly revision: number
   /** Unix milliseconds of the last change. */
   readonly sinceMs: number
@@ -20,7 +20,7 @@
   readonly atMs: number
 }
 
-/** What became of an order. An outdated one was given before the last change of its failure domain and changes nothing. */
+/** What became of an order. An outdated one was given before the last order of its failure domain and changes nothing. */
 export interface DrainChange {
   readonly domain: DomainId
   /** State after the order. */
@@ -38,10 +38,10 @@
 
 /**
  * The failure domains that operators have drained or restored. The load pattern: orders are repeated, and overtake each
- * other on their way, so that an order changes something only if it was given in view of the present state.
+ * other on their way, so that an order changes something only if it was given in view of the last one that was carried out.
  */
 export class DomainDrains {
-  /** In the order of their last changes, the oldest first. */
+  /** In the order of their last orders, the oldest first. */
   readonly #byDomain = new Map<DomainId, DomainDrain>()
   #lastRevision = 0
   /** Highest revision of the restored failure domains that were forgotten. */
@@ -62,28 +62,32 @@
     return this.#byDomain.get(domain)
   }
 
-  /** Returns the failure domains that were drained at some time, the one with the oldest change first. */
+  /** Returns the failure domains that were drained at some time, the one with the oldest order first. */
   list (): readonly DomainDrain[] {
     return [...this.#byDomain.values()]
   }
 
-  /** Returns the revision that an order has to name; an order of before a forgotten change never matches. */
+  /** Returns the revision that an order has to name; one that a forgotten order has overtaken never matches. */
   getRevision (domain: DomainId): number {
     return this.#byDomain.get(domain)?.revision ?? this.#forgottenRevision
   }
 
-  /** Carries the order out unless it is outdated. One whose state already holds changes nothing, whatever its revision. */
+  /**
+   * Carries the order out unless it is outdated. One whose state already holds is carried out whatever its revision, and
+   * takes a revision, too: an earlier order that got no answer may still be on its way, and must not undo this one.
+   */
   apply ({ domain, isDrained, expectedRevision, atMs }: DrainOrder): DrainChange {
     const wasDrained = this.isDrained(domain)
     const revision = this.getRevision(domain)
-    if (wasDrained === isDrained) return { domain, isDrained, revision, isChanged: false, isOutdated: false }
-    if (expectedRevision !== revision) return { domain, isDrained: wasDrained, revision, isChanged: false, isOutdated: true }
+    const isChanged = wasDrained !== isDrained
+    if (isChanged && expectedRevision !== revision) return { domain, isDrained: wasDrained, revision, isChanged: false, isOutdated: true }
     this.#lastRevision += 1
+    const sinceMs = isChanged ? atMs : this.#byDomain.get(domain)?.sinceMs ?? atMs
     this.#byDomain.delete(domain)
-    this.#byDomain.set(domain, { domain, isDrained, revision: this.#lastRevision, sinceMs: atMs })
+    this.#byDomain.set(domain, { domain, isDrained, revision: this.#lastRevision, sinceMs })
     this.#countDrained()
     this.#forgetRestored()
-    return { domain, isDrained, revision: this.#lastRevision, isChanged: true, isOutdated: false }
+    return { domain, isDrained, revision: this.#lastRevision, isChanged, isOutdated: false }
   }
 
   toSnapshot (): DomainDrainsSnapshot {
