--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -4,6 +4,7 @@
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { Announcements } from './announcements.ts'
 import { BARRIER_RETRY_DELAY_MS, COMMIT_TIMEOUT_MS, FAILED_PASS_DELAY_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
+import { DrainedDomains } from './drained-domains.ts'
 import { EndpointHealth } from './endpoint-health.ts'
 import { EndpointRegistrar } from './endpoint-registrar.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
@@ -57,6 +58,7 @@
   readonly #leavingSinceMs = new Map<EndpointIncarnation, number>()
   readonly #replaced: ReplacedEndpoints
   readonly #endpointUse: EndpointUse
+  readonly #drainedDomains: DrainedDomains
   readonly #waitingReport: WaitingReport
   readonly #unsettledRuns: UnsettledRuns
   readonly #unsubscribes: Unsubscribe[] = []
@@ -105,6 +107,14 @@
       handleAnnounced: (life, clockMs, atMs) => this.#sessions.get(life)?.handleAnnouncement(clockMs, atMs)
     })
     this.#endpointUse = new EndpointUse(options.logger, options.metrics)
+    this.#drainedDomains = new DrainedDomains({
+      state: options.state,
+      timers: options.timers,
+      logger: options.logger,
+      metrics: options.metrics,
+      isUsable: (endpoint) => this.#getOutOfUse(endpoint) === null,
+      getSession: (life) => this.#sessions.get(life)
+    })
     this.#waitingReport = new WaitingReport(options.logger, options.metrics, {
       listEndpoints: () => options.state.endpoints.list(),
       getOutOfUse: (endpoint) => this.#getOutOfUse(endpoint),
@@ -132,13 +142,14 @@
     for (const unsubscribe of this.#unsubscribes) unsubscribe()
     for (const session of this.#sessions.values()) session.close()
     this.#endpointUse.close()
+    this.#drainedDomains.close()
     this.#waitingReport.close()
     this.#unsettledRuns.close()
   }
 
   /** Handles the announcement of an endpoint. Resolves once a changed record is committed. */
-  async announce (record: EndpointRecord, clockMs: number): Promise<void> {
-    await this.#registrar.announce(record, clockMs)
+  async announce (record: EndpointRecord, clockMs: number, coldLeftMs = 0): Promise<void> {
+    await this.#registrar.announce(record, clockMs, coldLeftMs)
   }
 
   /**
@@ -197,6 +208,7 @@
 
   #handleApplied (command: StateCommand, result: StateResult): void {
     if (this.#isClosed) return
+    this.#drainedDomains.handleApplied(command, result)
     if (result.type === 'started') for (const group of result.groups) this.#startOrders.send(group)
     if (command.type === 'end') for (const { task, run } of command.ends) this.#sessions.get(command.endpoint)?.release(task, run)
     if (command.type === 'register-endpoint') this.#pendingRecords.handleApplied(command.endpoint)
@@ -283,6 +295,8 @@
     this.#removeLeftEndpoints()
     this.#replaced.retryDue()
     this.#endpointUse.observe([...this.#options.state.endpoints.list()], (endpoint) => this.#getOutOfUse(endpoint))
+    this.#drainedDomains.observe()
+    if (!this.#isProposing) this.#drainedDomains.moveRuns()
     this.#unsettledRuns.observe(() => this.#listRunStatus(), this.#options.timers.now())
     this.#schedulePass()
   }
@@ -372,7 +386,7 @@
         getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
         estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null,
         getSpeed: () => 1,
-        isCold: () => false
+        isCold: ({ life }) => this.#announcements.isCold(life, timers.now())
       }
     })
     for (const task of plan.preempted) {
@@ -449,10 +463,11 @@
     return reason === null || reason === 'unanswered' || reason === 'unannounced' ? 'suspect' : reason
   }
 
-  #getOutOfUseBesideSuspicion ({ life, draining }: EndpointRecord): Exclude<OutOfUseReason, 'suspect'> | null {
+  #getOutOfUseBesideSuspicion ({ life, draining, domain }: EndpointRecord): Exclude<OutOfUseReason, 'suspect'> | null {
     if (draining) return 'draining'
     if (this.#leavingSinceMs.has(life)) return 'leaving'
     if (this.#replaced.has(life)) return 'replaced'
+    if (this.#options.state.domainDrains.isDrained(domain)) return 'domain-drained'
     if ((this.#sessions.get(life)?.failures ?? 0) > 0) return 'unanswered'
     return this.#announcements.isCurrent(life, this.#options.timers.now()) ? null : 'unannounced'
   }
