dispatch: learned run times of work, and tasks that fail on healthy endpoints come last

Change: LearnedHistory learns from ends `done` that an endpoint reports for a run which it confirmed at once: end minus confirmed start, times the speed of the slowest endpoint; not of resumed runs, of runs that distance slows, or of endpoints that did not answer meanwhile. A gang is one sample, the tasks of a step are one together. The planner asks it through `WorkHistory` (PlanInput.history), whose default is the submitted estimate. Backfill asks for the time in which nine of ten tasks end. TaskFailures tells hopeless tasks from bad endpoints; within a step they wait for the others, and then come after work that is too late. Learned values are not shared: a new leader starts with the submitted estimates.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -8,6 +8,7 @@
 import { EndpointRegistrar } from './endpoint-registrar.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
 import { EndpointUse, type OutOfUseReason } from './endpoint-use.ts'
+import { LearnedHistory } from './learned-history.ts'
 import { isNoticeOf, type LeaveNotice } from './leave-notice.ts'
 import { PendingRecords } from './pending-records.ts'
 import type { Plan, SchedulingPolicy } from './plan-types.ts'
@@ -45,6 +46,7 @@
   readonly #options: DispatcherOptions
   readonly #planner = new Planner()
   readonly #health: EndpointHealth
+  readonly #history: LearnedHistory
   readonly #sessions = new Map<EndpointIncarnation, EndpointSession>()
   readonly #announcements: Announcements
   readonly #pendingRecords = new PendingRecords()
@@ -71,6 +73,7 @@
   constructor (options: DispatcherOptions) {
     this.#options = options
     this.#health = new EndpointHealth(options.timers)
+    this.#history = new LearnedHistory({ state: options.state, logger: options.logger, metrics: options.metrics, getSpeed: (endpoint) => this.#getSpeed(endpoint) })
     this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
     this.#startOrders = new StartOrders({
       state: options.state,
@@ -130,6 +133,7 @@
     for (const unsubscribe of this.#unsubscribes) unsubscribe()
     for (const session of this.#sessions.values()) session.close()
     this.#endpointUse.close()
+    this.#history.close()
     this.#waitingReport.close()
     this.#unsettledRuns.close()
   }
@@ -167,10 +171,13 @@
 
   async handleEnds (endpoint: EndpointRecord, ends: readonly RunEnd[]): Promise<void> {
     const { timers, logger, metrics } = this.#options
-    for (const { task, run, outcome } of ends) {
+    for (const end of ends) {
+      const { task, run, outcome } = end
       logger.info('run ended', { task, run, outcome, endpoint: endpoint.id })
       metrics.increment(`runs.${outcome}`)
       this.#health.recordEnd(endpoint.life, task, outcome)
+      const startedAtMs = this.#sessions.get(endpoint.life)?.takeConfirmedAtMs(task, run) ?? null
+      this.#history.recordEnd(endpoint, end, { startedAtMs, endedAtMs: timers.now() })
     }
     const silence = ends.some(({ outcome }) => outcome === 'lost') ? this.#describeSilence(endpoint.life) : null
     await this.#propose({ type: 'end', endpoint: endpoint.life, ends, atMs: timers.wallClock(), ...(silence && { silence }) })
@@ -244,6 +251,7 @@
       this.#sessions.delete(incarnation)
       this.#announcements.remove(incarnation)
       this.#health.remove(incarnation)
+      this.#history.removeEndpoint(incarnation)
     }
     for (const incarnation of this.#leavingSinceMs.keys()) if (!this.#options.state.endpoints.get(incarnation)) this.#leavingSinceMs.delete(incarnation)
   }
@@ -281,6 +289,7 @@
     this.#removeLeftEndpoints()
     this.#replaced.retryDue()
     this.#endpointUse.observe([...this.#options.state.endpoints.list()], (endpoint) => this.#getOutOfUse(endpoint))
+    this.#history.report()
     this.#unsettledRuns.observe(() => this.#listRunStatus(), this.#options.timers.now())
     this.#schedulePass()
   }
@@ -361,6 +370,7 @@
       wallMs: timers.wallClock(),
       mayPreempt: this.#isSurveyDone(),
       ...(policy && { policy }),
+      history: this.#history,
       fleet: {
         isUsable: (endpoint) => this.#getOutOfUse(endpoint) === null,
         isSuspect: (endpoint) => this.#health.isSuspect(endpoint.life) && this.#getOutOfUseBesideSuspicion(endpoint) === null,
@@ -369,7 +379,7 @@
         isConfirmed: ({ endpoint, task }) => this.#sessions.get(endpoint)?.isConfirmed(task) ?? false,
         getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
         estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null,
-        getSpeed: () => 1,
+        getSpeed: (endpoint) => this.#getSpeed(endpoint),
         isCold: () => false
       }
     })
@@ -455,6 +465,11 @@
     return this.#announcements.isCurrent(life, this.#options.timers.now()) ? null : 'unannounced'
   }
 
+  /** Returns the speed relative to the median of the service; 1 while it is not known. */
+  #getSpeed (_endpoint: EndpointRecord): number {
+    return 1
+  }
+
   #stopTask (task: TaskId): void {
     for (const session of this.#sessions.values()) session.stop(task)
   }
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -190,6 +190,18 @@
     if (this.#runs.get(task)?.run === run) this.#runs.delete(task)
   }
 
+  /**
+   * Returns when the endpoint confirmed the start of a run whose end it has reported, once: an end may be reported again.
+   * Null when it confirmed the start late, or did not answer meanwhile, so that the time of the end is not known either.
+   */
+  takeConfirmedAtMs (task: TaskId, run: number): number | null {
+    const tracked = this.#runs.get(task)
+    if (tracked?.run !== run) return null
+    const { confirmedAtMs } = tracked
+    tracked.confirmedAtMs = null
+    return confirmedAtMs
+  }
+
   /** Returns the estimated time until the run ends by itself; null when its progress is not known. */
   estimateRemainingMs (task: TaskId): number | null {
     return this.#runs.get(task)?.progress.estimateRemainingMs(this.#options.timers.now()) ?? null
@@ -239,6 +251,7 @@
     } else if (result.type === 'ok') {
       if (!this.#recordAnswer(result.clockMs)) return
       this.#setPhase(tracked, 'present')
+      tracked.confirmedAtMs = this.#options.timers.now()
     } else if (result.type === 'refused') {
       events.handleStartRefused(this.#endpoint, tracked.task, result.reason)
       this.#endNotStarted(tracked)
@@ -399,6 +412,7 @@
     }
     if (result.type === 'refused') {
       this.#failures += 1
+      this.#forgetConfirmations()
       if (this.#failures === 1) this.#options.events.log('endpoint refuses a renewal', { endpoint: this.#endpoint.id, address: this.#endpoint.address, runs: this.#runs.size, reason: result.reason })
       return false
     }
@@ -476,9 +490,15 @@
 
   #recordFailure (): void {
     this.#failures += 1
+    this.#forgetConfirmations()
     this.#silentSinceMs ??= this.#options.timers.now()
   }
 
+  /** The ends of the present runs may be reported late. */
+  #forgetConfirmations (): void {
+    for (const tracked of this.#runs.values()) tracked.confirmedAtMs = null
+  }
+
   /**
    * Takes the clock reading of an answer to an order. Returns false if its clock shows that another incarnation has
    * answered. Only a report proves that the endpoint is the same after calls have failed.
--- a/packages/dispatch/src/gang-reservations.ts
+++ b/packages/dispatch/src/gang-reservations.ts
@@ -59,13 +59,13 @@
     this.#reserved.set(candidate, addResources(this.#reserved.get(candidate) ?? NO_RESOURCES, resources))
   }
 
-  #endsInTime ({ spec }: ReadyWork): boolean {
+  #endsInTime ({ job, spec }: ReadyWork): boolean {
     if (spec.longRunning || this.#reserved.size === 0) return false
     this.#earliestStartMs ??= Math.min(...this.#gangs.map((gang) => this.#estimateStartMs(gang)))
-    return spec.estimateMs <= this.#earliestStartMs
+    return this.#pass.history.estimateLongRunMs(job, spec) <= this.#earliestStartMs
   }
 
-  /** Returns the time until enough runs have ended for the gang, as they are estimated; Infinity if they never do. */
+  /** Returns the time until enough runs are expected to have ended for the gang; Infinity if they never do. */
   #estimateStartMs ({ work, acceptFar }: ReservingGang): number {
     const candidates = this.#pass.listCandidates(work).map((candidate) => ({ ...candidate, free: addResources(candidate.free, this.#reserved.get(candidate) ?? NO_RESOURCES) }))
     const running = candidates.flatMap((candidate, index) => this.#listRunning(candidate, index)).sort((a, b) => a.remainingMs - b.remainingMs)
@@ -79,18 +79,20 @@
 
   /** Returns the runs on the endpoint that end by themselves. */
   #listRunning ({ endpoint }: Candidate, candidate: number): RunningTask[] {
-    const { state } = this.#pass
+    const { state, fleet, history } = this.#pass
     return [...state.jobs.listRuns(endpoint.life).values()].flatMap((run) => {
-      const { job, step } = mustParseTaskId(run.task)
-      const { longRunning, resources, estimateMs } = state.jobs.get(job)!.spec.steps[step]!
-      return longRunning ? [] : [{ candidate, resources, remainingMs: this.#estimateRemainingMs(run, estimateMs) }]
+      const ref = mustParseTaskId(run.task)
+      const job = state.jobs.get(ref.job)!
+      const step = job.spec.steps[ref.step]!
+      const getRunMs = (): number => history.estimateRunMs(job, step) / fleet.getSpeed(endpoint)
+      return step.longRunning ? [] : [{ candidate, resources: step.resources, remainingMs: this.#estimateRemainingMs(run, getRunMs) }]
     })
   }
 
-  /** A run that takes longer than estimated, and whose progress is not known, is expected to go on for as long as it is late. */
-  #estimateRemainingMs (run: ActiveRun, estimateMs: number): number {
+  /** A run that takes longer than expected, and whose progress is not known, is expected to go on for as long as it is late. */
+  #estimateRemainingMs (run: ActiveRun, getRunMs: () => number): number {
     const { fleet, wallMs } = this.#pass
-    return fleet.estimateRemainingMs(run) ?? Math.abs(estimateMs - (wallMs - run.startedAtMs))
+    return fleet.estimateRemainingMs(run) ?? Math.abs(getRunMs() - (wallMs - run.startedAtMs))
   }
 }
 
--- a/packages/dispatch/src/plan-types.ts
+++ b/packages/dispatch/src/plan-types.ts
@@ -1,5 +1,5 @@
 import type { CustomerId, TaskId } from '@ibisstair/common'
-import type { ActiveRun, EndpointIncarnation, EndpointRecord, Resources, SchedulingState, StartGroup } from '@ibisstair/jobs'
+import type { ActiveRun, EndpointIncarnation, EndpointRecord, JobEntry, Resources, SchedulingState, StartGroup, StepSpec } from '@ibisstair/jobs'
 import type { Candidate, CountOnEndpoint } from './placement.ts'
 import type { ReadyWork } from './ready-work.ts'
 import type { WaitingSurvey } from './waiting-types.ts'
@@ -26,6 +26,23 @@
   isCold (endpoint: EndpointRecord): boolean
 }
 
+/** What is known of work from its runs so far. Everything that needs the run time of work asks for it here. */
+export interface WorkHistory {
+  /** Returns the time in which half of such tasks end on an endpoint of speed 1. */
+  estimateRunMs (job: JobEntry, step: StepSpec): number
+  /** Returns the time in which nine of ten such tasks end on an endpoint of speed 1. */
+  estimateLongRunMs (job: JobEntry, step: StepSpec): number
+  /** Returns those tasks of the work that are unlikely to succeed on any endpoint; all of them for such a gang. */
+  listHopeless (work: ReadyWork): readonly number[]
+}
+
+/** Nothing is known: submitted estimates count, and every task may succeed. */
+export const NO_WORK_HISTORY: WorkHistory = {
+  estimateRunMs: (_job, { estimateMs }) => estimateMs,
+  estimateLongRunMs: (_job, { estimateMs }) => estimateMs,
+  listHopeless: () => []
+}
+
 /** Scheduling rules that the settings of a deployment turn on. */
 export interface SchedulingPolicy {
   /** Order waiting work of one priority by the shares of the customers. */
@@ -47,6 +64,8 @@
   readonly mayPreempt: boolean
   /** Every rule is off by default. */
   readonly policy?: SchedulingPolicy
+  /** By default nothing is known of work but what was submitted. */
+  readonly history?: WorkHistory
 }
 
 export interface Plan {
@@ -73,6 +92,7 @@
   readonly wallMs: number
   readonly mayPreempt: boolean
   readonly policy: SchedulingPolicy
+  readonly history: WorkHistory
   /** Endpoints that may get new work. */
   readonly candidates: readonly Candidate[]
   /** Accelerators that the urgent jobs of each customer need. */
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -298,10 +298,10 @@
   })
 }
 
-const isWorthwhile = ({ job, spec }: ReadyWork, { victims }: PreemptionPlan, { state, needs }: PlanningPass): boolean => {
+const isWorthwhile = ({ job, spec }: ReadyWork, { victims }: PreemptionPlan, { state, needs, history }: PlanningPass): boolean => {
   if (isGuaranteed(state, job, needs)) return true
   const lost = victims.reduce((sum, { lostWork }) => sum + lostWork, 0)
-  return lost <= MAX_LOST_WORK_FACTOR * spec.count * toCoreEquivalents(spec.resources) * spec.estimateMs
+  return lost <= MAX_LOST_WORK_FACTOR * spec.count * toCoreEquivalents(spec.resources) * history.estimateRunMs(job, spec)
 }
 
 /** Groups assignments by run number. The members of a gang share a run number; each single task counts its own runs. */
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -3,8 +3,9 @@
 import { mustParseTaskId, subtractResources } from '@ibisstair/jobs'
 import { isGuaranteed, sumUrgentNeeds } from './guarantees.ts'
 import { Isolation } from './isolation.ts'
+import { putBackHopeless } from './hopeless-work.ts'
 import { indexByIncarnation, type Candidate, type CountOnEndpoint } from './placement.ts'
-import { NO_SCHEDULING_POLICY, type FleetView, type Idleness, type PassView, type PlanInput, type SchedulingPolicy } from './plan-types.ts'
+import { NO_SCHEDULING_POLICY, NO_WORK_HISTORY, type FleetView, type Idleness, type PassView, type PlanInput, type SchedulingPolicy, type WorkHistory } from './plan-types.ts'
 import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
 import { getIdleness, sumFree } from './service-load.ts'
 import { VictimList, type EstimateRemaining } from './victims.ts'
@@ -16,6 +17,15 @@
 /** Other work follows in the order of its priority. */
 const RANK_SUSPECT = 2
 
+/** Comes after work that is too late for any use. */
+const LATENESS_HOPELESS = 3
+
+interface RankedWork {
+  readonly work: ReadyWork
+  readonly rank: number
+  readonly lateness: number
+}
+
 /** The data of one planning pass; each part is computed at most once. */
 export class PlanningPass implements PassView {
   readonly state: SchedulingState
@@ -24,6 +34,7 @@
   readonly wallMs: number
   readonly mayPreempt: boolean
   readonly policy: SchedulingPolicy
+  readonly history: WorkHistory
   readonly candidates: readonly Candidate[]
   readonly byIncarnation: ReadonlyMap<EndpointIncarnation, Candidate>
   /** Accelerators that the urgent jobs of each customer need. */
@@ -40,13 +51,14 @@
   readonly #overdue: TaskId[] = []
   #victims: VictimList | null = null
 
-  constructor ({ state, fleet, nowMs, wallMs, mayPreempt, policy = NO_SCHEDULING_POLICY }: PlanInput) {
+  constructor ({ state, fleet, nowMs, wallMs, mayPreempt, policy = NO_SCHEDULING_POLICY, history = NO_WORK_HISTORY }: PlanInput) {
     this.state = state
     this.fleet = fleet
     this.nowMs = nowMs
     this.wallMs = wallMs
     this.mayPreempt = mayPreempt
     this.policy = policy
+    this.history = history
     this.#estimateRemaining = (run) => fleet.estimateRemainingMs(run)
     this.needs = sumUrgentNeeds(state)
     this.isolation = new Isolation(state, wallMs)
@@ -129,21 +141,24 @@
 
   /**
    * Returns the most urgent work first. Within a priority, urgent work within its customer's guarantee comes
-   * first, the oldest before newer ones; then work that can still be on time, the oldest first; then late work.
+   * first, the oldest before newer ones; then work that can still be on time, the oldest first; then late work; then
+   * work that has failed on several healthy endpoints.
    * Suspect work that is not urgent comes after urgent work: an endpoint that has crashed returns empty.
    */
   listWork (): ReadyWork[] {
     const ready = [...this.state.jobs.listActive()].flatMap((job) => listReadyWork(job, this.wallMs))
-    const ranked = ready.map((work) => ({ work, ...this.#getRank(work) }))
+    const ranked = ready.map((work) => this.#rank(work))
     ranked.sort((a, b) => a.rank - b.rank || a.lateness - b.lateness || a.work.job.acceptedAtMs - b.work.job.acceptedAtMs)
     return ranked.map(({ work }) => work)
   }
 
   /** A guarantee does not end when the job is late, so that the lateness of guaranteed work does not count. */
-  #getRank ({ job, isSuspect }: ReadyWork): { readonly rank: number, readonly lateness: number } {
-    if (isGuaranteed(this.state, job, this.needs)) return { rank: RANK_GUARANTEED, lateness: 0 }
+  #rank (ready: ReadyWork): RankedWork {
+    const { job, isSuspect } = ready
+    if (isGuaranteed(this.state, job, this.needs)) return { work: ready, rank: RANK_GUARANTEED, lateness: 0 }
     const rank = job.policy.priority === 0 ? RANK_URGENT : isSuspect ? RANK_SUSPECT : RANK_SUSPECT + job.policy.priority
-    return { rank, lateness: getLateness(job, this.wallMs) }
+    const { work, isHopeless } = putBackHopeless(ready, this)
+    return { work, rank, lateness: isHopeless ? LATENESS_HOPELESS : getLateness(job, this.wallMs, this.history) }
   }
 
   #toCandidate (endpoint: EndpointRecord): Candidate {
--- a/packages/dispatch/src/ready-work.ts
+++ b/packages/dispatch/src/ready-work.ts
@@ -1,5 +1,6 @@
 import { judge } from '@ibisstair/crashes'
 import { hasPassedProbation, type JobEntry, type StepEntry, type StepSpec, type TaskEntry } from '@ibisstair/jobs'
+import type { WorkHistory } from './plan-types.ts'
 
 /** Tasks of one step that can be placed now: a whole gang, or single tasks of the same step. */
 export interface ReadyWork {
@@ -71,19 +72,19 @@
   return ready
 }
 
-/** Estimated run time of the longest chain of steps that depend on each other. */
-export const estimateChainMs = (job: JobEntry): number => {
+/** Expected run time of the longest chain of steps that depend on each other. */
+export const estimateChainMs = (job: JobEntry, history: WorkHistory): number => {
   const ends: number[] = []
-  for (const { dependsOn, estimateMs } of job.spec.steps) ends.push(estimateMs + Math.max(0, ...dependsOn.map((earlier) => ends[earlier] ?? 0)))
+  for (const step of job.spec.steps) ends.push(history.estimateRunMs(job, step) + Math.max(0, ...step.dependsOn.map((earlier) => ends[earlier] ?? 0)))
   return Math.max(...ends)
 }
 
 /** Completion within this multiple of the objective is late, but still of some use. */
 const LATE_FACTOR = 3
 
-/** Returns 0 when the job can meet its objective if it starts now and runs as estimated, 1 when it is late but of some use, 2 when it is too late. */
-export const getLateness = (job: JobEntry, wallMs: number): 0 | 1 | 2 => {
-  const chainMs = estimateChainMs(job)
+/** Returns 0 when the job can meet its objective if it starts now and runs as expected, 1 when it is late but of some use, 2 when it is too late. */
+export const getLateness = (job: JobEntry, wallMs: number, history: WorkHistory): 0 | 1 | 2 => {
+  const chainMs = estimateChainMs(job, history)
   const objectiveMs = job.policy.targetLatencyMs + job.policy.stretch * chainMs
   const endMs = wallMs - job.acceptedAtMs + chainMs
   if (endMs <= objectiveMs) return 0
--- a/packages/dispatch/src/shares.ts
+++ b/packages/dispatch/src/shares.ts
@@ -36,12 +36,13 @@
 }
 
 /** Returns the accelerators to keep free for expected urgent work, which would otherwise wait for victims to end. */
-export const getReserve = ({ state, nowMs, wallMs, candidates }: PassView, demand: UrgentDemand): number => {
+export const getReserve = (pass: PassView, demand: UrgentDemand): number => {
+  const { state, nowMs, candidates } = pass
   let running = 0
   for (const job of state.jobs.listActive()) {
     demand.begin(nowMs)
     if (!isRecurring(job)) continue
-    demand.recordArrival(job, { nowMs, wallMs })
+    demand.recordArrival(job, pass)
     if (job.activeRuns > 0) running += countPeakAccelerators(job)
   }
   const expected = Math.max(RESERVE_SHARE * demand.getAccelerators(nowMs), MIN_RESERVE_SHARE * sumTotalAccelerators(candidates))
--- a/packages/dispatch/src/tracked-run.ts
+++ b/packages/dispatch/src/tracked-run.ts
@@ -17,6 +17,8 @@
   phase: RunPhase
   /** Start of the phase. A report that was requested earlier says nothing about this phase. */
   sinceMs: number
+  /** When the endpoint confirmed the start; null if it did so late, or if its answers may be late since, and once it was taken. */
+  confirmedAtMs: number | null
   isStopAcked: boolean
   /** Whether the endpoint has answered the order or has listed the run. */
   isConfirmed: boolean
@@ -34,7 +36,7 @@
 }
 
 export const createTrackedRun = (task: TaskId, run: number, phase: RunPhase, sinceMs: number): TrackedRun =>
-  ({ task, run, phase, sinceMs, isStopAcked: false, isConfirmed: false, isReported: false, isEnding: false, progress: new RunProgress() })
+  ({ task, run, phase, sinceMs, confirmedAtMs: null, isStopAcked: false, isConfirmed: false, isReported: false, isEnding: false, progress: new RunProgress() })
 
 /** Whether the run may be active on the endpoint for all that the leader can find out without a call. */
 export const mayBeActive = ({ phase }: TrackedRun): boolean => phase !== 'starting' && phase !== 'not-started'
--- a/packages/dispatch/src/urgent-demand.ts
+++ b/packages/dispatch/src/urgent-demand.ts
@@ -1,5 +1,6 @@
 import type { JobId } from '@ibisstair/common'
 import type { JobEntry } from '@ibisstair/jobs'
+import type { PassView } from './plan-types.ts'
 
 /** Longest time over which arrivals of urgent work are averaged. */
 const MAX_WINDOW_MS = 15_000
@@ -9,7 +10,7 @@
 interface Arrival {
   readonly atMs: number
   readonly accelerators: number
-  readonly estimateMs: number
+  readonly runMs: number
 }
 
 /** Returns the accelerators of the job's most demanding step. */
@@ -34,22 +35,22 @@
   }
 
   /** Counts a recurring job once, also if it is active for longer than arrivals are remembered. */
-  recordArrival (job: JobEntry, { nowMs, wallMs }: { readonly nowMs: number, readonly wallMs: number }): void {
+  recordArrival (job: JobEntry, { nowMs, wallMs, history }: Pick<PassView, 'nowMs' | 'wallMs' | 'history'>): void {
     if (this.#arrivals.has(job.spec.id) || wallMs - job.acceptedAtMs >= MAX_WINDOW_MS) return
-    const estimateMs = Math.max(...job.spec.steps.map((step) => step.estimateMs))
-    this.#arrivals.set(job.spec.id, { atMs: nowMs, accelerators: countPeakAccelerators(job), estimateMs })
+    const runMs = Math.max(...job.spec.steps.map((step) => history.estimateRunMs(job, step)))
+    this.#arrivals.set(job.spec.id, { atMs: nowMs, accelerators: countPeakAccelerators(job), runMs })
   }
 
   getAccelerators (nowMs: number): number {
     const windowMs = Math.max(MIN_WINDOW_MS, Math.min(MAX_WINDOW_MS, nowMs - (this.#firstRecordedAtMs ?? nowMs)))
     let mean = 0
     let variance = 0
-    for (const [id, { atMs, accelerators, estimateMs }] of this.#arrivals) {
+    for (const [id, { atMs, accelerators, runMs }] of this.#arrivals) {
       if (nowMs - atMs > MAX_WINDOW_MS) {
         this.#arrivals.delete(id)
         continue
       }
-      const share = estimateMs / windowMs
+      const share = runMs / windowMs
       mean += accelerators * share
       variance += accelerators ** 2 * share
     }
