planner-bench: run times can be learned from the ends of the simulated runs

Cause: the effect of learned run times on credit is to be known before they are used. Change: `--run-times learned|submitted`, learned by default; the speed of endpoints is not known to the history.

--- a/scripts/planner-bench/main.ts
+++ b/scripts/planner-bench/main.ts
@@ -1,23 +1,27 @@
 // Runs the planner on reproducible load patterns in virtual time and prints its scores.
-//   node --import=tsx scripts/planner-bench/main.ts --seeds 10 --fleet small|cramped|large|huge
+//   node --import=tsx scripts/planner-bench/main.ts --seeds 10 --fleet small|cramped|large|huge --run-times learned|submitted
 import { parseArgs } from 'node:util'
 import { RandomSource } from '@ibisstair/timers'
 import { Simulation, type SimulationResult } from './simulate.ts'
 import { FLEETS, PATTERNS } from './workload.ts'
 
 const { values } = parseArgs({
-  options: { seeds: { type: 'string', default: '10' }, fleet: { type: 'string', default: 'small' } }
+  options: { seeds: { type: 'string', default: '10' }, fleet: { type: 'string', default: 'small' }, 'run-times': { type: 'string', default: 'learned' } }
 })
 const fleet = FLEETS[values.fleet as keyof typeof FLEETS]
 if (!fleet) throw new Error(`--fleet ${values.fleet} is unknown; accepted are ${Object.keys(FLEETS).join(', ')}`)
 
+const RUN_TIMES = ['learned', 'submitted']
+const runTimes = values['run-times']
+if (!RUN_TIMES.includes(runTimes)) throw new Error(`--run-times ${runTimes} is unknown; accepted are ${RUN_TIMES.join(', ')}`)
+
 const all: SimulationResult[] = []
 const mean = (results: readonly SimulationResult[], select: (result: SimulationResult) => number): number =>
   results.reduce((sum, result) => sum + select(result), 0) / results.length
 
 console.log('pattern                                         credit  urgent  normal  defer.  thrown away, core s  preempted')
 for (const pattern of PATTERNS) {
-  const results = Array.from({ length: Number(values.seeds) }, (_, i) => new Simulation(new RandomSource(i + 1), fleet, pattern).run())
+  const results = Array.from({ length: Number(values.seeds) }, (_, i) => new Simulation(new RandomSource(i + 1), fleet, pattern, { learnsRunTimes: runTimes === 'learned' }).run())
   const formatMean = (select: (result: SimulationResult) => number): string => mean(results, select).toFixed(3).padStart(8)
   const classColumns = fleet.classes.map(({ name }) => formatMean(({ creditByClass }) => creditByClass[name]!)).join('')
   const lostWorkColumn = mean(results, ({ lostWorkCoreS }) => lostWorkCoreS).toFixed(0).padStart(21)
--- a/scripts/planner-bench/simulate.ts
+++ b/scripts/planner-bench/simulate.ts
@@ -1,6 +1,7 @@
 import { asId, type CustomerId, type DomainId, type EndpointId, type TaskId } from '@ibisstair/common'
-import { Planner } from '@ibisstair/dispatch'
+import { LearnedHistory, Planner } from '@ibisstair/dispatch'
 import { mustParseTaskId, SchedulingState, toEndpointIncarnation, toTaskId, type EndpointIncarnation, type RunOutcome, type StartGroup } from '@ibisstair/jobs'
+import { Metrics } from '@ibisstair/telemetry'
 import { ManualTimerService, type RandomSource, type Unsubscribe } from '@ibisstair/timers'
 import { createFleetView } from '../../packages/dispatch/tests/support/fleet-view.ts'
 import { ARRIVALS_MS, createArrivals, ENDPOINT_CAPACITY, toRack, type Arrival, type Fleet, type Pattern } from './workload.ts'
@@ -15,6 +16,13 @@
 const CORES_PER_ACCELERATOR = 8
 const GUARANTEED_SHARE = 0.3
 
+const NO_LOGGER = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
+
+export interface SimulationOptions {
+  /** Whether run times are learned from ends; otherwise the submitted estimates count. */
+  readonly learnsRunTimes: boolean
+}
+
 export interface SimulationResult {
   /** Credit earned as a share of the full credit: over all jobs, and for each class. */
   readonly credit: number
@@ -38,6 +46,7 @@
   readonly #timers = new ManualTimerService()
   readonly #state = new SchedulingState()
   readonly #planner = new Planner()
+  readonly #history: LearnedHistory | null
   readonly #fleet: Fleet
   readonly #pattern: Pattern
   readonly #arrivals: readonly Arrival[]
@@ -50,7 +59,8 @@
   #lostWorkCoreS = 0
   #preemptedCount = 0
 
-  constructor (random: RandomSource, fleet: Fleet, pattern: Pattern) {
+  constructor (random: RandomSource, fleet: Fleet, pattern: Pattern, { learnsRunTimes }: SimulationOptions) {
+    this.#history = learnsRunTimes ? this.#createHistory() : null
     this.#fleet = fleet
     this.#pattern = pattern
     this.#arrivals = createArrivals(random, fleet, pattern)
@@ -68,6 +78,10 @@
     return this.#summarize()
   }
 
+  #createHistory (): LearnedHistory {
+    return new LearnedHistory({ state: this.#state, logger: NO_LOGGER, metrics: new Metrics({ node: 'bench' }), getSpeed: () => 1 })
+  }
+
   #register (i: number, speed: number): void {
     const id = asId<EndpointId>(`w${i}`)
     const incarnation = toEndpointIncarnation(id, 1)
@@ -95,7 +109,7 @@
 
   #runPass (): void {
     const nowMs = this.#timers.now()
-    const plan = this.#planner.plan({ state: this.#state, fleet: createFleetView({ estimateRemainingMs: ({ task }) => this.#estimateRemainingMs(task) }), nowMs, wallMs: nowMs, mayPreempt: true })
+    const plan = this.#planner.plan({ state: this.#state, fleet: createFleetView({ estimateRemainingMs: ({ task }) => this.#estimateRemainingMs(task) }), nowMs, wallMs: nowMs, mayPreempt: true, ...(this.#history && { history: this.#history }) })
     for (const task of plan.preempted) this.#preempt(task)
     if (plan.starts.length === 0) return
     const result = this.#state.apply({ type: 'start', groups: plan.starts, atMs: nowMs })
@@ -159,7 +173,9 @@
     this.#runs.delete(task)
     const { job } = mustParseTaskId(task)
     const active = this.#state.jobs.listRuns(run.incarnation).get(task)!
-    this.#state.apply({ type: 'end', endpoint: run.incarnation, ends: [{ task, run: active.run, outcome, checkpoint: outcome === 'stopped' && this.#checkpointedMs.has(this.#toCheckpointKey(task)) ? 'saved' : '' }], atMs: this.#timers.now() })
+    const end = { task, run: active.run, outcome, checkpoint: outcome === 'stopped' && this.#checkpointedMs.has(this.#toCheckpointKey(task)) ? 'saved' : '' }
+    this.#history?.recordEnd(this.#state.endpoints.get(run.incarnation)!, end, { startedAtMs: run.startedAtMs, endedAtMs: this.#timers.now() })
+    this.#state.apply({ type: 'end', endpoint: run.incarnation, ends: [end], atMs: this.#timers.now() })
     if (this.#state.jobs.get(job)!.state === 'completed') this.#endedAtMs.set(job, this.#timers.now())
     this.#schedulePass()
   }
