planner-bench: loads with poor estimates and tasks that take seven times as long

Cause: the estimates of the usual loads are unbiased and off by half, so that they hardly differ from learned run times.

--- a/scripts/planner-bench/workload.ts
+++ b/scripts/planner-bench/workload.ts
@@ -19,6 +19,10 @@
   readonly tightlyCoupledShare: number
   readonly checkpointShare: number
   readonly estimateError: number
+  /** Mean of estimate divided by run time; 1 by default. */
+  readonly estimateBias?: number
+  /** Share of the tasks, or of the gangs, that take seven times as long; 0 by default. */
+  readonly tailShare?: number
   readonly stretch: number
   readonly targetLatencyMs: number
   readonly fullCredit: number
@@ -103,6 +107,16 @@
   classes: HUGE.classes.map((workClass) => ({ ...workClass, arrivalsPerSecond: workClass.arrivalsPerSecond / 6.4 }))
 }
 
+const POOR_ESTIMATES: Readonly<Record<string, Partial<WorkClass>>> = {
+  urgent: { estimateError: 0.9, estimateBias: 0.4, tailShare: 0.03 },
+  normal: { estimateError: 0.5, estimateBias: 2.5, tailShare: 0.03 },
+  deferrable: { estimateError: 0.5, estimateBias: 0.5, tailShare: 0.03 }
+}
+
+/** The same load with estimates that are off and biased by queue, and with tasks that take much longer than others. */
+export const withPoorEstimates = (fleet: Fleet): Fleet =>
+  ({ ...fleet, classes: fleet.classes.map((workClass) => ({ ...workClass, ...POOR_ESTIMATES[workClass.name] })) })
+
 export const FLEETS = { small: SMALL, cramped: CRAMPED, large: LARGE, huge: HUGE } as const
 
 export const PATTERNS: readonly Pattern[] = [
@@ -121,6 +135,12 @@
 
 const drawTaskMs = (random: RandomSource, mean: number): number => mean * (0.6 + 0.8 * random.float())
 
+const TAIL_FACTOR = 7
+
+/** Draws a number only for loads with such tasks, so that the other loads stay the same. */
+const drawTailFactor = (random: RandomSource, { tailShare = 0 }: WorkClass): number =>
+  tailShare > 0 && random.float() < tailShare ? TAIL_FACTOR : 1
+
 /** Returns how many tasks fit in one idle rack. */
 const countFitsInRack = (resources: Resources, { rackSize }: Fleet): number => rackSize * countFits(ENDPOINT_CAPACITY, resources)
 
@@ -134,7 +154,7 @@
   const step: StepSpec = {
     count,
     resources,
-    estimateMs: taskMs * (1 + workClass.estimateError * (2 * random.float() - 1)),
+    estimateMs: (workClass.estimateBias ?? 1) * taskMs * (1 + workClass.estimateError * (2 * random.float() - 1)),
     dependsOn: [],
     checkpointing: random.float() < workClass.checkpointShare,
     gang,
@@ -147,7 +167,8 @@
   const spec: JobSpec = {
     id: asId<JobId>(jobNumber.toString(16)), queue: workClass.name, service: 's', customer: asId<CustomerId>(`c${random.int(1, fleet.customers)}`), priority: workClass.priority, maxAttempts: 3, stretch: workClass.stretch, targetLatencyMs: workClass.targetLatencyMs, payload: '', steps: [step], recurrence: null
   }
-  return { atMs, workClass, spec, taskMs: Array.from({ length: count }, () => step.gang ? taskMs : taskMs * (0.85 + 0.3 * random.float())) }
+  const gangTaskMs = taskMs * (gang ? drawTailFactor(random, workClass) : 1)
+  return { atMs, workClass, spec, taskMs: Array.from({ length: count }, () => gang ? gangTaskMs : taskMs * (0.85 + 0.3 * random.float()) * drawTailFactor(random, workClass)) }
 }
 
 /** Returns the jobs of the pattern in order of arrival. */
