cluster, dispatch, estimation: a new leader continues from the run times that its predecessor learned

Cause: a new leader took the submitted estimates again until five samples of a queue had ended, and an operator could not see which tasks count as hopeless. Change: the leader sends its run times to the other control processes every 5 s (`fleet.run-times`, at most 200 groups of about 150 bytes), as quantiles and the weight of estimates. The copy seeds the history of the next leader and counts for as many samples as would count after decay. Gauge `work.hopeless` and one line for each hopeless task. A change of the leader between real processes was not run.

--- a/packages/cluster/src/constants.ts
+++ b/packages/cluster/src/constants.ts
@@ -27,5 +27,9 @@
 
 export const MESSAGE_TIMEOUT_MS = 1_000
 
+/** Period at which the leader sends the run times that it has learned to the other control processes. */
+export const RUN_TIMES_PERIOD_MS = 5_000
+export const RUN_TIMES_TIMEOUT_MS = 1_000
+
 /** Name of the consensus group that replicates the scheduling state. */
 export const STATE_GROUP = 'scheduling'
--- a/packages/cluster/src/core-node.ts
+++ b/packages/cluster/src/core-node.ts
@@ -10,6 +10,7 @@
 import { MESSAGE_TIMEOUT_MS, ROLE_CHECK_PERIOD_MS, STATE_GROUP } from './constants.ts'
 import { LeaderFinder } from './leader-finder.ts'
 import { LeaderService } from './leader-service.ts'
+import { RunTimeSharing, type RunTimesCopy } from './run-time-sharing.ts'
 import type { ClusterView, LeaderMethod } from './types.ts'
 
 export interface CoreNodeOptions {
@@ -49,6 +50,7 @@
   readonly #options: CoreNodeOptions
   readonly #state = new SchedulingState()
   readonly #finder: LeaderFinder
+  readonly #runTimeSharing: RunTimeSharing
   readonly #unsubscribers: Unsubscribe[] = []
   #replica: ReplicaDriver<StateCommand, StateResult> | null = null
   #leadership: Leadership | null = null
@@ -68,6 +70,7 @@
       onChange: (leader, term) => logger.info('leader known', { leader, term }),
       onError: (from, err) => logger.warn('unreadable view of a control process', { from, err })
     })
+    this.#runTimeSharing = new RunTimeSharing({ rpc, timers, node: options.node, toTarget, listNodes: () => this.#finder.nodes, readOwn: () => this.#readRunTimes() })
   }
 
   get finder (): LeaderFinder {
@@ -98,6 +101,7 @@
     })
     this.#registerHandlers(server)
     this.#finder.start()
+    this.#runTimeSharing.start()
     this.#unsubscribers.push(this.#replica.onStatus((status) => this.#handleStatus(status)))
     this.#unsubscribers.push(timers.every(ROLE_CHECK_PERIOD_MS, () => this.#updateRole()))
   }
@@ -109,6 +113,7 @@
     this.#stopLeading()
     for (const unsubscribe of this.#unsubscribers) unsubscribe()
     this.#finder.stop()
+    this.#runTimeSharing.stop()
     await this.#options.timers.delay(ROLE_CHECK_PERIOD_MS)
     await this.#replica?.stop()
   }
@@ -141,6 +146,7 @@
   #registerHandlers (server: RpcServer): void {
     server.register('raft.message', (params, { from }) => this.#handleMessages(params as MessageBatch, from))
     server.register('cluster.view', () => this.getView())
+    server.register('fleet.run-times', (params) => this.#runTimeSharing.handleCopy(params))
     for (const method of LEADER_METHODS) server.register(method, (params) => this.handleCall(method, params))
   }
 
@@ -206,12 +212,17 @@
       fencingToken: term,
       leaseMaxMs,
       announcedUntilMs: timers.now() - sinceOtherLeaderMs,
-      ...(policy && { policy })
+      ...(policy && { policy }),
+      runTimes: this.#runTimeSharing.groups
     })
     this.#leadership = { term, dispatcher, service: new LeaderService({ state: this.#state, dispatcher, relays, propose, timers, logger, metrics }) }
     dispatcher.start()
   }
 
+  #readRunTimes (): RunTimesCopy | null {
+    return this.#leadership && { term: this.#leadership.term, groups: this.#leadership.dispatcher.getRunTimes() }
+  }
+
   #stopLeading (): void {
     if (!this.#leadership) return
     this.#options.logger.info('no longer leads', { term: this.#leadership.term })
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,4 +1,5 @@
 import type { TaskId } from '@ibisstair/common'
+import type { SharedRunTimes } from '@ibisstair/estimation'
 import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
@@ -36,6 +37,8 @@
   readonly announcedUntilMs: number
   /** Every rule is off by default. */
   readonly policy?: SchedulingPolicy
+  /** Run times that an earlier leader has learned; none by default. */
+  readonly runTimes?: readonly SharedRunTimes[]
 }
 
 /**
@@ -73,7 +76,7 @@
   constructor (options: DispatcherOptions) {
     this.#options = options
     this.#health = new EndpointHealth(options.timers)
-    this.#history = new LearnedHistory({ state: options.state, logger: options.logger, metrics: options.metrics, getSpeed: (endpoint) => this.#getSpeed(endpoint) })
+    this.#history = new LearnedHistory({ state: options.state, logger: options.logger, metrics: options.metrics, getSpeed: (endpoint) => this.#getSpeed(endpoint), ...(options.runTimes && { runTimes: options.runTimes }) })
     this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
     this.#startOrders = new StartOrders({
       state: options.state,
@@ -138,6 +141,11 @@
     this.#unsettledRuns.close()
   }
 
+  /** Returns the run times that this leader has learned, for its successors. */
+  getRunTimes (): readonly SharedRunTimes[] {
+    return this.#history.getRunTimes()
+  }
+
   /** Handles the announcement of an endpoint. Resolves once a changed record is committed. */
   async announce (record: EndpointRecord, clockMs: number): Promise<void> {
     await this.#registrar.announce(record, clockMs)
--- a/packages/dispatch/src/learned-history.ts
+++ b/packages/dispatch/src/learned-history.ts
@@ -1,4 +1,5 @@
 import type { TaskId } from '@ibisstair/common'
+import type { SharedRunTimes } from '@ibisstair/estimation'
 import { parseTaskId, type ActiveRun, type EndpointIncarnation, type EndpointRecord, type JobEntry, type RunEnd, type SchedulingState, type StepEntry, type StepSpec } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { WorkHistory } from './plan-types.ts'
@@ -10,6 +11,8 @@
 const MAX_REMEMBERED_GANGS = 512
 /** Lines on queues that one leader writes. */
 const MAX_QUEUE_LINES = 256
+/** Lines on hopeless tasks in one report. */
+const MAX_HOPELESS_LINES = 5
 
 export interface LearnedHistoryOptions {
   readonly state: SchedulingState
@@ -17,6 +20,8 @@
   readonly metrics: Metrics
   /** Returns the speed relative to the median of the service; 1 while it is not known. */
   readonly getSpeed: (endpoint: EndpointRecord) => number
+  /** Run times that an earlier leader has learned; none by default. */
+  readonly runTimes?: readonly SharedRunTimes[]
 }
 
 /** When a run began and ended, by the clock of this leader. */
@@ -35,16 +40,21 @@
   readonly checkpoint: string
 }
 
-/** What one leader learns of work from the ends that endpoints report. It is not in the replicated state: a new leader starts without it. */
+/**
+ * What a leader learns of work from the ends that endpoints report. It is not in the replicated state: a new leader starts
+ * from the run times that it was sent, and without failures.
+ */
 export class LearnedHistory implements WorkHistory {
   readonly #options: LearnedHistoryOptions
-  readonly #durations = new WorkDurations()
+  readonly #durations: WorkDurations
   readonly #failures = new TaskFailures()
   readonly #recordedGangs = new Set<string>()
   readonly #loggedQueues = new Set<string>()
+  #hopeless: ReadonlySet<TaskId> = new Set()
 
   constructor (options: LearnedHistoryOptions) {
     this.#options = options
+    this.#durations = new WorkDurations(options.runTimes)
   }
 
   estimateRunMs (job: JobEntry, step: StepSpec): number {
@@ -65,20 +75,45 @@
   recordEnd (endpoint: EndpointRecord, end: RunEnd, period: RunPeriod): void {
     if (end.outcome !== 'done' && end.outcome !== 'failed') return
     const known = findRun(this.#options.state, endpoint, end)
-    if (!known) return
+    // Tasks that last are restarted however they end.
+    if (!known || known.step.longRunning) return
     const isDone = end.outcome === 'done'
     this.#failures.recordEnd({ endpoint, task: end.task, run: end.run, isDone, isGang: known.step.gang })
     if (isDone) this.#recordDuration(known, period)
   }
 
+  /** Returns the learned run times, from which another leader may continue. */
+  getRunTimes (): readonly SharedRunTimes[] {
+    return this.#durations.toSnapshot()
+  }
+
   removeEndpoint (life: EndpointIncarnation): void {
     this.#failures.removeEndpoint(life)
   }
 
-  /** Reports queues whose run times are learned, and forgets work that has ended. */
+  /** Reports what is learned in metrics and in one line for each queue and task, and forgets work that has ended. */
   report (): void {
-    const { state, logger, metrics } = this.#options
-    this.#failures.retainJobs((job) => state.jobs.get(job)?.isActive ?? false)
+    this.#failures.retainJobs((job) => this.#options.state.jobs.get(job)?.isActive ?? false)
+    this.#reportHopeless()
+    this.#reportQueues()
+  }
+
+  /** Sets the metrics of a leader whose term is over to 0. */
+  close (): void {
+    for (const name of ['run-times.queues', 'run-times.lowest-ratio-percent', 'run-times.highest-ratio-percent', 'work.hopeless']) this.#options.metrics.gauge(name, 0)
+  }
+
+  #reportHopeless (): void {
+    const { logger, metrics } = this.#options
+    const hopeless = this.#failures.listHopeless()
+    const added = hopeless.filter((task) => !this.#hopeless.has(task))
+    for (const task of added.slice(0, MAX_HOPELESS_LINES)) logger.info('task fails on several healthy endpoints', { task, more: Math.max(0, added.length - MAX_HOPELESS_LINES) })
+    metrics.gauge('work.hopeless', hopeless.length)
+    this.#hopeless = new Set(hopeless)
+  }
+
+  #reportQueues (): void {
+    const { logger, metrics } = this.#options
     const queues = this.#durations.listLearnedQueues()
     const ratios = queues.flatMap(({ estimateRatio }) => estimateRatio ?? [])
     metrics.gauge('run-times.queues', queues.length)
@@ -91,14 +126,9 @@
     }
   }
 
-  /** Sets the metrics of a leader whose term is over to 0. */
-  close (): void {
-    for (const name of ['queues', 'lowest-ratio-percent', 'highest-ratio-percent']) this.#options.metrics.gauge(`run-times.${name}`, 0)
-  }
-
   #recordDuration (known: KnownRun, { startedAtMs, endedAtMs }: RunPeriod): void {
     const { job, step, active, checkpoint } = known
-    if (startedAtMs === null || checkpoint !== '' || step.longRunning) return
+    if (startedAtMs === null || checkpoint !== '') return
     const endpoints = this.#listEndpoints(known)
     if (isSlowedByDistance(step, endpoints)) return
     if (step.gang && !this.#isFirstOfGang(active)) return
--- a/packages/dispatch/src/task-failures.ts
+++ b/packages/dispatch/src/task-failures.ts
@@ -1,4 +1,4 @@
-import type { EndpointId, JobId, TaskId } from '@ibisstair/common'
+import { asId, type EndpointId, type JobId, type TaskId } from '@ibisstair/common'
 import { mustParseTaskId, type EndpointIncarnation, type EndpointRecord } from '@ibisstair/jobs'
 
 /** Failures on this number of healthy endpoints are due to the task: one endpoint may have been disturbed at the time. */
@@ -77,6 +77,13 @@
     return new Set(healthy.map(({ endpoint }) => endpoint)).size >= MIN_FAILED_ENDPOINTS
   }
 
+  /** Returns all hopeless tasks; of a gang its first one. */
+  listHopeless (): TaskId[] {
+    return [...this.#steps].flatMap(([key, indexes]) => [...indexes.keys()]
+      .filter((index) => this.isHopeless(toJob(key), key, index, false))
+      .map((index) => asId<TaskId>(`${key}.${index}`)))
+  }
+
   /** Forgets the steps of other jobs. */
   retainJobs (isActive: (job: JobId) => boolean): void {
     for (const key of this.#steps.keys()) if (!isActive(toJob(key))) this.#steps.delete(key)
@@ -112,4 +119,4 @@
 /** The key that `toWorkKey` returns for the step. */
 const toStepKey = (task: TaskId): string => task.slice(0, task.lastIndexOf('.'))
 
-const toJob = (stepKey: string): JobId => stepKey.slice(0, stepKey.indexOf('.')) as JobId
+const toJob = (stepKey: string): JobId => asId<JobId>(stepKey.slice(0, stepKey.indexOf('.')))
--- a/packages/dispatch/src/work-durations.ts
+++ b/packages/dispatch/src/work-durations.ts
@@ -1,4 +1,4 @@
-import { RunTimeEstimator, type LearnedQueue, type RunTimePrediction, type WorkGroup } from '@ibisstair/estimation'
+import { RunTimeEstimator, type LearnedQueue, type RunTimePrediction, type SharedRunTimes, type WorkGroup } from '@ibisstair/estimation'
 import type { JobEntry, StepSpec } from '@ibisstair/jobs'
 
 /** A customer starts a few steps a second at most, so that run times of the last seconds to minutes count. */
@@ -20,6 +20,11 @@
 export class WorkDurations {
   readonly #estimator = new RunTimeEstimator({ halfLifeSamples: HALF_LIFE_SAMPLES })
 
+  /** `shared` are run times that an earlier leader has learned. */
+  constructor (shared: readonly SharedRunTimes[] = []) {
+    this.#estimator.restore(shared)
+  }
+
   /** All runs of a gang's members are one sample; the caller records one of them. */
   record ({ job, step, runMs, speed }: DoneRun): void {
     const weight = step.gang ? 1 : 1 / step.count
@@ -36,6 +41,10 @@
     return this.#predict(job, step)?.p90Ms ?? step.estimateMs
   }
 
+  toSnapshot (): readonly SharedRunTimes[] {
+    return this.#estimator.toSnapshot()
+  }
+
   listLearnedQueues (): LearnedQueue[] {
     return this.#estimator.listLearnedQueues()
   }
--- a/packages/dispatch/tests/learned-history.test.ts
+++ b/packages/dispatch/tests/learned-history.test.ts
@@ -120,6 +120,8 @@
   const successor = new LearnedHistory({ state: fixture.state, logger, metrics: fixture.metrics, getSpeed: () => 1 })
   t.equal(successor.estimateRunMs(job, job.spec.steps[0]!), 500)
   t.equal(getLateness(job, 2_000, successor), 1)
+  const informed = new LearnedHistory({ state: fixture.state, logger, metrics: fixture.metrics, getSpeed: () => 1, runTimes: fixture.history.getRunTimes() })
+  t.equal(getLateness(job, 2_000, informed), 0, 'unless it was sent a copy')
 })
 
 t.test('a hopeless task comes after other work of its priority, but never if it lasts or is guaranteed', async (t) => {
--- a/packages/dispatch/tests/task-failures.test.ts
+++ b/packages/dispatch/tests/task-failures.test.ts
@@ -32,6 +32,7 @@
   t.notOk(fixture.isHopeless, 'one endpoint may have been disturbed')
   fixture.end(w2, 'bad', 2, false)
   t.ok(fixture.isHopeless)
+  t.same(fixture.failures.listHopeless(), ['bad.0.0.0'])
   t.notOk(fixture.failures.isHopeless(BAD_JOB, BAD_STEP, 1, false), 'other tasks of the step are not')
   fixture.end(w3, 'bad', 3, true)
   t.notOk(fixture.isHopeless, 'it has succeeded')
--- a/packages/estimation/src/decaying-quantiles.ts
+++ b/packages/estimation/src/decaying-quantiles.ts
@@ -5,6 +5,9 @@
 /** Weights are scaled down before they lose precision. */
 const MAX_SCALE = 1e9
 
+/** Shares whose quantiles stand for a fifth of the samples each. */
+const KEPT_SHARES = [0.1, 0.3, 0.5, 0.7, 0.9]
+
 const LOG_BIN_FACTOR = Math.log(BIN_FACTOR)
 
 /**
@@ -57,6 +60,23 @@
     return toValue(this.#bins.findLastIndex((weight) => weight > 0))
   }
 
+  /** Returns the quantiles from which `seed` restores about the same distribution; none without samples. */
+  toQuantiles (): number[] {
+    return this.#total === 0 ? [] : KEPT_SHARES.map((share) => Math.round(this.getQuantile(share)))
+  }
+
+  /** Adds samples at the values, which decay like others. No more are added than would count after decay. */
+  seed (values: readonly number[], samples: number): void {
+    const counted = Math.min(samples, this.#halfLifeSamples / Math.LN2)
+    for (const value of values) {
+      const weight = counted / values.length
+      this.#bins[toBin(value)]! += weight * this.#scale
+      this.#total += weight * this.#scale
+      this.#sum += weight * this.#scale * value
+      this.#samples += weight
+    }
+  }
+
   #rescale (): void {
     for (let bin = 0; bin < BIN_COUNT; bin++) this.#bins[bin]! /= this.#scale
     this.#total /= this.#scale
--- a/packages/estimation/src/estimate-weight.ts
+++ b/packages/estimation/src/estimate-weight.ts
@@ -26,6 +26,12 @@
     return Math.min(1, Math.max(0, this.#covariance / this.#variance))
   }
 
+  /** Takes a weight that was learned from the number of samples. */
+  seed (value: number, samples: number): void {
+    this.#variance = (PRIOR_SAMPLES + Math.min(samples, this.#halfLifeSamples)) * PRIOR_VARIANCE
+    this.#covariance = clamp(value, 1) * this.#variance
+  }
+
   /** Takes the logarithms of estimate and run time, each relative to the median of the group. */
   record (estimateDeviation: number, runDeviation: number, weight: number): void {
     const x = clamp(estimateDeviation, MAX_DEVIATION)
--- a/packages/estimation/src/run-time-estimator.ts
+++ b/packages/estimation/src/run-time-estimator.ts
@@ -1,6 +1,6 @@
 import type { CustomerId } from '@ibisstair/common'
 import { QueueRunTimes } from './queue-run-times.ts'
-import { getRelativeFactor, RunTimeGroup, type RunSample, type RunTimeSummary } from './run-time-group.ts'
+import { getRelativeFactor, RunTimeGroup, type RunSample, type RunTimeGroupSnapshot, type RunTimeSummary } from './run-time-group.ts'
 
 /** Bounds the memory to about 4 MB. */
 const MAX_GROUPS = 1_000
@@ -12,6 +12,11 @@
 const LOW_SHARE_OF_MEAN = 0.8
 const DEFAULT_HALF_LIFE_SAMPLES = 64
 
+/** Groups in a snapshot, which are those that were recorded last; about 150 bytes each as JSON. */
+export const MAX_SHARED_GROUPS = 200
+/** A group is shared from its first whole sample on. */
+const MIN_SHARED_SAMPLES = 0.99
+
 /** Work whose run times are similar. */
 export interface WorkGroup {
   /** Null for work of a public queue. */
@@ -42,6 +47,12 @@
   readonly estimateRatio: number | null
 }
 
+export interface SharedRunTimes extends RunTimeGroupSnapshot {
+  readonly work: WorkGroup
+  /** Whether it stands for all work of the customer in the queue. */
+  readonly isWhole: boolean
+}
+
 interface Entry {
   readonly work: WorkGroup
   readonly group: RunTimeGroup
@@ -102,6 +113,22 @@
     })
   }
 
+  /** Returns what another process needs to continue; the groups that were recorded last come last. */
+  toSnapshot (): SharedRunTimes[] {
+    return [...this.#entries.values()]
+      .filter(({ group }) => group.samples >= MIN_SHARED_SAMPLES)
+      .slice(-MAX_SHARED_GROUPS)
+      .map(({ work, group, isWhole }) => ({ work, isWhole, ...group.toSnapshot() }))
+  }
+
+  /** Takes over a snapshot; groups that are known already stay. */
+  restore (snapshot: readonly SharedRunTimes[]): void {
+    for (const { work, isWhole, ...group } of snapshot) {
+      const key = isWhole ? toWholeKey(work) : toKey(work)
+      if (!this.#entries.has(key)) this.#add(key, { work, isWhole, group: RunTimeGroup.restore(group, this.#halfLifeSamples) })
+    }
+  }
+
   #find (work: WorkGroup): RunTimeSummary | null {
     const group = this.#entries.get(toKey(work))?.group
     if (group && group.samples >= MIN_SAMPLES) return group.summarize()
@@ -113,11 +140,15 @@
 
   #getOrCreate (key: string, work: WorkGroup, isWhole: boolean): Entry {
     const known = this.#entries.get(key)
-    const entry = known ?? { work, group: new RunTimeGroup(this.#halfLifeSamples), isWhole }
+    if (!known) return this.#add(key, { work, group: new RunTimeGroup(this.#halfLifeSamples), isWhole })
     this.#entries.delete(key)
+    this.#entries.set(key, known)
+    return known
+  }
+
+  #add (key: string, entry: Entry): Entry {
     this.#entries.set(key, entry)
-    if (known) return known
-    if (isWhole) this.#addToQueue(work, entry.group)
+    if (entry.isWhole) this.#addToQueue(entry.work, entry.group)
     if (this.#entries.size > MAX_GROUPS) this.#removeOldest()
     return entry
   }
--- a/packages/estimation/src/run-time-group.ts
+++ b/packages/estimation/src/run-time-group.ts
@@ -34,6 +34,16 @@
   readonly estimates: EstimateSummary | null
 }
 
+/** What another process needs to continue with a group. */
+export interface RunTimeGroupSnapshot {
+  readonly samples: number
+  /** Quantiles of the run times of work with the median estimate, in milliseconds. */
+  readonly runTimes: readonly number[]
+  /** Quantiles of the submitted estimates; none where they were not compared. */
+  readonly estimates: readonly number[]
+  readonly weight: number
+}
+
 /** Run times of similar work, and how its submitted estimates relate to them. */
 export class RunTimeGroup {
   readonly #runTimes: DecayingQuantiles
@@ -71,6 +81,18 @@
     return this.#summary
   }
 
+  toSnapshot (): RunTimeGroupSnapshot {
+    return { samples: this.samples, runTimes: this.#runTimes.toQuantiles(), estimates: this.#estimates.toQuantiles(), weight: this.#weight.value }
+  }
+
+  static restore ({ samples, runTimes, estimates, weight }: RunTimeGroupSnapshot, halfLifeSamples: number): RunTimeGroup {
+    const group = new RunTimeGroup(halfLifeSamples)
+    group.#runTimes.seed(runTimes, samples)
+    group.#estimates.seed(estimates, samples)
+    group.#weight.seed(weight, samples)
+    return group
+  }
+
   /** Returns the factor by which the run time is expected to differ from that of work with the median estimate. */
   #learnEstimate (estimateMs: number, runMs: number, weight: number): number {
     this.#estimates.record(estimateMs, weight)
--- a/packages/estimation/tests/run-time-estimator.test.ts
+++ b/packages/estimation/tests/run-time-estimator.test.ts
@@ -1,7 +1,7 @@
 import { asId, type CustomerId } from '@ibisstair/common'
 import { RandomSource } from '@ibisstair/timers'
 import t from 'tap'
-import { RunTimeEstimator, type WorkGroup } from '../src/index.ts'
+import { MAX_SHARED_GROUPS, RunTimeEstimator, type SharedRunTimes, type WorkGroup } from '../src/index.ts'
 
 const HALF_LIFE_SAMPLES = 16
 
@@ -109,3 +109,25 @@
   t.ok(times.predict(workOf('kept'), 9_000), 'groups in use stay')
   t.equal(times.estimate(workOf('c0'), 1_000).samples, 0)
 })
+
+t.test('another process continues from a snapshot, with what it has learned itself', async (t) => {
+  const random = new RandomSource(10)
+  const times = new RunTimeEstimator({ halfLifeSamples: HALF_LIFE_SAMPLES })
+  for (const customer of ['a', 'b', 'c']) for (let i = 0; i < 60; i++) times.record(workOf(customer), drawRun(random, 2_500, 0.5, 2))
+  const snapshot = JSON.parse(JSON.stringify(times.toSnapshot())) as SharedRunTimes[]
+  const successor = new RunTimeEstimator({ halfLifeSamples: HALF_LIFE_SAMPLES })
+  successor.record(workOf('c'), { runMs: 9_000, estimateMs: 9_000 })
+  successor.restore(snapshot)
+  for (const work of [workOf('a'), workOf('new')]) {
+    for (const estimateMs of [4_000, 6_000]) {
+      const [before, after] = [times, successor].map((estimator) => estimator.predict(work, estimateMs)!)
+      t.ok(isNear(after!.p50Ms, before!.p50Ms, 0.15), `${after!.p50Ms} for ${before!.p50Ms}`)
+      t.ok(isNear(after!.p90Ms, before!.p90Ms, 0.25), `${after!.p90Ms} for ${before!.p90Ms}`)
+    }
+  }
+  t.equal(successor.estimate(workOf('c'), 1_000).samples, 1, 'own samples are not overwritten')
+  for (let i = 0; i < 30; i++) successor.record(workOf('a'), { runMs: 10_000, estimateMs: 5_000 })
+  t.ok(isNear(successor.predict(workOf('a'), 5_000)!.p50Ms, 10_000, 0.1), 'a snapshot does not outweigh what follows')
+  for (let i = 0; i < 2_000; i++) times.record(workOf(`c${i}`), { runMs: 1_000 })
+  t.equal(times.toSnapshot().length, MAX_SHARED_GROUPS)
+})
