--- a/packages/dispatch/src/gang-reservations.ts
+++ b/packages/dispatch/src/gang-reservations.ts
@@ -62,7 +62,7 @@
   #endsInTime ({ job, spec }: ReadyWork): boolean {
     if (spec.longRunning || this.#reserved.size === 0) return false
     this.#earliestStartMs ??= Math.min(...this.#gangs.map((gang) => this.#estimateStartMs(gang)))
-    return (process.env.BF === '1' ? this.#pass.history.estimateRunMs(job, spec) : this.#pass.history.estimateLongRunMs(job, spec)) <= this.#earliestStartMs
+    return this.#pass.history.estimateLongRunMs(job, spec) <= this.#earliestStartMs
   }
 
   /** Returns the time until enough runs are expected to have ended for the gang; Infinity if they never do. */
