dispatch: a test that the worth of a preemption and the reserve go by learned run times

Cause: no test would have noticed if either read the estimate of the step again. Change: an urgent job whose estimate is 50 times too low stops a run only where its run time is learned, and is expected to occupy 19 accelerators instead of 1.5. Measured: learned-history.test.ts passes.

--- a/packages/dispatch/tests/learned-history.test.ts
+++ b/packages/dispatch/tests/learned-history.test.ts
@@ -3,8 +3,9 @@
 import { Metrics } from '@ibisstair/telemetry'
 import t from 'tap'
 import { accept, createEndpoint, createSpec, createStep, register, toEnd } from '../../jobs/tests/support/samples.ts'
-import { LearnedHistory, NO_WORK_HISTORY, Planner } from '../src/index.ts'
+import { LearnedHistory, NO_WORK_HISTORY, Planner, type Plan } from '../src/index.ts'
 import { getLateness } from '../src/ready-work.ts'
+import { UrgentDemand } from '../src/urgent-demand.ts'
 import { createFleetView } from './support/fleet-view.ts'
 import { TestCluster } from './support/test-cluster.ts'
 
@@ -53,9 +54,12 @@
     return this.history.estimateRunMs(job, job.spec.steps[0]!)
   }
 
+  plan (): Plan {
+    return this.planner.plan({ state: this.state, fleet: createFleetView(), nowMs: this.nowMs, wallMs: this.nowMs, mayPreempt: true, history: this.history })
+  }
+
   planStarts (): string[] {
-    const { starts } = this.planner.plan({ state: this.state, fleet: createFleetView(), nowMs: this.nowMs, wallMs: this.nowMs, mayPreempt: true, history: this.history })
-    return starts.flatMap(({ job, members }) => members.map(({ index }) => `${job}.${index}`))
+    return this.plan().starts.flatMap(({ job, members }) => members.map(({ index }) => `${job}.${index}`))
   }
 }
 
@@ -144,6 +148,27 @@
   t.same(place(0, { count: 2 }, 1), ['bad.1', 'new0.0', 'new1.0'], 'only the task that has failed waits')
 })
 
+t.test('urgent work whose estimate is too low is worth the victims that its run time justifies, and reserves capacity by it', async (t) => {
+  const preempt = (isLearned: boolean): number => {
+    const fixture = new Fixture()
+    if (isLearned) for (let i = 0; i < 8; i++) fixture.runOnce(`a${i}`, fixture.endpoints[0]!, 5_000, { estimateMs: 100 })
+    fixture.endpoints.forEach((endpoint, i) => {
+      fixture.submit(`b${i}`, { resources: WHOLE_ENDPOINT }, { priority: 2, queue: 'deferrable' })
+      fixture.start(`b${i}`, 1, [endpoint])
+    })
+    fixture.nowMs = 3_000
+    fixture.submit('urgent', { resources: WHOLE_ENDPOINT, estimateMs: 100 }, { priority: 0 })
+    const demand = new UrgentDemand()
+    demand.begin(0)
+    demand.recordArrival(fixture.state.jobs.get(asId<JobId>('urgent'))!, { nowMs: 3_000, wallMs: 3_000, history: fixture.history })
+    // 8 accelerators for 5 s or 100 ms in a window of 4 s: the mean plus one standard deviation.
+    t.ok(isNear(demand.getAccelerators(3_000), isLearned ? 19 : 1.46), `${demand.getAccelerators(3_000)}`)
+    return fixture.plan().preempted.length
+  }
+  t.equal(preempt(false), 0)
+  t.equal(preempt(true), 1)
+})
+
 t.test('a leader learns from what endpoints report, although answers are lost and ends are reported again', async (t) => {
   const cluster = new TestCluster(11, { runMs: 1_000, lostShare: 0.1 })
   cluster.elect()
--- a/packages/estimation/src/run-time-estimator.ts
+++ b/packages/estimation/src/run-time-estimator.ts
@@ -12,7 +12,7 @@
 const LOW_SHARE_OF_MEAN = 0.8
 const DEFAULT_HALF_LIFE_SAMPLES = 64
 
-/** Groups in a snapshot, which are those that were recorded last; about 150 bytes each as JSON. */
+/** Groups in a snapshot, which are those that were recorded last; about 200 bytes each as JSON. */
 export const MAX_SHARED_GROUPS = 200
 /** A group is shared from its first whole sample on. */
 const MIN_SHARED_SAMPLES = 0.99
