--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,4 +1,5 @@
 import type { TaskId } from '@ibisstair/common'
+import type { SharedRunTimes } from '@ibisstair/estimation'
 import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
@@ -9,6 +10,7 @@
 import { EndpointRegistrar } from './endpoint-registrar.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
 import { EndpointUse, type OutOfUseReason } from './endpoint-use.ts'
+import { LearnedHistory } from './learned-history.ts'
 import { isNoticeOf, type LeaveNotice } from './leave-notice.ts'
 import { PendingRecords } from './pending-records.ts'
 import type { Plan, SchedulingPolicy } from './plan-types.ts'
@@ -37,6 +39,8 @@
   readonly announcedUntilMs: number
   /** Every rule is off by default. */
   readonly policy?: SchedulingPolicy
+  /** Run times that an earlier leader has learned; none by default. */
+  readonly runTimes?: readonly SharedRunTimes[]
 }
 
 /**
@@ -47,6 +51,7 @@
   readonly #options: DispatcherOptions
   readonly #planner = new Planner()
   readonly #health: EndpointHealth
+  readonly #history: LearnedHistory
   readonly #sessions = new Map<EndpointIncarnation, EndpointSession>()
   readonly #announcements: Announcements
   readonly #pendingRecords = new PendingRecords()
@@ -75,6 +80,7 @@
   constructor (options: DispatcherOptions) {
     this.#options = options
     this.#health = new EndpointHealth(options.timers)
+    this.#history = new LearnedHistory({ state: options.state, logger: options.logger, metrics: options.metrics, getSpeed: (endpoint) => this.#getSpeed(endpoint), ...(options.runTimes && { runTimes: options.runTimes }) })
     this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
     this.#startOrders = new StartOrders({
       state: options.state,
@@ -143,10 +149,16 @@
     for (const session of this.#sessions.values()) session.close()
     this.#endpointUse.close()
     this.#drainedDomains.close()
+    this.#history.close()
     this.#waitingReport.close()
     this.#unsettledRuns.close()
   }
 
+  /** Returns the run times that this leader has learned, for its successors. */
+  getRunTimes (): readonly SharedRunTimes[] {
+    return this.#history.getRunTimes()
+  }
+
   /** Handles the announcement of an endpoint. Resolves once a changed record is committed. */
   async announce (record: EndpointRecord, clockMs: number, coldLeftMs = 0): Promise<void> {
     await this.#registrar.announce(record, clockMs, coldLeftMs)
@@ -180,10 +192,13 @@
 
   async handleEnds (endpoint: EndpointRecord, ends: readonly RunEnd[]): Promise<void> {
     const { timers, logger, metrics } = this.#options
-    for (const { task, run, outcome } of ends) {
+    for (const end of ends) {
+      const { task, run, outcome } = end
       logger.info('run ended', { task, run, outcome, endpoint: endpoint.id })
       metrics.increment(`runs.${outcome}`)
       this.#health.recordEnd(endpoint.life, task, outcome)
+      const startedAtMs = this.#sessions.get(endpoint.life)?.takeConfirmedAtMs(task, run) ?? null
+      this.#history.recordEnd(endpoint, end, { startedAtMs, endedAtMs: timers.now() })
     }
     const silence = ends.some(({ outcome }) => outcome === 'lost') ? this.#describeSilence(endpoint.life) : null
     await this.#propose({ type: 'end', endpoint: endpoint.life, ends, atMs: timers.wallClock(), ...(silence && { silence }) })
@@ -258,6 +273,7 @@
       this.#sessions.delete(incarnation)
       this.#announcements.remove(incarnation)
       this.#health.remove(incarnation)
+      this.#history.removeEndpoint(incarnation)
     }
     for (const incarnation of this.#leavingSinceMs.keys()) if (!this.#options.state.endpoints.get(incarnation)) this.#leavingSinceMs.delete(incarnation)
   }
@@ -297,6 +313,7 @@
     this.#endpointUse.observe([...this.#options.state.endpoints.list()], (endpoint) => this.#getOutOfUse(endpoint))
     this.#drainedDomains.observe()
     if (!this.#isProposing) this.#drainedDomains.moveRuns()
+    this.#history.report()
     this.#unsettledRuns.observe(() => this.#listRunStatus(), this.#options.timers.now())
     this.#schedulePass()
   }
@@ -377,6 +394,7 @@
       wallMs: timers.wallClock(),
       mayPreempt: this.#isSurveyDone(),
       ...(policy && { policy }),
+      history: this.#history,
       fleet: {
         isUsable: (endpoint) => this.#getOutOfUse(endpoint) === null,
         isSuspect: (endpoint) => this.#health.isSuspect(endpoint.life) && this.#getOutOfUseBesideSuspicion(endpoint) === null,
@@ -385,7 +403,7 @@
         isConfirmed: ({ endpoint, task }) => this.#sessions.get(endpoint)?.isConfirmed(task) ?? false,
         getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
         estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null,
-        getSpeed: () => 1,
+        getSpeed: (endpoint) => this.#getSpeed(endpoint),
         isCold: ({ life }) => this.#announcements.isCold(life, timers.now())
       }
     })
@@ -472,6 +490,11 @@
     return this.#announcements.isCurrent(life, this.#options.timers.now()) ? null : 'unannounced'
   }
 
+  /** Returns the speed relative to the median of the service; 1 while it is not known. */
+  #getSpeed (_endpoint: EndpointRecord): number {
+    return 1
+  }
+
   #stopTask (task: TaskId): void {
     for (const session of this.#sessions.values()) session.stop(task)
   }
