cluster, rpc, platform: answer 503 "not run" for calls that provably reached no control process

Cause: LeaderClient rejected every call without an answer of a leader with outcome-unknown (502), also if no leader was known or no connection was established. Change: sendHttp tells whether a request can have been sent (isUndelivered): not before its socket is connected. RetrySpread spreads the retry delays of the callers that an entry turns away. An answer that can't be read is unreachable (unknown) instead of invalid-request (not run).

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export * from './constants.ts'
+export * from './retry-spread.ts'
--- a/packages/cluster/src/constants.ts
+++ b/packages/cluster/src/constants.ts
@@ -10,6 +10,9 @@
 export const MIN_ATTEMPT_TIMEOUT_MS = 50
 export const LEADER_RETRY_DELAY_MS = 60
 
+/** A control process counts as reachable for this time after its last answer: a search for the leader asks each at least every 500 ms. */
+export const REACHABLE_MS = 2 * VIEW_TIMEOUT_MS
+
 /** Maximum number of control-process addresses that a process keeps. */
 export const MAX_KNOWN_NODES = 64
 
--- a/packages/cluster/src/index.ts
+++ b/packages/cluster/src/index.ts
@@ -1,6 +1,6 @@
 export * from './constants.ts'
 export { CoreNode, type CoreNodeOptions } from './core-node.ts'
-export { LeaderClient, type LeaderClientOptions } from './leader-client.ts'
+export { LeaderClient, type CallOptions, type LeaderClientOptions } from './leader-client.ts'
 export { LeaderFinder, type LeaderFinderOptions } from './leader-finder.ts'
 export { LeaderService, type LeaderServiceOptions } from './leader-service.ts'
 export type * from './types.ts'
--- a/packages/cluster/src/leader-finder.ts
+++ b/packages/cluster/src/leader-finder.ts
@@ -2,7 +2,7 @@
 import type { RpcClient, Target } from '@ibisstair/rpc'
 import type { RandomSource, TimerService, Unsubscribe } from '@ibisstair/timers'
 import * as v from 'valibot'
-import { LEADER_SEARCH_PERIOD_MS, MAX_KNOWN_NODES, VIEW_REFRESH_PERIOD_MS, VIEW_TIMEOUT_MS } from './constants.ts'
+import { LEADER_SEARCH_PERIOD_MS, MAX_KNOWN_NODES, REACHABLE_MS, VIEW_REFRESH_PERIOD_MS, VIEW_TIMEOUT_MS } from './constants.ts'
 import type { ClusterView } from './types.ts'
 
 const ViewSchema = v.object({
@@ -32,6 +32,9 @@
   /** In the order in which they were added; seeds first. */
   readonly #nodes: NodeId[] = []
   #seeds: readonly NodeId[]
+  /** Members of the consensus group as the newest view lists them; empty until there is one. */
+  #members: readonly NodeId[] = []
+  readonly #answeredAtMs = new Map<NodeId, number>()
   #leader: NodeId | null = null
   #term = 0
   #confirmedAtMs = -Infinity
@@ -78,6 +81,16 @@
     this.#addNodes(seeds)
   }
 
+  /**
+   * Whether most of the control processes have answered of late. While they do, a leader that they elect becomes known
+   * here; otherwise another process may know one that this process can't reach.
+   */
+  isMajorityReachable (): boolean {
+    const since = this.#options.timers.now() - REACHABLE_MS
+    const reachable = this.#members.filter((member) => (this.#answeredAtMs.get(member) ?? -Infinity) > since)
+    return 2 * reachable.length > this.#members.length
+  }
+
   /** Records that the node has answered a call, if it is the known leader. */
   confirmLeader (node: NodeId): void {
     if (node === this.#leader) this.#confirmedAtMs = this.#options.timers.now()
@@ -124,6 +137,7 @@
     })
     if (response === null) return
     const view: ClusterView = checkValue(ViewSchema, response, 'cluster.view')
+    this.#recordAnswer(node, view)
     this.#addNodes(view.members)
     if (view.leader === null || view.term < this.#term) return
     // Within a term, a known leader is replaced only by a node that names itself: another process may not have learnt that the leader failed.
@@ -132,6 +146,12 @@
     if (view.leader === node) this.#confirmedAtMs = timers.now()
   }
 
+  #recordAnswer (node: NodeId, { members, term }: ClusterView): void {
+    this.#answeredAtMs.set(node, this.#options.timers.now())
+    if (members.length > 0 && (term >= this.#term || this.#members.length === 0)) this.#members = members
+    for (const known of this.#answeredAtMs.keys()) if (!this.#nodes.includes(known)) this.#answeredAtMs.delete(known)
+  }
+
   #tick (): void {
     const now = this.#options.timers.now()
     const isDue = now - this.#refreshStartedAtMs >= VIEW_REFRESH_PERIOD_MS && now - this.#confirmedAtMs >= VIEW_REFRESH_PERIOD_MS
--- a/packages/rpc/src/client.ts
+++ b/packages/rpc/src/client.ts
@@ -122,17 +122,32 @@
   }
 
   static #parseReply<T>(body: Buffer, callName: string): T {
-    const value = parseJson(body, callName)
+    const value = RpcClient.#readReply(() => parseJson(body, callName))
     const errorAnswer = v.safeParse(ErrorAnswerSchema, value)
-    if (errorAnswer.success) throw IbisError.fromBody(errorAnswer.output.error as unknown as ErrorBody)
-    const response = checkValue(ResponseSchema, value, callName)
+    if (errorAnswer.success) throw RpcClient.#fromAnswer(errorAnswer.output.error as unknown as ErrorBody)
+    const response = RpcClient.#readReply(() => checkValue(ResponseSchema, value, callName))
     if (response.error) throw RpcClient.#toIbisError(response.error, callName)
     return response.result as T
   }
 
+  /** An answer that can't be read says nothing about the call, which may have been carried out. */
+  static #readReply<T>(read: () => T): T {
+    try {
+      return read()
+    } catch (err) {
+      const cause = IbisError.from(err)
+      throw new IbisError('unreachable', cause.message, { cause, info: { reason: 'unreadable', isUndelivered: false } })
+    }
+  }
+
+  /** A callee that did not reach a third process was reached itself. */
+  static #fromAnswer (body: ErrorBody): IbisError {
+    return IbisError.fromBody(body.kind === 'unreachable' ? { ...body, info: { ...body.info, isUndelivered: false } } : body)
+  }
+
   static #toIbisError (error: { readonly code: number, readonly message: string, readonly data?: unknown }, callName: string): IbisError {
     const parsed = v.safeParse(ErrorAnswerSchema, { error: error.data })
-    if (parsed.success) return IbisError.fromBody(parsed.output.error as unknown as ErrorBody)
+    if (parsed.success) return RpcClient.#fromAnswer(parsed.output.error as unknown as ErrorBody)
     return new IbisError('internal', `${callName}: ${error.message} (code ${error.code})`)
   }
 }
--- a/packages/rpc/src/http.ts
+++ b/packages/rpc/src/http.ts
@@ -25,13 +25,15 @@
 /**
  * Sends one request and reads the whole answer. Rejects with `unreachable` on a transport error, on
  * a truncated or too large answer and on a timeout. In these cases the socket is destroyed, so that
- * an unresponsive connection does not return to the pool.
+ * an unresponsive connection does not return to the pool. `isUndelivered` tells whether the error
+ * proves that no byte of the request was sent.
  */
 export const sendHttp = (call: HttpCall, timers: TimerService): Promise<HttpReply> =>
   new Promise((resolve, reject) => {
     const chunks: Buffer[] = []
     let size = 0
     let isSettled = false
+    let hasConnection = false
     const settle = (fn: () => void): void => {
       if (isSettled) return
       isSettled = true
@@ -40,7 +42,7 @@
     }
     const fail = (detail: string, reason: string, cause?: Error): void => settle(() => {
       req.destroy()
-      reject(new IbisError('unreachable', `${call.address}:${call.port}${call.path}: ${detail}`, { ...(cause && { cause }), info: { reason, ...(cause && { code: (cause as NodeJS.ErrnoException).code }) } }))
+      reject(new IbisError('unreachable', `${call.address}:${call.port}${call.path}: ${detail}`, { ...(cause && { cause }), info: { reason, isUndelivered: !hasConnection, ...(cause && { code: (cause as NodeJS.ErrnoException).code }) } }))
     })
     const req = httpRequest({
       host: call.address,
@@ -53,6 +55,11 @@
         ...(call.body !== undefined && { 'content-type': 'application/json', 'content-length': Buffer.byteLength(call.body) })
       }
     })
+    req.on('socket', (socket) => {
+      // Node.js buffers a request until its connection is established, and discards the buffer when the socket is destroyed before.
+      if (socket.connecting) socket.once('connect', () => { hasConnection = true })
+      else hasConnection = true
+    })
     const cancelTimeout = timers.subscribe(call.timeoutMs, () => fail(`no answer within ${Math.round(call.timeoutMs)} ms`, 'timeout'))
     req.on('error', (err) => fail(err.message, isConnectError(err) ? 'connect' : 'connection', err))
     req.on('response', (res) => {
@@ -71,6 +78,13 @@
     req.end(call.body)
   })
 
+/**
+ * Whether a call failed before its request was sent: no connection was established, or none was free in the pool.
+ * A timeout alone does not tell: a request on an open connection may still be carried out.
+ */
+export const isUndelivered = (err: IbisError): boolean =>
+  err.kind === 'unreachable' && (err.details?.isUndelivered ?? err.details?.reason === 'connect') === true
+
 const isConnectError = (err: Error): boolean => {
   const { code, syscall } = err as NodeJS.ErrnoException
   return syscall === 'connect' || code === 'ECONNREFUSED'
