admission, cluster: reject jobs that can't begin in time, before they are recorded

Cause: a leader accepted every job, also when the backlog outlasted three objectives, so that work ran of which nobody had any use, and a flood of one customer delayed all others. Change: decideAdmission (pure) decides from the backlog by customer and priority, the capacity of the service and the max-min fair share; AdmissionControl asks it before the leader proposes a job, only with scheduling.admission. Never rejected: work within a guarantee, a known id, an id with a proposal of unknown outcome, urgent work for which runs of others can be stopped, work without a run time or due later. The backlog is computed from the replicated state at most every 250 ms.

--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -8,3 +8,8 @@
 export const RETURNS_PER_S = 20
 /** Longest range of delays; beyond it urgent work is too late to be of use. */
 export const MAX_RETRY_SPREAD_MS = 8_000
+
+/** Late work is of some use until three times its objective; a job that can't begin before is rejected. */
+export const OBJECTIVES_TO_WAIT = 3
+/** Longest retry delay of a rejected job, before jitter: later the backlog says little about the load. */
+export const MAX_DRAIN_DELAY_MS = 30_000
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,2 +1,3 @@
 export * from './constants.ts'
+export * from './decide-admission.ts'
 export * from './retry-spread.ts'
--- a/packages/cluster/src/constants.ts
+++ b/packages/cluster/src/constants.ts
@@ -28,6 +28,13 @@
 /** Retry delay that is returned to callers, for example while no leader is known. */
 export const RETRY_AFTER_MS = 1_000
 
+/** The backlog is computed from the state at most this often. */
+export const BACKLOG_PERIOD_MS = 250
+export const BACKLOG_REPORT_PERIOD_MS = 1_000
+export const MAX_REJECTION_LINES_PER_S = 10
+/** Maximum number of jobs with proposals of unknown outcome that a leader remembers. */
+export const MAX_UNSETTLED_JOBS = 10_000
+
 export const MESSAGE_TIMEOUT_MS = 1_000
 
 /** Name of the consensus group that replicates the scheduling state. */
--- a/packages/cluster/src/core-node.ts
+++ b/packages/cluster/src/core-node.ts
@@ -7,6 +7,7 @@
 import type { DataFolder } from '@ibisstair/storage'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { RandomSource, TimerService, Unsubscribe } from '@ibisstair/timers'
+import { AdmissionControl } from './admission-control.ts'
 import { MESSAGE_TIMEOUT_MS, ROLE_CHECK_PERIOD_MS, STATE_GROUP } from './constants.ts'
 import { LeaderFinder } from './leader-finder.ts'
 import { LeaderService } from './leader-service.ts'
@@ -41,6 +42,7 @@
 interface Leadership {
   readonly term: number
   readonly dispatcher: Dispatcher
+  readonly admission: AdmissionControl | null
   readonly service: LeaderService
 }
 
@@ -187,7 +189,7 @@
   }
 
   #startLeading ({ term, sinceOtherLeaderMs }: ReplicaStatus): void {
-    const { timers, logger, metrics, endpoints, relays, leaseMaxMs, policy } = this.#options
+    const { timers, random, logger, metrics, endpoints, relays, leaseMaxMs, policy } = this.#options
     const replica = this.#replica!
     const propose = (command: StateCommand, timeoutMs: number): Promise<StateResult> => replica.propose(command, timeoutMs)
     const isLeading = (): boolean => {
@@ -208,7 +210,8 @@
       announcedUntilMs: timers.now() - sinceOtherLeaderMs,
       ...(policy && { policy })
     })
-    this.#leadership = { term, dispatcher, service: new LeaderService({ state: this.#state, dispatcher, relays, propose, timers, logger, metrics }) }
+    const admission = policy?.admission ? new AdmissionControl({ state: this.#state, hasFairShares: policy.fairShares, timers, random, logger, metrics }) : null
+    this.#leadership = { term, dispatcher, admission, service: new LeaderService({ state: this.#state, dispatcher, relays, propose, admission, timers, logger, metrics }) }
     dispatcher.start()
   }
 
@@ -216,6 +219,7 @@
     if (!this.#leadership) return
     this.#options.logger.info('no longer leads', { term: this.#leadership.term })
     this.#leadership.dispatcher.close()
+    this.#leadership.admission?.close()
     this.#leadership = null
   }
 }
--- a/packages/cluster/src/index.ts
+++ b/packages/cluster/src/index.ts
@@ -1,3 +1,4 @@
+export { AdmissionControl, type AdmissionControlOptions } from './admission-control.ts'
 export * from './constants.ts'
 export { CoreNode, type CoreNodeOptions } from './core-node.ts'
 export { LeaderClient, type CallOptions, type LeaderClientOptions } from './leader-client.ts'
--- a/packages/cluster/src/leader-service.ts
+++ b/packages/cluster/src/leader-service.ts
@@ -4,6 +4,7 @@
 import type { RelayDirectory, RelayOffer } from '@ibisstair/relay'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService } from '@ibisstair/timers'
+import type { AdmissionControl } from './admission-control.ts'
 import { COMMAND_TIMEOUT_MS, RETRY_AFTER_MS } from './constants.ts'
 import type {
   AnnounceAnswer, AnnounceParams, ConfigAnswer, ConfigureParams, JobAnswer, JobSubmission, LeaderMethod, LeaveParams, PendingAnswer, QueueAddress, SubmitParams
@@ -14,6 +15,8 @@
   readonly dispatcher: Dispatcher
   readonly relays: RelayDirectory
   readonly propose: (command: StateCommand, timeoutMs: number) => Promise<StateResult>
+  /** Null if every job is accepted that the limits on stored jobs allow. */
+  readonly admission?: AdmissionControl | null
   readonly timers: TimerService
   readonly logger: Logger
   readonly metrics: Metrics
@@ -48,14 +51,16 @@
   // Jobs
 
   async #submit (params: SubmitParams): Promise<JobAnswer> {
-    const { state, timers, logger, metrics } = this.#options
+    const { state, admission, timers, logger, metrics } = this.#options
     const { queue, customer, job } = this.#resolveJob(params)
     const configVersion = state.config.version
     const existingJob = state.jobs.get(job)
     if (existingJob) return { status: existingJob.status }
     checkJob(params.submission)
     const atMs = timers.wallClock()
-    const result = await this.#propose({ type: 'accept', spec: toJobSpec(job, queue, customer, params.submission), atMs, configVersion })
+    const spec = toJobSpec(job, queue, customer, params.submission)
+    const propose = async (): Promise<StateResult> => await this.#propose({ type: 'accept', spec, atMs, configVersion })
+    const result = admission ? await admission.run(spec, propose) : await propose()
     if (result.type === 'refused') throw new IbisError('queue-full', `the limit on stored jobs is reached: ${result.reason}`, { retryAfterMs: RETRY_AFTER_MS })
     if (result.type !== 'accepted') throw new IbisError('internal', `unexpected result ${result.type}`)
     if (result.isNew) {
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,6 +3,8 @@
 export type { LeaveNotice } from './leave-notice.ts'
 export { NO_SCHEDULING_POLICY, type FleetView, type Plan, type PlanInput, type SchedulingPolicy } from './plan-types.ts'
 export { Planner } from './planner.ts'
+export { estimateChainMs, getLateness } from './ready-work.ts'
+export { countPeakAccelerators } from './urgent-demand.ts'
 export { couldEverFit, placeTasks, type Assignment, type Candidate } from './placement.ts'
 export type * from './ports.ts'
 export * from './constants.ts'
