--- a/packages/admission/src/decide-admission.ts
+++ b/packages/admission/src/decide-admission.ts
@@ -85,13 +85,17 @@
 const reject = (reason: RejectionReason, drainMs: number, figures: AdmissionFigures): AdmissionDecision =>
   ({ type: 'reject', reason, retryAfterMs: Math.round(Math.min(MAX_DRAIN_DELAY_MS, Math.max(MIN_RETRY_DELAY_MS, drainMs))), figures })
 
-/** Whether less urgent runs of other customers, which can be stopped, occupy as many accelerators as an urgent job needs. */
-const canMakeRoom = ({ customer, priority, accelerators }: AdmissionRequest, { customers }: ServiceBacklog): boolean => {
+/** Whether an urgent job fits into the free accelerators and those that less urgent runs of other customers occupy, which can be stopped. */
+const canMakeRoom = ({ customer, priority, accelerators }: AdmissionRequest, backlog: ServiceBacklog): boolean => {
   if (priority !== 0) return false
-  const stoppable = customers.filter((other) => other.customer !== customer && other.priority > 0).reduce((sum, { running }) => sum + running, 0)
-  return stoppable > 0 && stoppable >= accelerators
+  const used = sumRunning(backlog.customers)
+  const stoppable = sumRunning(backlog.customers.filter((other) => other.customer !== customer && other.priority > 0))
+  const free = Math.max(0, backlog.accelerators - used)
+  return stoppable > 0 && free + stoppable >= accelerators
 }
 
+const sumRunning = (customers: readonly CustomerBacklog[]): number => customers.reduce((sum, { running }) => sum + running, 0)
+
 const getFigures = (request: AdmissionRequest, backlog: ServiceBacklog): AdmissionFigures => {
   const { accelerators } = backlog
   const limitMs = OBJECTIVES_TO_WAIT * request.objectiveMs
