--- a/packages/cluster/src/constants.ts
+++ b/packages/cluster/src/constants.ts
@@ -10,6 +10,9 @@
 export const MIN_ATTEMPT_TIMEOUT_MS = 50
 export const LEADER_RETRY_DELAY_MS = 60
 
+/** A control process counts as reachable for this time after its last answer: a search for the leader asks each at least every 500 ms. */
+export const REACHABLE_MS = 2 * VIEW_TIMEOUT_MS
+
 /** Maximum number of control-process addresses that a process keeps. */
 export const MAX_KNOWN_NODES = 64
 
@@ -28,6 +31,13 @@
 /** Retry delay that is returned to callers, for example while no leader is known. */
 export const RETRY_AFTER_MS = 1_000
 
+/** The backlog is computed from the state at most this often. */
+export const BACKLOG_PERIOD_MS = 250
+export const BACKLOG_REPORT_PERIOD_MS = 1_000
+export const MAX_REJECTION_LINES_PER_S = 10
+/** Maximum number of jobs with proposals of unknown outcome that a leader remembers. */
+export const MAX_UNSETTLED_JOBS = 10_000
+
 export const MESSAGE_TIMEOUT_MS = 1_000
 
 /** Period at which the leader sends the run times that it has learned to the other control processes. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -13,7 +13,7 @@
 import { LearnedHistory } from './learned-history.ts'
 import { isNoticeOf, type LeaveNotice } from './leave-notice.ts'
 import { PendingRecords } from './pending-records.ts'
-import type { Plan, SchedulingPolicy } from './plan-types.ts'
+import type { Plan, SchedulingPolicy, WorkHistory } from './plan-types.ts'
 import { LongPolls } from './long-polls.ts'
 import { Planner } from './planner.ts'
 import { describeSilence } from './silence.ts'
@@ -154,6 +154,11 @@
     this.#unsettledRuns.close()
   }
 
+  /** What this leader has learned of work. */
+  get history (): WorkHistory {
+    return this.#history
+  }
+
   /** Returns the run times that this leader has learned, for its successors. */
   getRunTimes (): readonly SharedRunTimes[] {
     return this.#history.getRunTimes()
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -4,6 +4,8 @@
 export type { LeaveNotice } from './leave-notice.ts'
 export { NO_SCHEDULING_POLICY, NO_WORK_HISTORY, type FleetView, type Plan, type PlanInput, type SchedulingPolicy, type WorkHistory } from './plan-types.ts'
 export { Planner } from './planner.ts'
+export { estimateChainMs, getLateness } from './ready-work.ts'
+export { countPeakAccelerators } from './urgent-demand.ts'
 export { couldEverFit, placeTasks, type Assignment, type Candidate } from './placement.ts'
 export type * from './ports.ts'
 export * from './constants.ts'
--- a/packages/rpc/tests/rpc.test.ts
+++ b/packages/rpc/tests/rpc.test.ts
@@ -1,13 +1,16 @@
+import { Agent } from 'node:http'
 import { createServer, type Socket } from 'node:net'
 import t, { type Test } from 'tap'
 import { asId, IbisError, type NodeId } from '@ibisstair/common'
 import { SystemTimerService } from '@ibisstair/timers'
-import { MessageSender, RpcClient, RpcServer, sendHttp, createPool, type Identity, type Target } from '../src/index.ts'
+import { isUndelivered, MessageSender, RpcClient, RpcServer, sendHttp, createPool, type Identity, type Target } from '../src/index.ts'
 
 const identity: Identity = { deployment: 'test', node: asId<NodeId>('n1'), secret: 'a-long-enough-secret' }
 const timers = new SystemTimerService()
 const getErrorKind = async (call: Promise<unknown>): Promise<string> =>
   await call.then(() => 'none', (err: IbisError) => err.kind)
+const getError = async (call: Promise<unknown>): Promise<IbisError> =>
+  await call.then(() => { throw new Error('the call was expected to fail') }, (err: IbisError) => err)
 
 const LOCAL = { address: '127.0.0.1', port: 0 }
 
@@ -97,7 +100,9 @@
   const client = withClient(t)
   t.equal(await client.call(proxyTarget, 'echo', {}), 'ok')
   isSilent = true
-  t.equal(await getErrorKind(client.call(proxyTarget, 'echo', {}, 150)), 'unreachable')
+  const err = await getError(client.call(proxyTarget, 'echo', {}, 150))
+  t.equal(err.kind, 'unreachable')
+  t.equal(isUndelivered(err), false, 'a request on a pooled connection may have been delivered')
   t.equal(await client.call(proxyTarget, 'echo', {}, 1000), 'ok')
   t.equal(connections, 2)
   t.ok(client.counters.connectionsDropped >= 1)
@@ -121,3 +126,64 @@
   t.ok(batches <= 3)
   t.ok(client.counters.messagesDropped > 1000)
 })
+
+/** Starts a server that receives bytes and answers nothing by itself. */
+const withRawServer = async (t: Test, onData: (socket: Socket, chunk: Buffer) => void = () => {}) => {
+  const received: string[] = []
+  const server = createServer((socket) => {
+    t.teardown(() => socket.destroy())
+    socket.on('error', () => {}).on('data', (chunk) => {
+      received.push(chunk.toString())
+      onData(socket, chunk)
+    })
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => server.close())
+  return { received, target: { address: '127.0.0.1', port: (server.address() as { port: number }).port } }
+}
+
+t.test('a failed call tells whether its request can have been delivered', async (t) => {
+  // Guards against "not run" for a request on an open connection, and against 502 for one that was never sent.
+  const silent = await withRawServer(t)
+  const unreadable = await withRawServer(t, (socket) => socket.end('HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\noops'))
+  const fail = async (target: Target): Promise<IbisError> => await getError(withClient(t).call(target, 'submit', {}, 100))
+  t.equal(isUndelivered(await fail({ address: '127.0.0.1', port: 1 })), true, 'connection refused')
+  const unanswered = await fail(silent.target)
+  t.equal(unanswered.details?.reason, 'timeout')
+  t.equal(isUndelivered(unanswered), false, 'connected, no answer')
+  const unreadableAnswer = await fail(unreadable.target)
+  t.equal(unreadableAnswer.execution, 'unknown', 'an unreadable answer claims nothing')
+  t.equal(isUndelivered(unreadableAnswer), false)
+})
+
+t.test('a connect that does not complete within the timeout is destroyed before anything is written', async (t) => {
+  // Guards against a submission that arrives after its entry has answered that it never runs.
+  const { received, target } = await withRawServer(t)
+  const agent = createPool()
+  t.teardown(() => agent.destroy())
+  // Node.js reports an established connection only in its poll phase, so that none is established within these ticks.
+  for (const ticks of [1, 3, 8]) {
+    const fireAfter = (fn: () => void, remaining: number): void => process.nextTick(() => remaining > 1 ? fireAfter(fn, remaining - 1) : fn())
+    const subscribe = (_delayMs: number, fn: () => void): (() => void) => {
+      fireAfter(fn, ticks)
+      return () => {}
+    }
+    const err = await getError(sendHttp({ ...target, agent, method: 'POST', path: '/rpc', body: 'submission', timeoutMs: 1, maxBytes: 100 }, { subscribe } as unknown as SystemTimerService))
+    t.equal(err.details?.reason, 'timeout')
+    t.equal(isUndelivered(err), true, `after ${ticks} ticks`)
+  }
+  await timers.delay(50)
+  t.same(received, [])
+})
+
+t.test('a call that waited for a free connection until its timeout was not delivered', async (t) => {
+  const { received, target } = await withRawServer(t)
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+  t.teardown(() => agent.destroy())
+  const send = async (path: string, timeoutMs: number): Promise<IbisError> =>
+    await getError(sendHttp({ ...target, agent, method: 'POST', path, body: 'x', timeoutMs, maxBytes: 100 }, timers))
+  const [first, queued] = await Promise.all([send('/first', 150), send('/queued', 60)])
+  t.equal(isUndelivered(first), false)
+  t.equal(isUndelivered(queued), true)
+  t.notMatch(received.join(), /queued/)
+})
