ctl: subcommands that drain, restore and list failure domains

Cause: operators without the platform's own calls had no way to drain a failure domain or to see which ones are drained.

--- a/apps/ctl/src/commands.ts
+++ b/apps/ctl/src/commands.ts
@@ -1,12 +1,12 @@
 import type { Config } from '@ibisstair/model'
 import {
   addGuarantee, applyConfig, asCustomerId, asDomainId, asEndpointId, asKindOfWork, changeCustomer, type ConfigEdit, createCustomer,
-  drainEndpoint, type OperatorClient, putDomain, putKind, readConfigFile, readPartialConfigFile, removeCustomer,
+  type DomainClient, drainEndpoint, type OperatorClient, putDomain, putKind, readConfigFile, readPartialConfigFile, removeCustomer,
   removeGuarantee, removeKind, undrainEndpoint
 } from '@ibisstair/operator-client'
 import type { CommandLine } from '@ibisstair/settings'
 import { readCustomerFields, readDomainFields, readGuarantee, readKindFields } from './options.ts'
-import { formatCustomers, formatRecord } from './output.ts'
+import { formatCustomers, formatDomains, formatRecord } from './output.ts'
 import type { ItemOption } from './spec.ts'
 
 /** Output of a subcommand: `text` for the text format, `value` for JSON. */
@@ -26,6 +26,8 @@
 export type Subcommand =
   | SubcommandBase & { readonly type: 'change', readonly edit: (args: readonly string[], command: CommandLine) => ConfigEdit }
   | SubcommandBase & { readonly type: 'call', readonly run: (client: OperatorClient, args: readonly string[]) => Promise<CommandOutput> }
+  /** Calls a control process in place of an entry. */
+  | SubcommandBase & { readonly type: 'control-call', readonly run: (client: DomainClient, args: readonly string[]) => Promise<CommandOutput> }
 
 const CUSTOMER_OPTIONS = ['priority', 'max-queued'] as const
 const GUARANTEE_OPTIONS = ['tasks', 'accelerators', 'slots', 'adjacency', 'count', 'domain'] as const
@@ -35,6 +37,11 @@
 
 const listCustomers = ({ customers }: Config): CommandOutput => ({ text: formatCustomers(customers), value: customers })
 
+const listDomains = async (client: DomainClient): Promise<CommandOutput> => {
+  const domains = await client.list()
+  return { text: formatDomains(domains), value: domains }
+}
+
 const importFile = async (client: OperatorClient, file: string): Promise<CommandOutput> => {
   const version = await client.importConfig(readConfigFile(file))
   return { text: `imported: version ${version} is in force\n`, value: { version } }
@@ -113,6 +120,24 @@
     args: ['ENDPOINT'],
     edit: ([id]) => undrainEndpoint(asEndpointId(id!))
   },
+  {
+    type: 'control-call',
+    words: ['failure-domain', 'drain'],
+    args: ['DOMAIN'],
+    run: async (client, [id]) => toOutput(await client.drain(asDomainId(id!)))
+  },
+  {
+    type: 'control-call',
+    words: ['failure-domain', 'restore'],
+    args: ['DOMAIN'],
+    run: async (client, [id]) => toOutput(await client.restore(asDomainId(id!)))
+  },
+  {
+    type: 'control-call',
+    words: ['failure-domain', 'list'],
+    args: [],
+    run: listDomains
+  },
   {
     type: 'call',
     words: ['config', 'show'],
@@ -151,4 +176,4 @@
   return `${[...words, ...args].join(' ')}${optionUsage}${type === 'change' ? ' [--expect-version] [--change-id]' : ''}`
 }
 
-export const SUBCOMMAND_USAGE: readonly string[] = ['COMMAND --entry http://IP:PORT ... --secret-file FILE [options]', ...SUBCOMMANDS.map(formatUsage)]
+export const SUBCOMMAND_USAGE: readonly string[] = ['COMMAND --entry http://IP:PORT ... --secret-file FILE [options]', 'failure-domain COMMAND --control http://IP:PORT ... --secret-file FILE [options]', ...SUBCOMMANDS.map(formatUsage)]
--- a/apps/ctl/src/output.ts
+++ b/apps/ctl/src/output.ts
@@ -1,4 +1,5 @@
 import type { CustomerConfig, GuaranteedShape } from '@ibisstair/model'
+import type { ListedDomain } from '@ibisstair/operator-client'
 import { formatTable } from '@ibisstair/settings'
 import { stringify } from 'yaml'
 
@@ -18,5 +19,11 @@
   return [[id, String(priority), String(maxQueued), first], ...others.map((text) => ['', '', '', text])]
 }
 
+const DOMAIN_HEADER = ['failure domain', 'state', 'since', 'endpoints', 'runs']
+
+export const formatDomains = (domains: readonly ListedDomain[]): string =>
+  formatTable(DOMAIN_HEADER, domains.map(({ domain, isDrained, sinceMs, endpoints, runs }) =>
+    [domain, isDrained ? 'drained' : 'in use', sinceMs === null ? '-' : new Date(sinceMs).toISOString(), String(endpoints), String(runs)]))
+
 export const formatCustomers = (customers: readonly CustomerConfig[]): string =>
   formatTable(HEADER, customers.flatMap(formatCustomer))
--- a/apps/ctl/src/run.ts
+++ b/apps/ctl/src/run.ts
@@ -1,10 +1,10 @@
 import { assertNever, checkValue, IbisError, type ChangeId } from '@ibisstair/common'
 import { ChangeIdSchema, type ConfigChange } from '@ibisstair/model'
-import { type ConfigEdit, generateChangeId, type EntryTarget, OperatorClient, parseEntryTarget, submitChange } from '@ibisstair/operator-client'
+import { type ConfigEdit, DomainClient, generateChangeId, type EntryTarget, OperatorClient, parseEntryTarget, submitChange } from '@ibisstair/operator-client'
 import { EXIT_FAILURE, EXIT_OK, loadSecret, UsageError, type CommandLine } from '@ibisstair/settings'
 import type { RandomSource, TimerService } from '@ibisstair/timers'
 import { SUBCOMMANDS, type CommandOutput, type Subcommand } from './commands.ts'
-import { CHANGE_OPTIONS, CONNECTION_OPTIONS } from './spec.ts'
+import { CHANGE_OPTIONS, COMMON_OPTIONS, CONTROL_OPTIONS, ENTRY_OPTIONS } from './spec.ts'
 
 export interface CtlEnvironment {
   readonly timers: TimerService
@@ -20,6 +20,9 @@
   readonly args: readonly string[]
 }
 
+/** Name of the deployment that runs the platform's control processes. */
+const DEFAULT_DEPLOYMENT = 'platform'
+
 const rethrowAsUsageError = <T>(run: () => T): T => {
   try {
     return run()
@@ -37,15 +40,24 @@
   throw new UsageError(`${subcommand.words.join(' ')}: got ${args.length} arguments, accepted is ${accepted}`)
 }
 
+const listTypeOptions = (type: Subcommand['type']): string[] => {
+  switch (type) {
+    case 'change': return Object.keys({ ...ENTRY_OPTIONS, ...CHANGE_OPTIONS })
+    case 'call': return Object.keys(ENTRY_OPTIONS)
+    case 'control-call': return Object.keys(CONTROL_OPTIONS)
+    default: return assertNever(type)
+  }
+}
+
 const checkOptions = ({ optionNames }: CommandLine, { words, options = [], type }: Subcommand): void => {
-  const accepted = new Set<string>([...Object.keys(CONNECTION_OPTIONS), ...options, ...(type === 'change' ? Object.keys(CHANGE_OPTIONS) : [])])
+  const accepted = new Set<string>([...Object.keys(COMMON_OPTIONS), ...options, ...listTypeOptions(type)])
   const unknown = optionNames.find((name) => !accepted.has(name))
   if (unknown !== undefined) throw new UsageError(`${words.join(' ')} does not take --${unknown}`)
 }
 
-const readTargets = (command: CommandLine): EntryTarget[] => {
-  const targets = rethrowAsUsageError(() => command.getStrings('entry').map(parseEntryTarget))
-  if (targets.length === 0) throw new UsageError('--entry is required')
+const readTargets = (command: CommandLine, option: 'entry' | 'control'): EntryTarget[] => {
+  const targets = rethrowAsUsageError(() => command.getStrings(option).map(parseEntryTarget))
+  if (targets.length === 0) throw new UsageError(`--${option} is required`)
   return targets
 }
 
@@ -67,10 +79,33 @@
   return { text: `accepted: version ${result.version}, change id ${result.changeId}\n`, value: { changed: true, ...result } }
 }
 
-const runSubcommand = ({ subcommand, args }: Invocation, command: CommandLine, env: CtlEnvironment, client: OperatorClient): Promise<CommandOutput> => {
+const createOperatorClient = (command: CommandLine, { timers }: CtlEnvironment): OperatorClient =>
+  new OperatorClient({ entries: readTargets(command, 'entry'), secret: readSecret(command), timers })
+
+const createDomainClient = (command: CommandLine, { timers }: CtlEnvironment): DomainClient => new DomainClient({
+  controls: readTargets(command, 'control'),
+  deployment: command.getString('deployment') ?? DEFAULT_DEPLOYMENT,
+  secret: readSecret(command),
+  timers
+})
+
+const readSecret = (command: CommandLine): string => loadSecret(command.getRequired('secret-file'))
+
+/** Reads the options of the connection at once, so that wrong ones are reported before a call is made. */
+const prepareSubcommand = ({ subcommand, args }: Invocation, command: CommandLine, env: CtlEnvironment): () => Promise<CommandOutput> => {
   switch (subcommand.type) {
-    case 'change': return runChange(client, subcommand.edit(args, command), command, env)
-    case 'call': return subcommand.run(client, args)
+    case 'change': {
+      const client = createOperatorClient(command, env)
+      return () => runChange(client, subcommand.edit(args, command), command, env)
+    }
+    case 'call': {
+      const client = createOperatorClient(command, env)
+      return () => subcommand.run(client, args)
+    }
+    case 'control-call': {
+      const client = createDomainClient(command, env)
+      return () => subcommand.run(client, args).finally(() => client.close())
+    }
     default: return assertNever(subcommand)
   }
 }
@@ -86,11 +121,9 @@
   const invocation = parseInvocation(command)
   checkOptions(command, invocation.subcommand)
   const format = command.getChoice('format', ['text', 'json'], 'text')
-  const entries = readTargets(command)
-  const secret = loadSecret(command.getRequired('secret-file'))
-  const client = new OperatorClient({ entries, secret, timers: env.timers })
+  const run = prepareSubcommand(invocation, command, env)
   try {
-    const { text, value } = await runSubcommand(invocation, command, env, client)
+    const { text, value } = await run()
     env.write(format === 'json' ? `${JSON.stringify(value, null, 2)}\n` : text)
     return EXIT_OK
   } catch (err) {
--- a/apps/ctl/src/spec.ts
+++ b/apps/ctl/src/spec.ts
@@ -2,12 +2,22 @@
 import { ADJACENCIES, URGENCIES } from '@ibisstair/model'
 
 /** Accepted by every subcommand. */
-export const CONNECTION_OPTIONS = {
-  entry: { type: 'string', value: 'URL', multiple: true, help: "operators' listener of an entry, http://IP:PORT; repeat to add entries that are tried in turn" },
+export const COMMON_OPTIONS = {
   'secret-file': { type: 'string', value: 'FILE', help: 'shared secret of the deployment' },
   format: { type: 'string', value: 'FORMAT', help: 'text (default) or json' }
 } as const satisfies Record<string, OptionSpec>
 
+/** Accepted by the subcommands that call an entry. */
+export const ENTRY_OPTIONS = {
+  entry: { type: 'string', value: 'URL', multiple: true, help: "operators' listener of an entry, http://IP:PORT; repeat to add entries that are tried in turn" }
+} as const satisfies Record<string, OptionSpec>
+
+/** Accepted by the subcommands that call a control process. */
+export const CONTROL_OPTIONS = {
+  control: { type: 'string', value: 'URL', multiple: true, help: 'failure-domain: where a control process takes calls of other processes, http://IP:PORT; repeat to add others that are tried in turn' },
+  deployment: { type: 'string', value: 'NAME', help: 'failure-domain: deployment of the control process (default platform)' }
+} as const satisfies Record<string, OptionSpec>
+
 /** Accepted by every subcommand that proposes a change. */
 export const CHANGE_OPTIONS = {
   'expect-version': { type: 'string', value: 'N', help: 'reject the change unless this version is in force' },
@@ -33,7 +43,7 @@
   prune: { type: 'boolean', help: 'config apply: remove what FILE does not list' }
 } as const satisfies Record<string, OptionSpec>
 
-export const CTL_OPTIONS: Readonly<Record<string, OptionSpec>> = { ...CONNECTION_OPTIONS, ...CHANGE_OPTIONS, ...ITEM_OPTIONS }
+export const CTL_OPTIONS: Readonly<Record<string, OptionSpec>> = { ...ENTRY_OPTIONS, ...CONTROL_OPTIONS, ...COMMON_OPTIONS, ...CHANGE_OPTIONS, ...ITEM_OPTIONS }
 
 export type ItemOption = keyof typeof ITEM_OPTIONS
 
--- a/packages/operator-client/src/constants.ts
+++ b/packages/operator-client/src/constants.ts
@@ -1,5 +1,7 @@
 /** An entry tries several control processes in turn, for up to 3 s each. */
 export const CALL_TIMEOUT_MS = 15_000
+/** The leader commits an order about a failure domain within 0.8 s, or rejects it. */
+export const DOMAIN_CALL_TIMEOUT_MS = 1_500
 export const MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 export const MAX_CONFIG_FILE_BYTES = 4 * 1024 * 1024
 
--- a/packages/operator-client/src/index.ts
+++ b/packages/operator-client/src/index.ts
@@ -1,5 +1,6 @@
 export * from './client.ts'
 export * from './constants.ts'
+export * from './domain-client.ts'
 export * from './edits.ts'
 export * from './files.ts'
 export * from './submit.ts'
--- a/packages/operator-client/src/responses.ts
+++ b/packages/operator-client/src/responses.ts
@@ -19,7 +19,7 @@
   checkResponse(ObjectResponseSchema, value, source)
 
 /** A malformed response is not caused by the request, so it is reported as `internal` instead of `invalid-request`. */
-const checkResponse = <S extends v.GenericSchema>(schema: S, value: unknown, source: string): v.InferOutput<S> => {
+export const checkResponse = <S extends v.GenericSchema>(schema: S, value: unknown, source: string): v.InferOutput<S> => {
   try {
     return checkValue(schema, value, `response of ${source}`)
   } catch (err) {
