--- a/packages/cluster/tests/domain-service.test.ts
+++ b/packages/cluster/tests/domain-service.test.ts
@@ -9,18 +9,21 @@
 
 const getFailure = async (call: Promise<unknown>): Promise<unknown> => await call.then(() => null, (err: unknown) => err)
 
-/** A leader whose commands are applied at once; `beforeApply` may commit others before, or reject. */
+/** A leader whose commands are applied at once; `beforeApply` may commit others before, or reject; `afterApply` loses answers. */
 class Fixture {
   readonly state = new SchedulingState()
   readonly proposed: string[] = []
   beforeApply = (_command: StateCommand): void => {}
+  afterApply = (): void => {}
   readonly service = new DomainService({
     state: this.state,
     timers: new ManualTimerService(),
     propose: async (command: StateCommand): Promise<StateResult> => {
       this.proposed.push(command.type)
       this.beforeApply(command)
-      return this.state.apply(JSON.parse(JSON.stringify(command)) as StateCommand)
+      const result = this.state.apply(JSON.parse(JSON.stringify(command)) as StateCommand)
+      this.afterApply()
+      return result
     }
   })
 
@@ -41,6 +44,20 @@
   t.match(await getFailure(fixture.service.list()), { kind: 'not-leader' })
 })
 
+t.test('an order whose answer is lost with the leader is sent again, and has one effect', async (t) => {
+  const fixture = new Fixture()
+  fixture.register('w1', Z1)
+  for (const method of ['drain', 'restore'] as const) {
+    const expectedRevision = fixture.state.domainDrains.getRevision(Z1)
+    fixture.afterApply = () => { throw new IbisError('outcome-unknown', 'the leader was killed') }
+    t.match(await getFailure(fixture.service[method]({ domain: Z1, expectedRevision })), { kind: 'outcome-unknown' })
+    const { sinceMs } = fixture.state.domainDrains.get(Z1)!
+    fixture.afterApply = () => {}
+    t.match(await fixture.service[method]({ domain: Z1, expectedRevision }), { isDrained: method === 'drain' }, 'also with the revision of before')
+    t.match(fixture.state.domainDrains.get(Z1), { sinceMs, isDrained: method === 'drain' })
+  }
+})
+
 t.test('an order whose domain has changed meanwhile is rejected', async (t) => {
   const fixture = new Fixture()
   await fixture.service.drain({ domain: Z1, expectedRevision: 0, isConfigured: true })
