--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -1,6 +1,7 @@
 import type { EndpointId, ErrorKind, JobId, TaskId } from '@ibisstair/common'
 import { asId, assertNever, invariant } from '@ibisstair/common'
 import type { Assignment, DomainShare, EndpointInfo, JobMetadata } from '@ibisstair/model'
+import { getDominantShare } from '@ibisstair/fairness'
 import { URGENCIES } from '@ibisstair/model'
 import { costWithGuarantees, costOfRemainder, findBestFit } from './best-fit.ts'
 import { CapacityHistory } from './capacity-history.ts'
@@ -845,9 +846,9 @@
 
   /** Returns the dominant share of a customer's use above its guarantees, divided by its priority. */
   #dominantShareOf (account: CustomerAccount): number {
-    const byAccelerators = account.borrowedAccelerators / Math.max(1, this.#fleet.totalAccelerators)
-    const bySlots = account.borrowedSlots / Math.max(1, this.#fleet.totalSlots)
-    return Math.max(byAccelerators, bySlots) / account.priority
+    const borrowed = { accelerators: account.borrowedAccelerators, slots: account.borrowedSlots }
+    const total = { accelerators: this.#fleet.totalAccelerators, slots: this.#fleet.totalSlots }
+    return getDominantShare(borrowed, total, account.priority)
   }
 
   #placeNextOf (account: CustomerAccount): boolean {
