planner-bench: compares the scheduling rules; four more load patterns, two fleets, four columns

Cause: the bench ran the planner without rules only, and no pattern had a flooding customer, lost capacity or cancellations.

--- a/scripts/planner-bench/main.ts
+++ b/scripts/planner-bench/main.ts
@@ -1,27 +1,61 @@
 // Runs the planner on reproducible load patterns in virtual time and prints its scores.
-//   node --import=tsx scripts/planner-bench/main.ts --seeds 10 --fleet small|cramped|large|huge
+//   node --import=tsx scripts/planner-bench/main.ts --seeds 10 --fleet small|cramped|large|huge|licence --rules off,shares,limits,on
 import { parseArgs } from 'node:util'
+import { NO_SCHEDULING_POLICY, type SchedulingPolicy } from '@ibisstair/dispatch'
 import { RandomSource } from '@ibisstair/timers'
 import { Simulation, type SimulationResult } from './simulate.ts'
-import { FLEETS, PATTERNS } from './workload.ts'
+import { FLEETS, PATTERNS, type Pattern } from './workload.ts'
+
+const RULES: Readonly<Record<string, SchedulingPolicy>> = {
+  off: NO_SCHEDULING_POLICY,
+  shares: { ...NO_SCHEDULING_POLICY, fairShares: true },
+  limits: { ...NO_SCHEDULING_POLICY, limitPreemption: true },
+  on: { ...NO_SCHEDULING_POLICY, fairShares: true, limitPreemption: true }
+}
 
 const { values } = parseArgs({
-  options: { seeds: { type: 'string', default: '10' }, fleet: { type: 'string', default: 'small' } }
+  options: { seeds: { type: 'string', default: '10' }, fleet: { type: 'string', default: 'small' }, rules: { type: 'string', default: 'off,on' } }
 })
 const fleet = FLEETS[values.fleet as keyof typeof FLEETS]
 if (!fleet) throw new Error(`--fleet ${values.fleet} is unknown; accepted are ${Object.keys(FLEETS).join(', ')}`)
+const rules = values.rules.split(',')
+for (const name of rules) if (!RULES[name]) throw new Error(`--rules ${name} is unknown; accepted are ${Object.keys(RULES).join(', ')}`)
+
+interface Column {
+  readonly title: string
+  readonly width: number
+  readonly digits: number
+  readonly select: (result: SimulationResult) => number
+}
+
+const COLUMNS: readonly Column[] = [
+  { title: 'credit', width: 8, digits: 3, select: ({ credit }) => credit },
+  ...fleet.classes.map(({ name }): Column => ({ title: name, width: 11, digits: 3, select: ({ creditByClass }) => creditByClass[name]! })),
+  { title: 'worst customer', width: 15, digits: 3, select: ({ worstCustomer }) => worstCustomer },
+  { title: 'largest jobs', width: 13, digits: 3, select: ({ largestJobs }) => largestJobs },
+  { title: 'thrown away, core s', width: 20, digits: 0, select: ({ lostWorkCoreS }) => lostWorkCoreS },
+  { title: 'stops', width: 7, digits: 0, select: ({ preemptedCount }) => preemptedCount },
+  { title: 'of a task', width: 10, digits: 1, select: ({ maxStops }) => maxStops }
+]
 
-const all: SimulationResult[] = []
 const mean = (results: readonly SimulationResult[], select: (result: SimulationResult) => number): number =>
   results.reduce((sum, result) => sum + select(result), 0) / results.length
 
-console.log('pattern                                         credit  urgent  normal  defer.  thrown away, core s  preempted')
+const print = (name: string, rule: string, results: readonly SimulationResult[]): void => {
+  const cells = COLUMNS.map(({ width, digits, select }) => mean(results, select).toFixed(digits).padStart(width))
+  console.log(`${name.padEnd(46)}${rule.padEnd(7)}${cells.join('')}`)
+}
+
+const simulate = (pattern: Pattern, rule: string): SimulationResult[] =>
+  Array.from({ length: Number(values.seeds) }, (_, i) => new Simulation(new RandomSource(i + 1), fleet, pattern, RULES[rule]!).run())
+
+console.log(`${'pattern'.padEnd(46)}${'rules'.padEnd(7)}${COLUMNS.map(({ title, width }) => title.padStart(width)).join('')}`)
+const all = new Map<string, SimulationResult[]>(rules.map((rule) => [rule, []]))
 for (const pattern of PATTERNS) {
-  const results = Array.from({ length: Number(values.seeds) }, (_, i) => new Simulation(new RandomSource(i + 1), fleet, pattern).run())
-  const formatMean = (select: (result: SimulationResult) => number): string => mean(results, select).toFixed(3).padStart(8)
-  const classColumns = fleet.classes.map(({ name }) => formatMean(({ creditByClass }) => creditByClass[name]!)).join('')
-  const lostWorkColumn = mean(results, ({ lostWorkCoreS }) => lostWorkCoreS).toFixed(0).padStart(21)
-  all.push(...results)
-  console.log(`${pattern.name.padEnd(46)}${formatMean(({ credit }) => credit)}${classColumns}${lostWorkColumn}${mean(results, ({ preemptedCount }) => preemptedCount).toFixed(0).padStart(11)}`)
+  for (const rule of rules) {
+    const results = simulate(pattern, rule)
+    all.get(rule)!.push(...results)
+    print(pattern.name, rule, results)
+  }
 }
-console.log(`${'mean'.padEnd(46)}${mean(all, ({ credit }) => credit).toFixed(3).padStart(8)}`)
+for (const [rule, results] of all) print('mean', rule, results)
--- a/scripts/planner-bench/simulate.ts
+++ b/scripts/planner-bench/simulate.ts
@@ -1,12 +1,11 @@
 import { asId, type CustomerId, type DomainId, type EndpointId, type TaskId } from '@ibisstair/common'
-import { Planner } from '@ibisstair/dispatch'
+import { Planner, type SchedulingPolicy } from '@ibisstair/dispatch'
 import { mustParseTaskId, SchedulingState, toEndpointIncarnation, toTaskId, type EndpointIncarnation, type RunOutcome, type StartGroup } from '@ibisstair/jobs'
 import { ManualTimerService, type RandomSource, type Unsubscribe } from '@ibisstair/timers'
 import { createFleetView } from '../../packages/dispatch/tests/support/fleet-view.ts'
+import { summarizeCredit, type CreditSummary } from './credit.ts'
 import { ARRIVALS_MS, createArrivals, ENDPOINT_CAPACITY, toRack, type Arrival, type Fleet, type Pattern } from './workload.ts'
 
-/** A job that takes longer than this multiple of its objective earns no credit. */
-const LATE_FACTOR = 3
 const SPEEDS = [0.8, 1, 1.25]
 const PASS_DELAY_MS = 8
 /** Time after its start from which the progress of a run is known. */
@@ -15,13 +14,12 @@
 const CORES_PER_ACCELERATOR = 8
 const GUARANTEED_SHARE = 0.3
 
-export interface SimulationResult {
-  /** Credit earned as a share of the full credit: over all jobs, and for each class. */
-  readonly credit: number
-  readonly creditByClass: Readonly<Record<string, number>>
+export interface SimulationResult extends CreditSummary {
   /** Core seconds of work that was stopped without a checkpoint. */
   readonly lostWorkCoreS: number
   readonly preemptedCount: number
+  /** Largest number of stops of one task. */
+  readonly maxStops: number
 }
 
 interface Run {
@@ -40,19 +38,25 @@
   readonly #planner = new Planner()
   readonly #fleet: Fleet
   readonly #pattern: Pattern
+  readonly #policy: SchedulingPolicy
+  readonly #random: RandomSource
+  readonly #stops = new Map<TaskId, number>()
   readonly #arrivals: readonly Arrival[]
   readonly #arrivalsByJob: ReadonlyMap<string, Arrival>
   readonly #signedSpeeds = new Map<EndpointIncarnation, number>()
   readonly #runs = new Map<TaskId, Run>()
   readonly #checkpointedMs = new Map<string, number>()
   readonly #endedAtMs = new Map<string, number>()
+  readonly #cancelled = new Set<string>()
   #isPassScheduled = false
   #lostWorkCoreS = 0
   #preemptedCount = 0
 
-  constructor (random: RandomSource, fleet: Fleet, pattern: Pattern) {
+  constructor (random: RandomSource, fleet: Fleet, pattern: Pattern, policy: SchedulingPolicy) {
     this.#fleet = fleet
     this.#pattern = pattern
+    this.#policy = policy
+    this.#random = random
     this.#arrivals = createArrivals(random, fleet, pattern)
     this.#arrivalsByJob = new Map(this.#arrivals.map((arrival) => [arrival.spec.id, arrival]))
     for (let i = 0; i < fleet.endpoints; i++) this.#register(i, random.pick(SPEEDS)!)
@@ -64,6 +68,9 @@
   run (): SimulationResult {
     for (const arrival of this.#arrivals) this.#timers.subscribe(arrival.atMs, () => this.#accept(arrival))
     this.#timers.every(250, () => this.#schedulePass())
+    const { gone, cancelled } = this.#pattern
+    if (gone) this.#timers.subscribe(gone.fromMs, () => this.#loseRuns())
+    if (cancelled) this.#timers.subscribe(cancelled.atMs, () => this.#cancelJobs(cancelled.share))
     this.#timers.advance(END_MS)
     return this.#summarize()
   }
@@ -84,6 +91,40 @@
     this.#schedulePass()
   }
 
+  /** Whether the endpoint is out of use; endpoints are numbered rack by rack. */
+  #isGone (id: EndpointId): boolean {
+    const { gone } = this.#pattern
+    const nowMs = this.#timers.now()
+    if (!gone || nowMs < gone.fromMs || nowMs >= gone.fromMs + gone.durationMs) return false
+    return Number(id.slice(1)) < gone.share * this.#fleet.endpoints
+  }
+
+  /** Ends the runs on endpoints that have gone out of use, with the other members of their gangs. */
+  #loseRuns (): void {
+    const lost = [...this.#runs.values()].filter(({ incarnation }) => this.#isGone(this.#state.endpoints.get(incarnation)!.id))
+    const gangs = new Set(lost.map(({ task }) => this.#toCheckpointKey(task)))
+    for (const run of [...this.#runs.values()]) {
+      if (!gangs.has(this.#toCheckpointKey(run.task))) continue
+      run.stopTimer()
+      this.#endRun(run.task, 'lost')
+    }
+  }
+
+  #cancelJobs (share: number): void {
+    for (const { spec: { id } } of this.#arrivals) {
+      if (!this.#state.jobs.get(id)?.isActive || this.#random.float() >= share) continue
+      this.#state.apply({ type: 'cancel', job: id, atMs: this.#timers.now() })
+      this.#cancelled.add(id)
+      for (const run of [...this.#runs.values()]) if (mustParseTaskId(run.task).job === id) this.#stopAfterGrace(run)
+    }
+    this.#schedulePass()
+  }
+
+  #stopAfterGrace (run: Run): void {
+    run.stopTimer()
+    run.stopTimer = this.#timers.subscribe(this.#fleet.stopMs, () => this.#endRun(run.task, 'stopped'))
+  }
+
   #schedulePass (): void {
     if (this.#isPassScheduled) return
     this.#isPassScheduled = true
@@ -95,7 +136,7 @@
 
   #runPass (): void {
     const nowMs = this.#timers.now()
-    const plan = this.#planner.plan({ state: this.#state, fleet: createFleetView({ estimateRemainingMs: ({ task }) => this.#estimateRemainingMs(task) }), nowMs, wallMs: nowMs, mayPreempt: true })
+    const plan = this.#planner.plan({ state: this.#state, policy: this.#policy, fleet: createFleetView({ isUsable: ({ id }) => !this.#isGone(id), estimateRemainingMs: ({ task }) => this.#estimateRemainingMs(task) }), nowMs, wallMs: nowMs, mayPreempt: true })
     for (const task of plan.preempted) this.#preempt(task)
     if (plan.starts.length === 0) return
     const result = this.#state.apply({ type: 'start', groups: plan.starts, atMs: nowMs })
@@ -143,14 +184,14 @@
     const run = this.#runs.get(task)
     if (!run) return
     this.#preemptedCount += 1
-    run.stopTimer()
+    this.#stops.set(task, (this.#stops.get(task) ?? 0) + 1)
     const { job, step } = mustParseTaskId(task)
     const { checkpointing, resources } = this.#arrivalsByJob.get(job)!.spec.steps[step]!
     const progressMs = (this.#timers.now() - run.startedAtMs) * run.speed
     if (checkpointing) this.#checkpointedMs.set(this.#toCheckpointKey(task), (this.#checkpointedMs.get(this.#toCheckpointKey(task)) ?? 0) + progressMs)
     const lostMs = checkpointing ? 0 : this.#timers.now() - run.startedAtMs
     this.#lostWorkCoreS += lostMs / 1_000 * (resources.cpuMilli / 1_000 + CORES_PER_ACCELERATOR * resources.accelerators)
-    run.stopTimer = this.#timers.subscribe(this.#fleet.stopMs, () => this.#endRun(task, 'stopped'))
+    this.#stopAfterGrace(run)
   }
 
   #endRun (task: TaskId, outcome: RunOutcome): void {
@@ -164,29 +205,8 @@
     this.#schedulePass()
   }
 
-  #getCredit ({ spec, workClass, atMs, taskMs }: Arrival): number {
-    const endedAtMs = this.#endedAtMs.get(spec.id)
-    if (endedAtMs === undefined) return 0
-    const objectiveMs = workClass.stretch * Math.max(...taskMs) + workClass.targetLatencyMs
-    const elapsedMs = endedAtMs - atMs
-    if (elapsedMs <= objectiveMs) return workClass.fullCredit
-    return elapsedMs <= LATE_FACTOR * objectiveMs ? workClass.lateCredit : 0
-  }
-
   #summarize (): SimulationResult {
-    let maxCredit = 0
-    let credit = 0
-    const creditByClass: Record<string, number> = {}
-    for (const workClass of this.#fleet.classes) {
-      const classArrivals = this.#arrivals.filter((arrival) => arrival.workClass === workClass)
-      const meanTasks = classArrivals.reduce((sum, { taskMs }) => sum + taskMs.length, 0) / classArrivals.length
-      const getWeight = ({ taskMs }: Arrival): number => Math.min(4, 0.3 + 0.7 * taskMs.length / meanTasks)
-      const classMaxCredit = classArrivals.reduce((sum, arrival) => sum + getWeight(arrival) * workClass.fullCredit, 0)
-      const classCredit = classArrivals.reduce((sum, arrival) => sum + getWeight(arrival) * this.#getCredit(arrival), 0)
-      creditByClass[workClass.name] = classMaxCredit === 0 ? 1 : classCredit / classMaxCredit
-      maxCredit += classMaxCredit
-      credit += classCredit
-    }
-    return { credit: credit / maxCredit, creditByClass, lostWorkCoreS: this.#lostWorkCoreS, preemptedCount: this.#preemptedCount }
+    const credit = summarizeCredit(this.#fleet.classes, this.#arrivals.filter(({ spec }) => !this.#cancelled.has(spec.id)), this.#endedAtMs)
+    return { ...credit, lostWorkCoreS: this.#lostWorkCoreS, preemptedCount: this.#preemptedCount, maxStops: Math.max(0, ...this.#stops.values()) }
   }
 }
--- a/scripts/planner-bench/workload.ts
+++ b/scripts/planner-bench/workload.ts
@@ -38,6 +38,12 @@
   readonly bursts: readonly Burst[]
   /** Share of endpoints that make no progress during an interval and then continue. */
   readonly stalled?: { readonly share: number, readonly fromMs: number, readonly durationMs: number }
+  /** A share of the customers sends a share of all jobs. */
+  readonly flood?: { readonly customerShare: number, readonly jobShare: number }
+  /** Share of the endpoints, in whole racks, that is out of use during an interval; the runs there are lost. */
+  readonly gone?: { readonly share: number, readonly fromMs: number, readonly durationMs: number }
+  /** Share of the jobs accepted so far that are cancelled; they earn no credit. */
+  readonly cancelled?: { readonly share: number, readonly atMs: number }
 }
 
 export interface Arrival {
@@ -82,6 +88,26 @@
   stopMs: 700
 }
 
+/** The licence fleet of docs/hard-load.md. */
+export const LICENCE: Fleet = {
+  endpoints: 245,
+  rackSize: 8,
+  customers: 10,
+  classes: [
+    { ...URGENT, arrivalsPerSecond: 4, meanTasks: 5, maxTasks: 30 },
+    { ...NORMAL, arrivalsPerSecond: 1.2, meanTasks: 13, maxTasks: 60, meanTaskMs: 8_500 },
+    { ...DEFERRABLE, arrivalsPerSecond: 0.9, meanTasks: 51, maxTasks: 200, meanTaskMs: 9_500 }
+  ],
+  stopMs: 700
+}
+
+/** The licence fleet while one of its three failure domains is drained, with its load at the height of the day. */
+export const DRAINED: Fleet = {
+  ...LICENCE,
+  endpoints: 160,
+  classes: LICENCE.classes.map((workClass) => ({ ...workClass, arrivalsPerSecond: 1.15 * workClass.arrivalsPerSecond }))
+}
+
 /** A large fleet of 31 racks with many customers. */
 export const HUGE: Fleet = {
   endpoints: 378,
@@ -103,7 +129,7 @@
   classes: HUGE.classes.map((workClass) => ({ ...workClass, arrivalsPerSecond: workClass.arrivalsPerSecond / 6.4 }))
 }
 
-export const FLEETS = { small: SMALL, cramped: CRAMPED, large: LARGE, huge: HUGE } as const
+export const FLEETS = { small: SMALL, cramped: CRAMPED, large: LARGE, huge: HUGE, licence: LICENCE, drained: DRAINED } as const
 
 export const PATTERNS: readonly Pattern[] = [
   { name: 'ordinary', bursts: [{ className: 'urgent', fromMs: 7_000, durationMs: 6_000, factor: 1.8 }] },
@@ -111,7 +137,11 @@
   { name: 'urgent work first', bursts: [{ className: 'urgent', fromMs: 500, durationMs: 6_000, factor: 2.2 }, { className: 'deferrable', fromMs: 3_000, durationMs: 6_000, factor: 2.4 }] },
   { name: 'burst of normal gangs', bursts: [{ className: 'normal', fromMs: 6_000, durationMs: 4_000, factor: 2.5 }, { className: 'urgent', fromMs: 8_000, durationMs: 6_000, factor: 2 }] },
   { name: 'urgent and deferrable burst together', bursts: [{ className: 'urgent', fromMs: 500, durationMs: 6_000, factor: 2.3 }, { className: 'deferrable', fromMs: 3_500, durationMs: 5_700, factor: 2.3 }] },
-  { name: 'stalled endpoints', bursts: [{ className: 'urgent', fromMs: 7_000, durationMs: 6_000, factor: 1.8 }], stalled: { share: 0.15, fromMs: 5_000, durationMs: 5_000 } }
+  { name: 'stalled endpoints', bursts: [{ className: 'urgent', fromMs: 7_000, durationMs: 6_000, factor: 1.8 }], stalled: { share: 0.15, fromMs: 5_000, durationMs: 5_000 } },
+  { name: 'flood of one customer', bursts: [{ className: 'urgent', fromMs: 7_000, durationMs: 6_000, factor: 1.8 }, { className: 'normal', fromMs: 7_000, durationMs: 6_000, factor: 1.8 }], flood: { customerShare: 0.1, jobShare: 0.5 } },
+  { name: 'floods of the three kinds in turn', bursts: [{ className: 'deferrable', fromMs: 2_000, durationMs: 6_000, factor: 2.4 }, { className: 'normal', fromMs: 8_000, durationMs: 6_000, factor: 2.4 }, { className: 'urgent', fromMs: 14_000, durationMs: 6_000, factor: 2.4 }] },
+  { name: 'a third of the capacity gone at the height', bursts: [{ className: 'urgent', fromMs: 7_000, durationMs: 6_000, factor: 2 }, { className: 'deferrable', fromMs: 7_000, durationMs: 6_000, factor: 2.4 }], gone: { share: 1 / 3, fromMs: 10_000, durationMs: 10_000 } },
+  { name: 'mass cancellation', bursts: [{ className: 'urgent', fromMs: 7_000, durationMs: 6_000, factor: 2 }, { className: 'deferrable', fromMs: 7_000, durationMs: 6_000, factor: 2.4 }], cancelled: { share: 0.4, atMs: 13_000 } }
 ]
 
 export const ARRIVALS_MS = 34_000
@@ -124,7 +154,13 @@
 /** Returns how many tasks fit in one idle rack. */
 const countFitsInRack = (resources: Resources, { rackSize }: Fleet): number => rackSize * countFits(ENDPOINT_CAPACITY, resources)
 
-const createArrival = (random: RandomSource, workClass: WorkClass, atMs: number, jobNumber: number, fleet: Fleet): Arrival => {
+const drawCustomer = (random: RandomSource, { customers }: Fleet, { flood }: Pattern): CustomerId => {
+  const flooding = flood ? Math.max(1, Math.round(flood.customerShare * customers)) : 0
+  const isFlooding = flood !== undefined && random.float() < flood.jobShare
+  return asId<CustomerId>(`c${isFlooding ? random.int(1, flooding) : random.int(flooding + 1, customers)}`)
+}
+
+const createArrival = (random: RandomSource, workClass: WorkClass, atMs: number, jobNumber: number, fleet: Fleet, pattern: Pattern): Arrival => {
   const resources = { cpuMilli: workClass.cpuMilli, memMb: workClass.memMb, accelerators: random.pick(workClass.accelerators)! }
   const drawnCount = drawCount(random, workClass.meanTasks, workClass.maxTasks)
   const taskMs = drawTaskMs(random, workClass.meanTaskMs)
@@ -145,13 +181,14 @@
     longRunning: false
   }
   const spec: JobSpec = {
-    id: asId<JobId>(jobNumber.toString(16)), queue: workClass.name, service: 's', customer: asId<CustomerId>(`c${random.int(1, fleet.customers)}`), priority: workClass.priority, maxAttempts: 3, stretch: workClass.stretch, targetLatencyMs: workClass.targetLatencyMs, payload: '', steps: [step], recurrence: null
+    id: asId<JobId>(jobNumber.toString(16)), queue: workClass.name, service: 's', customer: drawCustomer(random, fleet, pattern), priority: workClass.priority, maxAttempts: 3, stretch: workClass.stretch, targetLatencyMs: workClass.targetLatencyMs, payload: '', steps: [step], recurrence: null
   }
   return { atMs, workClass, spec, taskMs: Array.from({ length: count }, () => step.gang ? taskMs : taskMs * (0.85 + 0.3 * random.float())) }
 }
 
 /** Returns the jobs of the pattern in order of arrival. */
-export const createArrivals = (random: RandomSource, fleet: Fleet, { bursts }: Pattern): Arrival[] => {
+export const createArrivals = (random: RandomSource, fleet: Fleet, pattern: Pattern): Arrival[] => {
+  const { bursts } = pattern
   const arrivalTimes = fleet.classes.flatMap((workClass) => {
     const classTimes: Array<{ readonly atMs: number, readonly workClass: WorkClass }> = []
     const classBursts = bursts.filter(({ className }) => className === workClass.name)
@@ -162,7 +199,7 @@
     }
     return classTimes
   }).sort((a, b) => a.atMs - b.atMs)
-  return arrivalTimes.map(({ atMs, workClass }, i) => createArrival(random, workClass, atMs, i + 1, fleet))
+  return arrivalTimes.map(({ atMs, workClass }, i) => createArrival(random, workClass, atMs, i + 1, fleet, pattern))
 }
 
 export const toRack = (endpoint: number, { rackSize }: Fleet): RackId => asId<RackId>(`r${Math.floor(endpoint / rackSize)}`)
