dispatch: order by customers' shares and limits on stopped work, both off by default

Change: work-order.ts ranks the waiting work (moved out of planning-pass.ts) and, with fairShares, orders work of equal rank and lateness by the shares of customer-shares.ts; work for which runs are being stopped keeps its place. With limitPreemption, preemption-limits.ts protects a task or gang after three stops and limits what is lost in 10 s, and victims that are ending anyway come first, fresh restarts last; guaranteed work is not limited. The checkpoint interval is an option. Metrics preemptions.limited, preemptions.lost-core-s, customers.share-percent and customers.backlog-core-s; `work waits` has the customer's share. Existing dispatch tests pass.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -378,11 +378,17 @@
       this.#options.metrics.increment('runs.preempted')
       this.#stopTask(task)
     }
+    this.#countLosses(plan)
     this.#reportWaiting(plan)
     const starts = this.#startOrders.selectAnswering(plan.starts)
     if (starts.length > 0) this.#commitStarts(starts)
   }
 
+  #countLosses ({ limited, lostCoreMs }: Plan): void {
+    if (limited > 0) this.#options.metrics.increment('preemptions.limited', limited)
+    if (lostCoreMs > 0) this.#options.metrics.increment('preemptions.lost-core-s', Math.round(lostCoreMs / 1_000))
+  }
+
   /** An error in what is only reported must not keep work from starting. */
   #reportWaiting (plan: Plan): void {
     const { timers, logger, metrics } = this.#options
--- a/packages/dispatch/src/plan-types.ts
+++ b/packages/dispatch/src/plan-types.ts
@@ -53,6 +53,10 @@
   readonly starts: readonly StartGroup[]
   /** Runs to stop so that more urgent work fits. */
   readonly preempted: readonly TaskId[]
+  /** Number of works for which nothing was stopped only since stops are limited. */
+  readonly limited: number
+  /** Work that is lost with the preempted runs, in core milliseconds. */
+  readonly lostCoreMs: number
   /** Tells what work waits for; null between two examinations. To be called before the starts are applied. */
   readonly examineWaiting: () => WaitingSurvey | null
 }
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -1,19 +1,23 @@
 import type { ActiveRun, EndpointIncarnation, Resources, StartGroup } from '@ibisstair/jobs'
 import { countFits, isSufficientFor, subtractResources } from '@ibisstair/jobs'
+import { CustomerShares } from './customer-shares.ts'
 import { GangReservations } from './gang-reservations.ts'
 import { isGuaranteed } from './guarantees.ts'
 import { couldEverFit, placeTasks, deductAssigned, type Assignment, type PlacementOptions } from './placement.ts'
 import { listUncrashed, placeOnSuspects, placeWork } from './placement-ladder.ts'
 import type { Plan, PlanInput } from './plan-types.ts'
 import { PlanningPass } from './planning-pass.ts'
+import { PreemptionLimits } from './preemption-limits.ts'
 import { planPreemptionBeyond, type PreemptionPlan } from './preemption.ts'
 import { toShape, toWorkKey, type ReadyWork } from './ready-work.ts'
 import { getDeferrableBudget, getReserve, isDeferrable, limitToAccelerators, sumFreeAccelerators } from './shares.ts'
 import { StalledWork } from './stalled-work.ts'
 import { UrgentDemand } from './urgent-demand.ts'
+import { CHECKPOINT_INTERVAL_MS } from './victims.ts'
 import type { WaitingSurvey } from './waiting-types.ts'
 import { WaitingWork } from './waiting-work.ts'
 import { toCoreEquivalents } from './work-cost.ts'
+import { listWork, selectReservingGangs } from './work-order.ts'
 import { WorkWaits } from './work-waits.ts'
 
 /** Capacity that is reserved for urgent work until its victims have ended. */
@@ -51,12 +55,14 @@
 /** Urgent work beyond its customer's guarantee may cause the loss of at most this multiple of its own work. */
 const MAX_LOST_WORK_FACTOR = 2
 
-/** Number of waiting gangs for which capacity is reserved at a time, in the order of the pass. */
-const MAX_RESERVING_GANGS = 3
-
 /** Number of shapes whose fit into the idle fleet is cached. */
 const MAX_CACHED_SHAPES = 2_000
 
+export interface PlannerOptions {
+  /** Time between two checkpoints of a run that saves them. */
+  readonly checkpointIntervalMs?: number
+}
+
 /**
  * Decides what starts where and what is preempted for it. The decisions depend on the replicated
  * state, on the health of endpoints and on claims of earlier passes. The planner performs no I/O.
@@ -69,15 +75,25 @@
   readonly #waits = new WorkWaits()
   readonly #stalledWork = new StalledWork(this.#waits)
   readonly #waitingWork = new WaitingWork()
+  readonly #shares = new CustomerShares()
+  readonly #limits = new PreemptionLimits()
+  readonly #checkpointIntervalMs: number
   /** Whether a shape fits only across racks, for the endpoints and capacities that `#fleetKey` names. */
   readonly #acceptFar = new Map<string, boolean>()
   #fleetKey = ''
 
+  constructor ({ checkpointIntervalMs = CHECKPOINT_INTERVAL_MS }: PlannerOptions = {}) {
+    this.#checkpointIntervalMs = checkpointIntervalMs
+  }
+
   plan (input: PlanInput): Plan {
-    const pass = new PlanningPass(input)
+    const limits = input.policy?.limitPreemption ? this.#limits : null
+    const pass = new PlanningPass(input, { checkpointIntervalMs: this.#checkpointIntervalMs, limits })
+    if (pass.policy.fairShares) this.#shares.observe(pass)
+    this.#limits.begin(pass.nowMs)
     this.#clearCacheOnFleetChange(pass)
     this.#waits.observe(pass)
-    const ready = this.#moveClaimantsToFront(pass.listWork(), pass)
+    const ready = this.#moveClaimantsToFront(listWork(pass, { shares: this.#shares, hasClaim: (work) => this.#claims.has(toWorkKey(work)) }), pass)
     const starts: StartGroup[] = []
     const placed = new Map<string, StartGroup[]>()
     const hasProgress = (work: ReadyWork): boolean => placed.has(toWorkKey(work))
@@ -93,9 +109,8 @@
     const beyondShare = placeShare(ready.filter(isDeferred), pass, place)
     const held = beyondShare.filter((work) => !this.#stalledWork.precedesReservations(work, pass) || !placeIfStalled(work))
     for (const work of ready) if (!hasProgress(work)) this.#stalledWork.recordRoom(work, pass)
-    const reservingGangs = waiting.filter(({ job, spec }) => spec.gang && job.policy.priority > 0).slice(0, MAX_RESERVING_GANGS)
     const reservations = new GangReservations(pass)
-    for (const work of reservingGangs) reservations.reserve(work, { acceptFar: this.#isStalled(work, pass) || this.#mustSpanRacks(work, toShape(work), pass) })
+    for (const work of selectReservingGangs(waiting, pass)) reservations.reserve(work, { acceptFar: this.#isStalled(work, pass) || this.#mustSpanRacks(work, toShape(work), pass) })
     const backfillIfStalled = (work: ReadyWork): boolean => this.#isStalled(work, pass) && accept(work, reservations.backfill(work, () => this.#placeAnywhere(limitStalled(work), pass)))
     const deferred = held.filter((work) => !placeIfStalled(work) && !backfillIfStalled(work))
     const reserve = getReserve(pass, this.#demand)
@@ -109,12 +124,13 @@
     const examineWaiting = (): WaitingSurvey | null => this.#waitingWork.examine(ready, hasProgress, {
       pass,
       starts,
+      shares: pass.policy.fairShares ? this.#shares : null,
       hasClaim: (work) => this.#claims.has(toWorkKey(work)),
       isKeptApart: (work) => this.#stalledWork.isKeptApart(work, pass),
       isStalled: (work) => this.#isStalled(work, pass),
       countOn: (work) => pass.createCounter(work)
     })
-    return { starts, preempted: pass.preempted, examineWaiting }
+    return { starts, preempted: pass.preempted, ...pass.stopFigures, examineWaiting }
   }
 
   #isStalled (work: ReadyWork, pass: PlanningPass): boolean {
@@ -236,6 +252,7 @@
     const overdue = listUnended(claim.spared, pass)
     if (overdue.length === 0) return
     pass.stopOverdue(overdue)
+    this.#limits.recordStops(overdue, pass.nowMs)
     this.#claims.set(toWorkKey(work), { ...claim, stopped: [...claim.stopped, ...overdue], spared: [], untilMs: pass.nowMs + CLAIM_MS })
   }
 
@@ -247,16 +264,31 @@
     const countOn = (incarnation: EndpointIncarnation): number => countRunning(incarnation) + placed.filter(({ endpoint }) => endpoint === incarnation).length
     const search = { spec: work.spec, indexes, candidates: pass.listCandidates(work), countOn, acceptFar }
     const plan = planPreemptionBeyond(this.#waits.getTried(work), search, pass.victims.listFor(work.job))
-    if (!plan || !isWorthwhile(work, plan, pass)) {
+    if (!plan || !isWorthwhile(work, plan, pass) || !this.#mayLose(work, plan, pass)) {
       this.#retryAtMs.set(key, pass.nowMs + PREEMPTION_RETRY_MS)
       return
     }
     const stopped = pass.victims.select(plan.victims, { stopAll })
+    pass.stopFigures.lostCoreMs += sumLostWork(plan.victims)
+    this.#limits.recordStops(stopped, pass.nowMs)
     const spared = stopAll ? [] : plan.victims.filter(({ endsSoon }) => endsSoon).flatMap(({ runs }) => runs)
     const capacities = new Map(plan.assignments.map(({ endpoint }) => [endpoint, pass.byIncarnation.get(endpoint)!.endpoint.capacity]))
     this.#claims.set(key, { assignments: plan.assignments, capacities, stopped, spared, sinceMs: pass.nowMs, untilMs: pass.nowMs + CLAIM_MS, goneSinceMs: null })
     deductAssigned(work.spec, plan.assignments, pass.byIncarnation)
   }
+
+  /** Counts what the victims lose against the limit of the service; work within a guarantee is neither limited nor counted. */
+  #mayLose (work: ReadyWork, { victims }: PreemptionPlan, pass: PlanningPass): boolean {
+    if (!pass.policy.limitPreemption || isGuaranteed(pass.state, work.job, pass.needs)) return true
+    const { service } = work.job.policy
+    const coreMs = sumLostWork(victims)
+    if (!this.#limits.mayLose(service, coreMs, pass.listServiceCandidates(work))) {
+      pass.stopFigures.limited += 1
+      return false
+    }
+    this.#limits.recordLoss(service, coreMs, pass.nowMs)
+    return true
+  }
 }
 
 /** Suspect work is not deferred, so that it can use an endpoint that has returned empty. */
@@ -298,10 +330,11 @@
   })
 }
 
+const sumLostWork = (victims: PreemptionPlan['victims']): number => victims.reduce((sum, { lostWork }) => sum + lostWork, 0)
+
 const isWorthwhile = ({ job, spec }: ReadyWork, { victims }: PreemptionPlan, { state, needs }: PlanningPass): boolean => {
   if (isGuaranteed(state, job, needs)) return true
-  const lost = victims.reduce((sum, { lostWork }) => sum + lostWork, 0)
-  return lost <= MAX_LOST_WORK_FACTOR * spec.count * toCoreEquivalents(spec.resources) * spec.estimateMs
+  return sumLostWork(victims) <= MAX_LOST_WORK_FACTOR * spec.count * toCoreEquivalents(spec.resources) * spec.estimateMs
 }
 
 /** Groups assignments by run number. The members of a gang share a run number; each single task counts its own runs. */
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -1,20 +1,21 @@
 import type { CustomerId, TaskId } from '@ibisstair/common'
 import type { ActiveRun, EndpointIncarnation, EndpointRecord, Resources, SchedulingState } from '@ibisstair/jobs'
 import { mustParseTaskId, subtractResources } from '@ibisstair/jobs'
-import { isGuaranteed, sumUrgentNeeds } from './guarantees.ts'
+import { sumUrgentNeeds } from './guarantees.ts'
 import { Isolation } from './isolation.ts'
 import { indexByIncarnation, type Candidate, type CountOnEndpoint } from './placement.ts'
 import { NO_SCHEDULING_POLICY, type FleetView, type Idleness, type PassView, type PlanInput, type SchedulingPolicy } from './plan-types.ts'
-import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
+import type { ReadyWork } from './ready-work.ts'
 import { getIdleness, sumFree } from './service-load.ts'
-import { VictimList, type EstimateRemaining } from './victims.ts'
+import { NO_STOP_LIMITS, VictimList, type EstimateRemaining, type VictimOptions } from './victims.ts'
 
 const NO_CANDIDATES: readonly Candidate[] = []
 
-const RANK_GUARANTEED = 0
-const RANK_URGENT = 1
-/** Other work follows in the order of its priority. */
-const RANK_SUSPECT = 2
+/** What the pass has stopped, and what it has not stopped since stops are limited. */
+interface StopFigures {
+  limited: number
+  lostCoreMs: number
+}
 
 /** The data of one planning pass; each part is computed at most once. */
 export class PlanningPass implements PassView {
@@ -31,6 +32,7 @@
   /** Shapes that did not fit; free capacity only shrinks during a pass. */
   readonly failedShapes = new Set<string>()
   readonly isolation: Isolation
+  readonly stopFigures: StopFigures = { limited: 0, lostCoreMs: 0 }
   readonly #byService = new Map<string, Candidate[]>()
   readonly #suspectsByService = new Map<string, Candidate[]>()
   readonly #idleness = new Map<string, Idleness>()
@@ -38,15 +40,17 @@
   readonly #free = new Map<string, Resources>()
   readonly #estimateRemaining: EstimateRemaining
   readonly #overdue: TaskId[] = []
+  readonly #victimOptions: VictimOptions
   #victims: VictimList | null = null
 
-  constructor ({ state, fleet, nowMs, wallMs, mayPreempt, policy = NO_SCHEDULING_POLICY }: PlanInput) {
+  constructor ({ state, fleet, nowMs, wallMs, mayPreempt, policy = NO_SCHEDULING_POLICY }: PlanInput, victimOptions: VictimOptions = NO_STOP_LIMITS) {
     this.state = state
     this.fleet = fleet
     this.nowMs = nowMs
     this.wallMs = wallMs
     this.mayPreempt = mayPreempt
     this.policy = policy
+    this.#victimOptions = victimOptions
     this.#estimateRemaining = (run) => fleet.estimateRemainingMs(run)
     this.needs = sumUrgentNeeds(state)
     this.isolation = new Isolation(state, wallMs)
@@ -67,7 +71,7 @@
   }
 
   get victims (): VictimList {
-    this.#victims ??= new VictimList(this.state, this.needs, this.wallMs, this.#estimateRemaining)
+    this.#victims ??= new VictimList(this.state, this.needs, this.wallMs, this.#estimateRemaining, this.#victimOptions)
     return this.#victims
   }
 
@@ -127,25 +131,6 @@
     }).length
   }
 
-  /**
-   * Returns the most urgent work first. Within a priority, urgent work within its customer's guarantee comes
-   * first, the oldest before newer ones; then work that can still be on time, the oldest first; then late work.
-   * Suspect work that is not urgent comes after urgent work: an endpoint that has crashed returns empty.
-   */
-  listWork (): ReadyWork[] {
-    const ready = [...this.state.jobs.listActive()].flatMap((job) => listReadyWork(job, this.wallMs))
-    const ranked = ready.map((work) => ({ work, ...this.#getRank(work) }))
-    ranked.sort((a, b) => a.rank - b.rank || a.lateness - b.lateness || a.work.job.acceptedAtMs - b.work.job.acceptedAtMs)
-    return ranked.map(({ work }) => work)
-  }
-
-  /** A guarantee does not end when the job is late, so that the lateness of guaranteed work does not count. */
-  #getRank ({ job, isSuspect }: ReadyWork): { readonly rank: number, readonly lateness: number } {
-    if (isGuaranteed(this.state, job, this.needs)) return { rank: RANK_GUARANTEED, lateness: 0 }
-    const rank = job.policy.priority === 0 ? RANK_URGENT : isSuspect ? RANK_SUSPECT : RANK_SUSPECT + job.policy.priority
-    return { rank, lateness: getLateness(job, this.wallMs) }
-  }
-
   #toCandidate (endpoint: EndpointRecord): Candidate {
     return {
       endpoint,
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -2,10 +2,12 @@
 import type { ActiveRun, JobEntry, SchedulingState } from '@ibisstair/jobs'
 import { mustParseTaskId } from '@ibisstair/jobs'
 import { isGuaranteed } from './guarantees.ts'
+import { isFreshRestart, isProtected, type PreemptionLimits } from './preemption-limits.ts'
 import type { Victim } from './preemption.ts'
 import { toCoreEquivalents } from './work-cost.ts'
 
-const CHECKPOINT_INTERVAL_MS = 2_000
+/** Time between two checkpoints of a run that saves them. */
+export const CHECKPOINT_INTERVAL_MS = 2_000
 
 /** Time that a preempted run always loses: for its stop, its wait and its restart. */
 const RESTART_MS = 500
@@ -19,25 +21,41 @@
 /** Returns the estimated time until a run ends by itself; null when its progress is not known. */
 export type EstimateRemaining = (run: ActiveRun) => number | null
 
+export interface VictimOptions {
+  /** Time between two checkpoints of a run that saves them. */
+  readonly checkpointIntervalMs: number
+  /** Null while stops are not limited. */
+  readonly limits: PreemptionLimits | null
+}
+
+export const NO_STOP_LIMITS: VictimOptions = { checkpointIntervalMs: CHECKPOINT_INTERVAL_MS, limits: null }
+
 interface Preemptible {
   readonly job: JobEntry
   readonly victim: Victim
+  /** Victims of a higher tier are taken later, whatever they cost. */
+  readonly tier: number
 }
 
+const TIER_USUAL = 0
+const TIER_FRESH = 1
+
 /** The possible victims of one planning pass, cheapest first. */
 export class VictimList {
   readonly #state: SchedulingState
   readonly #needs: ReadonlyMap<CustomerId | null, number>
+  readonly #limits: PreemptionLimits | null
   readonly #preemptible: readonly Preemptible[]
   readonly #selected = new Set<TaskId>()
   readonly #stopped: TaskId[] = []
 
-  constructor (state: SchedulingState, needs: ReadonlyMap<CustomerId | null, number>, wallMs: number, estimateRemaining: EstimateRemaining) {
+  constructor (state: SchedulingState, needs: ReadonlyMap<CustomerId | null, number>, wallMs: number, estimateRemaining: EstimateRemaining, options: VictimOptions) {
     this.#state = state
     this.#needs = needs
+    this.#limits = options.limits
     this.#preemptible = groupRunsByVictim(state)
-      .map(({ job, step, runs }) => ({ job, victim: toVictim(job, step, runs, wallMs, estimateRemaining) }))
-      .sort((a, b) => a.victim.cost - b.victim.cost)
+      .map((group) => this.#toPreemptible(group, wallMs, estimateRemaining, options))
+      .sort((a, b) => a.tier - b.tier || a.victim.cost - b.victim.cost)
   }
 
   /** The selected runs that have to be stopped; the others end by themselves about as soon. */
@@ -47,11 +65,12 @@
 
   /** Returns the victims that the job may preempt: less urgent work, and for a job within its customer's guarantee also urgent work beyond one. */
   listFor (job: JobEntry): Victim[] {
-    const mayPreemptUrgent = isGuaranteed(this.#state, job, this.#needs)
+    const isWithinGuarantee = isGuaranteed(this.#state, job, this.#needs)
     const isLower = (other: JobEntry): boolean =>
-      other.policy.priority > 0 || (mayPreemptUrgent && !isGuaranteed(this.#state, other, this.#needs))
+      other.policy.priority > 0 || (isWithinGuarantee && !isGuaranteed(this.#state, other, this.#needs))
+    const mayStop = (victim: Victim): boolean => isWithinGuarantee || this.#limits === null || !isProtected(this.#state, victim)
     return this.#preemptible
-      .filter(({ job: other, victim }) => other !== job && isLower(other) && !victim.runs.some(({ task }) => this.#selected.has(task)))
+      .filter(({ job: other, victim }) => other !== job && isLower(other) && !victim.runs.some(({ task }) => this.#selected.has(task)) && mayStop(victim))
       .map(({ victim }) => victim)
   }
 
@@ -65,6 +84,14 @@
     this.#stopped.push(...stopped.map(({ task }) => task))
     return stopped
   }
+
+  #toPreemptible (group: RunGroup, wallMs: number, estimateRemaining: EstimateRemaining, { checkpointIntervalMs, limits }: VictimOptions): Preemptible {
+    const { job, runs } = group
+    if (limits && (!job.isActive || runs.every((run) => limits.isStopping(run)))) return { job, victim: toEndingVictim(group), tier: TIER_USUAL }
+    const victim = toVictim(group, wallMs, estimateRemaining, checkpointIntervalMs)
+    const isFresh = limits !== null && !victim.endsSoon && isFreshRestart(this.#state, runs[0]!, wallMs)
+    return { job, victim, tier: isFresh ? TIER_FRESH : TIER_USUAL }
+  }
 }
 
 interface RunGroup {
@@ -89,13 +116,18 @@
   return [...groups.values()]
 }
 
-const toVictim = ({ spec, policy }: JobEntry, step: number, runs: readonly ActiveRun[], wallMs: number, estimateRemaining: EstimateRemaining): Victim => {
+/** Runs that end by themselves, or are being stopped: nothing more is lost by waiting for them. */
+const toEndingVictim = ({ job, step, runs }: RunGroup): Victim =>
+  ({ runs, resources: job.spec.steps[step]!.resources, endsSoon: true, lostWork: 0, cost: 0 })
+
+const toVictim = (group: RunGroup, wallMs: number, estimateRemaining: EstimateRemaining, checkpointIntervalMs: number): Victim => {
+  const { job: { spec, policy }, step, runs } = group
   const { resources, checkpointing } = spec.steps[step]!
   const cores = runs.length * toCoreEquivalents(resources)
   const remainingMs = Math.max(...runs.map((run) => estimateRemaining(run) ?? Infinity))
-  if (remainingMs <= MAX_REMAINING_MS) return { runs, resources, endsSoon: true, lostWork: 0, cost: 0 }
+  if (remainingMs <= MAX_REMAINING_MS) return toEndingVictim(group)
   const workedMs = Math.max(0, wallMs - runs[0]!.startedAtMs)
-  const lostMs = checkpointing ? Math.min(workedMs, CHECKPOINT_INTERVAL_MS) : workedMs
+  const lostMs = checkpointing ? Math.min(workedMs, checkpointIntervalMs) : workedMs
   const factor = PRIORITY_COST[Math.min(policy.priority, PRIORITY_COST.length - 1)]!
   return { runs, resources, endsSoon: false, lostWork: cores * lostMs, cost: cores * (lostMs + RESTART_MS) * factor }
 }
--- a/packages/dispatch/src/waiting-report.ts
+++ b/packages/dispatch/src/waiting-report.ts
@@ -2,7 +2,7 @@
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import { countByUse, type OutOfUseReason } from './endpoint-use.ts'
 import { toWorkKey } from './ready-work.ts'
-import { WAIT_REASON_TYPES, type WaitingEntry, type WaitingSurvey } from './waiting-types.ts'
+import { WAIT_REASON_TYPES, type CustomerFigures, type WaitingEntry, type WaitingSurvey } from './waiting-types.ts'
 
 /** What the leader knows of endpoints and of runs on them. */
 export interface RunsView {
@@ -14,11 +14,15 @@
   isOnSilentEndpoint (run: ActiveRun): boolean
 }
 
+/** Name in the metrics of jobs without a customer. */
+const NO_CUSTOMER = 'none'
+
 /** Writes what work waits for to the log and to the metrics. */
 export class WaitingReport {
   readonly #logger: Logger
   readonly #metrics: Metrics
   readonly #view: RunsView
+  #measuredCustomers: ReadonlySet<string> = new Set()
 
   constructor (logger: Logger, metrics: Metrics, view: RunsView) {
     this.#logger = logger
@@ -34,16 +38,30 @@
 
   /** Sets the metrics of a leader whose term is over to 0. */
   close (): void {
-    this.#measure({ entries: [], leftOut: 0, waiting: 0, byReason: new Map(), longestMs: 0 })
+    this.#measure({ entries: [], leftOut: 0, waiting: 0, byReason: new Map(), longestMs: 0, customers: [] })
   }
 
-  #measure ({ waiting, byReason, longestMs }: WaitingSurvey): void {
+  #measure ({ waiting, byReason, longestMs, customers }: WaitingSurvey): void {
     this.#metrics.gauge('work.waiting', waiting)
     this.#metrics.gauge('work.longest-wait-ms', Math.round(longestMs))
     for (const type of WAIT_REASON_TYPES) this.#metrics.gauge(`work.waiting.${type}`, byReason.get(type) ?? 0)
+    this.#measureCustomers(customers)
+  }
+
+  /** Sets the gauges of customers that are no longer among those with most use or backlog to 0. */
+  #measureCustomers (customers: readonly CustomerFigures[]): void {
+    const measured = new Set<string>(customers.map(({ customer }) => customer ?? NO_CUSTOMER))
+    for (const name of this.#measuredCustomers) if (!measured.has(name)) this.#gaugeCustomer(name, 0, 0)
+    for (const { customer, share, backlogCoreS } of customers) this.#gaugeCustomer(customer ?? NO_CUSTOMER, share, backlogCoreS)
+    this.#measuredCustomers = measured
+  }
+
+  #gaugeCustomer (name: string, share: number, backlogCoreS: number): void {
+    this.#metrics.gauge(`customers.share-percent.${name}`, Math.round(100 * share))
+    this.#metrics.gauge(`customers.backlog-core-s.${name}`, Math.round(backlogCoreS))
   }
 
-  #toFields ({ work, reason: { type, ...details }, waitedMs, isStalled, mayPreempt, fittingTasks, usable, unclaimed, registered }: WaitingEntry): Readonly<Record<string, unknown>> {
+  #toFields ({ work, reason: { type, ...details }, waitedMs, customerShare, isStalled, mayPreempt, fittingTasks, usable, unclaimed, registered }: WaitingEntry): Readonly<Record<string, unknown>> {
     const { job, occurrence, step, spec, indexes, isSuspect } = work
     const runs = listActiveRuns(job)
     const endpoints = [...this.#view.listEndpoints()].filter(({ service }) => service === job.policy.service)
@@ -55,6 +73,7 @@
       ...details,
       waitedMs: Math.round(waitedMs),
       priority: job.policy.priority,
+      ...(customerShare !== null && { customer: job.spec.customer, customerShare: Math.round(1_000 * customerShare) / 1_000 }),
       service: job.policy.service,
       gang: spec.gang,
       tightlyCoupled: spec.tightlyCoupled,
--- a/packages/dispatch/src/waiting-types.ts
+++ b/packages/dispatch/src/waiting-types.ts
@@ -1,4 +1,4 @@
-import type { RackId } from '@ibisstair/common'
+import type { CustomerId, RackId } from '@ibisstair/common'
 import type { Resources } from '@ibisstair/jobs'
 import type { ReadyWork } from './ready-work.ts'
 
@@ -48,6 +48,8 @@
   readonly work: ReadyWork
   readonly reason: WaitReason
   readonly waitedMs: number
+  /** Dominant share of the work's customer in its service; null without fair shares. */
+  readonly customerShare: number | null
   readonly isStalled: boolean
   readonly mayPreempt: boolean
   /** Tasks of the work that would fit the free capacity of usable endpoints, across racks. */
@@ -58,6 +60,15 @@
   readonly registered: CapacityFigures
 }
 
+/** What one customer uses and waits for. */
+export interface CustomerFigures {
+  readonly customer: CustomerId | null
+  /** The largest of its dominant shares in the services. */
+  readonly share: number
+  /** Its waiting work as it is estimated, in core seconds. */
+  readonly backlogCoreS: number
+}
+
 /** The waiting work as of one examination. */
 export interface WaitingSurvey {
   readonly entries: readonly WaitingEntry[]
@@ -69,4 +80,6 @@
   readonly byReason: ReadonlyMap<WaitReasonType, number>
   /** Longest time for which any work has waited without a placement. */
   readonly longestMs: number
+  /** The customers with the largest share or backlog; none without fair shares. */
+  readonly customers: readonly CustomerFigures[]
 }
--- a/packages/dispatch/src/waiting-work.ts
+++ b/packages/dispatch/src/waiting-work.ts
@@ -1,5 +1,6 @@
 import type { EndpointIncarnation, EndpointRecord, Resources, StartGroup } from '@ibisstair/jobs'
 import { addResources, isSufficientFor, NO_RESOURCES, subtractResources } from '@ibisstair/jobs'
+import type { CustomerShares } from './customer-shares.ts'
 import { placeTasks, type Candidate, type CountOnEndpoint } from './placement.ts'
 import type { PassView } from './plan-types.ts'
 import { toWorkKey, type ReadyWork } from './ready-work.ts'
@@ -21,6 +22,8 @@
 export interface WaitContext {
   readonly pass: PassView
   readonly starts: readonly StartGroup[]
+  /** Null without fair shares. */
+  readonly shares: CustomerShares | null
   hasClaim (work: ReadyWork): boolean
   /** Whether suspect work still waits for an endpoint of its own. */
   isKeptApart (work: ReadyWork): boolean
@@ -56,7 +59,8 @@
       waiting.reason = entry.reason.type
       return entry
     })
-    return { entries, leftOut: due.length - entries.length, ...this.#summarise(nowMs) }
+    const customers = context.shares?.summarise(ready.filter((work) => !hasProgress(work))) ?? []
+    return { entries, leftOut: due.length - entries.length, ...this.#summarise(nowMs), customers }
   }
 
   /** Starts the time anew for work of which a part was placed, and returns the work whose examination is due. */
@@ -155,6 +159,7 @@
     work,
     reason: findReason(work, fleet, context),
     waitedMs,
+    customerShare: context.shares?.getShare(work.job) ?? null,
     isStalled: context.isStalled(work),
     mayPreempt: pass.mayPreempt,
     fittingTasks: countPlaced(single, fleet.listFree(fleet.usable), context.countOn(work), true),
--- /dev/null
+++ b/packages/dispatch/src/work-order.ts
@@ -0,0 +1,87 @@
+import type { CustomerShares } from './customer-shares.ts'
+import { isGuaranteed } from './guarantees.ts'
+import type { PassView } from './plan-types.ts'
+import { estimateChainMs, getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
+
+const RANK_GUARANTEED = 0
+const RANK_URGENT = 1
+/** Other work follows in the order of its priority. */
+const RANK_SUSPECT = 2
+
+/** Lateness of work that has waited for so long that the customers' shares no longer count. */
+const TOO_LATE = 2
+
+/** Number of waiting gangs for which capacity is reserved at a time, in the order of the pass. */
+const MAX_RESERVING_GANGS = 3
+
+/** Place of work for which runs are being stopped among the ranks of the shares. */
+const RANK_CLAIMANT = -1
+
+/** What the order by shares depends on beside the pass. */
+export interface OrderContext {
+  readonly shares: CustomerShares
+  /** Whether capacity is claimed for the work. */
+  hasClaim (work: ReadyWork): boolean
+}
+
+interface RankedWork {
+  readonly work: ReadyWork
+  readonly rank: number
+  readonly lateness: number
+}
+
+/** A guarantee does not end when the job is late, so that the lateness of guaranteed work does not count. */
+const toRanked = (work: ReadyWork, { state, needs, wallMs }: PassView): RankedWork => {
+  const { job, isSuspect } = work
+  if (isGuaranteed(state, job, needs)) return { work, rank: RANK_GUARANTEED, lateness: 0 }
+  const rank = job.policy.priority === 0 ? RANK_URGENT : isSuspect ? RANK_SUSPECT : RANK_SUSPECT + job.policy.priority
+  return { work, rank, lateness: getLateness(job, wallMs) }
+}
+
+const compare = (a: RankedWork, b: RankedWork): number =>
+  a.rank - b.rank || a.lateness - b.lateness || a.work.job.acceptedAtMs - b.work.job.acceptedAtMs
+
+/**
+ * Work within a guarantee, and work that is too late, keeps its place whatever its customer uses. Work for which runs are
+ * being stopped goes first: if the capacity went to another customer's work, the runs would have been stopped in vain.
+ */
+const rankByShare = ({ work, rank, lateness }: RankedWork, { shares, hasClaim }: OrderContext): number => {
+  if (rank === RANK_GUARANTEED || lateness === TOO_LATE) return 0
+  const shareRank = shares.rankNext(work)
+  return hasClaim(work) ? RANK_CLAIMANT : shareRank
+}
+
+/** Orders work of equal rank and lateness by the shares of the customers; expects it in the order of `compare`. */
+const orderByShares = (ranked: readonly RankedWork[], context: OrderContext): RankedWork[] => ranked
+  .map((entry) => ({ entry, shareRank: rankByShare(entry, context) }))
+  .sort((a, b) => a.entry.rank - b.entry.rank || a.entry.lateness - b.entry.lateness || a.shareRank - b.shareRank)
+  .map(({ entry }) => entry)
+
+/**
+ * Returns the most urgent work first. Within a priority, urgent work within its customer's guarantee comes
+ * first, the oldest before newer ones; then work that can still be on time, then late work. Among these the oldest
+ * comes first, with fair shares after that of customers which use less. Suspect work that is not urgent comes after
+ * urgent work: an endpoint that has crashed returns empty.
+ */
+export const listWork = (pass: PassView, context: OrderContext): ReadyWork[] => {
+  const ready = [...pass.state.jobs.listActive()].flatMap((job) => listReadyWork(job, pass.wallMs))
+  const ranked = ready.map((work) => toRanked(work, pass)).sort(compare)
+  const ordered = pass.policy.fairShares ? orderByShares(ranked, context) : ranked
+  return ordered.map(({ work }) => work)
+}
+
+/** Returns how long the job has waited, as a multiple of its objective. */
+const getRelativeWait = ({ job }: ReadyWork, wallMs: number): number =>
+  (wallMs - job.acceptedAtMs) / (job.policy.targetLatencyMs + job.policy.stretch * estimateChainMs(job))
+
+/**
+ * Returns the waiting gangs for which capacity is reserved, `waiting` being in the order of the pass. With fair shares the
+ * last place is that of the gang that has waited longest relative to its objective, so that no order starves a large gang.
+ */
+export const selectReservingGangs = (waiting: readonly ReadyWork[], { policy, wallMs }: PassView): readonly ReadyWork[] => {
+  const gangs = waiting.filter(({ job, spec }) => spec.gang && job.policy.priority > 0)
+  const first = gangs.slice(0, MAX_RESERVING_GANGS)
+  if (!policy.fairShares || gangs.length <= MAX_RESERVING_GANGS) return first
+  const longest = gangs.reduce((best, gang) => getRelativeWait(gang, wallMs) > getRelativeWait(best, wallMs) ? gang : best)
+  return first.includes(longest) ? first : [...first.slice(0, -1), longest]
+}
--- a/packages/dispatch/tests/support/planned-fleet.ts
+++ b/packages/dispatch/tests/support/planned-fleet.ts
@@ -1,7 +1,7 @@
 import { asId, type JobId, type RackId, type TaskId } from '@ibisstair/common'
 import { mustParseTaskId, SchedulingState, toEndpointIncarnation, type ActiveRun, type EndpointIncarnation, type EndpointRecord, type JobSpec, type Resources, type RunOutcome, type StepSpec } from '@ibisstair/jobs'
 import { accept, createEndpoint, createSpec, createStep, register } from '../../../jobs/tests/support/samples.ts'
-import { Planner } from '../../src/index.ts'
+import { NO_SCHEDULING_POLICY, Planner, type SchedulingPolicy } from '../../src/index.ts'
 import { StallObserver } from './stall-observer.ts'
 import { createFleetView } from './fleet-view.ts'
 
@@ -16,13 +16,17 @@
   /** Runs end after the estimate of their step; otherwise nothing ends by itself. */
   readonly endsRuns?: boolean
   readonly capacity?: Resources
+  readonly policy?: SchedulingPolicy
 }
 
 /** Racks with the given numbers of endpoints; every start succeeds. Time is virtual, and a pass is planned each 100 ms. */
 export class Fleet {
   readonly state = new SchedulingState()
   readonly observer = new StallObserver()
-  readonly #planner = new Planner()
+  /** Stops of each task that the planner has chosen. */
+  readonly stops = new Map<TaskId, number>()
+  readonly #policy: SchedulingPolicy
+  #planner = new Planner()
   readonly #endsRuns: boolean
   readonly #capacity: Resources
   readonly #unusableUntilMs = new Map<EndpointIncarnation, number>()
@@ -31,9 +35,10 @@
   #lastBornMs = 1
   nowMs = 0
 
-  constructor (racks: readonly number[], { endsRuns = false, capacity = CAPACITY }: FleetOptions = {}) {
+  constructor (racks: readonly number[], { endsRuns = false, capacity = CAPACITY, policy = NO_SCHEDULING_POLICY }: FleetOptions = {}) {
     this.#endsRuns = endsRuns
     this.#capacity = capacity
+    this.#policy = policy
     racks.forEach((count, rack) => {
       for (let i = 0; i < count; i++) this.addEndpoint(rack, i)
     })
@@ -74,11 +79,13 @@
         fleet: createFleetView({ isUsable: (endpoint) => this.#isUsable(endpoint), estimateRemainingMs: ({ task }) => this.#getRemainingMs(task) }),
         nowMs: this.nowMs,
         wallMs: this.nowMs,
-        mayPreempt: true
+        mayPreempt: true,
+        policy: this.#policy
       })
       this.state.apply({ type: 'start', groups: starts, atMs: this.nowMs })
       this.#handleStarted()
       for (const task of preempted) this.#stopWithGang(task)
+      for (const task of preempted) this.stops.set(task, (this.stops.get(task) ?? 0) + 1)
       this.observer.observe(this.state, (endpoint) => this.#isUsable(endpoint), this.nowMs)
     }
   }
@@ -121,6 +128,11 @@
     this.state.apply({ type: 'register-endpoint', endpoint: record, atMs: this.nowMs, silences })
   }
 
+  /** A new leader plans from the replicated state alone. */
+  changeLeader (): void {
+    this.#planner = new Planner()
+  }
+
   countRunning (id: string): number {
     return this.state.jobs.get(asId<JobId>(id))!.activeRuns
   }
--- a/packages/dispatch/tests/waiting-work.test.ts
+++ b/packages/dispatch/tests/waiting-work.test.ts
@@ -182,7 +182,7 @@
   const fleet = createFleetView()
   const examine = (nowMs: number): WaitingSurvey | null => {
     const ready: ReadyWork[] = [...state.jobs.listActive()].flatMap((job) => listReadyWork(job, nowMs))
-    const context: WaitContext = { pass: new PlanningPass({ state, fleet, nowMs, wallMs: nowMs, mayPreempt: true }), starts: [], hasClaim: () => false, isKeptApart: () => true, isStalled: () => false, countOn: () => () => 0 }
+    const context: WaitContext = { pass: new PlanningPass({ state, fleet, nowMs, wallMs: nowMs, mayPreempt: true }), starts: [], shares: null, hasClaim: () => false, isKeptApart: () => true, isStalled: () => false, countOn: () => () => 0 }
     return waitingWork.examine(ready, () => false, context)
   }
   t.same(examine(0)?.entries, [])
