dispatch: a starving gang reserves capacity before other work of its priority, with fair shares

Cause: a gang that was late came after all work of its priority that could be on time, so that a stream of small jobs kept a gang of the whole fleet waiting for ever (fair-shares test: not started after 60 s). Change: reserving-gangs.ts (gang choice, moved out of the planner): one of at most three reservations is for the gang that has waited longest relative to its objective; from three objectives on it is made before other work of its priority is placed, unless tasks that last leave no room for the gang.

--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -10,6 +10,7 @@
 import { PreemptionLimits } from './preemption-limits.ts'
 import { planPreemptionBeyond, type PreemptionPlan } from './preemption.ts'
 import { toShape, toWorkKey, type ReadyWork } from './ready-work.ts'
+import { selectReservingGangs } from './reserving-gangs.ts'
 import { getDeferrableBudget, getReserve, isDeferrable, limitToAccelerators, sumFreeAccelerators } from './shares.ts'
 import { StalledWork } from './stalled-work.ts'
 import { UrgentDemand } from './urgent-demand.ts'
@@ -17,7 +18,7 @@
 import type { WaitingSurvey } from './waiting-types.ts'
 import { WaitingWork } from './waiting-work.ts'
 import { toCoreEquivalents } from './work-cost.ts'
-import { listWork, selectReservingGangs } from './work-order.ts'
+import { listWork } from './work-order.ts'
 import { WorkWaits } from './work-waits.ts'
 
 /** Capacity that is reserved for urgent work until its victims have ended. */
@@ -93,7 +94,8 @@
     this.#limits.begin(pass.nowMs)
     this.#clearCacheOnFleetChange(pass)
     this.#waits.observe(pass)
-    const ready = this.#moveClaimantsToFront(listWork(pass, { shares: this.#shares, hasClaim: (work) => this.#claims.has(toWorkKey(work)) }), pass)
+    const order = listWork(pass, { shares: this.#shares, hasClaim: (work) => this.#claims.has(toWorkKey(work)) })
+    const ready = this.#moveClaimantsToFront(order.ready, pass)
     const starts: StartGroup[] = []
     const placed = new Map<string, StartGroup[]>()
     const hasProgress = (work: ReadyWork): boolean => placed.has(toWorkKey(work))
@@ -104,18 +106,24 @@
       return groups.length > 0
     }
     const place = (work: ReadyWork): boolean => accept(work, this.#place(work, pass))
-    const waiting = ready.filter((work) => !isDeferred(work) && !place(work))
+    const reservations = new GangReservations(pass)
+    const reserve = (work: ReadyWork): void => reservations.reserve(work, { acceptFar: this.#isStalled(work, pass) || this.#mustSpanRacks(work, toShape(work), pass) })
+    const placeOrReserve = (work: ReadyWork): boolean => {
+      if (place(work)) return true
+      if (work === order.starving) reserve(work)
+      return false
+    }
+    const waiting = ready.filter((work) => !isDeferred(work) && !placeOrReserve(work))
     const placeIfStalled = (work: ReadyWork): boolean => this.#isStalled(work, pass) && place(limitStalled(work))
     const beyondShare = placeShare(ready.filter(isDeferred), pass, place)
     const held = beyondShare.filter((work) => !this.#stalledWork.precedesReservations(work, pass) || !placeIfStalled(work))
     for (const work of ready) if (!hasProgress(work)) this.#stalledWork.recordRoom(work, pass)
-    const reservations = new GangReservations(pass)
-    for (const work of selectReservingGangs(waiting, pass)) reservations.reserve(work, { acceptFar: this.#isStalled(work, pass) || this.#mustSpanRacks(work, toShape(work), pass) })
+    for (const work of selectReservingGangs(waiting, pass)) if (work !== order.starving) reserve(work)
     const backfillIfStalled = (work: ReadyWork): boolean => this.#isStalled(work, pass) && accept(work, reservations.backfill(work, () => this.#placeAnywhere(limitStalled(work), pass)))
     const deferred = held.filter((work) => !placeIfStalled(work) && !backfillIfStalled(work))
-    const reserve = getReserve(pass, this.#demand)
+    const reserved = getReserve(pass, this.#demand)
     for (const work of deferred) {
-      const limited = limitToAccelerators(work, sumFreeAccelerators(pass.candidates) - reserve)
+      const limited = limitToAccelerators(work, sumFreeAccelerators(pass.candidates) - reserved)
       if (limited && place(limited)) continue
       if (this.#stalledWork.mayUseSuspects(work, pass)) accept(work, toGroups(work, placeOnSuspects(limitStalled(work), pass, this.#waits.getTried(work))))
     }
--- a/packages/dispatch/src/work-order.ts
+++ b/packages/dispatch/src/work-order.ts
@@ -1,7 +1,8 @@
 import type { CustomerShares } from './customer-shares.ts'
 import { isGuaranteed } from './guarantees.ts'
 import type { PassView } from './plan-types.ts'
-import { estimateChainMs, getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
+import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
+import { findStarvingGang } from './reserving-gangs.ts'
 
 const RANK_GUARANTEED = 0
 const RANK_URGENT = 1
@@ -11,8 +12,8 @@
 /** Lateness of work that has waited for so long that the customers' shares no longer count. */
 const TOO_LATE = 2
 
-/** Number of waiting gangs for which capacity is reserved at a time, in the order of the pass. */
-const MAX_RESERVING_GANGS = 3
+/** In place of the lateness of the starving gang, which goes before other work of its priority. */
+const STARVING = -1
 
 /** Place of work for which runs are being stopped among the ranks of the shares. */
 const RANK_CLAIMANT = -1
@@ -57,31 +58,23 @@
   .sort((a, b) => a.entry.rank - b.entry.rank || a.entry.lateness - b.entry.lateness || a.shareRank - b.shareRank)
   .map(({ entry }) => entry)
 
+/** Work that can start now, in the order in which it is placed. */
+export interface WorkOrder {
+  readonly ready: readonly ReadyWork[]
+  /** The gang for which capacity is reserved before other work of its priority is placed; always null without fair shares. */
+  readonly starving: ReadyWork | null
+}
+
 /**
  * Returns the most urgent work first. Within a priority, urgent work within its customer's guarantee comes
  * first, the oldest before newer ones; then work that can still be on time, then late work. Among these the oldest
  * comes first, with fair shares after that of customers which use less. Suspect work that is not urgent comes after
  * urgent work: an endpoint that has crashed returns empty.
  */
-export const listWork = (pass: PassView, context: OrderContext): ReadyWork[] => {
+export const listWork = (pass: PassView, context: OrderContext): WorkOrder => {
   const ready = [...pass.state.jobs.listActive()].flatMap((job) => listReadyWork(job, pass.wallMs))
-  const ranked = ready.map((work) => toRanked(work, pass)).sort(compare)
+  const starving = findStarvingGang(ready, pass)
+  const ranked = ready.map((work) => work === starving ? { ...toRanked(work, pass), lateness: STARVING } : toRanked(work, pass)).sort(compare)
   const ordered = pass.policy.fairShares ? orderByShares(ranked, context) : ranked
-  return ordered.map(({ work }) => work)
-}
-
-/** Returns how long the job has waited, as a multiple of its objective. */
-const getRelativeWait = ({ job }: ReadyWork, wallMs: number): number =>
-  (wallMs - job.acceptedAtMs) / (job.policy.targetLatencyMs + job.policy.stretch * estimateChainMs(job))
-
-/**
- * Returns the waiting gangs for which capacity is reserved, `waiting` being in the order of the pass. With fair shares the
- * last place is that of the gang that has waited longest relative to its objective, so that no order starves a large gang.
- */
-export const selectReservingGangs = (waiting: readonly ReadyWork[], { policy, wallMs }: PassView): readonly ReadyWork[] => {
-  const gangs = waiting.filter(({ job, spec }) => spec.gang && job.policy.priority > 0)
-  const first = gangs.slice(0, MAX_RESERVING_GANGS)
-  if (!policy.fairShares || gangs.length <= MAX_RESERVING_GANGS) return first
-  const longest = gangs.reduce((best, gang) => getRelativeWait(gang, wallMs) > getRelativeWait(best, wallMs) ? gang : best)
-  return first.includes(longest) ? first : [...first.slice(0, -1), longest]
+  return { ready: ordered.map(({ work }) => work), starving }
 }
--- a/packages/dispatch/tests/fair-shares.test.ts
+++ b/packages/dispatch/tests/fair-shares.test.ts
@@ -71,3 +71,16 @@
   fleet.run(1_500)
   t.ok(fleet.state.jobs.get(asId<JobId>('old'))!.hasBegun)
 })
+
+t.test('the largest gangs start although small jobs of other customers keep arriving', async (t) => {
+  const fleet = createFleet()
+  fleet.submit('b1', { count: 3, resources: WHOLE_ENDPOINT, estimateMs: 4_000 }, { customer: flooding, stretch: 20 })
+  fleet.run(200)
+  fleet.submit('large', { count: 8, gang: true, resources: WHOLE_ENDPOINT, estimateMs: 2_000 }, { customer: flooding })
+  let i = 0
+  while (!fleet.state.jobs.get(asId<JobId>('large'))!.hasBegun && fleet.nowMs < 60_000) {
+    fleet.submit(`s${i++}`, { estimateMs: 3_000, resources: WHOLE_ENDPOINT }, { customer: asId<CustomerId>(`c${i % 5}`) })
+    fleet.run(600)
+  }
+  t.ok(fleet.nowMs < 30_000, `starts after ${fleet.nowMs} ms`)
+})
