--- a/packages/dispatch/tests/random-faults.test.ts
+++ b/packages/dispatch/tests/random-faults.test.ts
@@ -1,8 +1,9 @@
 import { asId, type RackId } from '@ibisstair/common'
 import type { StepSpec } from '@ibisstair/jobs'
 import type { RandomSource } from '@ibisstair/timers'
-import t from 'tap'
+import t, { type Test } from 'tap'
 import { createStep } from '../../jobs/tests/support/samples.ts'
+import { NO_SCHEDULING_POLICY, type SchedulingPolicy } from '../src/index.ts'
 import { TestCluster } from './support/test-cluster.ts'
 
 const SEEDS = 40
@@ -62,10 +63,11 @@
   }
 }
 
-t.test('overlapping faults of endpoints and leaders start nothing twice, break no capacity and stall no work', async (t) => {
-  t.comment(`seeds 1 to ${SEEDS}`)
-  for (let seed = 1; seed <= SEEDS; seed++) {
+const playFaults = async (t: Test, seeds: number, policy: SchedulingPolicy): Promise<void> => {
+  t.comment(`seeds 1 to ${seeds}`)
+  for (let seed = 1; seed <= seeds; seed++) {
     const cluster = new TestCluster(seed, { runMs: [150, 900, 2_500][seed % 3]!, lostShare: [0, 0.1, 0.25][seed % 3]!, failingShare: seed % 2 === 0 ? 0.05 : 0 })
+    cluster.policy = policy
     cluster.elect()
     for (let round = 0; round < ROUNDS; round++) {
       cluster.submit(`a${round}`, [createRandomStep(cluster.random), ...cluster.random.float() < 0.3 ? [createStep({ dependsOn: [0] })] : []], cluster.random.int(0, 2))
@@ -77,4 +79,12 @@
     t.same(cluster.fleet.violations, [], `seed ${seed}`)
     for (let round = 0; round < ROUNDS; round++) t.match(cluster.statusOf(`a${round}`), /completed|failed/, `seed ${seed}, job ${round}`)
   }
+}
+
+t.test('overlapping faults of endpoints and leaders start nothing twice, break no capacity and stall no work', async (t) => {
+  await playFaults(t, SEEDS, NO_SCHEDULING_POLICY)
+})
+
+t.test('the same holds with fair shares and limits on stops', async (t) => {
+  await playFaults(t, SEEDS, { ...NO_SCHEDULING_POLICY, fairShares: true, limitPreemption: true })
 })
--- a/scripts/measure-planner.ts
+++ b/scripts/measure-planner.ts
@@ -1,5 +1,7 @@
 // Measures the time of one planning pass by the number of endpoints and queued jobs.
-import { Planner } from '@ibisstair/dispatch'
+//   node --import=tsx scripts/measure-planner.ts --rules off|on
+import { parseArgs } from 'node:util'
+import { NO_SCHEDULING_POLICY, Planner } from '@ibisstair/dispatch'
 import { createFleetView } from '../packages/dispatch/tests/support/fleet-view.ts'
 import { createLargeFleet } from '../packages/dispatch/tests/support/large-fleet.ts'
 
@@ -8,6 +10,9 @@
 ]
 const PASSES = 10
 
+const { values } = parseArgs({ options: { rules: { type: 'string', default: 'off' } } })
+const policy = values.rules === 'on' ? { ...NO_SCHEDULING_POLICY, fairShares: true, limitPreemption: true } : NO_SCHEDULING_POLICY
+
 for (const { endpoints, queued } of SIZES) {
   const state = createLargeFleet(endpoints, endpoints + queued)
   const planner = new Planner()
@@ -15,7 +20,7 @@
   const times: number[] = []
   for (let pass = 0; pass < PASSES; pass++) {
     const began = performance.now()
-    const { starts } = planner.plan({ state, fleet, nowMs: 10_000 + pass, wallMs: 10_000 + pass, mayPreempt: true })
+    const { starts } = planner.plan({ state, fleet, nowMs: 10_000 + pass, wallMs: 10_000 + pass, mayPreempt: true, policy })
     times.push(performance.now() - began)
     state.apply({ type: 'start', groups: starts, atMs: 10_000 + pass })
   }
