--- a/packages/dispatch/src/work-order.ts
+++ b/packages/dispatch/src/work-order.ts
@@ -3,6 +3,7 @@
 import type { PassView } from './plan-types.ts'
 import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
 import { findStarvingGang } from './reserving-gangs.ts'
+import { isDeferrable } from './shares.ts'
 
 const RANK_GUARANTEED = 0
 const RANK_URGENT = 1
@@ -43,11 +44,12 @@
   a.rank - b.rank || a.lateness - b.lateness || a.work.job.acceptedAtMs - b.work.job.acceptedAtMs
 
 /**
- * Work within a guarantee, and work that is too late, keeps its place whatever its customer uses. Work for which runs are
+ * Work within a guarantee, and work that is too late, keeps its place whatever its customer uses. So does deferrable work:
+ * its jobs have many tasks, and turns among customers let all of these jobs end late in place of some. Work for which runs are
  * being stopped goes first: if the capacity went to another customer's work, the runs would have been stopped in vain.
  */
 const rankByShare = ({ work, rank, lateness }: RankedWork, { shares, hasClaim }: OrderContext): number => {
-  if (rank === RANK_GUARANTEED || lateness === TOO_LATE) return 0
+  if (rank === RANK_GUARANTEED || lateness === TOO_LATE || isDeferrable(work.job)) return 0
   const shareRank = shares.rankNext(work)
   return hasClaim(work) ? RANK_CLAIMANT : shareRank
 }
--- a/packages/dispatch/tests/fair-shares.test.ts
+++ b/packages/dispatch/tests/fair-shares.test.ts
@@ -62,6 +62,14 @@
   t.equal(fleet.countRunning('g1'), 4)
 })
 
+t.test('deferrable work goes by age, so that turns among customers don\'t let all of its jobs end late', async (t) => {
+  const fleet = createFleet()
+  submitFlood(fleet, 12, 2)
+  fleet.submit('a1', { resources: WHOLE_ENDPOINT }, { customer: small, priority: 2, stretch: 20 })
+  while (!fleet.state.jobs.get(asId<JobId>('a1'))!.hasBegun) fleet.run(100)
+  t.ok(fleet.state.jobs.get(asId<JobId>('f11'))!.hasBegun)
+})
+
 t.test('work that is too late goes by age, whatever its customer uses', async (t) => {
   const fleet = createFleet()
   submitFlood(fleet, 8)
