--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -13,9 +13,9 @@
 import { LearnedHistory } from './learned-history.ts'
 import { isNoticeOf, type LeaveNotice } from './leave-notice.ts'
 import { PendingRecords } from './pending-records.ts'
-import type { Plan, SchedulingPolicy, WorkHistory } from './plan-types.ts'
 import { LongPolls } from './long-polls.ts'
-import { Planner } from './planner.ts'
+import type { Plan, SchedulingPolicy, WorkHistory } from './plan-types.ts'
+import { Planner, type PlannerOptions } from './planner.ts'
 import { describeSilence } from './silence.ts'
 import { StartOrders } from './start-orders.ts'
 import type { EndpointPort } from './ports.ts'
@@ -41,6 +41,7 @@
   readonly policy?: SchedulingPolicy
   /** Run times that an earlier leader has learned; none by default. */
   readonly runTimes?: readonly SharedRunTimes[]
+  readonly planner?: PlannerOptions
 }
 
 /**
@@ -49,7 +50,7 @@
  */
 export class Dispatcher implements SessionEvents {
   readonly #options: DispatcherOptions
-  readonly #planner = new Planner()
+  readonly #planner: Planner
   readonly #health: EndpointHealth
   readonly #history: LearnedHistory
   readonly #sessions = new Map<EndpointIncarnation, EndpointSession>()
@@ -79,6 +80,7 @@
 
   constructor (options: DispatcherOptions) {
     this.#options = options
+    this.#planner = new Planner(options.planner)
     this.#health = new EndpointHealth(options.timers)
     this.#history = new LearnedHistory({ state: options.state, logger: options.logger, metrics: options.metrics, getSpeed: (endpoint) => this.#getSpeed(endpoint), ...(options.runTimes && { runTimes: options.runTimes }) })
     this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
@@ -417,11 +419,17 @@
       this.#options.metrics.increment('runs.preempted')
       this.#stopTask(task)
     }
+    this.#countLosses(plan)
     this.#reportWaiting(plan)
     const starts = this.#startOrders.selectAnswering(plan.starts)
     if (starts.length > 0) this.#commitStarts(starts)
   }
 
+  #countLosses ({ limited, lostCoreMs }: Plan): void {
+    if (limited > 0) this.#options.metrics.increment('preemptions.limited', limited)
+    if (lostCoreMs > 0) this.#options.metrics.increment('preemptions.lost-core-s', Math.round(lostCoreMs / 1_000))
+  }
+
   /** An error in what is only reported must not keep work from starting. */
   #reportWaiting (plan: Plan): void {
     const { timers, logger, metrics } = this.#options
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,7 +3,7 @@
 export { LearnedHistory, type LearnedHistoryOptions, type RunPeriod } from './learned-history.ts'
 export type { LeaveNotice } from './leave-notice.ts'
 export { NO_SCHEDULING_POLICY, NO_WORK_HISTORY, type FleetView, type Plan, type PlanInput, type SchedulingPolicy, type WorkHistory } from './plan-types.ts'
-export { Planner } from './planner.ts'
+export { Planner, type PlannerOptions } from './planner.ts'
 export { estimateChainMs, getLateness } from './ready-work.ts'
 export { countPeakAccelerators } from './urgent-demand.ts'
 export { couldEverFit, placeTasks, type Assignment, type Candidate } from './placement.ts'
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -1,5 +1,6 @@
 import type { ActiveRun, EndpointIncarnation, Resources, StartGroup } from '@ibisstair/jobs'
 import { countFits, isSufficientFor, subtractResources } from '@ibisstair/jobs'
+import { CustomerShares } from './customer-shares.ts'
 import { GangReservations } from './gang-reservations.ts'
 import { isGuaranteed } from './guarantees.ts'
 import { couldEverFit, placeTasks, deductAssigned, type Assignment, type PlacementOptions } from './placement.ts'
@@ -8,12 +9,15 @@
 import { PlanningPass } from './planning-pass.ts'
 import { planPreemptionBeyond, type PreemptionPlan } from './preemption.ts'
 import { toShape, toWorkKey, type ReadyWork } from './ready-work.ts'
+import { selectReservingGangs } from './reserving-gangs.ts'
 import { getDeferrableBudget, getReserve, isDeferrable, limitToAccelerators, sumFreeAccelerators } from './shares.ts'
 import { StalledWork } from './stalled-work.ts'
 import { UrgentDemand } from './urgent-demand.ts'
+import { CHECKPOINT_INTERVAL_MS } from './victims.ts'
 import type { WaitingSurvey } from './waiting-types.ts'
 import { WaitingWork } from './waiting-work.ts'
 import { toCoreEquivalents } from './work-cost.ts'
+import { listWork } from './work-order.ts'
 import { WorkWaits } from './work-waits.ts'
 
 /** Capacity that is reserved for urgent work until its victims have ended. */
@@ -51,12 +55,14 @@
 /** Urgent work beyond its customer's guarantee may cause the loss of at most this multiple of its own work. */
 const MAX_LOST_WORK_FACTOR = 2
 
-/** Number of waiting gangs for which capacity is reserved at a time, in the order of the pass. */
-const MAX_RESERVING_GANGS = 3
-
 /** Number of shapes whose fit into the idle fleet is cached. */
 const MAX_CACHED_SHAPES = 2_000
 
+export interface PlannerOptions {
+  /** Time between two checkpoints of a run that saves them. */
+  readonly checkpointIntervalMs?: number
+}
+
 /**
  * Decides what starts where and what is preempted for it. The decisions depend on the replicated
  * state, on the health of endpoints and on claims of earlier passes. The planner performs no I/O.
@@ -69,15 +75,23 @@
   readonly #waits = new WorkWaits()
   readonly #stalledWork = new StalledWork(this.#waits)
   readonly #waitingWork = new WaitingWork()
+  readonly #shares = new CustomerShares()
+  readonly #checkpointIntervalMs: number
   /** Whether a shape fits only across racks, for the endpoints and capacities that `#fleetKey` names. */
   readonly #acceptFar = new Map<string, boolean>()
   #fleetKey = ''
 
+  constructor ({ checkpointIntervalMs = CHECKPOINT_INTERVAL_MS }: PlannerOptions = {}) {
+    this.#checkpointIntervalMs = checkpointIntervalMs
+  }
+
   plan (input: PlanInput): Plan {
-    const pass = new PlanningPass(input)
+    const pass = new PlanningPass(input, this.#checkpointIntervalMs)
+    if (pass.policy.fairShares) this.#shares.observe(pass)
     this.#clearCacheOnFleetChange(pass)
     this.#waits.observe(pass)
-    const ready = this.#moveClaimantsToFront(pass.listWork(), pass)
+    const order = listWork(pass, { shares: this.#shares, hasClaim: (work) => this.#claims.has(toWorkKey(work)) })
+    const ready = this.#moveClaimantsToFront(order.ready, pass)
     const starts: StartGroup[] = []
     const placed = new Map<string, StartGroup[]>()
     const hasProgress = (work: ReadyWork): boolean => placed.has(toWorkKey(work))
@@ -88,19 +102,24 @@
       return groups.length > 0
     }
     const place = (work: ReadyWork): boolean => accept(work, this.#place(work, pass))
-    const waiting = ready.filter((work) => !isDeferred(work) && !place(work))
+    const reservations = new GangReservations(pass)
+    const reserve = (work: ReadyWork): void => reservations.reserve(work, { acceptFar: this.#isStalled(work, pass) || this.#mustSpanRacks(work, toShape(work), pass) })
+    const placeOrReserve = (work: ReadyWork): boolean => {
+      if (place(work)) return true
+      if (work === order.starving) reserve(work)
+      return false
+    }
+    const waiting = ready.filter((work) => !isDeferred(work) && !placeOrReserve(work))
     const placeIfStalled = (work: ReadyWork): boolean => this.#isStalled(work, pass) && place(limitStalled(work))
     const beyondShare = placeShare(ready.filter(isDeferred), pass, place)
     const held = beyondShare.filter((work) => !this.#stalledWork.precedesReservations(work, pass) || !placeIfStalled(work))
     for (const work of ready) if (!hasProgress(work)) this.#stalledWork.recordRoom(work, pass)
-    const reservingGangs = waiting.filter(({ job, spec }) => spec.gang && job.policy.priority > 0).slice(0, MAX_RESERVING_GANGS)
-    const reservations = new GangReservations(pass)
-    for (const work of reservingGangs) reservations.reserve(work, { acceptFar: this.#isStalled(work, pass) || this.#mustSpanRacks(work, toShape(work), pass) })
+    for (const work of selectReservingGangs(waiting, pass)) if (work !== order.starving) reserve(work)
     const backfillIfStalled = (work: ReadyWork): boolean => this.#isStalled(work, pass) && accept(work, reservations.backfill(work, () => this.#placeAnywhere(limitStalled(work), pass)))
     const deferred = held.filter((work) => !placeIfStalled(work) && !backfillIfStalled(work))
-    const reserve = getReserve(pass, this.#demand)
+    const reserved = getReserve(pass, this.#demand)
     for (const work of deferred) {
-      const limited = limitToAccelerators(work, sumFreeAccelerators(pass.candidates) - reserve)
+      const limited = limitToAccelerators(work, sumFreeAccelerators(pass.candidates) - reserved)
       if (limited && place(limited)) continue
       if (this.#stalledWork.mayUseSuspects(work, pass)) accept(work, toGroups(work, placeOnSuspects(limitStalled(work), pass, this.#waits.getTried(work))))
     }
@@ -109,12 +128,13 @@
     const examineWaiting = (): WaitingSurvey | null => this.#waitingWork.examine(ready, hasProgress, {
       pass,
       starts,
+      shares: pass.policy.fairShares ? this.#shares : null,
       hasClaim: (work) => this.#claims.has(toWorkKey(work)),
       isKeptApart: (work) => this.#stalledWork.isKeptApart(work, pass),
       isStalled: (work) => this.#isStalled(work, pass),
       countOn: (work) => pass.createCounter(work)
     })
-    return { starts, preempted: pass.preempted, examineWaiting }
+    return { starts, preempted: pass.preempted, ...pass.stopFigures, examineWaiting }
   }
 
   #isStalled (work: ReadyWork, pass: PlanningPass): boolean {
@@ -248,10 +268,12 @@
     const search = { spec: work.spec, indexes, candidates: pass.listCandidates(work), countOn, acceptFar }
     const plan = planPreemptionBeyond(this.#waits.getTried(work), search, pass.victims.listFor(work.job))
     if (!plan || !isWorthwhile(work, plan, pass)) {
+      if (!plan && pass.victims.isLimitedFor(work.job)) pass.stopFigures.limited += 1
       this.#retryAtMs.set(key, pass.nowMs + PREEMPTION_RETRY_MS)
       return
     }
-    const stopped = pass.victims.select(plan.victims, { stopAll })
+    const stopped = pass.victims.select(work.job, plan.victims, { stopAll })
+    pass.stopFigures.lostCoreMs += sumLostWork(plan.victims)
     const spared = stopAll ? [] : plan.victims.filter(({ endsSoon }) => endsSoon).flatMap(({ runs }) => runs)
     const capacities = new Map(plan.assignments.map(({ endpoint }) => [endpoint, pass.byIncarnation.get(endpoint)!.endpoint.capacity]))
     this.#claims.set(key, { assignments: plan.assignments, capacities, stopped, spared, sinceMs: pass.nowMs, untilMs: pass.nowMs + CLAIM_MS, goneSinceMs: null })
@@ -302,10 +324,11 @@
   })
 }
 
+const sumLostWork = (victims: PreemptionPlan['victims']): number => victims.reduce((sum, { lostWork }) => sum + lostWork, 0)
+
 const isWorthwhile = ({ job, spec }: ReadyWork, { victims }: PreemptionPlan, { state, needs, history }: PlanningPass): boolean => {
   if (isGuaranteed(state, job, needs)) return true
-  const lost = victims.reduce((sum, { lostWork }) => sum + lostWork, 0)
-  return lost <= MAX_LOST_WORK_FACTOR * spec.count * toCoreEquivalents(spec.resources) * history.estimateRunMs(job, spec)
+  return sumLostWork(victims) <= MAX_LOST_WORK_FACTOR * spec.count * toCoreEquivalents(spec.resources) * history.estimateRunMs(job, spec)
 }
 
 /** Groups assignments by run number. The members of a gang share a run number; each single task counts its own runs. */
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -1,29 +1,20 @@
 import type { CustomerId, TaskId } from '@ibisstair/common'
 import type { ActiveRun, EndpointIncarnation, EndpointRecord, Resources, SchedulingState } from '@ibisstair/jobs'
 import { mustParseTaskId, subtractResources } from '@ibisstair/jobs'
-import { isGuaranteed, sumUrgentNeeds } from './guarantees.ts'
+import { sumUrgentNeeds } from './guarantees.ts'
 import { Isolation } from './isolation.ts'
-import { putBackHopeless } from './hopeless-work.ts'
 import { indexByIncarnation, type Candidate, type CountOnEndpoint } from './placement.ts'
 import { NO_SCHEDULING_POLICY, NO_WORK_HISTORY, type FleetView, type Idleness, type PassView, type PlanInput, type SchedulingPolicy, type WorkHistory } from './plan-types.ts'
-import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
+import type { ReadyWork } from './ready-work.ts'
 import { getIdleness, sumFree } from './service-load.ts'
-import { VictimList, type EstimateRemaining } from './victims.ts'
+import { CHECKPOINT_INTERVAL_MS, VictimList, type EstimateRemaining, type VictimOptions } from './victims.ts'
 
 const NO_CANDIDATES: readonly Candidate[] = []
 
-const RANK_GUARANTEED = 0
-const RANK_URGENT = 1
-/** Other work follows in the order of its priority. */
-const RANK_SUSPECT = 2
-
-/** Comes after work that is too late for any use. */
-const LATENESS_HOPELESS = 3
-
-interface RankedWork {
-  readonly work: ReadyWork
-  readonly rank: number
-  readonly lateness: number
+/** What the pass has stopped, and what it has not stopped since stops are limited. */
+interface StopFigures {
+  limited: number
+  lostCoreMs: number
 }
 
 /** The data of one planning pass; each part is computed at most once. */
@@ -42,6 +33,7 @@
   /** Shapes that did not fit; free capacity only shrinks during a pass. */
   readonly failedShapes = new Set<string>()
   readonly isolation: Isolation
+  readonly stopFigures: StopFigures = { limited: 0, lostCoreMs: 0 }
   readonly #byService = new Map<string, Candidate[]>()
   readonly #suspectsByService = new Map<string, Candidate[]>()
   readonly #idleness = new Map<string, Idleness>()
@@ -49,9 +41,10 @@
   readonly #free = new Map<string, Resources>()
   readonly #estimateRemaining: EstimateRemaining
   readonly #overdue: TaskId[] = []
+  readonly #victimOptions: VictimOptions
   #victims: VictimList | null = null
 
-  constructor ({ state, fleet, nowMs, wallMs, mayPreempt, policy = NO_SCHEDULING_POLICY, history = NO_WORK_HISTORY }: PlanInput) {
+  constructor ({ state, fleet, nowMs, wallMs, mayPreempt, policy = NO_SCHEDULING_POLICY, history = NO_WORK_HISTORY }: PlanInput, checkpointIntervalMs = CHECKPOINT_INTERVAL_MS) {
     this.state = state
     this.fleet = fleet
     this.nowMs = nowMs
@@ -59,6 +52,7 @@
     this.mayPreempt = mayPreempt
     this.policy = policy
     this.history = history
+    this.#victimOptions = { checkpointIntervalMs, limitsStops: policy.limitPreemption }
     this.#estimateRemaining = (run) => fleet.estimateRemainingMs(run)
     this.needs = sumUrgentNeeds(state)
     this.isolation = new Isolation(state, wallMs)
@@ -79,7 +73,7 @@
   }
 
   get victims (): VictimList {
-    this.#victims ??= new VictimList(this.state, this.needs, this.wallMs, this.#estimateRemaining)
+    this.#victims ??= new VictimList(this.state, this.needs, this.wallMs, this.#estimateRemaining, this.#victimOptions)
     return this.#victims
   }
 
@@ -139,28 +133,6 @@
     }).length
   }
 
-  /**
-   * Returns the most urgent work first. Within a priority, urgent work within its customer's guarantee comes
-   * first, the oldest before newer ones; then work that can still be on time, the oldest first; then late work; then
-   * work that has failed on several healthy endpoints.
-   * Suspect work that is not urgent comes after urgent work: an endpoint that has crashed returns empty.
-   */
-  listWork (): ReadyWork[] {
-    const ready = [...this.state.jobs.listActive()].flatMap((job) => listReadyWork(job, this.wallMs))
-    const ranked = ready.map((work) => this.#rank(work))
-    ranked.sort((a, b) => a.rank - b.rank || a.lateness - b.lateness || a.work.job.acceptedAtMs - b.work.job.acceptedAtMs)
-    return ranked.map(({ work }) => work)
-  }
-
-  /** A guarantee does not end when the job is late, so that the lateness of guaranteed work does not count. */
-  #rank (ready: ReadyWork): RankedWork {
-    const { job, isSuspect } = ready
-    if (isGuaranteed(this.state, job, this.needs)) return { work: ready, rank: RANK_GUARANTEED, lateness: 0 }
-    const rank = job.policy.priority === 0 ? RANK_URGENT : isSuspect ? RANK_SUSPECT : RANK_SUSPECT + job.policy.priority
-    const { work, isHopeless } = putBackHopeless(ready, this)
-    return { work, rank, lateness: isHopeless ? LATENESS_HOPELESS : getLateness(job, this.wallMs, this.history) }
-  }
-
   #toCandidate (endpoint: EndpointRecord): Candidate {
     return {
       endpoint,
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -2,10 +2,12 @@
 import type { ActiveRun, JobEntry, SchedulingState } from '@ibisstair/jobs'
 import { mustParseTaskId } from '@ibisstair/jobs'
 import { isGuaranteed } from './guarantees.ts'
+import { isProtected } from './preemption-limits.ts'
 import type { Victim } from './preemption.ts'
 import { toCoreEquivalents } from './work-cost.ts'
 
-const CHECKPOINT_INTERVAL_MS = 2_000
+/** Time between two checkpoints of a run that saves them. */
+export const CHECKPOINT_INTERVAL_MS = 2_000
 
 /** Time that a preempted run always loses: for its stop, its wait and its restart. */
 const RESTART_MS = 500
@@ -19,6 +21,13 @@
 /** Returns the estimated time until a run ends by itself; null when its progress is not known. */
 export type EstimateRemaining = (run: ActiveRun) => number | null
 
+export interface VictimOptions {
+  /** Time between two checkpoints of a run that saves them. */
+  readonly checkpointIntervalMs: number
+  /** Whether work that was stopped often enough is protected from work beyond a guarantee. */
+  readonly limitsStops: boolean
+}
+
 interface Preemptible {
   readonly job: JobEntry
   readonly victim: Victim
@@ -28,15 +37,17 @@
 export class VictimList {
   readonly #state: SchedulingState
   readonly #needs: ReadonlyMap<CustomerId | null, number>
+  readonly #limitsStops: boolean
   readonly #preemptible: readonly Preemptible[]
   readonly #selected = new Set<TaskId>()
   readonly #stopped: TaskId[] = []
 
-  constructor (state: SchedulingState, needs: ReadonlyMap<CustomerId | null, number>, wallMs: number, estimateRemaining: EstimateRemaining) {
+  constructor (state: SchedulingState, needs: ReadonlyMap<CustomerId | null, number>, wallMs: number, estimateRemaining: EstimateRemaining, { checkpointIntervalMs, limitsStops }: VictimOptions) {
     this.#state = state
     this.#needs = needs
+    this.#limitsStops = limitsStops
     this.#preemptible = groupRunsByVictim(state)
-      .map(({ job, step, runs }) => ({ job, victim: toVictim(job, step, runs, wallMs, estimateRemaining) }))
+      .map((group) => ({ job: group.job, victim: toVictim(group, wallMs, estimateRemaining, checkpointIntervalMs) }))
       .sort((a, b) => a.victim.cost - b.victim.cost)
   }
 
@@ -47,6 +58,15 @@
 
   /** Returns the victims that the job may preempt: less urgent work, and for a job within its customer's guarantee also urgent work beyond one. */
   listFor (job: JobEntry): Victim[] {
+    return this.#listLower(job).filter((victim) => !this.#isProtectedFrom(job, victim))
+  }
+
+  /** Whether the job may not preempt some of that work only since it was stopped often enough. */
+  isLimitedFor (job: JobEntry): boolean {
+    return this.#listLower(job).some((victim) => this.#isProtectedFrom(job, victim))
+  }
+
+  #listLower (job: JobEntry): Victim[] {
     const mayPreemptUrgent = isGuaranteed(this.#state, job, this.#needs)
     const isLower = (other: JobEntry): boolean =>
       other.policy.priority > 0 || (mayPreemptUrgent && !isGuaranteed(this.#state, other, this.#needs))
@@ -55,13 +75,22 @@
       .map(({ victim }) => victim)
   }
 
+  /** A run that ends by itself about as soon may be waited for, also if it is protected. */
+  #isProtectedFrom (job: JobEntry, victim: Victim): boolean {
+    return !victim.endsSoon && !this.#mayStop(job, victim)
+  }
+
+  #mayStop (job: JobEntry, { runs: [run] }: Victim): boolean {
+    return !this.#limitsStops || !isProtected(this.#state, run!) || isGuaranteed(this.#state, job, this.#needs)
+  }
+
   /**
    * Marks the runs as selected, so that `listFor` offers them to no other work, and returns those to stop. With `stopAll`,
-   * runs that end soon are stopped, too.
+   * runs that end soon are stopped, too, if the job may stop them.
    */
-  select (victims: readonly Victim[], { stopAll }: { readonly stopAll: boolean }): ActiveRun[] {
+  select (job: JobEntry, victims: readonly Victim[], { stopAll }: { readonly stopAll: boolean }): ActiveRun[] {
     for (const { runs } of victims) for (const { task } of runs) this.#selected.add(task)
-    const stopped = victims.filter(({ endsSoon }) => stopAll || !endsSoon).flatMap(({ runs }) => runs)
+    const stopped = victims.filter((victim) => !victim.endsSoon || (stopAll && this.#mayStop(job, victim))).flatMap(({ runs }) => runs)
     this.#stopped.push(...stopped.map(({ task }) => task))
     return stopped
   }
@@ -89,13 +118,13 @@
   return [...groups.values()]
 }
 
-const toVictim = ({ spec, policy }: JobEntry, step: number, runs: readonly ActiveRun[], wallMs: number, estimateRemaining: EstimateRemaining): Victim => {
+const toVictim = ({ job: { spec, policy }, step, runs }: RunGroup, wallMs: number, estimateRemaining: EstimateRemaining, checkpointIntervalMs: number): Victim => {
   const { resources, checkpointing } = spec.steps[step]!
   const cores = runs.length * toCoreEquivalents(resources)
   const remainingMs = Math.max(...runs.map((run) => estimateRemaining(run) ?? Infinity))
   if (remainingMs <= MAX_REMAINING_MS) return { runs, resources, endsSoon: true, lostWork: 0, cost: 0 }
   const workedMs = Math.max(0, wallMs - runs[0]!.startedAtMs)
-  const lostMs = checkpointing ? Math.min(workedMs, CHECKPOINT_INTERVAL_MS) : workedMs
+  const lostMs = checkpointing ? Math.min(workedMs, checkpointIntervalMs) : workedMs
   const factor = PRIORITY_COST[Math.min(policy.priority, PRIORITY_COST.length - 1)]!
   return { runs, resources, endsSoon: false, lostWork: cores * lostMs, cost: cores * (lostMs + RESTART_MS) * factor }
 }
--- a/scripts/measure-planner.ts
+++ b/scripts/measure-planner.ts
@@ -1,6 +1,8 @@
 // Measures the time of one planning pass by the number of endpoints and queued jobs, with learned run times.
+//   node --import=tsx scripts/measure-planner.ts --rules off|on
+import { parseArgs } from 'node:util'
 import { asId, type CustomerId } from '@ibisstair/common'
-import { LearnedHistory, Planner } from '@ibisstair/dispatch'
+import { LearnedHistory, NO_SCHEDULING_POLICY, Planner } from '@ibisstair/dispatch'
 import type { SharedRunTimes } from '@ibisstair/estimation'
 import { Metrics } from '@ibisstair/telemetry'
 import { createFleetView } from '../packages/dispatch/tests/support/fleet-view.ts'
@@ -17,6 +19,9 @@
   { work: { customer: asId<CustomerId>('c'), queue: 'q', accelerators: 0 }, isWhole: true, samples: 20, runTimes: [3_000, 4_000, 5_000], estimates: [5_000], weight: 0.5 }
 ]
 
+const { values } = parseArgs({ options: { rules: { type: 'string', default: 'off' } } })
+const policy = values.rules === 'on' ? { ...NO_SCHEDULING_POLICY, fairShares: true, limitPreemption: true } : NO_SCHEDULING_POLICY
+
 for (const { endpoints, queued } of SIZES) {
   const state = createLargeFleet(endpoints, endpoints + queued)
   const planner = new Planner()
@@ -25,7 +30,7 @@
   const times: number[] = []
   for (let pass = 0; pass < PASSES; pass++) {
     const began = performance.now()
-    const { starts } = planner.plan({ state, fleet, nowMs: 10_000 + pass, wallMs: 10_000 + pass, mayPreempt: true, history })
+    const { starts } = planner.plan({ state, fleet, nowMs: 10_000 + pass, wallMs: 10_000 + pass, mayPreempt: true, history, policy })
     times.push(performance.now() - began)
     state.apply({ type: 'start', groups: starts, atMs: 10_000 + pass })
   }
