dispatch: placement by the speed of endpoints

Cause: on a fleet of speeds 0.6, 1 and 1.6 urgent work with a stretch of 1.5 is late wherever it lands on a slow endpoint. Change: run reports and ends feed the estimator, without runs away from their data, over racks, resumed or with progress that makes no sense. Work needs the speed that its estimate and the rest of its objective ask for. Urgent work takes fast endpoints, searches victims there, and only then takes slow ones; other work begins with the slow ones, and its single tasks try out endpoints of unknown speed one by one. While no endpoint is known to be too slow, plans are as before.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,5 +1,6 @@
 import type { TaskId } from '@ibisstair/common'
 import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
+import { SpeedEstimator, type SpeedSnapshot } from '@ibisstair/estimation'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { Announcements } from './announcements.ts'
@@ -16,6 +17,8 @@
 import { StartOrders } from './start-orders.ts'
 import type { EndpointPort } from './ports.ts'
 import { ReplacedEndpoints } from './replaced-endpoints.ts'
+import type { ObservedRate } from './run-rate.ts'
+import { RunSpeeds } from './run-speeds.ts'
 import { UnsettledRuns, type RunStatus } from './unsettled-runs.ts'
 import { UnwantedRuns } from './unwanted-runs.ts'
 import { WaitingReport } from './waiting-report.ts'
@@ -35,6 +38,8 @@
   readonly announcedUntilMs: number
   /** Every rule is off by default. */
   readonly policy?: SchedulingPolicy
+  /** With the speeds that an earlier leader has learned. */
+  readonly speedEstimator?: SpeedEstimator
 }
 
 /**
@@ -48,6 +53,7 @@
   readonly #sessions = new Map<EndpointIncarnation, EndpointSession>()
   readonly #announcements: Announcements
   readonly #pendingRecords = new PendingRecords()
+  readonly #runSpeeds: RunSpeeds
   readonly #registrar: EndpointRegistrar
   readonly #startOrders: StartOrders
   readonly #unwantedRuns: UnwantedRuns
@@ -72,6 +78,8 @@
     this.#options = options
     this.#health = new EndpointHealth(options.timers)
     this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
+    const { state, timers, metrics, speedEstimator: estimator = new SpeedEstimator() } = options
+    this.#runSpeeds = new RunSpeeds({ state, timers, metrics, estimator })
     this.#startOrders = new StartOrders({
       state: options.state,
       timers: options.timers,
@@ -79,6 +87,7 @@
       metrics: options.metrics,
       pendingRecords: this.#pendingRecords,
       openSession: (life) => this.#openSession(life),
+      getSpeed: (endpoint) => this.#runSpeeds.getSpeed(endpoint),
       handleAnswer: () => this.#schedulePass()
     })
     this.#unwantedRuns = new UnwantedRuns(options.state)
@@ -130,6 +139,7 @@
     for (const unsubscribe of this.#unsubscribes) unsubscribe()
     for (const session of this.#sessions.values()) session.close()
     this.#endpointUse.close()
+    this.#runSpeeds.close()
     this.#waitingReport.close()
     this.#unsettledRuns.close()
   }
@@ -155,6 +165,11 @@
     this.#sessions.get(record.life)?.handleLeaving()
   }
 
+  /** Returns a copy of the speeds that this leader has learned. */
+  getSpeeds (): SpeedSnapshot {
+    return this.#runSpeeds.toSnapshot()
+  }
+
   // Events of sessions
 
   isLeading (): boolean {
@@ -171,11 +186,17 @@
       logger.info('run ended', { task, run, outcome, endpoint: endpoint.id })
       metrics.increment(`runs.${outcome}`)
       this.#health.recordEnd(endpoint.life, task, outcome)
+      const rate = outcome === 'done' ? this.#sessions.get(endpoint.life)?.getRateAtEnd(task, run) : null
+      if (rate) this.#runSpeeds.recordEnd(endpoint, task, run, rate)
     }
     const silence = ends.some(({ outcome }) => outcome === 'lost') ? this.#describeSilence(endpoint.life) : null
     await this.#propose({ type: 'end', endpoint: endpoint.life, ends, atMs: timers.wallClock(), ...(silence && { silence }) })
   }
 
+  handleRate (endpoint: EndpointRecord, task: TaskId, run: number, rate: ObservedRate): void {
+    this.#runSpeeds.recordRate(endpoint, task, run, rate)
+  }
+
   handleReplaced (endpoint: EndpointRecord): void {
     this.#options.logger.warn('another incarnation answers at the endpoint\'s address; removing the endpoint', { endpoint: endpoint.id, life: endpoint.life })
     this.#replaced.add(endpoint.life)
@@ -281,6 +302,7 @@
     this.#removeLeftEndpoints()
     this.#replaced.retryDue()
     this.#endpointUse.observe([...this.#options.state.endpoints.list()], (endpoint) => this.#getOutOfUse(endpoint))
+    this.#runSpeeds.measure()
     this.#unsettledRuns.observe(() => this.#listRunStatus(), this.#options.timers.now())
     this.#schedulePass()
   }
@@ -369,7 +391,8 @@
         isConfirmed: ({ endpoint, task }) => this.#sessions.get(endpoint)?.isConfirmed(task) ?? false,
         getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
         estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null,
-        getSpeed: () => 1,
+        getSpeed: (endpoint) => this.#runSpeeds.getSpeed(endpoint),
+        isSpeedKnown: (endpoint) => this.#runSpeeds.isKnown(endpoint),
         isCold: () => false
       }
     })
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -6,6 +6,7 @@
 } from './constants.ts'
 import { EndpointLease } from './endpoint-lease.ts'
 import { Handover } from './handover.ts'
+import type { ObservedRate } from './run-rate.ts'
 import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
 import { StrayRuns } from './stray-runs.ts'
 import { createTrackedRun, mayBeActive, toEnd, type AbsentRun, type RunPhase, type TrackedRun } from './tracked-run.ts'
@@ -19,6 +20,8 @@
   /** The endpoint rejected an order because it has seen the fencing token of a newer leader. */
   handleFenced (endpoint: EndpointRecord): void
   handleStartRefused (endpoint: EndpointRecord, task: TaskId, reason: string): void
+  /** A run has advanced. */
+  handleRate (endpoint: EndpointRecord, task: TaskId, run: number, rate: ObservedRate): void
   /** Whether this process is still the leader and may send orders. */
   isLeading (): boolean
   log (message: string, fields: Readonly<Record<string, unknown>>): void
@@ -195,6 +198,12 @@
     return this.#runs.get(task)?.progress.estimateRemainingMs(this.#options.timers.now()) ?? null
   }
 
+  /** Returns the rate of a run that is just reported as done; null if it is not known. */
+  getRateAtEnd (task: TaskId, run: number): ObservedRate | null {
+    const tracked = this.#runs.get(task)
+    return tracked?.run === run ? tracked.rate.getAtEnd(this.#options.timers.now()) : null
+  }
+
   /** Renews the lease and reads a report, at once or after the current call. */
   poll (): void {
     if (this.#isClosed) return
@@ -239,6 +248,7 @@
     } else if (result.type === 'ok') {
       if (!this.#recordAnswer(result.clockMs)) return
       this.#setPhase(tracked, 'present')
+      tracked.rate.begin(tracked.sinceMs)
     } else if (result.type === 'refused') {
       events.handleStartRefused(this.#endpoint, tracked.task, result.reason)
       this.#endNotStarted(tracked)
@@ -435,7 +445,10 @@
 
   #confirmRun (tracked: TrackedRun, percent: number): void {
     tracked.isReported = true
-    tracked.progress.record(percent, this.#options.timers.now())
+    const { events, timers } = this.#options
+    tracked.progress.record(percent, timers.now())
+    const rate = tracked.rate.record(percent, timers.now()) ? tracked.rate.get() : null
+    if (rate) events.handleRate(this.#endpoint, tracked.task, tracked.run, rate)
     if (tracked.phase === 'inherited' || tracked.phase === 'unconfirmed') this.#setPhase(tracked, 'present')
   }
 
@@ -493,6 +506,8 @@
   }
 
   #recordContact (clockMs: number): void {
+    // Reports that a silent endpoint held back say when they arrived, not when the runs advanced.
+    if (this.#failures > 0) for (const { rate } of this.#runs.values()) rate.discard()
     this.#failures = 0
     this.#silentSinceMs = null
     this.#lease.recordAnswer(clockMs, this.#options.timers.now())
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,6 +1,7 @@
 export { Dispatcher, type DispatcherOptions } from './dispatcher.ts'
 export { EndpointSession, type SessionEvents, type SessionOptions } from './endpoint-session.ts'
 export type { LeaveNotice } from './leave-notice.ts'
+export { RunRate, type ObservedRate } from './run-rate.ts'
 export { NO_SCHEDULING_POLICY, type FleetView, type Plan, type PlanInput, type SchedulingPolicy } from './plan-types.ts'
 export { Planner } from './planner.ts'
 export { couldEverFit, placeTasks, type Assignment, type Candidate } from './placement.ts'
--- a/packages/dispatch/src/placement-ladder.ts
+++ b/packages/dispatch/src/placement-ladder.ts
@@ -1,5 +1,6 @@
-import type { EndpointIncarnation } from '@ibisstair/jobs'
-import { placeTasks, type Assignment, type Candidate, type PlacementOptions } from './placement.ts'
+import type { EndpointIncarnation, StepSpec } from '@ibisstair/jobs'
+import type { SpeedTier } from './pass-speeds.ts'
+import { placeTasks, type Assignment, type Candidate, type CountOnEndpoint, type PlacementOptions } from './placement.ts'
 import type { PassView } from './plan-types.ts'
 import type { ReadyWork } from './ready-work.ts'
 
@@ -10,18 +11,21 @@
   readonly useKept: boolean
   /** Use endpoints that are suspect themselves, those with the fewest failures first. */
   readonly useSuspects: boolean
+  /** Use only endpoints on which the work can be in time, if there are any. */
+  readonly fastOnly?: boolean
   /** Endpoints that are used after all others of a rung. */
   readonly triedInVain: ReadonlySet<EndpointIncarnation>
 }
 
 /** Places as much of the work as fits on the first rung that has room. */
-export const placeWork = (work: ReadyWork, pass: PassView, { acceptFar, useKept, useSuspects, triedInVain }: LadderOptions): Assignment[] => {
+export const placeWork = (work: ReadyWork, pass: PassView, { acceptFar, useKept, useSuspects, fastOnly = false, triedInVain }: LadderOptions): Assignment[] => {
   const rungs = [
     work.isSuspect ? listUncrashed(work, pass) : [],
     pass.listCandidates(work),
     useKept ? pass.listServiceCandidates(work) : []
   ]
-  for (const candidates of rungs) {
+  for (const rung of rungs) {
+    const candidates = fastOnly ? pass.speeds.listFastEnough(work, rung) : rung
     const assignments = placeOn(work, pass, listTiers(work, candidates, triedInVain, pass), { acceptFar, emptiestFirst: work.isSuspect })
     if (assignments.length > 0) return assignments
   }
@@ -43,21 +47,31 @@
 const isPlacedTogether = ({ spec }: ReadyWork): boolean => spec.gang || spec.tightlyCoupled
 
 /**
- * Work that has been tried in vain uses endpoints that have answered of late first, and those where it was tried last.
- * Each tier of work that is placed together includes the earlier ones.
+ * Work that has been tried in vain uses endpoints that have answered of late first, and those where it was tried last;
+ * among them the order is by speed. Each tier of work that is placed together includes the earlier ones.
  */
-const listTiers = (work: ReadyWork, candidates: readonly Candidate[], triedInVain: ReadonlySet<EndpointIncarnation>, { fleet }: PassView): Array<readonly Candidate[]> => {
-  if (triedInVain.size === 0 || candidates.length === 0) return [candidates]
+const listTiers = (work: ReadyWork, candidates: readonly Candidate[], triedInVain: ReadonlySet<EndpointIncarnation>, { fleet, speeds }: PassView): SpeedTier[] => {
+  if (candidates.length === 0) return []
+  const toTiers = (members: readonly Candidate[]): SpeedTier[] => isPlacedTogether(work) ? joinTiers(speeds.listTiers(work, members)) : speeds.listTiers(work, members)
+  if (triedInVain.size === 0) return toTiers(candidates)
   const getTier = ({ endpoint }: Candidate): number => triedInVain.has(endpoint.life) ? 2 : fleet.hasAnswered(endpoint) ? 0 : 1
-  return [0, 1, 2].map((tier) => candidates.filter((candidate) => isPlacedTogether(work) ? getTier(candidate) <= tier : getTier(candidate) === tier))
+  return [0, 1, 2].flatMap((tier) => toTiers(candidates.filter((candidate) => isPlacedTogether(work) ? getTier(candidate) <= tier : getTier(candidate) === tier)))
 }
 
-const placeOn = (work: ReadyWork, pass: PassView, tiers: ReadonlyArray<readonly Candidate[]>, options: PlacementOptions): Assignment[] => {
+const joinTiers = (tiers: readonly SpeedTier[]): SpeedTier[] =>
+  tiers.map((_, i) => ({ candidates: tiers.slice(0, i + 1).flatMap(({ candidates }) => candidates), isTrial: false }))
+
+const placeOn = (work: ReadyWork, pass: PassView, tiers: readonly SpeedTier[], options: PlacementOptions): Assignment[] => {
   const assignments: Assignment[] = []
-  for (const candidates of tiers) {
-    if (assignments.length > 0 && isPlacedTogether(work)) break
+  const placeRest = (spec: StepSpec, candidates: readonly Candidate[], countOn: CountOnEndpoint): void => {
     const rest = work.indexes.slice(assignments.length)
-    if (rest.length > 0) assignments.push(...placeTasks(work.spec, rest, candidates, pass.createCounter(work), options))
+    if (rest.length > 0) assignments.push(...placeTasks(spec, rest, candidates, countOn, options))
+  }
+  for (const { candidates, isTrial } of tiers) {
+    if (assignments.length > 0 && isPlacedTogether(work)) break
+    // One task on each endpoint compares the most endpoints; a limit of the step's own is kept.
+    if (isTrial && work.spec.maxPerEndpoint === null) placeRest({ ...work.spec, maxPerEndpoint: 1 }, candidates, () => 0)
+    placeRest(work.spec, candidates, pass.createCounter(work))
   }
   return assignments
 }
--- a/packages/dispatch/src/plan-types.ts
+++ b/packages/dispatch/src/plan-types.ts
@@ -1,6 +1,7 @@
 import type { CustomerId, TaskId } from '@ibisstair/common'
 import type { ActiveRun, EndpointIncarnation, EndpointRecord, Resources, SchedulingState, StartGroup } from '@ibisstair/jobs'
 import type { Candidate, CountOnEndpoint } from './placement.ts'
+import type { PassSpeeds } from './pass-speeds.ts'
 import type { ReadyWork } from './ready-work.ts'
 import type { WaitingSurvey } from './waiting-types.ts'
 
@@ -22,6 +23,8 @@
   estimateRemainingMs (run: ActiveRun): number | null
   /** Returns the speed relative to the median of the service; 1 while it is not known well enough. */
   getSpeed (endpoint: EndpointRecord): number
+  /** Whether the speed is known well enough; `getSpeed` is 1 for an endpoint of usual speed, too. */
+  isSpeedKnown (endpoint: EndpointRecord): boolean
   /** Whether the endpoint still runs slowly because it started a short time ago. */
   isCold (endpoint: EndpointRecord): boolean
 }
@@ -75,6 +78,7 @@
   readonly policy: SchedulingPolicy
   /** Endpoints that may get new work. */
   readonly candidates: readonly Candidate[]
+  readonly speeds: PassSpeeds
   /** Accelerators that the urgent jobs of each customer need. */
   readonly needs: ReadonlyMap<CustomerId | null, number>
   /** The endpoints of the service that runs the job. */
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -2,13 +2,13 @@
 import { countFits, isSufficientFor, subtractResources } from '@ibisstair/jobs'
 import { GangReservations } from './gang-reservations.ts'
 import { isGuaranteed } from './guarantees.ts'
-import { couldEverFit, placeTasks, deductAssigned, type Assignment, type PlacementOptions } from './placement.ts'
-import { listUncrashed, placeOnSuspects, placeWork } from './placement-ladder.ts'
+import { couldEverFit, placeTasks, deductAssigned, type Assignment, type Candidate, type PlacementOptions } from './placement.ts'
+import { listUncrashed, placeOnSuspects, placeWork, type LadderOptions } from './placement-ladder.ts'
 import type { Plan, PlanInput } from './plan-types.ts'
 import { PlanningPass } from './planning-pass.ts'
 import { planPreemptionBeyond, type PreemptionPlan } from './preemption.ts'
 import { toShape, toWorkKey, type ReadyWork } from './ready-work.ts'
-import { getDeferrableBudget, getReserve, isDeferrable, limitToAccelerators, sumFreeAccelerators } from './shares.ts'
+import { getDeferrableBudget, getReserve, isDeferrable, limitToAccelerators } from './shares.ts'
 import { StalledWork } from './stalled-work.ts'
 import { UrgentDemand } from './urgent-demand.ts'
 import type { WaitingSurvey } from './waiting-types.ts'
@@ -34,6 +34,10 @@
 interface PreemptionOptions extends PlacementOptions {
   /** Also stop runs that are expected to end soon: such a run was waited for, and it has not ended in time. */
   readonly stopAll: boolean
+  /** Endpoints on which room is made. */
+  readonly candidates: readonly Candidate[]
+  /** Times of the next searches. */
+  readonly retryAtMs: Map<string, number>
 }
 
 /** A claim expires after this time if its victims have not ended; victims are then searched again. */
@@ -66,6 +70,8 @@
   readonly #demand = new UrgentDemand()
   /** Time of the next search for victims, for each work for which the last search failed. */
   readonly #retryAtMs = new Map<string, number>()
+  /** The same for searches on fast endpoints alone. */
+  readonly #fastRetryAtMs = new Map<string, number>()
   readonly #waits = new WorkWaits()
   readonly #stalledWork = new StalledWork(this.#waits)
   readonly #waitingWork = new WaitingWork()
@@ -100,7 +106,7 @@
     const deferred = held.filter((work) => !placeIfStalled(work) && !backfillIfStalled(work))
     const reserve = getReserve(pass, this.#demand)
     for (const work of deferred) {
-      const limited = limitToAccelerators(work, sumFreeAccelerators(pass.candidates) - reserve)
+      const limited = limitToAccelerators(work, pass.speeds.sumFreeBeside(reserve, pass.candidates))
       if (limited && place(limited)) continue
       if (this.#stalledWork.mayUseSuspects(work, pass)) accept(work, toGroups(work, placeOnSuspects(limitStalled(work), pass, this.#waits.getTried(work))))
     }
@@ -137,7 +143,7 @@
 
   #removeEntriesExcept (ready: readonly ReadyWork[], pass: PlanningPass): void {
     const known = new Set(ready.map(toWorkKey))
-    for (const entries of [this.#claims, this.#retryAtMs]) for (const key of entries.keys()) if (!known.has(key)) entries.delete(key)
+    for (const entries of [this.#claims, this.#retryAtMs, this.#fastRetryAtMs]) for (const key of entries.keys()) if (!known.has(key)) entries.delete(key)
     this.#waits.removeExcept(known, pass)
   }
 
@@ -175,10 +181,15 @@
     const useSuspects = this.#stalledWork.mayUseSuspects(work, pass)
     const failedShape = `${shape},${acceptFar},${isStalled},${useSuspects}`
     if (!isUrgent && pass.failedShapes.has(failedShape)) return []
-    const assignments = placeWork(work, pass, { acceptFar, useKept: isStalled, useSuspects, triedInVain: this.#waits.getTried(work) })
+    const options = { acceptFar, useKept: isStalled, useSuspects, triedInVain: this.#waits.getTried(work) }
+    if (isUrgent && pass.mayPreempt && !isStalled) {
+      const fast = this.#placeFast(work, pass, { ...options, stopAll: hasClaimExpired })
+      if (fast) return toGroups(work, fast)
+    }
+    const assignments = placeWork(work, pass, options)
     // With a limit for each endpoint the outcome depends on the job, so that it does not hold for other jobs of this shape.
     if (assignments.length === 0 && spec.maxPerEndpoint === null) pass.failedShapes.add(failedShape)
-    if (assignments.length < indexes.length && isUrgent && pass.mayPreempt) this.#preemptFor(work, assignments, pass, { acceptFar, stopAll: hasClaimExpired })
+    if (assignments.length < indexes.length && isUrgent && pass.mayPreempt) this.#preemptFor(work, assignments, pass, { acceptFar, stopAll: hasClaimExpired, candidates: pass.listCandidates(work), retryAtMs: this.#retryAtMs })
     return toGroups(work, assignments)
   }
 
@@ -239,23 +250,40 @@
     this.#claims.set(toWorkKey(work), { ...claim, stopped: [...claim.stopped, ...overdue], spared: [], untilMs: pass.nowMs + CLAIM_MS })
   }
 
-  #preemptFor (work: ReadyWork, placed: readonly Assignment[], pass: PlanningPass, { acceptFar, stopAll }: PreemptionOptions): void {
+  /**
+   * Places urgent work on endpoints that are fast enough, or claims capacity there. Returns null if neither is possible, or
+   * no endpoint is too slow: the work then takes any.
+   */
+  #placeFast (work: ReadyWork, pass: PlanningPass, options: LadderOptions & Pick<PreemptionOptions, 'stopAll'>): Assignment[] | null {
+    const all = pass.listCandidates(work)
+    const candidates = pass.speeds.listFastEnough(work, all)
+    if (candidates === all) return null
+    const { acceptFar, stopAll } = options
+    const placed = placeWork(work, pass, { ...options, fastOnly: true, useSuspects: false })
+    if (placed.length === work.indexes.length) return placed
+    const isClaimed = this.#preemptFor(work, placed, pass, { acceptFar, stopAll, candidates, retryAtMs: this.#fastRetryAtMs })
+    return isClaimed || placed.length > 0 ? placed : null
+  }
+
+  /** Returns whether capacity is claimed for the rest of the work. */
+  #preemptFor (work: ReadyWork, placed: readonly Assignment[], pass: PlanningPass, { acceptFar, stopAll, candidates, retryAtMs }: PreemptionOptions): boolean {
     const key = toWorkKey(work)
-    if (pass.nowMs < (this.#retryAtMs.get(key) ?? -Infinity)) return
+    if (pass.nowMs < (retryAtMs.get(key) ?? -Infinity)) return false
     const indexes = work.indexes.filter((index) => !placed.some((assignment) => assignment.index === index))
     const countRunning = pass.createCounter(work)
     const countOn = (incarnation: EndpointIncarnation): number => countRunning(incarnation) + placed.filter(({ endpoint }) => endpoint === incarnation).length
-    const search = { spec: work.spec, indexes, candidates: pass.listCandidates(work), countOn, acceptFar }
+    const search = { spec: work.spec, indexes, candidates, countOn, acceptFar }
     const plan = planPreemptionBeyond(this.#waits.getTried(work), search, pass.victims.listFor(work.job))
     if (!plan || !isWorthwhile(work, plan, pass)) {
-      this.#retryAtMs.set(key, pass.nowMs + PREEMPTION_RETRY_MS)
-      return
+      retryAtMs.set(key, pass.nowMs + PREEMPTION_RETRY_MS)
+      return false
     }
     const stopped = pass.victims.select(plan.victims, { stopAll })
     const spared = stopAll ? [] : plan.victims.filter(({ endsSoon }) => endsSoon).flatMap(({ runs }) => runs)
     const capacities = new Map(plan.assignments.map(({ endpoint }) => [endpoint, pass.byIncarnation.get(endpoint)!.endpoint.capacity]))
     this.#claims.set(key, { assignments: plan.assignments, capacities, stopped, spared, sinceMs: pass.nowMs, untilMs: pass.nowMs + CLAIM_MS, goneSinceMs: null })
     deductAssigned(work.spec, plan.assignments, pass.byIncarnation)
+    return true
   }
 }
 
--- a/packages/dispatch/src/planning-pass.ts
+++ b/packages/dispatch/src/planning-pass.ts
@@ -4,6 +4,7 @@
 import { isGuaranteed, sumUrgentNeeds } from './guarantees.ts'
 import { Isolation } from './isolation.ts'
 import { indexByIncarnation, type Candidate, type CountOnEndpoint } from './placement.ts'
+import { PassSpeeds } from './pass-speeds.ts'
 import { NO_SCHEDULING_POLICY, type FleetView, type Idleness, type PassView, type PlanInput, type SchedulingPolicy } from './plan-types.ts'
 import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
 import { getIdleness, sumFree } from './service-load.ts'
@@ -25,6 +26,7 @@
   readonly mayPreempt: boolean
   readonly policy: SchedulingPolicy
   readonly candidates: readonly Candidate[]
+  readonly speeds: PassSpeeds
   readonly byIncarnation: ReadonlyMap<EndpointIncarnation, Candidate>
   /** Accelerators that the urgent jobs of each customer need. */
   readonly needs: ReadonlyMap<CustomerId | null, number>
@@ -51,6 +53,7 @@
     this.needs = sumUrgentNeeds(state)
     this.isolation = new Isolation(state, wallMs)
     this.candidates = [...state.endpoints.list()].filter((endpoint) => fleet.isUsable(endpoint)).map((endpoint) => this.#toCandidate(endpoint))
+    this.speeds = new PassSpeeds(state.endpoints.list(), fleet, wallMs)
     this.byIncarnation = indexByIncarnation(this.candidates)
     for (const candidate of this.candidates) addToService(this.#byService, candidate)
     for (const endpoint of state.endpoints.list()) if (fleet.isSuspect(endpoint)) addToService(this.#suspectsByService, this.#toCandidate(endpoint))
--- a/packages/dispatch/src/ready-work.ts
+++ b/packages/dispatch/src/ready-work.ts
@@ -79,7 +79,7 @@
 }
 
 /** Completion within this multiple of the objective is late, but still of some use. */
-const LATE_FACTOR = 3
+export const LATE_FACTOR = 3
 
 /** Returns 0 when the job can meet its objective if it starts now and runs as estimated, 1 when it is late but of some use, 2 when it is too late. */
 export const getLateness = (job: JobEntry, wallMs: number): 0 | 1 | 2 => {
--- /dev/null
+++ b/packages/dispatch/src/required-speed.ts
@@ -0,0 +1,41 @@
+import type { JobEntry } from '@ibisstair/jobs'
+import { LATE_FACTOR, estimateChainMs, type ReadyWork } from './ready-work.ts'
+
+/**
+ * Endpoints below this speed are left to work with slack. Urgent work has a stretch of 1.5 and so needs 0.67 if it starts at
+ * once; the rest is for the error of speeds.
+ */
+export const URGENT_SPEED = 0.77
+
+/** Estimated speeds are wrong by about this factor. */
+const SPEED_MARGIN = 1.15
+
+/** Work that needs more than this is late on any endpoint. */
+const MAX_REQUIRED_SPEED = 1.6
+
+/** Estimated run time of the longest chain of dependent steps that begins with the step. */
+const estimateChainFrom = ({ spec: { steps } }: JobEntry, first: number): number => {
+  const ends: number[] = []
+  steps.forEach(({ dependsOn, estimateMs }, step) => {
+    const earlier = dependsOn.map((index) => ends[index] ?? 0)
+    const beginMs = Math.max(0, ...earlier)
+    ends.push(step === first || beginMs > 0 ? beginMs + estimateMs : 0)
+  })
+  return Math.max(...ends)
+}
+
+/**
+ * Returns the speed of an endpoint on which the work meets its objective if it starts now; once it can't, the speed on which
+ * it is late but of some use, and 0 when no speed helps.
+ */
+export const getRequiredSpeed = ({ job, step }: Pick<ReadyWork, 'job' | 'step'>, wallMs: number): number => {
+  const { targetLatencyMs, stretch } = job.policy
+  const objectiveMs = targetLatencyMs + stretch * estimateChainMs(job)
+  const elapsedMs = wallMs - job.acceptedAtMs
+  const chainMs = SPEED_MARGIN * estimateChainFrom(job, step)
+  for (const limitMs of [objectiveMs, LATE_FACTOR * objectiveMs]) {
+    const leftMs = limitMs - elapsedMs
+    if (leftMs > 0 && chainMs / leftMs <= MAX_REQUIRED_SPEED) return chainMs / leftMs
+  }
+  return 0
+}
--- a/packages/dispatch/src/start-orders.ts
+++ b/packages/dispatch/src/start-orders.ts
@@ -1,9 +1,10 @@
-import type { ActiveRun, EndpointIncarnation, JobEntry, SchedulingState, StartGroup } from '@ibisstair/jobs'
+import type { ActiveRun, EndpointIncarnation, EndpointRecord, JobEntry, SchedulingState, StartGroup } from '@ibisstair/jobs'
 import { mustParseTaskId, toTaskId } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService } from '@ibisstair/timers'
 import type { EndpointSession } from './endpoint-session.ts'
 import type { PendingRecords } from './pending-records.ts'
+import { getRequiredSpeed } from './required-speed.ts'
 import { findObstacle, type WithheldReason } from './withheld-starts.ts'
 
 export interface StartOrdersOptions {
@@ -14,6 +15,7 @@
   readonly pendingRecords: PendingRecords
   /** Returns null for an endpoint that is not registered. */
   readonly openSession: (life: EndpointIncarnation) => EndpointSession | null
+  readonly getSpeed: (endpoint: EndpointRecord) => number
   /** Called when an endpoint that had to be called first has answered or has failed to. */
   readonly handleAnswer: () => void
 }
@@ -76,10 +78,12 @@
   }
 
   #order (session: EndpointSession, run: ActiveRun, job: JobEntry, mayOrder: Promise<boolean>): void {
-    const { logger, timers } = this.#options
+    const { logger, metrics, timers, getSpeed } = this.#options
     const { occurrence, step, index } = mustParseTaskId(run.task)
     const entry = job.getOccurrence(occurrence).steps[step]!
-    logger.info('run ordered', { task: run.task, run: run.run, endpoint: session.endpoint.id, waitedMs: Math.round(timers.wallClock() - job.acceptedAtMs) })
+    const speed = getSpeed(session.endpoint)
+    if (speed < getRequiredSpeed({ job, step }, timers.wallClock())) metrics.increment('placements.too-slow')
+    logger.info('run ordered', { task: run.task, run: run.run, endpoint: session.endpoint.id, waitedMs: Math.round(timers.wallClock() - job.acceptedAtMs), speed: Math.round(100 * speed) / 100 })
     session.start(run, job.spec.payload, job.spec.steps[step]!.gang ? entry.checkpoint : entry.tasks[index]!.checkpoint, mayOrder)
   }
 
--- a/packages/dispatch/src/tracked-run.ts
+++ b/packages/dispatch/src/tracked-run.ts
@@ -1,6 +1,7 @@
 import type { TaskId } from '@ibisstair/common'
 import type { RunEnd } from '@ibisstair/jobs'
 import { RunProgress } from './run-progress.ts'
+import { RunRate } from './run-rate.ts'
 
 /**
  * State of a run on the endpoint as far as this leader knows it:
@@ -25,6 +26,7 @@
   /** Whether the commit of its end is in progress, which no report lists. */
   isEnding: boolean
   readonly progress: RunProgress
+  readonly rate: RunRate
 }
 
 /** A run that an endpoint neither runs nor lists as ended, and how it counts. */
@@ -34,7 +36,7 @@
 }
 
 export const createTrackedRun = (task: TaskId, run: number, phase: RunPhase, sinceMs: number): TrackedRun =>
-  ({ task, run, phase, sinceMs, isStopAcked: false, isConfirmed: false, isReported: false, isEnding: false, progress: new RunProgress() })
+  ({ task, run, phase, sinceMs, isStopAcked: false, isConfirmed: false, isReported: false, isEnding: false, progress: new RunProgress(), rate: new RunRate() })
 
 /** Whether the run may be active on the endpoint for all that the leader can find out without a call. */
 export const mayBeActive = ({ phase }: TrackedRun): boolean => phase !== 'starting' && phase !== 'not-started'
--- a/packages/dispatch/tests/replaced-endpoints.test.ts
+++ b/packages/dispatch/tests/replaced-endpoints.test.ts
@@ -123,7 +123,7 @@
     renew: async () => ({ type: 'wrong-incarnation' as const }),
     closeConnections: () => {}
   }
-  const events = { handleEnds: async () => {}, handleReplaced: () => {}, handleFenced: () => {}, handleStartRefused: () => {}, isLeading: () => true, log: () => {} }
+  const events = { handleEnds: async () => {}, handleReplaced: () => {}, handleFenced: () => {}, handleStartRefused: () => {}, handleRate: () => {}, isLeading: () => true, log: () => {} }
   const endpoint = createEndpoint('w1')
   const session = new EndpointSession({ endpoint, port, timers, fencingToken: 1, leaseMaxMs: 6_000, events })
   session.adopt({ task: asId('a1.0.0.0'), run: 1, endpoint: endpoint.life, startedAtMs: 0 })
--- a/packages/dispatch/tests/support/fleet-view.ts
+++ b/packages/dispatch/tests/support/fleet-view.ts
@@ -10,6 +10,7 @@
   isConfirmed: () => true,
   estimateRemainingMs: () => null,
   getSpeed: () => 1,
+  isSpeedKnown: () => true,
   isCold: () => false,
   ...part
 })
