cluster: the leader shares the learned speeds of endpoints

Cause: learned speeds are not in the log, and a new leader would place by nothing for the first seconds of its term. Change: the leader sends its estimates to the other members every 2 s (fleet.speeds); a new leader starts from the newest copy by term. A member that rejects the call is only counted.

--- a/packages/cluster/src/constants.ts
+++ b/packages/cluster/src/constants.ts
@@ -27,5 +27,9 @@
 
 export const MESSAGE_TIMEOUT_MS = 1_000
 
+/** Period at which the leader sends what it has learned of the endpoints to the other control processes. */
+export const SPEED_SHARING_PERIOD_MS = 2_000
+export const SPEED_SHARING_TIMEOUT_MS = 1_000
+
 /** Name of the consensus group that replicates the scheduling state. */
 export const STATE_GROUP = 'scheduling'
--- a/packages/cluster/src/core-node.ts
+++ b/packages/cluster/src/core-node.ts
@@ -7,9 +7,10 @@
 import type { DataFolder } from '@ibisstair/storage'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { RandomSource, TimerService, Unsubscribe } from '@ibisstair/timers'
-import { MESSAGE_TIMEOUT_MS, ROLE_CHECK_PERIOD_MS, STATE_GROUP } from './constants.ts'
+import { MESSAGE_TIMEOUT_MS, ROLE_CHECK_PERIOD_MS, SPEED_SHARING_PERIOD_MS, STATE_GROUP } from './constants.ts'
 import { LeaderFinder } from './leader-finder.ts'
 import { LeaderService } from './leader-service.ts'
+import { SPEEDS_METHOD, SpeedSharing } from './speed-sharing.ts'
 import type { ClusterView, LeaderMethod } from './types.ts'
 
 export interface CoreNodeOptions {
@@ -49,6 +50,7 @@
   readonly #options: CoreNodeOptions
   readonly #state = new SchedulingState()
   readonly #finder: LeaderFinder
+  readonly #speedSharing: SpeedSharing
   readonly #unsubscribers: Unsubscribe[] = []
   #replica: ReplicaDriver<StateCommand, StateResult> | null = null
   #leadership: Leadership | null = null
@@ -58,7 +60,8 @@
 
   constructor (options: CoreNodeOptions) {
     this.#options = options
-    const { rpc, timers, random, seeds, toTarget, logger } = options
+    const { rpc, timers, random, seeds, toTarget, logger, metrics } = options
+    this.#speedSharing = new SpeedSharing({ rpc, toTarget, timers, metrics })
     this.#finder = new LeaderFinder({
       rpc,
       timers,
@@ -100,6 +103,7 @@
     this.#finder.start()
     this.#unsubscribers.push(this.#replica.onStatus((status) => this.#handleStatus(status)))
     this.#unsubscribers.push(timers.every(ROLE_CHECK_PERIOD_MS, () => this.#updateRole()))
+    this.#unsubscribers.push(timers.every(SPEED_SHARING_PERIOD_MS, () => this.#shareSpeeds()))
   }
 
   /** Transfers leadership first, so that the other nodes need not wait for an election timeout. */
@@ -141,6 +145,7 @@
   #registerHandlers (server: RpcServer): void {
     server.register('raft.message', (params, { from }) => this.#handleMessages(params as MessageBatch, from))
     server.register('cluster.view', () => this.getView())
+    server.register(SPEEDS_METHOD, (params) => this.#speedSharing.receive(params))
     for (const method of LEADER_METHODS) server.register(method, (params) => this.handleCall(method, params))
   }
 
@@ -186,6 +191,12 @@
     return commitIndex >= this.#election.lastIndex
   }
 
+  #shareSpeeds (): void {
+    if (!this.#leadership) return
+    const peers = this.#getStatus().members.map(({ node }) => node).filter((node) => node !== this.#options.node)
+    this.#speedSharing.send(this.#leadership.term, this.#leadership.dispatcher.getSpeeds(), peers)
+  }
+
   #startLeading ({ term, sinceOtherLeaderMs }: ReplicaStatus): void {
     const { timers, logger, metrics, endpoints, relays, leaseMaxMs, policy } = this.#options
     const replica = this.#replica!
@@ -206,6 +217,7 @@
       fencingToken: term,
       leaseMaxMs,
       announcedUntilMs: timers.now() - sinceOtherLeaderMs,
+      speedEstimator: this.#speedSharing.createEstimator(),
       ...(policy && { policy })
     })
     this.#leadership = { term, dispatcher, service: new LeaderService({ state: this.#state, dispatcher, relays, propose, timers, logger, metrics }) }
