--- a/scripts/planner-bench/simulate.ts
+++ b/scripts/planner-bench/simulate.ts
@@ -3,15 +3,18 @@
 import { mustParseTaskId, SchedulingState, toEndpointIncarnation, toTaskId, type EndpointIncarnation, type RunOutcome, type StartGroup } from '@ibisstair/jobs'
 import { ManualTimerService, type RandomSource, type Unsubscribe } from '@ibisstair/timers'
 import { createFleetView } from '../../packages/dispatch/tests/support/fleet-view.ts'
+import { SpeedKnowledge, type Knowledge } from './speed-knowledge.ts'
 import { ARRIVALS_MS, createArrivals, ENDPOINT_CAPACITY, toRack, type Arrival, type Fleet, type Pattern } from './workload.ts'
 
 /** A job that takes longer than this multiple of its objective earns no credit. */
 const LATE_FACTOR = 3
-const SPEEDS = [0.8, 1, 1.25]
+const DEFAULT_SPEEDS = [0.8, 1, 1.25]
 const PASS_DELAY_MS = 8
 /** Time after its start from which the progress of a run is known. */
 const REPORT_DELAY_MS = 1_000
-const END_MS = ARRIVALS_MS + 30_000
+/** Time from the last arrival to the end; longer for tails on slow endpoints. */
+const SETTLE_MS = 30_000
+const SETTLE_WITH_TAILS_MS = 120_000
 const CORES_PER_ACCELERATOR = 8
 const GUARANTEED_SHARE = 0.3
 
@@ -22,6 +25,8 @@
   /** Core seconds of work that was stopped without a checkpoint. */
   readonly lostWorkCoreS: number
   readonly preemptedCount: number
+  /** Share of the urgent jobs that met their objective. */
+  readonly urgentInTime: number
 }
 
 interface Run {
@@ -29,6 +34,9 @@
   readonly incarnation: EndpointIncarnation
   readonly startedAtMs: number
   readonly speed: number
+  /** Work that was left at its start, and what of it is lost time. */
+  readonly workMs: number
+  readonly stallMs: number
   readonly endsAtMs: number
   stopTimer: Unsubscribe
 }
@@ -43,19 +51,27 @@
   readonly #arrivals: readonly Arrival[]
   readonly #arrivalsByJob: ReadonlyMap<string, Arrival>
   readonly #signedSpeeds = new Map<EndpointIncarnation, number>()
+  readonly #speeds: SpeedKnowledge
   readonly #runs = new Map<TaskId, Run>()
   readonly #checkpointedMs = new Map<string, number>()
   readonly #endedAtMs = new Map<string, number>()
+  readonly #fleetView = createFleetView({
+    estimateRemainingMs: ({ task }) => this.#estimateRemainingMs(task),
+    isSpeedKnown: (endpoint) => this.#speeds.isKnown(endpoint),
+    getSpeed: (endpoint) => this.#speeds.getSpeed(endpoint, this.#signedSpeeds)
+  })
+
   #isPassScheduled = false
   #lostWorkCoreS = 0
   #preemptedCount = 0
 
-  constructor (random: RandomSource, fleet: Fleet, pattern: Pattern) {
+  constructor (random: RandomSource, fleet: Fleet, pattern: Pattern, knowledge: Knowledge = 'unknown') {
     this.#fleet = fleet
     this.#pattern = pattern
     this.#arrivals = createArrivals(random, fleet, pattern)
     this.#arrivalsByJob = new Map(this.#arrivals.map((arrival) => [arrival.spec.id, arrival]))
-    for (let i = 0; i < fleet.endpoints; i++) this.#register(i, random.pick(SPEEDS)!)
+    for (let i = 0; i < fleet.endpoints; i++) this.#register(i, random.pick(fleet.speeds ?? DEFAULT_SPEEDS)!)
+    this.#speeds = new SpeedKnowledge(knowledge, this.#state, this.#timers, random)
     const guaranteedAccelerators = Math.floor(GUARANTEED_SHARE * fleet.endpoints * 8 / fleet.customers)
     const customers = Array.from({ length: fleet.customers }, (_, i) => ({ name: asId<CustomerId>(`c${i + 1}`), keys: [], guaranteedAccelerators }))
     this.#state.apply({ type: 'configure', config: { version: 1, queues: [], services: ['s'], customers, document: '' } })
@@ -64,7 +80,7 @@
   run (): SimulationResult {
     for (const arrival of this.#arrivals) this.#timers.subscribe(arrival.atMs, () => this.#accept(arrival))
     this.#timers.every(250, () => this.#schedulePass())
-    this.#timers.advance(END_MS)
+    this.#timers.advance(ARRIVALS_MS + (this.#fleet.tailShare === undefined ? SETTLE_MS : SETTLE_WITH_TAILS_MS))
     return this.#summarize()
   }
 
@@ -95,14 +111,14 @@
 
   #runPass (): void {
     const nowMs = this.#timers.now()
-    const plan = this.#planner.plan({ state: this.#state, fleet: createFleetView({ estimateRemainingMs: ({ task }) => this.#estimateRemainingMs(task) }), nowMs, wallMs: nowMs, mayPreempt: true })
+    const plan = this.#planner.plan({ state: this.#state, fleet: this.#fleetView, nowMs, wallMs: nowMs, mayPreempt: true })
     for (const task of plan.preempted) this.#preempt(task)
     if (plan.starts.length === 0) return
     const result = this.#state.apply({ type: 'start', groups: plan.starts, atMs: nowMs })
     if (result.type === 'started') for (const group of result.groups) this.#startGroup(group)
   }
 
-  #startGroup ({ job, occurrence, step, members }: StartGroup): void {
+  #startGroup ({ job, occurrence, step, run, members }: StartGroup): void {
     const { taskMs, spec } = this.#arrivalsByJob.get(job)!
     const { gang } = spec.steps[step]!
     const speeds = members.map(({ endpoint }) => Math.abs(this.#signedSpeeds.get(endpoint)!))
@@ -112,13 +128,21 @@
     members.forEach(({ index, endpoint }, i) => {
       const task = toTaskId({ job, occurrence, step, index })
       const speed = gang ? gangSpeed : speeds[i]!
-      const remainingMs = (taskMs[index]! - (this.#checkpointedMs.get(this.#toCheckpointKey(task)) ?? 0)) / speed
-      const runMs = remainingMs + (gang ? stallMs : this.#getStallMs(endpoint))
+      const workMs = taskMs[index]! - (this.#checkpointedMs.get(this.#toCheckpointKey(task)) ?? 0)
+      const ownStallMs = gang ? stallMs : this.#getStallMs(endpoint)
+      const runMs = workMs / speed + ownStallMs
       const stopTimer = this.#timers.subscribe(runMs, () => this.#endRun(task, 'done'))
-      this.#runs.set(task, { task, incarnation: endpoint, startedAtMs: this.#timers.now(), speed, endsAtMs: this.#timers.now() + runMs, stopTimer })
+      this.#runs.set(task, { task, incarnation: endpoint, startedAtMs: this.#timers.now(), speed, workMs, stallMs: ownStallMs, endsAtMs: this.#timers.now() + runMs, stopTimer })
+      this.#speeds.observe({ task, run, endpoint: this.#state.endpoints.get(endpoint)!, getPercent: () => this.#getPercent(task) })
     })
   }
 
+  /** Returns the share of the remaining work that the run has done; a stall comes first. */
+  #getPercent (task: TaskId): number {
+    const { startedAtMs, stallMs, speed, workMs } = this.#runs.get(task)!
+    return Math.min(100, 100 * Math.max(0, this.#timers.now() - startedAtMs - stallMs) * speed / workMs)
+  }
+
   /** Endpoints report progress now and then, so that a run is known only some time after its start. */
   #estimateRemainingMs (task: TaskId): number | null {
     const run = this.#runs.get(task)
@@ -159,6 +183,7 @@
     this.#runs.delete(task)
     const { job } = mustParseTaskId(task)
     const active = this.#state.jobs.listRuns(run.incarnation).get(task)!
+    this.#speeds.end(task, active.run, this.#state.endpoints.get(run.incarnation)!, outcome === 'done')
     this.#state.apply({ type: 'end', endpoint: run.incarnation, ends: [{ task, run: active.run, outcome, checkpoint: outcome === 'stopped' && this.#checkpointedMs.has(this.#toCheckpointKey(task)) ? 'saved' : '' }], atMs: this.#timers.now() })
     if (this.#state.jobs.get(job)!.state === 'completed') this.#endedAtMs.set(job, this.#timers.now())
     this.#schedulePass()
@@ -173,6 +198,12 @@
     return elapsedMs <= LATE_FACTOR * objectiveMs ? workClass.lateCredit : 0
   }
 
+  #getShareInTime (priority: number): number {
+    const arrivals = this.#arrivals.filter(({ workClass }) => workClass.priority === priority)
+    const inTime = arrivals.filter((arrival) => this.#getCredit(arrival) === arrival.workClass.fullCredit)
+    return inTime.length / Math.max(1, arrivals.length)
+  }
+
   #summarize (): SimulationResult {
     let maxCredit = 0
     let credit = 0
@@ -187,6 +218,6 @@
       maxCredit += classMaxCredit
       credit += classCredit
     }
-    return { credit: credit / maxCredit, creditByClass, lostWorkCoreS: this.#lostWorkCoreS, preemptedCount: this.#preemptedCount }
+    return { credit: credit / maxCredit, creditByClass, lostWorkCoreS: this.#lostWorkCoreS, preemptedCount: this.#preemptedCount, urgentInTime: this.#getShareInTime(0) }
   }
 }
--- a/scripts/planner-bench/workload.ts
+++ b/scripts/planner-bench/workload.ts
@@ -23,6 +23,8 @@
   readonly targetLatencyMs: number
   readonly fullCredit: number
   readonly lateCredit: number
+  /** Share of jobs with a single task on one accelerator. */
+  readonly smallShare?: number
 }
 
 /** Multiplies the arrival rate of a class during an interval. */
@@ -54,8 +56,14 @@
   readonly customers: number
   readonly classes: readonly WorkClass[]
   readonly stopMs: number
+  /** Speeds that endpoints have with equal shares; 0.8, 1 and 1.25 by default. */
+  readonly speeds?: readonly number[]
+  /** Share of the tasks, and of the gangs, that take `TAIL_FACTOR` times as long. */
+  readonly tailShare?: number
 }
 
+const TAIL_FACTOR = 7
+
 const URGENT: WorkClass = {
   name: 'urgent', priority: 0, arrivalsPerSecond: 1.34, meanTasks: 3, maxTasks: 21, meanTaskMs: 2_500, cpuMilli: 3_700, memMb: 11_000, accelerators: [1, 2, 4, 8, 8], gangShare: 1, tightlyCoupledShare: 0.8, checkpointShare: 0, estimateError: 0.5, stretch: 1.5, targetLatencyMs: 250, fullCredit: 4, lateCredit: 0.8
 }
@@ -103,7 +111,25 @@
   classes: HUGE.classes.map((workClass) => ({ ...workClass, arrivalsPerSecond: workClass.arrivalsPerSecond / 6.4 }))
 }
 
-export const FLEETS = { small: SMALL, cramped: CRAMPED, large: LARGE, huge: HUGE } as const
+/** Endpoints of uneven speed, wrong estimates and tails. */
+export const UNEVEN: Fleet = {
+  endpoints: 245,
+  rackSize: 8,
+  customers: 10,
+  classes: [
+    { ...URGENT, arrivalsPerSecond: 4, meanTasks: 5, maxTasks: 20, meanTaskMs: 5_800, accelerators: [1, 1, 2, 2, 4, 8], estimateError: 0.9, smallShare: 0.2 },
+    { ...NORMAL, arrivalsPerSecond: 1.2, meanTasks: 13, maxTasks: 40, meanTaskMs: 2_100, cpuMilli: 6_000, memMb: 12_000, accelerators: [1, 1, 2, 4, 8], estimateError: 0.5 },
+    { ...DEFERRABLE, arrivalsPerSecond: 0.9, meanTasks: 39, maxTasks: 200, meanTaskMs: 6_500, estimateError: 0.5 }
+  ],
+  stopMs: 700,
+  speeds: [0.6, 1, 1.6],
+  tailShare: 0.03
+}
+
+/** The same fleet on its busiest day. */
+export const UNEVEN_BUSY: Fleet = { ...UNEVEN, classes: UNEVEN.classes.map((workClass) => ({ ...workClass, arrivalsPerSecond: 1.6 * workClass.arrivalsPerSecond })) }
+
+export const FLEETS = { small: SMALL, cramped: CRAMPED, large: LARGE, huge: HUGE, uneven: UNEVEN, 'uneven-busy': UNEVEN_BUSY } as const
 
 export const PATTERNS: readonly Pattern[] = [
   { name: 'ordinary', bursts: [{ className: 'urgent', fromMs: 7_000, durationMs: 6_000, factor: 1.8 }] },
@@ -125,8 +151,10 @@
 const countFitsInRack = (resources: Resources, { rackSize }: Fleet): number => rackSize * countFits(ENDPOINT_CAPACITY, resources)
 
 const createArrival = (random: RandomSource, workClass: WorkClass, atMs: number, jobNumber: number, fleet: Fleet): Arrival => {
-  const resources = { cpuMilli: workClass.cpuMilli, memMb: workClass.memMb, accelerators: random.pick(workClass.accelerators)! }
-  const drawnCount = drawCount(random, workClass.meanTasks, workClass.maxTasks)
+  const isSmall = workClass.smallShare !== undefined && random.float() < workClass.smallShare
+  const accelerators = random.pick(workClass.accelerators)!
+  const resources = { cpuMilli: workClass.cpuMilli, memMb: workClass.memMb, accelerators: isSmall ? 1 : accelerators }
+  const drawnCount = isSmall ? 1 : drawCount(random, workClass.meanTasks, workClass.maxTasks)
   const taskMs = drawTaskMs(random, workClass.meanTaskMs)
   const gang = random.float() < workClass.gangShare
   // Callers size their gangs so that one rack holds them.
@@ -147,7 +175,9 @@
   const spec: JobSpec = {
     id: asId<JobId>(jobNumber.toString(16)), queue: workClass.name, service: 's', customer: asId<CustomerId>(`c${random.int(1, fleet.customers)}`), priority: workClass.priority, maxAttempts: 3, stretch: workClass.stretch, targetLatencyMs: workClass.targetLatencyMs, payload: '', steps: [step], recurrence: null
   }
-  return { atMs, workClass, spec, taskMs: Array.from({ length: count }, () => step.gang ? taskMs : taskMs * (0.85 + 0.3 * random.float())) }
+  const drawTailFactor = (): number => fleet.tailShare !== undefined && random.float() < fleet.tailShare ? TAIL_FACTOR : 1
+  const gangMs = step.gang ? taskMs * drawTailFactor() : null
+  return { atMs, workClass, spec, taskMs: Array.from({ length: count }, () => gangMs ?? taskMs * (0.85 + 0.3 * random.float()) * drawTailFactor()) }
 }
 
 /** Returns the jobs of the pattern in order of arrival. */
