--- a/packages/dispatch/src/pass-speeds.ts
+++ b/packages/dispatch/src/pass-speeds.ts
@@ -2,11 +2,9 @@
 import type { Candidate } from './placement.ts'
 import type { ReadyWork } from './ready-work.ts'
 import type { FleetView } from './plan-types.ts'
-import { getRequiredSpeed, URGENT_SPEED } from './required-speed.ts'
+import { getRequiredSpeed, URGENT_SPEED, USUAL_SPEED } from './required-speed.ts'
 import { sumFreeAccelerators } from './shares.ts'
 
-const USUAL_SPEED = 1
-
 /** Candidates of about the same use for the work. */
 export interface SpeedTier {
   readonly candidates: readonly Candidate[]
@@ -27,19 +25,23 @@
  */
 export class PassSpeeds {
   readonly #wallMs: number
-  /** Speeds other than 1. */
+  readonly #endpoints: readonly EndpointRecord[]
   readonly #isKnown: (endpoint: EndpointRecord) => boolean
+  /** Speeds other than 1. */
   readonly #unusual = new Map<EndpointIncarnation, number>()
-  #slowest = USUAL_SPEED
+  /** Lowest speed of each service with an endpoint that is slower than usual. */
+  readonly #slowest = new Map<string, number>()
+  #unknown: ReadonlySet<EndpointIncarnation> | null = null
 
   constructor (endpoints: Iterable<EndpointRecord>, fleet: Pick<FleetView, 'getSpeed' | 'isSpeedKnown'>, wallMs: number) {
     this.#wallMs = wallMs
+    this.#endpoints = [...endpoints]
     this.#isKnown = (endpoint) => fleet.isSpeedKnown(endpoint)
-    for (const endpoint of endpoints) {
+    for (const endpoint of this.#endpoints) {
       const speed = fleet.getSpeed(endpoint)
       if (speed === USUAL_SPEED) continue
       this.#unusual.set(endpoint.life, speed)
-      this.#slowest = Math.min(this.#slowest, speed)
+      this.#slowest.set(endpoint.service, Math.min(this.#getSlowest(endpoint.service), speed))
     }
   }
 
@@ -47,18 +49,17 @@
     return this.#unusual.get(life) ?? USUAL_SPEED
   }
 
-  /** Whether any endpoint is too slow for urgent work that starts at once. */
-  get isUneven (): boolean {
-    return this.#slowest < URGENT_SPEED
+  /** Whether any endpoint of the work's service is too slow for urgent work that starts at once. */
+  isUneven ({ job }: ReadyWork): boolean {
+    return this.#getSlowest(job.policy.service) < URGENT_SPEED
   }
 
-  /** Returns the candidates on which the work can be in time; all of them if that is so for all or for none. */
-  listFastEnough (work: ReadyWork, candidates: readonly Candidate[]): readonly Candidate[] {
-    if (!this.isUneven) return candidates
+  /** Returns the speed that tells fast endpoints from slow ones for the work; null when all or none of the candidates have it. */
+  getDividingSpeed (work: ReadyWork, candidates: readonly Candidate[]): number | null {
+    if (!this.isUneven(work)) return null
     const required = getRequiredSpeed(work, this.#wallMs)
-    if (required <= this.#slowest) return candidates
-    const fast = candidates.filter(({ endpoint }) => this.get(endpoint.life) >= required)
-    return fast.length === 0 ? candidates : fast
+    if (required <= this.#getSlowest(work.job.policy.service)) return null
+    return candidates.some(({ endpoint }) => this.get(endpoint.life) >= required) ? required : null
   }
 
   /**
@@ -66,7 +67,7 @@
    * work first those among them that are too slow for urgent work, and then those whose speed is to be found out.
    */
   listTiers (work: ReadyWork, candidates: readonly Candidate[]): SpeedTier[] {
-    if (!this.isUneven) return [{ candidates, isTrial: false }]
+    if (!this.isUneven(work)) return [{ candidates, isTrial: false }]
     const required = getRequiredSpeed(work, this.#wallMs)
     const isUrgent = work.job.policy.priority === 0
     const byClass = new Map<SpeedClass, Candidate[]>((isUrgent ? URGENT_ORDER : SLACK_ORDER).map((speedClass) => [speedClass, []]))
@@ -76,17 +77,27 @@
       .map(([speedClass, tier]) => ({ candidates: tier, isTrial: speedClass === 'unknown' && !isUrgent }))
   }
 
+  #getSlowest (service: string): number {
+    return this.#slowest.get(service) ?? USUAL_SPEED
+  }
+
   #classify ({ endpoint }: Candidate, required: number): SpeedClass {
     const speed = this.get(endpoint.life)
     if (speed < required) return 'too-slow'
     if (speed < URGENT_SPEED) return 'slow'
-    return this.#isKnown(endpoint) ? 'fast' : 'unknown'
+    return this.#listUnknown().has(endpoint.life) ? 'unknown' : 'fast'
+  }
+
+  /** Endpoints are asked once in a pass, and only in an uneven fleet. */
+  #listUnknown (): ReadonlySet<EndpointIncarnation> {
+    this.#unknown ??= new Set(this.#endpoints.filter((endpoint) => !this.#isKnown(endpoint)).map(({ life }) => life))
+    return this.#unknown
   }
 
   /** Returns the free accelerators beside a reserve, which slow endpoints can't serve. */
   sumFreeBeside (reserve: number, candidates: readonly Candidate[]): number {
-    if (!this.isUneven) return sumFreeAccelerators(candidates) - reserve
     const slow = candidates.filter(({ endpoint }) => this.get(endpoint.life) < URGENT_SPEED)
+    if (slow.length === 0) return sumFreeAccelerators(candidates) - reserve
     const slowFree = sumFreeAccelerators(slow)
     return slowFree + Math.max(0, sumFreeAccelerators(candidates) - slowFree - reserve)
   }
--- a/packages/dispatch/src/placement-ladder.ts
+++ b/packages/dispatch/src/placement-ladder.ts
@@ -1,4 +1,5 @@
 import type { EndpointIncarnation, StepSpec } from '@ibisstair/jobs'
+import { isSufficientFor } from '@ibisstair/jobs'
 import type { SpeedTier } from './pass-speeds.ts'
 import { placeTasks, type Assignment, type Candidate, type CountOnEndpoint, type PlacementOptions } from './placement.ts'
 import type { PassView } from './plan-types.ts'
@@ -11,21 +12,21 @@
   readonly useKept: boolean
   /** Use endpoints that are suspect themselves, those with the fewest failures first. */
   readonly useSuspects: boolean
-  /** Use only endpoints on which the work can be in time, if there are any. */
-  readonly fastOnly?: boolean
+  /** Use only endpoints of at least this speed. */
+  readonly minSpeed?: number | null
   /** Endpoints that are used after all others of a rung. */
   readonly triedInVain: ReadonlySet<EndpointIncarnation>
 }
 
 /** Places as much of the work as fits on the first rung that has room. */
-export const placeWork = (work: ReadyWork, pass: PassView, { acceptFar, useKept, useSuspects, fastOnly = false, triedInVain }: LadderOptions): Assignment[] => {
+export const placeWork = (work: ReadyWork, pass: PassView, { acceptFar, useKept, useSuspects, minSpeed = null, triedInVain }: LadderOptions): Assignment[] => {
   const rungs = [
     work.isSuspect ? listUncrashed(work, pass) : [],
     pass.listCandidates(work),
     useKept ? pass.listServiceCandidates(work) : []
   ]
   for (const rung of rungs) {
-    const candidates = fastOnly ? pass.speeds.listFastEnough(work, rung) : rung
+    const candidates = pass.speeds.isUneven(work) ? listWithRoom(work, rung, minSpeed, pass) : rung
     const assignments = placeOn(work, pass, listTiers(work, candidates, triedInVain, pass), { acceptFar, emptiestFirst: work.isSuspect })
     if (assignments.length > 0) return assignments
   }
@@ -44,6 +45,10 @@
   return pass.listCandidates(work).filter(({ endpoint }) => !crashed.has(endpoint.address))
 }
 
+/** Most endpoints of a busy fleet are full; they are left out before the rest is divided by speed. */
+const listWithRoom = ({ spec }: ReadyWork, candidates: readonly Candidate[], minSpeed: number | null, { speeds }: PassView): Candidate[] =>
+  candidates.filter(({ endpoint, free }) => isSufficientFor(free, spec.resources) && (minSpeed === null || speeds.get(endpoint.life) >= minSpeed))
+
 const isPlacedTogether = ({ spec }: ReadyWork): boolean => spec.gang || spec.tightlyCoupled
 
 /**
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -2,11 +2,12 @@
 import { countFits, isSufficientFor, subtractResources } from '@ibisstair/jobs'
 import { GangReservations } from './gang-reservations.ts'
 import { isGuaranteed } from './guarantees.ts'
-import { couldEverFit, placeTasks, deductAssigned, type Assignment, type Candidate, type PlacementOptions } from './placement.ts'
+import { couldEverFit, placeTasks, deductAssigned, type Assignment, type PlacementOptions } from './placement.ts'
 import { listUncrashed, placeOnSuspects, placeWork, type LadderOptions } from './placement-ladder.ts'
 import type { Plan, PlanInput } from './plan-types.ts'
 import { PlanningPass } from './planning-pass.ts'
 import { planPreemptionBeyond, type PreemptionPlan } from './preemption.ts'
+import { getRequiredSpeed, USUAL_SPEED } from './required-speed.ts'
 import { toShape, toWorkKey, type ReadyWork } from './ready-work.ts'
 import { getDeferrableBudget, getReserve, isDeferrable, limitToAccelerators } from './shares.ts'
 import { StalledWork } from './stalled-work.ts'
@@ -34,8 +35,8 @@
 interface PreemptionOptions extends PlacementOptions {
   /** Also stop runs that are expected to end soon: such a run was waited for, and it has not ended in time. */
   readonly stopAll: boolean
-  /** Endpoints on which room is made. */
-  readonly candidates: readonly Candidate[]
+  /** Room is made only on endpoints of at least this speed. */
+  readonly minSpeed: number | null
   /** Times of the next searches. */
   readonly retryAtMs: Map<string, number>
 }
@@ -55,6 +56,9 @@
 /** Urgent work beyond its customer's guarantee may cause the loss of at most this multiple of its own work. */
 const MAX_LOST_WORK_FACTOR = 2
 
+/** Urgent work waits for a fast endpoint for at most this time; it is not reported as waiting until then. */
+const MAX_FAST_WAIT_MS = 1_500
+
 /** Number of waiting gangs for which capacity is reserved at a time, in the order of the pass. */
 const MAX_RESERVING_GANGS = 3
 
@@ -189,7 +193,7 @@
     const assignments = placeWork(work, pass, options)
     // With a limit for each endpoint the outcome depends on the job, so that it does not hold for other jobs of this shape.
     if (assignments.length === 0 && spec.maxPerEndpoint === null) pass.failedShapes.add(failedShape)
-    if (assignments.length < indexes.length && isUrgent && pass.mayPreempt) this.#preemptFor(work, assignments, pass, { acceptFar, stopAll: hasClaimExpired, candidates: pass.listCandidates(work), retryAtMs: this.#retryAtMs })
+    if (assignments.length < indexes.length && isUrgent && pass.mayPreempt) this.#preemptFor(work, assignments, pass, { acceptFar, stopAll: hasClaimExpired, minSpeed: null, retryAtMs: this.#retryAtMs })
     return toGroups(work, assignments)
   }
 
@@ -255,23 +259,30 @@
    * no endpoint is too slow: the work then takes any.
    */
   #placeFast (work: ReadyWork, pass: PlanningPass, options: LadderOptions & Pick<PreemptionOptions, 'stopAll'>): Assignment[] | null {
-    const all = pass.listCandidates(work)
-    const candidates = pass.speeds.listFastEnough(work, all)
-    if (candidates === all) return null
+    const minSpeed = pass.speeds.getDividingSpeed(work, pass.listServiceCandidates(work))
+    if (minSpeed === null) return null
     const { acceptFar, stopAll } = options
-    const placed = placeWork(work, pass, { ...options, fastOnly: true, useSuspects: false })
+    const placed = placeWork(work, pass, { ...options, minSpeed, useSuspects: false })
     if (placed.length === work.indexes.length) return placed
-    const isClaimed = this.#preemptFor(work, placed, pass, { acceptFar, stopAll, candidates, retryAtMs: this.#fastRetryAtMs })
-    return isClaimed || placed.length > 0 ? placed : null
+    const isClaimed = this.#preemptFor(work, placed, pass, { acceptFar, stopAll, minSpeed, retryAtMs: this.#fastRetryAtMs })
+    return isClaimed || placed.length > 0 || this.#mayAwaitFast(work, pass) ? placed : null
+  }
+
+  /** Whether urgent work beyond a guarantee can wait for an endpoint of usual speed and still be in time. */
+  #mayAwaitFast (work: ReadyWork, { state, needs, wallMs }: PlanningPass): boolean {
+    if (wallMs - work.job.acceptedAtMs >= MAX_FAST_WAIT_MS || isGuaranteed(state, work.job, needs)) return false
+    return getRequiredSpeed(work, wallMs) <= USUAL_SPEED
   }
 
   /** Returns whether capacity is claimed for the rest of the work. */
-  #preemptFor (work: ReadyWork, placed: readonly Assignment[], pass: PlanningPass, { acceptFar, stopAll, candidates, retryAtMs }: PreemptionOptions): boolean {
+  #preemptFor (work: ReadyWork, placed: readonly Assignment[], pass: PlanningPass, { acceptFar, stopAll, minSpeed, retryAtMs }: PreemptionOptions): boolean {
     const key = toWorkKey(work)
     if (pass.nowMs < (retryAtMs.get(key) ?? -Infinity)) return false
     const indexes = work.indexes.filter((index) => !placed.some((assignment) => assignment.index === index))
     const countRunning = pass.createCounter(work)
     const countOn = (incarnation: EndpointIncarnation): number => countRunning(incarnation) + placed.filter(({ endpoint }) => endpoint === incarnation).length
+    const all = pass.listCandidates(work)
+    const candidates = minSpeed === null ? all : all.filter(({ endpoint }) => pass.speeds.get(endpoint.life) >= minSpeed)
     const search = { spec: work.spec, indexes, candidates, countOn, acceptFar }
     const plan = planPreemptionBeyond(this.#waits.getTried(work), search, pass.victims.listFor(work.job))
     if (!plan || !isWorthwhile(work, plan, pass)) {
--- a/packages/dispatch/src/required-speed.ts
+++ b/packages/dispatch/src/required-speed.ts
@@ -1,6 +1,9 @@
 import type { JobEntry } from '@ibisstair/jobs'
 import { LATE_FACTOR, estimateChainMs, type ReadyWork } from './ready-work.ts'
 
+/** Median of a service, and the speed of endpoints that are not known. */
+export const USUAL_SPEED = 1
+
 /**
  * Endpoints below this speed are left to work with slack. Urgent work has a stretch of 1.5 and so needs 0.67 if it starts at
  * once; the rest is for the error of speeds.
--- a/packages/estimation/src/constants.ts
+++ b/packages/estimation/src/constants.ts
@@ -5,7 +5,7 @@
 export const MAX_OBSERVED_STEPS = 2_048
 
 /** Pairs of a step and an endpoint that ran tasks of it; bounds the time of a solution. */
-export const MAX_STEP_LINKS = 16_384
+export const MAX_STEP_LINKS = 8_192
 
 /** A step without a new observation for this time is folded into the speeds of its endpoints. */
 export const STEP_EXPIRY_MS = 45_000
@@ -16,11 +16,12 @@
 /** An endpoint without new observations loses half of its precision in this time. */
 export const CONFIDENCE_HALF_LIFE_MS = 300_000
 
-/** Shortest time between two solutions. */
+/** Shortest time between two solutions of up to `SOLVED_LINKS` pairs; more pairs are solved less often in proportion. */
 export const SOLVE_PERIOD_MS = 500
+export const SOLVED_LINKS = 2_048
 
 /** Exchanges of messages between steps and endpoints in one solution; the next one continues from its result. */
-export const SOLVE_ITERATIONS = 4
+export const SOLVE_ITERATIONS = 2
 
 /** Variance of the logarithm of an endpoint's speed before it is observed: speeds of 0.6 to 1.6 are usual. */
 export const SPEED_VARIANCE = 0.4 ** 2
--- a/packages/estimation/src/gang-rates.ts
+++ b/packages/estimation/src/gang-rates.ts
@@ -33,10 +33,11 @@
  */
 export const explainGangRate = (members: readonly Gaussian[], slowest: Gaussian): Gaussian[] => {
   const survivals = members.map(toSurvival)
+  const allFaster = multiply(survivals)
   const likelihood = POINTS.map((point) => (1 + (point - slowest.mean) ** 2 * slowest.precision / FREEDOM) ** (-(FREEDOM + 1) / 2))
   return members.map((member, i) => {
     if (member.precision > MAX_MEMBER_PRECISION) return { mean: 0, precision: 0 }
-    return toMessage(member, weighBySpeed(multiply(survivals.filter((_, j) => j !== i)), likelihood))
+    return toMessage(member, weighBySpeed(allFaster.map((all, k) => all / survivals[i]![k]!), likelihood))
   })
 }
 
--- a/packages/estimation/src/speed-estimator.ts
+++ b/packages/estimation/src/speed-estimator.ts
@@ -1,6 +1,6 @@
 import { asId, type EndpointId } from '@ibisstair/common'
 import {
-  MAX_ESTIMATED_ENDPOINTS, MAX_LOG_SPEED, MAX_MS_PER_PERCENT, MAX_OBSERVED_STEPS, MAX_SPEED_THOUSANDTHS, MAX_STEP_LINKS, MIN_MEDIAN_ENDPOINTS, MIN_MS_PER_PERCENT, SOLVE_PERIOD_MS, STEP_EXPIRY_MS
+  MAX_ESTIMATED_ENDPOINTS, MAX_LOG_SPEED, MAX_MS_PER_PERCENT, MAX_OBSERVED_STEPS, MAX_SPEED_THOUSANDTHS, MAX_STEP_LINKS, MIN_MEDIAN_ENDPOINTS, MIN_MS_PER_PERCENT, SOLVED_LINKS, SOLVE_PERIOD_MS, STEP_EXPIRY_MS
 } from './constants.ts'
 import { median } from './median.ts'
 import { createEndpoint, createLink, foldLink, getConfidence, recordRun, toPrecision, type EndpointNode, type StepNode } from './speed-graph.ts'
@@ -126,7 +126,8 @@
   }
 
   #solveIfDue (nowMs: number): void {
-    if (this.#isSolved || nowMs - this.#solvedAtMs < SOLVE_PERIOD_MS) return
+    const periodMs = SOLVE_PERIOD_MS * Math.max(1, this.#links / SOLVED_LINKS)
+    if (this.#isSolved || nowMs - this.#solvedAtMs < periodMs) return
     this.#isSolved = true
     this.#solvedAtMs = nowMs
     for (const step of this.#steps.values()) {
--- a/packages/estimation/src/speed-graph.ts
+++ b/packages/estimation/src/speed-graph.ts
@@ -37,6 +37,8 @@
   variance: number
   /** What the step says about the endpoint. */
   message: Gaussian
+  /** Weight by its age, as of the last solution. */
+  weight: number
   /** Weight of the observation; less than 1 if it deviates from what is known. */
   trust: number
 }
@@ -67,7 +69,7 @@
 })
 
 export const createLink = (step: StepNode, endpoint: EndpointNode, nowMs: number): StepLink => {
-  const link: StepLink = { step, endpoint, runs: new Map(), atMs: nowMs, logRate: 0, variance: 1, message: NO_MESSAGE, trust: 1 }
+  const link: StepLink = { step, endpoint, runs: new Map(), atMs: nowMs, logRate: 0, variance: 1, message: NO_MESSAGE, weight: 1, trust: 1 }
   step.links.set(endpoint.id, link)
   endpoint.links.add(link)
   return link
@@ -88,13 +90,18 @@
 
 const getWeight = ({ newestAtMs }: EndpointNode, atMs: number): number => decay(newestAtMs - atMs, EVIDENCE_HALF_LIFE_MS)
 
+/** Sets the weights of the endpoint's observations by their age relative to the newest one. */
+export const updateWeights = (endpoint: EndpointNode): void => {
+  for (const link of endpoint.links) link.weight = getWeight(endpoint, link.atMs)
+}
+
 /** Combines what all steps and the memory say about the endpoint. */
 export const updateBelief = (endpoint: EndpointNode): void => {
   const { memory, links } = endpoint
   let precision = memory.precision * getWeight(endpoint, memory.atMs)
   let sum = memory.mean * precision
-  for (const { message, atMs } of links) {
-    const weighted = message.precision * getWeight(endpoint, atMs)
+  for (const { message, weight } of links) {
+    const weighted = message.precision * weight
     precision += weighted
     sum += message.mean * weighted
   }
@@ -103,9 +110,9 @@
 }
 
 /** Returns what is known of the endpoint without the step's own message, so that a step does not confirm itself. */
-export const getCavity = ({ endpoint, message, atMs }: StepLink): Gaussian => {
+export const getCavity = ({ endpoint, message, weight }: StepLink): Gaussian => {
   const { mean, precision } = endpoint.belief
-  const own = message.precision * getWeight(endpoint, atMs)
+  const own = message.precision * weight
   const rest = Math.max(precision - own, PRIOR_PRECISION)
   return { mean: (mean * precision - message.mean * own) / rest, precision: rest }
 }
--- a/packages/estimation/src/speed-solver.ts
+++ b/packages/estimation/src/speed-solver.ts
@@ -1,7 +1,7 @@
 import { MAX_GANG_ENDPOINTS, MAX_LOG_SPEED, MAX_QUEUE_DEVIATION, MIN_QUEUE_DEVIATION, MIN_QUEUE_STEPS, SOLVE_ITERATIONS, TAIL_SCALE } from './constants.ts'
 import { expectSlowest, explainGangRate } from './gang-rates.ts'
 import { median } from './median.ts'
-import { getCavity, updateBelief, type EndpointNode, type Gaussian, type StepLink, type StepNode } from './speed-graph.ts'
+import { getCavity, updateBelief, updateWeights, type EndpointNode, type Gaussian, type StepLink, type StepNode } from './speed-graph.ts'
 
 /** Standard deviation of a normal distribution divided by its median absolute deviation. */
 const DEVIATION_PER_MAD = 1.4826
@@ -15,6 +15,7 @@
  * wrong estimates: no estimate of a submitter is used.
  */
 export const solveSpeeds = (steps: readonly StepNode[], endpoints: readonly EndpointNode[]): void => {
+  endpoints.forEach(updateWeights)
   for (let i = 0; i < SOLVE_ITERATIONS; i++) {
     endpoints.forEach(updateBelief)
     steps.forEach(updateWork)
