dispatch: tests of learned speeds through the dispatcher, on a fake fleet with a slow endpoint

Cause: the way from an endpoint's report to the speed in "run ordered" was tested only in parts. Change: fake endpoints report true progress and may be slow; a leader learns it, a new leader with a copy knows it at once, and an endpoint that was cut off during its runs does not count as slow.

--- a/packages/dispatch/tests/support/fake-fleet.ts
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -7,6 +7,7 @@
   readonly task: TaskId
   readonly run: number
   readonly stopTimer: () => void
+  readonly startedAtMs: number
 }
 
 export interface FakeFaults {
@@ -15,6 +16,8 @@
   /** Endpoints that receive no calls. */
   readonly unreachable: Set<EndpointIncarnation>
   readonly runMs: number
+  /** Factor of the run time on slow endpoints; their runs report true progress, like all others. */
+  readonly slowness: Map<EndpointId, number>
   /** Share of the runs that fail. */
   failingShare: number
   /** Tasks that crash each endpoint on which they start. */
@@ -129,8 +132,8 @@
     const isFailing = this.#fleet.faults.failing.has(this.record.life)
     const outcome: RunOutcome = isFailing || this.#fleet.random.float() < this.#fleet.faults.failingShare ? 'failed' : 'done'
     const endsByItself = isFailing || !this.#fleet.isLasting(order.task)
-    const stopTimer = endsByItself ? this.#fleet.timers.subscribe(isFailing ? FAILURE_MS : this.#fleet.faults.runMs, () => this.#end(order.task, order.run, outcome)) : () => {}
-    this.runs.set(order.task, { task: order.task, run: order.run, stopTimer })
+    const stopTimer = endsByItself ? this.#fleet.timers.subscribe(isFailing ? FAILURE_MS : this.#runMs, () => this.#end(order.task, order.run, outcome)) : () => {}
+    this.runs.set(order.task, { task: order.task, run: order.run, stopTimer, startedAtMs: this.#fleet.timers.now() })
     this.#fleet.recordStart(this, order)
     return { type: 'ok', clockMs: this.clockMs }
   }
@@ -148,10 +151,14 @@
     if (leaseUntilMs !== null) this.#extendLease(leaseUntilMs)
     for (const { task, run, number } of this.#ended) if (number <= ackedUpto) this.#fleet.recordAck(this, task, run)
     this.#ended = this.#ended.filter(({ number }) => number > ackedUpto)
-    const running = [...this.#fleet.faults.strayRuns, ...[...this.runs.values()].map(({ task, run }) => ({ task, run, percent: 50 }))]
+    const running = [...this.#fleet.faults.strayRuns, ...[...this.runs.values()].map(({ task, run, startedAtMs }) => ({ task, run, percent: Math.min(100, Math.floor(100 * (this.#fleet.timers.now() - startedAtMs) / this.#runMs)) }))]
     return { type: 'report', report: { clockMs: this.clockMs, running, ended: this.#ended.slice(0, MAX_ENDS_PER_REPORT), hasMore: this.#ended.length >= MAX_ENDS_PER_REPORT } }
   }
 
+  get #runMs (): number {
+    return this.#fleet.faults.runMs * (this.#fleet.faults.slowness.get(this.record.id) ?? 1)
+  }
+
   /** Ends the process: its runs are gone, and nothing is reported about them. */
   crash (): void {
     this.isCrashed = true
@@ -213,7 +220,7 @@
     this.timers = timers
     this.random = random
     this.#getState = getState
-    this.faults = { lostShare: 0, unreachable: new Set(), runMs: 1_000, failingShare: 0, crashingTasks: new Set(), crashAfterMs: 10, strayRuns: [], hanging: new Set(), refusing: new Set(), refusingStarts: new Set(), failing: new Set(), ...faults }
+    this.faults = { lostShare: 0, unreachable: new Set(), runMs: 1_000, slowness: new Map(), failingShare: 0, crashingTasks: new Set(), crashAfterMs: 10, strayRuns: [], hanging: new Set(), refusing: new Set(), refusingStarts: new Set(), failing: new Set(), ...faults }
     for (const record of records) this.#endpoints.set(record.life, new FakeEndpoint(record, this))
   }
 
--- a/packages/dispatch/tests/support/test-cluster.ts
+++ b/packages/dispatch/tests/support/test-cluster.ts
@@ -1,4 +1,5 @@
 import { asId, type EndpointId, type JobId, type RackId } from '@ibisstair/common'
+import { SpeedEstimator, type SpeedSnapshot } from '@ibisstair/estimation'
 import { SchedulingState, type EndpointIncarnation, type EndpointRecord, type JobSpec, type QueueConfig, type Resources, type StateCommand, type StateResult, type StepSpec } from '@ibisstair/jobs'
 import { packValue, unpackValue } from '@ibisstair/storage'
 import { Metrics } from '@ibisstair/telemetry'
@@ -41,6 +42,7 @@
   #heldCommits: Array<() => void> = []
   #term = 0
   #dispatcher: Dispatcher | null = null
+  #speeds: SpeedSnapshot | null = null
   /** End of the last leader's term as its successor knows it. */
   #announcedUntilMs: number | null = null
 
@@ -89,11 +91,23 @@
       metrics: this.metrics,
       fencingToken: term,
       leaseMaxMs: LEASE_MAX_MS,
-      announcedUntilMs: this.#announcedUntilMs ?? this.timers.now()
+      announcedUntilMs: this.#announcedUntilMs ?? this.timers.now(),
+      speedEstimator: this.#createEstimator()
     })
     this.#dispatcher.start()
   }
 
+  /** The next leader starts from a copy of the present one's speeds, or from none. */
+  shareSpeeds (isShared: boolean): void {
+    this.#speeds = isShared ? this.#dispatcher!.getSpeeds() : null
+  }
+
+  #createEstimator (): SpeedEstimator {
+    const estimator = new SpeedEstimator()
+    if (this.#speeds) estimator.restore(this.#speeds, this.timers.now())
+    return estimator
+  }
+
   /** Ends the leader; the next one restores its state from a snapshot, as after a restart or on a VM that lost its disk. */
   recover (): void {
     const snapshot = unpackValue(packValue(this.state.toSnapshot()))
