--- a/scripts/planner-bench/main.ts
+++ b/scripts/planner-bench/main.ts
@@ -1,5 +1,5 @@
 // Runs the planner on reproducible load patterns in virtual time and prints its scores.
-//   node --import=tsx scripts/planner-bench/main.ts --seeds 10 --fleet small|cramped|large|huge|uneven --speeds unknown|learned|oracle
+//   node --import=tsx scripts/planner-bench/main.ts --seeds 10 --fleet small|cramped|large|huge|uneven|uneven-busy|even-busy --speeds unknown|learned|oracle
 import { parseArgs } from 'node:util'
 import { RandomSource } from '@ibisstair/timers'
 import { KNOWLEDGE, type Knowledge } from './speed-knowledge.ts'
--- a/scripts/planner-bench/workload.ts
+++ b/scripts/planner-bench/workload.ts
@@ -129,7 +129,10 @@
 /** The same fleet on its busiest day. */
 export const UNEVEN_BUSY: Fleet = { ...UNEVEN, classes: UNEVEN.classes.map((workClass) => ({ ...workClass, arrivalsPerSecond: 1.6 * workClass.arrivalsPerSecond })) }
 
-export const FLEETS = { small: SMALL, cramped: CRAMPED, large: LARGE, huge: HUGE, uneven: UNEVEN, 'uneven-busy': UNEVEN_BUSY } as const
+/** The same load on endpoints of one speed, which learned speeds must not change. */
+export const EVEN_BUSY: Fleet = { ...UNEVEN_BUSY, speeds: [1] }
+
+export const FLEETS = { small: SMALL, cramped: CRAMPED, large: LARGE, huge: HUGE, uneven: UNEVEN, 'uneven-busy': UNEVEN_BUSY, 'even-busy': EVEN_BUSY } as const
 
 export const PATTERNS: readonly Pattern[] = [
   { name: 'ordinary', bursts: [{ className: 'urgent', fromMs: 7_000, durationMs: 6_000, factor: 1.8 }] },
