--- a/packages/cluster/src/core-node.ts
+++ b/packages/cluster/src/core-node.ts
@@ -8,10 +8,11 @@
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { RandomSource, TimerService, Unsubscribe } from '@ibisstair/timers'
 import { AdmissionControl } from './admission-control.ts'
-import { MESSAGE_TIMEOUT_MS, ROLE_CHECK_PERIOD_MS, STATE_GROUP } from './constants.ts'
+import { MESSAGE_TIMEOUT_MS, ROLE_CHECK_PERIOD_MS, SPEED_SHARING_PERIOD_MS, STATE_GROUP } from './constants.ts'
 import { LeaderFinder } from './leader-finder.ts'
 import { LeaderService } from './leader-service.ts'
 import { RunTimeSharing, type RunTimesCopy } from './run-time-sharing.ts'
+import { SPEEDS_METHOD, SpeedSharing } from './speed-sharing.ts'
 import type { ClusterView, LeaderMethod } from './types.ts'
 
 export interface CoreNodeOptions {
@@ -54,6 +55,7 @@
   readonly #state = new SchedulingState()
   readonly #finder: LeaderFinder
   readonly #runTimeSharing: RunTimeSharing
+  readonly #speedSharing: SpeedSharing
   readonly #unsubscribers: Unsubscribe[] = []
   #replica: ReplicaDriver<StateCommand, StateResult> | null = null
   #leadership: Leadership | null = null
@@ -63,7 +65,8 @@
 
   constructor (options: CoreNodeOptions) {
     this.#options = options
-    const { rpc, timers, random, seeds, toTarget, logger } = options
+    const { rpc, timers, random, seeds, toTarget, logger, metrics } = options
+    this.#speedSharing = new SpeedSharing({ rpc, toTarget, timers, metrics })
     this.#finder = new LeaderFinder({
       rpc,
       timers,
@@ -107,6 +110,7 @@
     this.#runTimeSharing.start()
     this.#unsubscribers.push(this.#replica.onStatus((status) => this.#handleStatus(status)))
     this.#unsubscribers.push(timers.every(ROLE_CHECK_PERIOD_MS, () => this.#updateRole()))
+    this.#unsubscribers.push(timers.every(SPEED_SHARING_PERIOD_MS, () => this.#shareSpeeds()))
   }
 
   /** Transfers leadership first, so that the other nodes need not wait for an election timeout. */
@@ -150,6 +154,7 @@
     server.register('raft.message', (params, { from }) => this.#handleMessages(params as MessageBatch, from))
     server.register('cluster.view', () => this.getView())
     server.register('fleet.run-times', (params) => this.#runTimeSharing.handleCopy(params))
+    server.register(SPEEDS_METHOD, (params) => this.#speedSharing.receive(params))
     for (const method of LEADER_METHODS) server.register(method, (params) => this.handleCall(method, params))
   }
 
@@ -195,6 +200,12 @@
     return commitIndex >= this.#election.lastIndex
   }
 
+  #shareSpeeds (): void {
+    if (!this.#leadership) return
+    const peers = this.#getStatus().members.map(({ node }) => node).filter((node) => node !== this.#options.node)
+    this.#speedSharing.send(this.#leadership.term, this.#leadership.dispatcher.getSpeeds(), peers)
+  }
+
   #startLeading ({ term, sinceOtherLeaderMs }: ReplicaStatus): void {
     const { timers, random, logger, metrics, endpoints, relays, leaseMaxMs, policy } = this.#options
     const replica = this.#replica!
@@ -216,7 +227,8 @@
       leaseMaxMs,
       announcedUntilMs: timers.now() - sinceOtherLeaderMs,
       ...(policy && { policy }),
-      runTimes: this.#runTimeSharing.groups
+      runTimes: this.#runTimeSharing.groups,
+      speedEstimator: this.#speedSharing.createEstimator()
     })
     const admission = policy?.admission ? new AdmissionControl({ state: this.#state, hasFairShares: policy.fairShares, history: dispatcher.history, timers, random, logger, metrics }) : null
     this.#leadership = { term, dispatcher, admission, service: new LeaderService({ state: this.#state, dispatcher, relays, propose, admission, timers, logger, metrics }) }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,6 +1,7 @@
 import type { TaskId } from '@ibisstair/common'
 import type { SharedRunTimes } from '@ibisstair/estimation'
 import type { EndedIncarnation, EndpointIncarnation, EndpointRecord, IncarnationEnd, RunEnd, SchedulingState, Silence, StartGroup, StateCommand, StateResult } from '@ibisstair/jobs'
+import { SpeedEstimator, type SpeedSnapshot } from '@ibisstair/estimation'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { Announcements } from './announcements.ts'
@@ -20,6 +21,8 @@
 import { StartOrders } from './start-orders.ts'
 import type { EndpointPort } from './ports.ts'
 import { ReplacedEndpoints } from './replaced-endpoints.ts'
+import type { ObservedRate } from './run-rate.ts'
+import { RunSpeeds } from './run-speeds.ts'
 import { UnsettledRuns, type RunStatus } from './unsettled-runs.ts'
 import { UnwantedRuns } from './unwanted-runs.ts'
 import { WaitingReport } from './waiting-report.ts'
@@ -42,6 +45,8 @@
   /** Run times that an earlier leader has learned; none by default. */
   readonly runTimes?: readonly SharedRunTimes[]
   readonly planner?: PlannerOptions
+  /** With the speeds that an earlier leader has learned. */
+  readonly speedEstimator?: SpeedEstimator
 }
 
 /**
@@ -56,6 +61,7 @@
   readonly #sessions = new Map<EndpointIncarnation, EndpointSession>()
   readonly #announcements: Announcements
   readonly #pendingRecords = new PendingRecords()
+  readonly #runSpeeds: RunSpeeds
   readonly #registrar: EndpointRegistrar
   readonly #startOrders: StartOrders
   readonly #longPolls = new LongPolls()
@@ -82,8 +88,10 @@
     this.#options = options
     this.#planner = new Planner(options.planner)
     this.#health = new EndpointHealth(options.timers)
-    this.#history = new LearnedHistory({ state: options.state, logger: options.logger, metrics: options.metrics, getSpeed: (endpoint) => this.#getSpeed(endpoint), ...(options.runTimes && { runTimes: options.runTimes }) })
+    this.#history = new LearnedHistory({ state: options.state, logger: options.logger, metrics: options.metrics, getSpeed: (endpoint) => this.#runSpeeds.getSpeed(endpoint), ...(options.runTimes && { runTimes: options.runTimes }) })
     this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
+    const { state, timers, metrics, speedEstimator: estimator = new SpeedEstimator() } = options
+    this.#runSpeeds = new RunSpeeds({ state, timers, metrics, estimator })
     this.#startOrders = new StartOrders({
       state: options.state,
       timers: options.timers,
@@ -91,6 +99,8 @@
       metrics: options.metrics,
       pendingRecords: this.#pendingRecords,
       openSession: (life) => this.#openSession(life),
+      getSpeed: (endpoint) => this.#runSpeeds.getSpeed(endpoint),
+      history: this.#history,
       handleAnswer: () => this.#schedulePass()
     })
     this.#unwantedRuns = new UnwantedRuns(options.state)
@@ -152,6 +162,7 @@
     this.#endpointUse.close()
     this.#drainedDomains.close()
     this.#history.close()
+    this.#runSpeeds.close()
     this.#waitingReport.close()
     this.#unsettledRuns.close()
   }
@@ -187,6 +198,11 @@
     this.#sessions.get(record.life)?.handleLeaving()
   }
 
+  /** Returns a copy of the speeds that this leader has learned. */
+  getSpeeds (): SpeedSnapshot {
+    return this.#runSpeeds.toSnapshot()
+  }
+
   // Events of sessions
 
   isLeading (): boolean {
@@ -206,11 +222,17 @@
       this.#health.recordEnd(endpoint.life, task, outcome)
       const startedAtMs = this.#sessions.get(endpoint.life)?.takeConfirmedAtMs(task, run) ?? null
       this.#history.recordEnd(endpoint, end, { startedAtMs, endedAtMs: timers.now() })
+      const rate = outcome === 'done' ? this.#sessions.get(endpoint.life)?.getRateAtEnd(task, run) : null
+      if (rate) this.#runSpeeds.recordEnd(endpoint, task, run, rate)
     }
     const silence = ends.some(({ outcome }) => outcome === 'lost') ? this.#describeSilence(endpoint.life) : null
     await this.#propose({ type: 'end', endpoint: endpoint.life, ends, atMs: timers.wallClock(), ...(silence && { silence }) })
   }
 
+  handleRate (endpoint: EndpointRecord, task: TaskId, run: number, rate: ObservedRate): void {
+    this.#runSpeeds.recordRate(endpoint, task, run, rate)
+  }
+
   handleReplaced (endpoint: EndpointRecord): void {
     this.#options.logger.warn('another incarnation answers at the endpoint\'s address; removing the endpoint', { endpoint: endpoint.id, life: endpoint.life })
     this.#replaced.add(endpoint.life)
@@ -321,6 +343,7 @@
     this.#drainedDomains.observe()
     if (!this.#isProposing) this.#drainedDomains.moveRuns()
     this.#history.report()
+    this.#runSpeeds.measure()
     this.#unsettledRuns.observe(() => this.#listRunStatus(), this.#options.timers.now())
     this.#schedulePass()
   }
@@ -410,7 +433,8 @@
         isConfirmed: ({ endpoint, task }) => this.#sessions.get(endpoint)?.isConfirmed(task) ?? false,
         getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
         estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null,
-        getSpeed: (endpoint) => this.#getSpeed(endpoint),
+        getSpeed: (endpoint) => this.#runSpeeds.getSpeed(endpoint),
+        isSpeedKnown: (endpoint) => this.#runSpeeds.isKnown(endpoint),
         isCold: ({ life }) => this.#announcements.isCold(life, timers.now())
       }
     })
@@ -503,11 +527,6 @@
     return this.#announcements.isCurrent(life, this.#options.timers.now()) ? null : 'unannounced'
   }
 
-  /** Returns the speed relative to the median of the service; 1 while it is not known. */
-  #getSpeed (_endpoint: EndpointRecord): number {
-    return 1
-  }
-
   #stopTask (task: TaskId): void {
     for (const session of this.#sessions.values()) session.stop(task)
   }
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -7,6 +7,7 @@
 import { EndpointLease } from './endpoint-lease.ts'
 import { Handover } from './handover.ts'
 import type { LongPolls } from './long-polls.ts'
+import type { ObservedRate } from './run-rate.ts'
 import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
 import { isConnectionRefused, sendRepeatedly } from './repeated-order.ts'
 import { StrayRuns } from './stray-runs.ts'
@@ -21,6 +22,8 @@
   /** The endpoint rejected an order because it has seen the fencing token of a newer leader. */
   handleFenced (endpoint: EndpointRecord): void
   handleStartRefused (endpoint: EndpointRecord, task: TaskId, reason: string): void
+  /** A run has advanced. */
+  handleRate (endpoint: EndpointRecord, task: TaskId, run: number, rate: ObservedRate): void
   /** Whether this process is still the leader and may send orders. */
   isLeading (): boolean
   log (message: string, fields: Readonly<Record<string, unknown>>): void
@@ -209,6 +212,12 @@
     return this.#runs.get(task)?.progress.estimateRemainingMs(this.#options.timers.now()) ?? null
   }
 
+  /** Returns the rate of a run that is just reported as done; null if it is not known. */
+  getRateAtEnd (task: TaskId, run: number): ObservedRate | null {
+    const tracked = this.#runs.get(task)
+    return tracked?.run === run ? tracked.rate.getAtEnd(this.#options.timers.now()) : null
+  }
+
   /** Renews the lease and reads a report, at once or after the current call. */
   poll (): void {
     if (this.#isClosed) return
@@ -254,6 +263,7 @@
       if (!this.#recordAnswer(result.clockMs)) return
       this.#setPhase(tracked, 'present')
       tracked.confirmedAtMs = this.#options.timers.now()
+      tracked.rate.begin(tracked.sinceMs)
     } else if (result.type === 'refused') {
       events.handleStartRefused(this.#endpoint, tracked.task, result.reason)
       if (isUncertain) this.#setPhase(tracked, 'unconfirmed')
@@ -459,7 +469,10 @@
 
   #confirmRun (tracked: TrackedRun, percent: number): void {
     tracked.isReported = true
-    tracked.progress.record(percent, this.#options.timers.now())
+    const { events, timers } = this.#options
+    tracked.progress.record(percent, timers.now())
+    const rate = tracked.rate.record(percent, timers.now()) ? tracked.rate.get() : null
+    if (rate) events.handleRate(this.#endpoint, tracked.task, tracked.run, rate)
     if (tracked.phase === 'inherited' || tracked.phase === 'unconfirmed') this.#setPhase(tracked, 'present')
   }
 
@@ -523,6 +536,8 @@
   }
 
   #recordContact (clockMs: number): void {
+    // Reports that a silent endpoint held back say when they arrived, not when the runs advanced.
+    if (this.#failures > 0) for (const { rate } of this.#runs.values()) rate.discard()
     this.#failures = 0
     this.#silentSinceMs = null
     this.#lease.recordAnswer(clockMs, this.#options.timers.now())
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -6,6 +6,7 @@
 export { Planner, type PlannerOptions } from './planner.ts'
 export { estimateChainMs, getLateness } from './ready-work.ts'
 export { countPeakAccelerators } from './urgent-demand.ts'
+export { RunRate, type ObservedRate } from './run-rate.ts'
 export { couldEverFit, placeTasks, type Assignment, type Candidate } from './placement.ts'
 export type * from './ports.ts'
 export * from './constants.ts'
--- a/scripts/planner-bench/credit.ts
+++ b/scripts/planner-bench/credit.ts
@@ -10,6 +10,8 @@
 export interface CreditSummary {
   readonly credit: number
   readonly creditByClass: Readonly<Record<string, number>>
+  /** Share of the urgent jobs that met their objective. */
+  readonly urgentInTime: number
   readonly worstCustomer: number
   readonly largestJobs: number
 }
@@ -41,6 +43,9 @@
   return full === 0 ? 1 : earnings.reduce((sum, { earned }) => sum + earned, 0) / full
 }
 
+const getShareInTime = (earnings: readonly Earning[]): number =>
+  earnings.filter(({ earned, full }) => earned === full).length / Math.max(1, earnings.length)
+
 const countAccelerators = ({ arrival: { spec: { steps: [step] }, taskMs } }: Earning): number => taskMs.length * step!.resources.accelerators
 
 export const summarizeCredit = (classes: readonly WorkClass[], arrivals: readonly Arrival[], endedAtMs: ReadonlyMap<string, number>): CreditSummary => {
@@ -52,6 +57,7 @@
   return {
     credit: getShare(all),
     creditByClass: Object.fromEntries(classes.map(({ name }, i) => [name, getShare(byClass[i]!)])),
+    urgentInTime: getShareInTime(all.filter(({ arrival }) => arrival.workClass.priority === 0)),
     worstCustomer: Math.min(...[...byCustomer.values()].map(getShare)),
     largestJobs: getShare(largest)
   }
--- a/scripts/planner-bench/main.ts
+++ b/scripts/planner-bench/main.ts
@@ -1,8 +1,10 @@
 // Runs the planner on reproducible load patterns in virtual time and prints its scores.
-//   node --import=tsx scripts/planner-bench/main.ts --seeds 10 --fleet small|cramped|large|huge|licence --rules off,shares,limits,on --run-times learned|submitted --estimates usual|poor
+//   node --import=tsx scripts/planner-bench/main.ts --seeds 10 --fleet small|cramped|large|huge|licence|drained|uneven|uneven-busy|even-busy --rules off,shares,limits,on
+//     --run-times learned|submitted --estimates usual|poor --speeds unknown|learned|oracle
 import { parseArgs } from 'node:util'
 import { NO_SCHEDULING_POLICY, type SchedulingPolicy } from '@ibisstair/dispatch'
 import { RandomSource } from '@ibisstair/timers'
+import { KNOWLEDGE, type Knowledge } from './speed-knowledge.ts'
 import { Simulation, type SimulationResult } from './simulate.ts'
 import { FLEETS, PATTERNS, withPoorEstimates, type Pattern } from './workload.ts'
 
@@ -14,10 +16,13 @@
 }
 
 const { values } = parseArgs({
-  options: { seeds: { type: 'string', default: '10' }, fleet: { type: 'string', default: 'small' }, rules: { type: 'string', default: 'off,on' }, 'run-times': { type: 'string', default: 'learned' }, estimates: { type: 'string', default: 'usual' } }
+  options: { seeds: { type: 'string', default: '10' }, fleet: { type: 'string', default: 'small' }, rules: { type: 'string', default: 'off,on' }, 'run-times': { type: 'string', default: 'learned' }, estimates: { type: 'string', default: 'usual' }, speeds: { type: 'string', default: 'learned' } }
 })
 const namedFleet = FLEETS[values.fleet as keyof typeof FLEETS]
 if (!namedFleet) throw new Error(`--fleet ${values.fleet} is unknown; accepted are ${Object.keys(FLEETS).join(', ')}`)
+const isKnowledge = (text: string): text is Knowledge => KNOWLEDGE.some((known) => known === text)
+const knowledge = values.speeds
+if (!isKnowledge(knowledge)) throw new Error(`--speeds ${knowledge} is unknown; accepted are ${KNOWLEDGE.join(', ')}`)
 
 const RUN_TIMES = ['learned', 'submitted']
 const runTimes = values['run-times']
@@ -39,6 +44,7 @@
 const COLUMNS: readonly Column[] = [
   { title: 'credit', width: 8, digits: 3, select: ({ credit }) => credit },
   ...fleet.classes.map(({ name }): Column => ({ title: name, width: 11, digits: 3, select: ({ creditByClass }) => creditByClass[name]! })),
+  { title: 'urgent in time', width: 15, digits: 3, select: ({ urgentInTime }) => urgentInTime },
   { title: 'worst customer', width: 15, digits: 3, select: ({ worstCustomer }) => worstCustomer },
   { title: 'largest jobs', width: 13, digits: 3, select: ({ largestJobs }) => largestJobs },
   { title: 'thrown away, core s', width: 20, digits: 0, select: ({ lostWorkCoreS }) => lostWorkCoreS },
@@ -54,7 +60,7 @@
 }
 
 const simulate = (pattern: Pattern, rule: string): SimulationResult[] =>
-  Array.from({ length: Number(values.seeds) }, (_, i) => new Simulation(new RandomSource(i + 1), fleet, pattern, { policy: RULES[rule]!, learnsRunTimes: runTimes === 'learned' }).run())
+  Array.from({ length: Number(values.seeds) }, (_, i) => new Simulation(new RandomSource(i + 1), fleet, pattern, { policy: RULES[rule]!, learnsRunTimes: runTimes === 'learned', knowledge }).run())
 
 console.log(`${'pattern'.padEnd(46)}${'rules'.padEnd(7)}${COLUMNS.map(({ title, width }) => title.padStart(width)).join('')}`)
 const all = new Map<string, SimulationResult[]>(rules.map((rule) => [rule, []]))
--- a/scripts/planner-bench/simulate.ts
+++ b/scripts/planner-bench/simulate.ts
@@ -5,13 +5,16 @@
 import { ManualTimerService, type RandomSource, type Unsubscribe } from '@ibisstair/timers'
 import { createFleetView } from '../../packages/dispatch/tests/support/fleet-view.ts'
 import { summarizeCredit, type CreditSummary } from './credit.ts'
+import { SpeedKnowledge, type Knowledge } from './speed-knowledge.ts'
 import { ARRIVALS_MS, createArrivals, ENDPOINT_CAPACITY, toRack, type Arrival, type Fleet, type Pattern } from './workload.ts'
 
-const SPEEDS = [0.8, 1, 1.25]
+const DEFAULT_SPEEDS = [0.8, 1, 1.25]
 const PASS_DELAY_MS = 8
 /** Time after its start from which the progress of a run is known. */
 const REPORT_DELAY_MS = 1_000
-const END_MS = ARRIVALS_MS + 30_000
+/** Time from the last arrival to the end; longer for tails on slow endpoints. */
+const SETTLE_MS = 30_000
+const SETTLE_WITH_TAILS_MS = 120_000
 const CORES_PER_ACCELERATOR = 8
 const GUARANTEED_SHARE = 0.3
 
@@ -21,6 +24,8 @@
   /** Whether run times are learned from ends; otherwise the submitted estimates count. */
   readonly learnsRunTimes: boolean
   readonly policy: SchedulingPolicy
+  /** What the planner knows of the speeds of endpoints. */
+  readonly knowledge: Knowledge
 }
 
 export interface SimulationResult extends CreditSummary {
@@ -36,6 +41,9 @@
   readonly incarnation: EndpointIncarnation
   readonly startedAtMs: number
   readonly speed: number
+  /** Work that was left at its start, and what of it is lost time. */
+  readonly workMs: number
+  readonly stallMs: number
   readonly endsAtMs: number
   stopTimer: Unsubscribe
 }
@@ -54,15 +62,23 @@
   readonly #arrivals: readonly Arrival[]
   readonly #arrivalsByJob: ReadonlyMap<string, Arrival>
   readonly #signedSpeeds = new Map<EndpointIncarnation, number>()
+  readonly #speeds: SpeedKnowledge
   readonly #runs = new Map<TaskId, Run>()
   readonly #checkpointedMs = new Map<string, number>()
   readonly #endedAtMs = new Map<string, number>()
   readonly #cancelled = new Set<string>()
+  readonly #fleetView = createFleetView({
+    isUsable: ({ id }) => !this.#isGone(id),
+    estimateRemainingMs: ({ task }) => this.#estimateRemainingMs(task),
+    isSpeedKnown: (endpoint) => this.#speeds.isKnown(endpoint),
+    getSpeed: (endpoint) => this.#speeds.getSpeed(endpoint, this.#signedSpeeds)
+  })
+
   #isPassScheduled = false
   #lostWorkCoreS = 0
   #preemptedCount = 0
 
-  constructor (random: RandomSource, fleet: Fleet, pattern: Pattern, { learnsRunTimes, policy }: SimulationOptions) {
+  constructor (random: RandomSource, fleet: Fleet, pattern: Pattern, { learnsRunTimes, policy, knowledge }: SimulationOptions) {
     this.#history = learnsRunTimes ? this.#createHistory() : null
     this.#fleet = fleet
     this.#pattern = pattern
@@ -70,7 +86,8 @@
     this.#random = random
     this.#arrivals = createArrivals(random, fleet, pattern)
     this.#arrivalsByJob = new Map(this.#arrivals.map((arrival) => [arrival.spec.id, arrival]))
-    for (let i = 0; i < fleet.endpoints; i++) this.#register(i, random.pick(SPEEDS)!)
+    for (let i = 0; i < fleet.endpoints; i++) this.#register(i, random.pick(fleet.speeds ?? DEFAULT_SPEEDS)!)
+    this.#speeds = new SpeedKnowledge(knowledge, this.#state, this.#timers, random)
     const guaranteedAccelerators = Math.floor(GUARANTEED_SHARE * fleet.endpoints * 8 / fleet.customers)
     const customers = Array.from({ length: fleet.customers }, (_, i) => ({ name: asId<CustomerId>(`c${i + 1}`), keys: [], guaranteedAccelerators }))
     this.#state.apply({ type: 'configure', config: { version: 1, queues: [], services: ['s'], customers, document: '' } })
@@ -82,7 +99,8 @@
     const { gone, cancelled } = this.#pattern
     if (gone) this.#timers.subscribe(gone.fromMs, () => this.#loseRuns())
     if (cancelled) this.#timers.subscribe(cancelled.atMs, () => this.#cancelJobs(cancelled.share))
-    this.#timers.advance(END_MS)
+    const hasTails = this.#fleet.classes.some(({ tailShare }) => tailShare !== undefined)
+    this.#timers.advance(ARRIVALS_MS + (hasTails ? SETTLE_WITH_TAILS_MS : SETTLE_MS))
     return this.#summarize()
   }
 
@@ -151,15 +169,14 @@
 
   #runPass (): void {
     const nowMs = this.#timers.now()
-    const fleet = createFleetView({ isUsable: ({ id }) => !this.#isGone(id), estimateRemainingMs: ({ task }) => this.#estimateRemainingMs(task) })
-    const plan = this.#planner.plan({ state: this.#state, policy: this.#policy, fleet, nowMs, wallMs: nowMs, mayPreempt: true, ...(this.#history && { history: this.#history }) })
+    const plan = this.#planner.plan({ state: this.#state, policy: this.#policy, fleet: this.#fleetView, nowMs, wallMs: nowMs, mayPreempt: true, ...(this.#history && { history: this.#history }) })
     for (const task of plan.preempted) this.#preempt(task)
     if (plan.starts.length === 0) return
     const result = this.#state.apply({ type: 'start', groups: plan.starts, atMs: nowMs })
     if (result.type === 'started') for (const group of result.groups) this.#startGroup(group)
   }
 
-  #startGroup ({ job, occurrence, step, members }: StartGroup): void {
+  #startGroup ({ job, occurrence, step, run, members }: StartGroup): void {
     const { taskMs, spec } = this.#arrivalsByJob.get(job)!
     const { gang } = spec.steps[step]!
     const speeds = members.map(({ endpoint }) => Math.abs(this.#signedSpeeds.get(endpoint)!))
@@ -169,13 +186,21 @@
     members.forEach(({ index, endpoint }, i) => {
       const task = toTaskId({ job, occurrence, step, index })
       const speed = gang ? gangSpeed : speeds[i]!
-      const remainingMs = (taskMs[index]! - (this.#checkpointedMs.get(this.#toCheckpointKey(task)) ?? 0)) / speed
-      const runMs = remainingMs + (gang ? stallMs : this.#getStallMs(endpoint))
+      const workMs = taskMs[index]! - (this.#checkpointedMs.get(this.#toCheckpointKey(task)) ?? 0)
+      const ownStallMs = gang ? stallMs : this.#getStallMs(endpoint)
+      const runMs = workMs / speed + ownStallMs
       const stopTimer = this.#timers.subscribe(runMs, () => this.#endRun(task, 'done'))
-      this.#runs.set(task, { task, incarnation: endpoint, startedAtMs: this.#timers.now(), speed, endsAtMs: this.#timers.now() + runMs, stopTimer })
+      this.#runs.set(task, { task, incarnation: endpoint, startedAtMs: this.#timers.now(), speed, workMs, stallMs: ownStallMs, endsAtMs: this.#timers.now() + runMs, stopTimer })
+      this.#speeds.observe({ task, run, endpoint: this.#state.endpoints.get(endpoint)!, getPercent: () => this.#getPercent(task) })
     })
   }
 
+  /** Returns the share of the remaining work that the run has done; a stall comes first. */
+  #getPercent (task: TaskId): number {
+    const { startedAtMs, stallMs, speed, workMs } = this.#runs.get(task)!
+    return Math.min(100, 100 * Math.max(0, this.#timers.now() - startedAtMs - stallMs) * speed / workMs)
+  }
+
   /** Endpoints report progress now and then, so that a run is known only some time after its start. */
   #estimateRemainingMs (task: TaskId): number | null {
     const run = this.#runs.get(task)
@@ -217,6 +242,7 @@
     const { job } = mustParseTaskId(task)
     const active = this.#state.jobs.listRuns(run.incarnation).get(task)!
     const end = { task, run: active.run, outcome, checkpoint: outcome === 'stopped' && this.#checkpointedMs.has(this.#toCheckpointKey(task)) ? 'saved' : '' }
+    this.#speeds.end(task, active.run, this.#state.endpoints.get(run.incarnation)!, outcome === 'done')
     this.#history?.recordEnd(this.#state.endpoints.get(run.incarnation)!, end, { startedAtMs: run.startedAtMs, endedAtMs: this.#timers.now() })
     this.#state.apply({ type: 'end', endpoint: run.incarnation, ends: [end], atMs: this.#timers.now() })
     if (this.#state.jobs.get(job)!.state === 'completed') this.#endedAtMs.set(job, this.#timers.now())
--- a/scripts/planner-bench/workload.ts
+++ b/scripts/planner-bench/workload.ts
@@ -27,6 +27,8 @@
   readonly targetLatencyMs: number
   readonly fullCredit: number
   readonly lateCredit: number
+  /** Share of jobs with a single task on one accelerator. */
+  readonly smallShare?: number
 }
 
 /** Multiplies the arrival rate of a class during an interval. */
@@ -64,6 +66,8 @@
   readonly customers: number
   readonly classes: readonly WorkClass[]
   readonly stopMs: number
+  /** Speeds that endpoints have with equal shares; 0.8, 1 and 1.25 by default. */
+  readonly speeds?: readonly number[]
 }
 
 const URGENT: WorkClass = {
@@ -143,7 +147,27 @@
 export const withPoorEstimates = (fleet: Fleet): Fleet =>
   ({ ...fleet, classes: fleet.classes.map((workClass) => ({ ...workClass, ...POOR_ESTIMATES[workClass.name] })) })
 
-export const FLEETS = { small: SMALL, cramped: CRAMPED, large: LARGE, huge: HUGE, licence: LICENCE, drained: DRAINED } as const
+/** Endpoints of uneven speed, wrong estimates and tails. */
+export const UNEVEN: Fleet = {
+  endpoints: 245,
+  rackSize: 8,
+  customers: 10,
+  classes: [
+    { ...URGENT, arrivalsPerSecond: 4, meanTasks: 5, maxTasks: 20, meanTaskMs: 2_100, accelerators: [1, 1, 2, 2, 4, 8], estimateError: 0.9, smallShare: 0.2, tailShare: 0.03 },
+    { ...NORMAL, arrivalsPerSecond: 1.2, meanTasks: 13, maxTasks: 40, meanTaskMs: 5_800, cpuMilli: 6_000, memMb: 12_000, accelerators: [1, 1, 2, 4, 8], estimateError: 0.5, tailShare: 0.03 },
+    { ...DEFERRABLE, arrivalsPerSecond: 0.9, meanTasks: 39, maxTasks: 200, meanTaskMs: 6_500, estimateError: 0.5, tailShare: 0.03 }
+  ],
+  stopMs: 700,
+  speeds: [0.6, 1, 1.6]
+}
+
+/** The same fleet on its busiest day. */
+export const UNEVEN_BUSY: Fleet = { ...UNEVEN, classes: UNEVEN.classes.map((workClass) => ({ ...workClass, arrivalsPerSecond: 1.6 * workClass.arrivalsPerSecond })) }
+
+/** The same load on endpoints of one speed, which learned speeds must not change. */
+export const EVEN_BUSY: Fleet = { ...UNEVEN_BUSY, speeds: [1] }
+
+export const FLEETS = { small: SMALL, cramped: CRAMPED, large: LARGE, huge: HUGE, licence: LICENCE, drained: DRAINED, uneven: UNEVEN, 'uneven-busy': UNEVEN_BUSY, 'even-busy': EVEN_BUSY } as const
 
 export const PATTERNS: readonly Pattern[] = [
   { name: 'ordinary', bursts: [{ className: 'urgent', fromMs: 7_000, durationMs: 6_000, factor: 1.8 }] },
@@ -181,8 +205,10 @@
 }
 
 const createArrival = (random: RandomSource, workClass: WorkClass, atMs: number, jobNumber: number, fleet: Fleet, pattern: Pattern): Arrival => {
-  const resources = { cpuMilli: workClass.cpuMilli, memMb: workClass.memMb, accelerators: random.pick(workClass.accelerators)! }
-  const drawnCount = drawCount(random, workClass.meanTasks, workClass.maxTasks)
+  const isSmall = workClass.smallShare !== undefined && random.float() < workClass.smallShare
+  const accelerators = random.pick(workClass.accelerators)!
+  const resources = { cpuMilli: workClass.cpuMilli, memMb: workClass.memMb, accelerators: isSmall ? 1 : accelerators }
+  const drawnCount = isSmall ? 1 : drawCount(random, workClass.meanTasks, workClass.maxTasks)
   const taskMs = drawTaskMs(random, workClass.meanTaskMs)
   const gang = random.float() < workClass.gangShare
   // Callers size their gangs so that one rack holds them.
