dispatch, estimation: limits on stopping runs for a fast endpoint; the median counts copied speeds

Cause: guaranteed work is not limited in what it stops, so that it could stop urgent or long runs although a slow endpoint was free, and could claim fast endpoints twice, beyond the reclaim bound. After a restore from a copy, the first endpoints that were observed again made up the median alone. Change: searches on fast endpoints spare urgent work and keep the limit on lost work for all; after an expired claim work takes any place. Endpoints from a copy count for the median of every service.

--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -186,8 +186,9 @@
     const failedShape = `${shape},${acceptFar},${isStalled},${useSuspects}`
     if (!isUrgent && pass.failedShapes.has(failedShape)) return []
     const options = { acceptFar, useKept: isStalled, useSuspects, triedInVain: this.#waits.getTried(work) }
-    if (isUrgent && pass.mayPreempt && !isStalled) {
-      const fast = this.#placeFast(work, pass, { ...options, stopAll: hasClaimExpired })
+    // Work that has waited for a claim in vain takes any place, so that it starts within the reclaim bound.
+    if (isUrgent && pass.mayPreempt && !isStalled && !hasClaimExpired) {
+      const fast = this.#placeFast(work, pass, options)
       if (fast) return toGroups(work, fast)
     }
     const assignments = placeWork(work, pass, options)
@@ -258,13 +259,12 @@
    * Places urgent work on endpoints that are fast enough, or claims capacity there. Returns null if neither is possible, or
    * no endpoint is too slow: the work then takes any.
    */
-  #placeFast (work: ReadyWork, pass: PlanningPass, options: LadderOptions & Pick<PreemptionOptions, 'stopAll'>): Assignment[] | null {
+  #placeFast (work: ReadyWork, pass: PlanningPass, options: LadderOptions): Assignment[] | null {
     const minSpeed = pass.speeds.getDividingSpeed(work, pass.listServiceCandidates(work))
     if (minSpeed === null) return null
-    const { acceptFar, stopAll } = options
     const placed = placeWork(work, pass, { ...options, minSpeed, useSuspects: false })
     if (placed.length === work.indexes.length) return placed
-    const isClaimed = this.#preemptFor(work, placed, pass, { acceptFar, stopAll, minSpeed, retryAtMs: this.#fastRetryAtMs })
+    const isClaimed = this.#preemptFor(work, placed, pass, { acceptFar: options.acceptFar, stopAll: false, minSpeed, retryAtMs: this.#fastRetryAtMs })
     return isClaimed || placed.length > 0 || this.#mayAwaitFast(work, pass) ? placed : null
   }
 
@@ -284,8 +284,11 @@
     const all = pass.listCandidates(work)
     const candidates = minSpeed === null ? all : all.filter(({ endpoint }) => pass.speeds.get(endpoint.life) >= minSpeed)
     const search = { spec: work.spec, indexes, candidates, countOn, acceptFar }
-    const plan = planPreemptionBeyond(this.#waits.getTried(work), search, pass.victims.listFor(work.job))
-    if (!plan || !isWorthwhile(work, plan, pass)) {
+    // Slow endpoints are left for the work, so that neither urgent victims nor a large loss are justified.
+    const hasOtherPlaces = minSpeed !== null
+    const victims = pass.victims.listFor(work.job, { sparesUrgent: hasOtherPlaces })
+    const plan = planPreemptionBeyond(this.#waits.getTried(work), search, victims)
+    if (!plan || !isWorthwhile(work, plan, pass, hasOtherPlaces)) {
       retryAtMs.set(key, pass.nowMs + PREEMPTION_RETRY_MS)
       return false
     }
@@ -337,8 +340,8 @@
   })
 }
 
-const isWorthwhile = ({ job, spec }: ReadyWork, { victims }: PreemptionPlan, { state, needs }: PlanningPass): boolean => {
-  if (isGuaranteed(state, job, needs)) return true
+const isWorthwhile = ({ job, spec }: ReadyWork, { victims }: PreemptionPlan, { state, needs }: PlanningPass, hasOtherPlaces: boolean): boolean => {
+  if (!hasOtherPlaces && isGuaranteed(state, job, needs)) return true
   const lost = victims.reduce((sum, { lostWork }) => sum + lostWork, 0)
   return lost <= MAX_LOST_WORK_FACTOR * spec.count * toCoreEquivalents(spec.resources) * spec.estimateMs
 }
--- a/packages/dispatch/src/run-rate.ts
+++ b/packages/dispatch/src/run-rate.ts
@@ -7,7 +7,8 @@
 /** Observations that are kept of one run; later ones are only used for its end. */
 const MAX_OBSERVATIONS = 32
 
-const COMPLETE_PERCENT = 100
+/** Progress of a run that has done all of its work. */
+export const COMPLETE_PERCENT = 100
 
 interface Observation {
   readonly percent: number
--- a/packages/dispatch/src/run-speeds.ts
+++ b/packages/dispatch/src/run-speeds.ts
@@ -3,7 +3,7 @@
 import { mustParseTaskId, type EndpointIncarnation, type EndpointRecord, type SchedulingState, type StepEntry, type StepSpec } from '@ibisstair/jobs'
 import type { Metrics } from '@ibisstair/telemetry'
 import type { TimerService } from '@ibisstair/timers'
-import type { ObservedRate } from './run-rate.ts'
+import { COMPLETE_PERCENT, type ObservedRate } from './run-rate.ts'
 import { URGENT_SPEED } from './required-speed.ts'
 
 /** A speed with less confidence is taken for 1. */
@@ -35,7 +35,7 @@
   /** Takes the rate of a run that is done. To be called before its end is applied. */
   recordEnd (endpoint: EndpointRecord, task: TaskId, run: number, { msPerPercent }: ObservedRate): void {
     const identity = this.#identify(endpoint, task, run)
-    if (identity) this.#options.estimator.recordEnd({ ...identity, runMs: 100 * msPerPercent })
+    if (identity) this.#options.estimator.recordEnd({ ...identity, runMs: COMPLETE_PERCENT * msPerPercent })
   }
 
   /** Returns 1 for an endpoint whose speed is usual or not known well enough. */
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -45,9 +45,12 @@
     return this.#stopped
   }
 
-  /** Returns the victims that the job may preempt: less urgent work, and for a job within its customer's guarantee also urgent work beyond one. */
-  listFor (job: JobEntry): Victim[] {
-    const mayPreemptUrgent = isGuaranteed(this.#state, job, this.#needs)
+  /**
+   * Returns the victims that the job may preempt: less urgent work, and for a job within its customer's guarantee also urgent
+   * work beyond one, unless that is to be spared.
+   */
+  listFor (job: JobEntry, { sparesUrgent = false }: { readonly sparesUrgent?: boolean } = {}): Victim[] {
+    const mayPreemptUrgent = !sparesUrgent && isGuaranteed(this.#state, job, this.#needs)
     const isLower = (other: JobEntry): boolean =>
       other.policy.priority > 0 || (mayPreemptUrgent && !isGuaranteed(this.#state, other, this.#needs))
     return this.#preemptible
--- a/packages/dispatch/tests/placement-by-speed.test.ts
+++ b/packages/dispatch/tests/placement-by-speed.test.ts
@@ -121,6 +121,21 @@
   t.same([fixture.listEndpointsOf('a1').length, fixture.listEndpointsOf('a2').length], [1, 1])
 })
 
+t.test('guaranteed work stops no urgent work, and loses no more than others, for a faster endpoint', async (t) => {
+  // Guards against guaranteed work, which is not limited otherwise, that stops long runs although a slow endpoint is free.
+  for (const [priority, ranMs] of [[0, 1_000], [2, 60_000]] as const) {
+    const fixture = new Fixture([{ rack: 0, speed: 0.6 }, { rack: 0, speed: 1 }])
+    const customers = [{ name: asId<CustomerId>('c1'), keys: [], guaranteedAccelerators: 8 }]
+    fixture.state.apply({ type: 'configure', config: { version: 1, queues: [], services: ['s'], customers, document: '' } })
+    fixture.submit('b1', { estimateMs: 120_000 }, { ...SLACK, priority, customer: asId<CustomerId>('c2') })
+    fixture.startAt('b1', 1)
+    fixture.nowMs = ranMs
+    fixture.submit('a1', {}, { ...URGENT, customer: asId<CustomerId>('c1') })
+    t.same(fixture.plan().preempted, [])
+    t.same(fixture.listEndpointsOf('a1'), ['w0'])
+  }
+})
+
 t.test('a fleet in which no endpoint is too slow is planned as if no speed were known', async (t) => {
   const planAll = (fleet: FleetView): Array<Omit<Plan, 'examineWaiting'>> => {
     const state = createLargeFleet(48, 80)
--- a/packages/estimation/src/speed-estimator.ts
+++ b/packages/estimation/src/speed-estimator.ts
@@ -144,16 +144,23 @@
 const toMemoryMean = (speed: number, confidence: number): number =>
   Math.min(MAX_LOG_SPEED, Math.max(-MAX_LOG_SPEED, Math.log(speed) / confidence))
 
-/** Sets the speeds relative to the median of each service. */
+/**
+ * Sets the speeds relative to the median of each service. Endpoints from a copy, whose service is not known yet, count for
+ * every service: the first ones to be observed again need not be usual.
+ */
 const normalise = (endpoints: readonly EndpointNode[]): void => {
-  const byService = new Map<string | null, EndpointNode[]>()
+  const copied: EndpointNode[] = []
+  const byService = new Map<string, EndpointNode[]>()
   for (const node of endpoints) {
-    const known = byService.get(node.service)
+    const { service } = node
+    const known = service === null ? copied : byService.get(service)
     if (known) known.push(node)
-    else byService.set(node.service, [node])
+    else byService.set(service!, [node])
   }
-  for (const [service, nodes] of byService) {
-    const centre = service === null || nodes.length < MIN_MEDIAN_ENDPOINTS ? 0 : median(nodes.map(({ belief }) => belief.mean))
+  for (const node of copied) node.speed = Math.exp(node.belief.mean)
+  for (const nodes of byService.values()) {
+    const means = [...nodes, ...copied].map(({ belief }) => belief.mean)
+    const centre = means.length < MIN_MEDIAN_ENDPOINTS ? 0 : median(means)
     for (const node of nodes) node.speed = Math.exp(node.belief.mean - centre)
   }
 }
--- a/packages/estimation/tests/speed-estimator.test.ts
+++ b/packages/estimation/tests/speed-estimator.test.ts
@@ -132,6 +132,8 @@
   const next = new SpeedEstimator()
   next.restore(snapshot, fleet.nowMs)
   for (const i of range(0, 12)) t.ok(Math.abs(Math.log(next.getSpeed(toId(i), fleet.nowMs)!.speed / fleet.get(i))) < 0.1, `w${i}`)
+  for (const i of [2, 5, 8]) next.recordEnd({ endpoint: toId(i), service: 's', queue: 'q', step: 'x', run: `${i}`, runMs: TASK_MS, nowMs: fleet.nowMs + 1_000 })
+  for (const i of [2, 5, 8]) t.ok(next.getSpeed(toId(i), fleet.nowMs + 1_000)!.speed > 1.3, `w${i} is not usual because it is among the first that are observed`)
   const broken = new SpeedEstimator()
   broken.restore({ ids: 'w1 w2 w3', speeds: [-5, NaN], confidences: '9x' }, 0)
   t.same(range(1, 3).map((i) => broken.getSpeed(toId(i), 0)), [null, null, null])
