--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -91,7 +91,7 @@
     this.#history = new LearnedHistory({ state: options.state, logger: options.logger, metrics: options.metrics, getSpeed: (endpoint) => this.#runSpeeds.getSpeed(endpoint), ...(options.runTimes && { runTimes: options.runTimes }) })
     this.#announcements = new Announcements(options.timers.now(), options.announcedUntilMs)
     const { state, timers, metrics, speedEstimator: estimator = new SpeedEstimator() } = options
-    this.#runSpeeds = new RunSpeeds({ state, timers, metrics, estimator })
+    this.#runSpeeds = new RunSpeeds({ state, timers, metrics, estimator, isCold: ({ life }) => this.#announcements.isCold(life, timers.now()) })
     this.#startOrders = new StartOrders({
       state: options.state,
       timers: options.timers,
--- a/packages/dispatch/src/run-speeds.ts
+++ b/packages/dispatch/src/run-speeds.ts
@@ -3,7 +3,7 @@
 import { mustParseTaskId, type EndpointIncarnation, type EndpointRecord, type SchedulingState, type StepEntry, type StepSpec } from '@ibisstair/jobs'
 import type { Metrics } from '@ibisstair/telemetry'
 import type { TimerService } from '@ibisstair/timers'
-import type { ObservedRate } from './run-rate.ts'
+import { COMPLETE_PERCENT, type ObservedRate } from './run-rate.ts'
 import { URGENT_SPEED } from './required-speed.ts'
 
 /** A speed with less confidence is taken for 1. */
@@ -17,6 +17,8 @@
   readonly timers: TimerService
   readonly metrics: Metrics
   readonly estimator: SpeedEstimator
+  /** Whether the endpoint is still slow since its start, which says nothing about its speed. */
+  readonly isCold: (endpoint: EndpointRecord) => boolean
 }
 
 /** Feeds the speed estimator with the runs that can be compared, and tells the speeds that placement goes by. */
@@ -35,7 +37,7 @@
   /** Takes the rate of a run that is done. To be called before its end is applied. */
   recordEnd (endpoint: EndpointRecord, task: TaskId, run: number, { msPerPercent }: ObservedRate): void {
     const identity = this.#identify(endpoint, task, run)
-    if (identity) this.#options.estimator.recordEnd({ ...identity, runMs: 100 * msPerPercent })
+    if (identity) this.#options.estimator.recordEnd({ ...identity, runMs: COMPLETE_PERCENT * msPerPercent })
   }
 
   /** Returns 1 for an endpoint whose speed is usual or not known well enough. */
@@ -72,7 +74,8 @@
 
   /** Returns what names the run for the estimator; null for a run that says nothing about its endpoint. */
   #identify (endpoint: EndpointRecord, task: TaskId, run: number): RunIdentity | null {
-    const { state, timers } = this.#options
+    const { state, timers, isCold } = this.#options
+    if (isCold(endpoint)) return null
     const { job: id, occurrence, step, index } = mustParseTaskId(task)
     const job = state.jobs.get(id)
     const entry = job?.findTask(occurrence, step, index) && job.getOccurrence(occurrence).steps[step]
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -56,18 +56,21 @@
     return this.#stopped
   }
 
-  /** Returns the victims that the job may preempt: less urgent work, and for a job within its customer's guarantee also urgent work beyond one. */
-  listFor (job: JobEntry): Victim[] {
-    return this.#listLower(job).filter((victim) => !this.#isProtectedFrom(job, victim))
+  /**
+   * Returns the victims that the job may preempt: less urgent work, and for a job within its customer's guarantee also urgent
+   * work beyond one, unless that is to be spared.
+   */
+  listFor (job: JobEntry, { sparesUrgent = false }: { readonly sparesUrgent?: boolean } = {}): Victim[] {
+    return this.#listLower(job, sparesUrgent).filter((victim) => !this.#isProtectedFrom(job, victim))
   }
 
   /** Whether the job may not preempt some of that work only since it was stopped often enough. */
   isLimitedFor (job: JobEntry): boolean {
-    return this.#listLower(job).some((victim) => this.#isProtectedFrom(job, victim))
+    return this.#listLower(job, false).some((victim) => this.#isProtectedFrom(job, victim))
   }
 
-  #listLower (job: JobEntry): Victim[] {
-    const mayPreemptUrgent = isGuaranteed(this.#state, job, this.#needs)
+  #listLower (job: JobEntry, sparesUrgent: boolean): Victim[] {
+    const mayPreemptUrgent = !sparesUrgent && isGuaranteed(this.#state, job, this.#needs)
     const isLower = (other: JobEntry): boolean =>
       other.policy.priority > 0 || (mayPreemptUrgent && !isGuaranteed(this.#state, other, this.#needs))
     return this.#preemptible
