--- a/packages/dispatch/tests/run-speeds.test.ts
+++ b/packages/dispatch/tests/run-speeds.test.ts
@@ -15,7 +15,7 @@
   readonly timers = new ManualTimerService()
   readonly metrics = new Metrics({ node: 'n' })
   readonly estimator = new SpeedEstimator()
-  readonly speeds = new RunSpeeds({ state: this.state, timers: this.timers, metrics: this.metrics, estimator: this.estimator })
+  readonly speeds = new RunSpeeds({ state: this.state, timers: this.timers, isCold: () => false, metrics: this.metrics, estimator: this.estimator })
   readonly endpoints = RACKS.map((rack, i) => createEndpoint(`w${i}`, { address: `10.0.0.${i}:1`, rack: asId<RackId>(`r${rack}`) }))
 
   constructor () {
--- a/scripts/planner-bench/speed-knowledge.ts
+++ b/scripts/planner-bench/speed-knowledge.ts
@@ -35,7 +35,7 @@
     this.#knowledge = knowledge
     this.#timers = timers
     this.#random = random
-    this.#speeds = new RunSpeeds({ state, timers, metrics: new Metrics({ node: 'n' }), estimator: new SpeedEstimator() })
+    this.#speeds = new RunSpeeds({ state, timers, isCold: () => false, metrics: new Metrics({ node: 'n' }), estimator: new SpeedEstimator() })
   }
 
   getSpeed (endpoint: EndpointRecord, trueSpeeds: ReadonlyMap<EndpointIncarnation, number>): number {
