--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -37,7 +37,7 @@
 /** Renewals that wait at endpoints at a time; each holds one of the leader's descriptors. */
 export const MAX_LONG_POLLS = 800
 /** Time between two renewals of an endpoint that could not wait because too many others do. */
-export const SHORT_POLL_INTERVAL_MS = 500
+export const SHORT_POLL_INTERVAL_MS = 250
 /** Time between two polls while a run is being stopped. */
 export const STOP_POLL_INTERVAL_MS = 100
 /** Time between two renewals while ended runs await their commit. */
--- a/packages/dispatch/src/drain-moves.ts
+++ b/packages/dispatch/src/drain-moves.ts
@@ -30,14 +30,34 @@
   const moves = listMoves(input)
   if (moves.length === 0) return []
   const candidates = indexByIncarnation(listCandidates(input))
+  takeRoomForRestarts(input, candidates)
   const selected: Move[] = []
+  /** Shapes without room: room only shrinks while moves are selected. */
+  const failed = new Set<string>()
   for (const move of moves) {
     if (selected.length === MAX_MOVES) break
+    const shape = `${move.service} ${JSON.stringify(move.spec)}`
+    if (failed.has(shape)) continue
     if (placeElsewhere(move, candidates)) selected.push(move)
+    else failed.add(shape)
   }
   return selected.flatMap(({ runs }) => runs)
 }
 
+/** Takes room for tasks that last and do not run at present, such as those that were moved before: they start before others are stopped. */
+const takeRoomForRestarts = ({ state, isSteady }: DrainMovesInput, candidates: ReadonlyMap<EndpointIncarnation, Candidate>): void => {
+  for (const job of state.jobs.listActive()) {
+    job.spec.steps.forEach((spec, step) => {
+      if (!spec.longRunning) return
+      for (const { steps } of job.listBegunOccurrences()) {
+        const restarting = steps[step]!.tasks.flatMap(({ active, lastRun }, index) => lastRun > 0 && (active === null || !isSteady(active)) ? [index] : [])
+        const ofService = [...candidates.values()].filter(({ endpoint }) => endpoint.service === job.policy.service)
+        if (restarting.length > 0) placeTasks(spec, restarting, ofService, () => 0, { acceptFar: true })
+      }
+    })
+  }
+}
+
 /** Returns at most one move for each step. */
 const listMoves = (input: DrainMovesInput): Move[] => {
   const { state } = input
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -254,7 +254,7 @@
     const leaseUntilMs = await mayOrder && this.#mayOrder() ? this.#lease.extend(this.#options.timers.now(), START_LEASE_MS) : null
     if (leaseUntilMs === null) return this.#endNotStarted(tracked)
     const order = { task: tracked.task, run: tracked.run, payload, checkpoint, fencingToken, leaseUntilMs }
-    const { result, isUncertain } = await sendRepeatedly((timeoutMs) => port.start(this.#endpoint, order, timeoutMs))
+    const { result, isUncertain } = await sendRepeatedly((timeoutMs) => port.start(this.#endpoint, order, timeoutMs), () => this.#mayRepeatStart(tracked))
     if (this.#isClosed) return
     if (result instanceof IbisError) {
       this.#recordFailure()
@@ -275,6 +275,11 @@
     this.poll()
   }
 
+  /** A run that a report has listed needs no second order, which another incarnation might carry out. */
+  #mayRepeatStart (tracked: TrackedRun): boolean {
+    return this.#mayOrder() && this.#runs.get(tracked.task) === tracked && tracked.phase === 'starting' && !tracked.isReported
+  }
+
   #mayOrder (): boolean {
     return !this.#isClosed && this.#leavingSinceMs === null && this.#options.events.isLeading()
   }
@@ -306,7 +311,7 @@
     const { port, fencingToken, events, timers } = this.#options
     while (!this.#isClosed && this.#runs.get(tracked.task) === tracked && !tracked.isStopAcked && events.isLeading()) {
       const order = { task: tracked.task, run: tracked.run, fencingToken }
-      const { result } = await sendRepeatedly((timeoutMs) => port.stop(this.#endpoint, order, timeoutMs))
+      const { result } = await sendRepeatedly((timeoutMs) => port.stop(this.#endpoint, order, timeoutMs), () => !this.#isClosed && events.isLeading())
       if (this.#isClosed) return
       if (result instanceof IbisError) {
         this.#recordFailure()
@@ -360,9 +365,10 @@
     const { events, timers, longPolls } = this.#options
     while (!this.#isClosed && events.isLeading() && (this.#pollAgain || this.#needsPoll())) {
       this.#pollAgain = false
+      const wantedMs = this.#getWaitMs()
       let mayWait = true
-      const answered = await longPolls.run(this.#getWaitMs(), (waitMs) => {
-        mayWait = waitMs > 0
+      const answered = await longPolls.run(wantedMs, (waitMs) => {
+        mayWait = waitMs === wantedMs
         return this.#renew(waitMs, true)
       })
       if (answered) await this.#pause(this.#getPauseMs(mayWait))
@@ -379,14 +385,14 @@
     return phases.has('starting') ? START_LONG_POLL_MS : RENEW_LONG_POLL_MS
   }
 
-  /** `mayWait` tells whether the last renewal could wait at the endpoint for the end of a run. */
+  /** `mayWait` is false if too many other renewals were waiting at endpoints for the last one to wait, too. */
   #getPauseMs (mayWait: boolean): number {
     // The endpoint lists the same ends again until they are acknowledged, which needs their commit.
     const awaitsCommit = this.#submittedUpto > this.#committedUpto || [...this.#runs.values()].some(({ isEnding }) => isEnding)
     if (awaitsCommit) return COMMIT_POLL_INTERVAL_MS
     // Stops take some time to be reported; polling more often would not speed them up.
     if ([...this.#runs.values()].some(({ phase }) => phase === 'stopping' || phase === 'unconfirmed')) return STOP_POLL_INTERVAL_MS
-    return mayWait || this.#getWaitMs() === 0 ? 0 : SHORT_POLL_INTERVAL_MS
+    return mayWait ? 0 : SHORT_POLL_INTERVAL_MS
   }
 
   /** Waits for the time, or until `poll` is called. */
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -284,7 +284,7 @@
     if (minSpeed === null) return null
     const placed = placeWork(work, pass, { ...options, minSpeed, useSuspects: false })
     if (placed.length === work.indexes.length) return placed
-    const isClaimed = this.#preemptFor(work, placed, pass, { acceptFar: options.acceptFar, stopAll: false, minSpeed, retryAtMs: this.#fastRetryAtMs })
+    const isClaimed = this.#preemptFor(work, placed, pass, { acceptFar: options.acceptFar, stopAll: isGuaranteed(pass.state, work.job, pass.needs), minSpeed, retryAtMs: this.#fastRetryAtMs })
     return isClaimed || placed.length > 0 || this.#mayAwaitFast(work, pass) ? placed : null
   }
 
--- a/packages/dispatch/src/repeated-order.ts
+++ b/packages/dispatch/src/repeated-order.ts
@@ -15,13 +15,19 @@
   readonly isUncertain: boolean
 }
 
-/** A refused connection has carried nothing, and a repetition would find the same. */
+/** A refused connection has carried nothing. */
 export const isConnectionRefused = (err: IbisError): boolean => err.details?.code === 'ECONNREFUSED'
 
-/** Sends an order, and once more if no answer arrives soon. Both attempts together take at most `ORDER_TIMEOUT_MS`. */
-export const sendRepeatedly = async (send: (timeoutMs: number) => Promise<OrderResult>): Promise<OrderOutcome> => {
+/** Any other failure may show that the endpoint has restarted, and its successor would carry out the repetition anew. */
+const hasTimedOut = (err: IbisError): boolean => err.details?.reason === 'timeout'
+
+/**
+ * Sends an order, and once more if no answer arrives soon and `mayRepeat` still holds. Both attempts together take at most
+ * `ORDER_TIMEOUT_MS`.
+ */
+export const sendRepeatedly = async (send: (timeoutMs: number) => Promise<OrderResult>, mayRepeat: () => boolean): Promise<OrderOutcome> => {
   const first = await send(ORDER_REPEAT_MS).catch(IbisError.from)
-  if (!(first instanceof IbisError) || isConnectionRefused(first)) return { result: first, isUncertain: false }
+  if (!(first instanceof IbisError) || !hasTimedOut(first) || !mayRepeat()) return { result: first, isUncertain: false }
   const second = await send(ORDER_TIMEOUT_MS - ORDER_REPEAT_MS).catch(IbisError.from)
   return { result: second, isUncertain: true }
 }
--- a/packages/dispatch/tests/drain-moves.test.ts
+++ b/packages/dispatch/tests/drain-moves.test.ts
@@ -48,6 +48,12 @@
   t.same(select(state), [toTask('2', 0)])
 })
 
+t.test('a task that was moved gets its room before another step is stopped', async (t) => {
+  const state = createState([createZoneEndpoint('b', 'z2', 1)], lasting())
+  state.apply({ type: 'end', endpoint: a.life, ends: [{ task: toTask('1', 0), run: 1, outcome: 'stopped', checkpoint: 'c' }], atMs: 0 })
+  t.same(select(state), [])
+})
+
 t.test('a gang moves as a whole, or stays', async (t) => {
   t.same(select(createState([createZoneEndpoint('b', 'z2', 3)], lasting({ gang: true }))), [])
   t.same(select(createState([createZoneEndpoint('b', 'z2', 4)], lasting({ gang: true }))), [0, 1, 2, 3].map((i) => toTask('1', i)))
--- a/packages/dispatch/tests/repeated-order.test.ts
+++ b/packages/dispatch/tests/repeated-order.test.ts
@@ -8,29 +8,35 @@
 import { TestCluster } from './support/test-cluster.ts'
 
 const OK: OrderResult = { type: 'ok', clockMs: 1 }
-const NO_ANSWER = new IbisError('unreachable', 'no answer')
+const NO_ANSWER = new IbisError('unreachable', 'no answer', { info: { reason: 'timeout' } })
+const BROKEN = new IbisError('unreachable', 'socket hang up', { info: { code: 'ECONNRESET' } })
 const NO_LISTENER = new IbisError('unreachable', 'refused', { info: { code: 'ECONNREFUSED' } })
 
 /** Sends an order to an endpoint that gives the answers one after the other. */
-const send = async (...answers: Array<OrderResult | IbisError>) => {
+const send = async (answers: Array<OrderResult | IbisError>, mayRepeat = true) => {
   const timeoutsMs: number[] = []
   const outcome = await sendRepeatedly(async (timeoutMs) => {
     const answer = answers[timeoutsMs.push(timeoutMs) - 1]!
     if (answer instanceof IbisError) throw answer
     return answer
-  })
+  }, () => mayRepeat)
   return { ...outcome, timeoutsMs }
 }
 
 t.test('an order is repeated only if nothing tells what became of it', async (t) => {
-  t.match(await send(OK), { result: OK, isUncertain: false, timeoutsMs: [ORDER_REPEAT_MS] })
-  t.match(await send(NO_LISTENER), { result: NO_LISTENER, isUncertain: false, timeoutsMs: [ORDER_REPEAT_MS] })
-  t.match(await send(NO_ANSWER, OK), { result: OK, isUncertain: true, timeoutsMs: [ORDER_REPEAT_MS, ORDER_TIMEOUT_MS - ORDER_REPEAT_MS] })
+  t.match(await send([OK]), { result: OK, isUncertain: false, timeoutsMs: [ORDER_REPEAT_MS] })
+  t.match(await send([NO_LISTENER]), { result: NO_LISTENER, isUncertain: false, timeoutsMs: [ORDER_REPEAT_MS] })
+  t.match(await send([NO_ANSWER, OK]), { result: OK, isUncertain: true, timeoutsMs: [ORDER_REPEAT_MS, ORDER_TIMEOUT_MS - ORDER_REPEAT_MS] })
+})
+
+t.test('an order is not repeated after a broken connection or once it must not be given any more: a successor could carry it out', async (t) => {
+  t.match(await send([BROKEN]), { result: BROKEN, timeoutsMs: [ORDER_REPEAT_MS] })
+  t.match(await send([NO_ANSWER], false), { result: NO_ANSWER, timeoutsMs: [ORDER_REPEAT_MS] })
 })
 
 t.test('a refusal or a refused connection after a lost attempt does not show that the order is not carried out', async (t) => {
-  t.match(await send(NO_ANSWER, { type: 'refused', reason: 'room' }), { isUncertain: true })
-  t.match(await send(NO_ANSWER, NO_LISTENER), { isUncertain: true })
+  t.match(await send([NO_ANSWER, { type: 'refused', reason: 'room' }]), { isUncertain: true })
+  t.match(await send([NO_ANSWER, NO_LISTENER]), { isUncertain: true })
 })
 
 /** Loses every thirtieth start and stop; renewals arrive. */
--- a/packages/rpc/src/connection-pool.ts
+++ b/packages/rpc/src/connection-pool.ts
@@ -1,5 +1,4 @@
 import { Agent } from 'node:http'
-import type { Socket } from 'node:net'
 import { dropIdleConnections } from './client.ts'
 
 export interface ConnectionPoolOptions<Purpose extends string> {
@@ -48,7 +47,7 @@
     this.#agentsByTarget.delete(target)
     for (const agent of agents.values()) {
       dropIdleConnections(agent)
-      agent.on('free', (socket: Socket) => socket.destroy())
+      agent.maxFreeSockets = 0
     }
   }
 }
