--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -10,11 +10,12 @@
 import { EndpointHealth } from './endpoint-health.ts'
 import { EndpointRegistrar } from './endpoint-registrar.ts'
 import { EndpointSession, type SessionEvents } from './endpoint-session.ts'
-import { EndpointUse, type OutOfUseReason } from './endpoint-use.ts'
+import { EndpointUse } from './endpoint-use.ts'
 import { LearnedHistory } from './learned-history.ts'
 import { isNoticeOf, type LeaveNotice } from './leave-notice.ts'
 import { PendingRecords } from './pending-records.ts'
 import { LongPolls } from './long-polls.ts'
+import { ObservedFleet } from './observed-fleet.ts'
 import type { Plan, SchedulingPolicy, WorkHistory } from './plan-types.ts'
 import { Planner, type PlannerOptions } from './planner.ts'
 import { describeSilence } from './silence.ts'
@@ -69,6 +70,7 @@
   /** When each endpoint said that it leaves. */
   readonly #leavingSinceMs = new Map<EndpointIncarnation, number>()
   readonly #replaced: ReplacedEndpoints
+  readonly #fleet: ObservedFleet
   readonly #endpointUse: EndpointUse
   readonly #drainedDomains: DrainedDomains
   readonly #waitingReport: WaitingReport
@@ -124,19 +126,29 @@
       removeReplaced: (life) => this.#replaced.add(life),
       handleAnnounced: (life, clockMs, atMs) => this.#sessions.get(life)?.handleAnnouncement(clockMs, atMs)
     })
+    this.#fleet = new ObservedFleet({
+      state: options.state,
+      timers: options.timers,
+      health: this.#health,
+      announcements: this.#announcements,
+      replaced: this.#replaced,
+      speeds: this.#runSpeeds,
+      getSession: (life) => this.#sessions.get(life),
+      isLeaving: (life) => this.#leavingSinceMs.has(life)
+    })
     this.#endpointUse = new EndpointUse(options.logger, options.metrics)
     this.#drainedDomains = new DrainedDomains({
       state: options.state,
       timers: options.timers,
       logger: options.logger,
       metrics: options.metrics,
-      isUsable: (endpoint) => this.#getOutOfUse(endpoint) === null,
+      isUsable: (endpoint) => this.#fleet.isUsable(endpoint),
       getSession: (life) => this.#sessions.get(life)
     })
     this.#waitingReport = new WaitingReport(options.logger, options.metrics, {
       listEndpoints: () => options.state.endpoints.list(),
-      getOutOfUse: (endpoint) => this.#getOutOfUse(endpoint),
-      isConfirmed: ({ endpoint, task }) => this.#sessions.get(endpoint)?.isConfirmed(task) ?? false,
+      getOutOfUse: (endpoint) => this.#fleet.getOutOfUse(endpoint),
+      isConfirmed: (run) => this.#fleet.isConfirmed(run),
       isOnSilentEndpoint: ({ endpoint }) => (this.#sessions.get(endpoint)?.failures ?? 0) > 0
     })
   }
@@ -339,7 +351,7 @@
     this.#removeSilentEndpoints()
     this.#removeLeftEndpoints()
     this.#replaced.retryDue()
-    this.#endpointUse.observe([...this.#options.state.endpoints.list()], (endpoint) => this.#getOutOfUse(endpoint))
+    this.#endpointUse.observe([...this.#options.state.endpoints.list()], (endpoint) => this.#fleet.getOutOfUse(endpoint))
     this.#drainedDomains.observe()
     if (!this.#isProposing) this.#drainedDomains.moveRuns()
     this.#history.report()
@@ -425,18 +437,7 @@
       mayPreempt: this.#isSurveyDone(),
       ...(policy && { policy }),
       history: this.#history,
-      fleet: {
-        isUsable: (endpoint) => this.#getOutOfUse(endpoint) === null,
-        isSuspect: (endpoint) => this.#health.isSuspect(endpoint.life) && this.#getOutOfUseBesideSuspicion(endpoint) === null,
-        hasAnswered: ({ life }) => this.#sessions.get(life)?.hasHadContact ?? false,
-        hasAnsweredOfLate: (life) => this.#sessions.get(life)?.hasAnsweredOfLate ?? false,
-        isConfirmed: ({ endpoint, task }) => this.#sessions.get(endpoint)?.isConfirmed(task) ?? false,
-        getPenalty: ({ life: incarnation }) => this.#health.getPenalty(incarnation),
-        estimateRemainingMs: ({ task, endpoint }) => this.#sessions.get(endpoint)?.estimateRemainingMs(task) ?? null,
-        getSpeed: (endpoint) => this.#runSpeeds.getSpeed(endpoint),
-        isSpeedKnown: (endpoint) => this.#runSpeeds.isKnown(endpoint),
-        isCold: ({ life }) => this.#announcements.isCold(life, timers.now())
-      }
+      fleet: this.#fleet
     })
     for (const task of plan.preempted) {
       logger.info('run preempted', { task })
@@ -511,22 +512,6 @@
     }
   }
 
-  /** Returns why the endpoint gets no new work; null when it may get some. */
-  #getOutOfUse (endpoint: EndpointRecord): OutOfUseReason | null {
-    const reason = this.#getOutOfUseBesideSuspicion(endpoint)
-    if (!this.#health.isSuspect(endpoint.life)) return reason
-    return reason === null || reason === 'unanswered' || reason === 'unannounced' ? 'suspect' : reason
-  }
-
-  #getOutOfUseBesideSuspicion ({ life, draining, domain }: EndpointRecord): Exclude<OutOfUseReason, 'suspect'> | null {
-    if (draining) return 'draining'
-    if (this.#leavingSinceMs.has(life)) return 'leaving'
-    if (this.#replaced.has(life)) return 'replaced'
-    if (this.#options.state.domainDrains.isDrained(domain)) return 'domain-drained'
-    if ((this.#sessions.get(life)?.failures ?? 0) > 0) return 'unanswered'
-    return this.#announcements.isCurrent(life, this.#options.timers.now()) ? null : 'unannounced'
-  }
-
   #stopTask (task: TaskId): void {
     for (const session of this.#sessions.values()) session.stop(task)
   }
