dispatch: one rule for runs that distance slows down

Cause: LearnedHistory and RunSpeeds each had their own isSlowedByDistance, with different words for the same rule. Change: distance.ts has it once; RunIdentity and the limit of remembered gangs say what they are for.

--- a/packages/dispatch/src/learned-history.ts
+++ b/packages/dispatch/src/learned-history.ts
@@ -2,12 +2,13 @@
 import type { SharedRunTimes } from '@ibisstair/estimation'
 import { parseTaskId, type ActiveRun, type EndpointIncarnation, type EndpointRecord, type JobEntry, type RunEnd, type SchedulingState, type StepEntry, type StepSpec } from '@ibisstair/jobs'
 import type { Logger, Metrics } from '@ibisstair/telemetry'
+import { isSlowedByDistance } from './distance.ts'
 import type { WorkHistory } from './plan-types.ts'
 import { toWorkKey, type ReadyWork } from './ready-work.ts'
 import { TaskFailures } from './task-failures.ts'
 import { WorkDurations } from './work-durations.ts'
 
-/** Gangs whose run time was recorded; all of a gang's members report their ends within some hundred milliseconds. */
+/** Recorded gangs that are remembered, so that each counts once: their members report their ends within some hundred milliseconds. */
 const MAX_REMEMBERED_GANGS = 512
 /** Lines on queues that one leader writes. */
 const MAX_QUEUE_LINES = 256
@@ -75,7 +76,7 @@
   recordEnd (endpoint: EndpointRecord, end: RunEnd, period: RunPeriod): void {
     if (end.outcome !== 'done' && end.outcome !== 'failed') return
     const known = findRun(this.#options.state, endpoint, end)
-    // Tasks that last are restarted however they end.
+    // Long-running tasks are restarted however they end.
     if (!known || known.step.longRunning) return
     const isDone = end.outcome === 'done'
     this.#failures.recordEnd({ endpoint, task: end.task, run: end.run, isDone, isGang: known.step.gang })
@@ -163,12 +164,6 @@
   return task.isDone ? null : { job, step, entry, active, checkpoint: step.gang ? entry.checkpoint : task.checkpoint }
 }
 
-/** Tasks away from the rack of their data, and coupled tasks over several racks, take 3 times as long as others of their queue. */
-const isSlowedByDistance = ({ dataRack, tightlyCoupled }: StepSpec, endpoints: readonly EndpointRecord[]): boolean => {
-  const racks = new Set(endpoints.map(({ rack }) => rack))
-  return (tightlyCoupled && racks.size > 1) || (dataRack !== null && [...racks].some((rack) => rack !== dataRack))
-}
-
 const toStepOf = (task: TaskId): string => task.slice(0, task.lastIndexOf('.'))
 
 const toPercent = (ratio: number): number => Number.isFinite(ratio) ? Math.round(100 * ratio) : 0
--- a/packages/dispatch/src/run-speeds.ts
+++ b/packages/dispatch/src/run-speeds.ts
@@ -3,6 +3,7 @@
 import { mustParseTaskId, type EndpointIncarnation, type EndpointRecord, type SchedulingState, type StepEntry, type StepSpec } from '@ibisstair/jobs'
 import type { Metrics } from '@ibisstair/telemetry'
 import type { TimerService } from '@ibisstair/timers'
+import { isSlowedByDistance } from './distance.ts'
 import { COMPLETE_PERCENT, type ObservedRate } from './run-rate.ts'
 import { URGENT_SPEED } from './required-speed.ts'
 
@@ -72,7 +73,7 @@
     for (const name of ['known', 'slow', 'median-confidence']) this.#options.metrics.gauge(`speeds.${name}`, 0)
   }
 
-  /** Returns what names the run for the estimator; null for a run that says nothing about its endpoint. */
+  /** Returns the names of the run and of what it is compared with; null for a run that says nothing about its endpoint. */
   #identify (endpoint: EndpointRecord, task: TaskId, run: number): RunIdentity | null {
     const { state, timers, isCold } = this.#options
     if (isCold(endpoint)) return null
@@ -111,6 +112,7 @@
   }
 }
 
+/** The run as the estimator compares it; see `RateObservation`. */
 interface RunIdentity {
   readonly endpoint: EndpointId
   readonly members: readonly EndpointId[]
@@ -124,7 +126,3 @@
 /** Runs that resume from a checkpoint do a part of the work only. */
 const isResumed = ({ gang }: StepSpec, entry: StepEntry, index: number): boolean =>
   (gang ? entry.checkpoint : entry.tasks[index]!.checkpoint) !== ''
-
-/** Tasks away from their data, and tightly coupled ones in several racks, take three times as long on any endpoint. */
-const isSlowedByDistance = ({ dataRack, tightlyCoupled }: StepSpec, members: readonly EndpointRecord[]): boolean =>
-  (dataRack !== null && members.some(({ rack }) => rack !== dataRack)) || (tightlyCoupled && new Set(members.map(({ rack }) => rack)).size > 1)
