--- a/packages/admission/src/decide-admission.ts
+++ b/packages/admission/src/decide-admission.ts
@@ -22,11 +22,11 @@
   readonly customer: CustomerId | null
   readonly priority: number
   /** Work that has not run and can still be of use. */
-  readonly waitingMs: number
+  readonly waitingAcceleratorMs: number
   /** Work that has not run and is too late: other work of its priority goes first. */
-  readonly tooLateMs: number
+  readonly tooLateAcceleratorMs: number
   /** Accelerators of running tasks. */
-  readonly running: number
+  readonly usedAccelerators: number
 }
 
 export interface ServiceBacklog {
@@ -45,13 +45,13 @@
   /** Three times the objective of the job. */
   readonly limitMs: number
   /** Work that goes before the job: what is more urgent, and what is as urgent and can still be of use. */
-  readonly aheadMs: number
+  readonly aheadAcceleratorMs: number
   /** Time until the job begins if the whole service works on what goes before it. */
   readonly startMs: number
   /** The customer's own part of such work. */
-  readonly ownMs: number
+  readonly ownAcceleratorMs: number
   /** What the customer's fair share completes within the limit. */
-  readonly shareMs: number
+  readonly shareAcceleratorMs: number
 }
 
 export type AdmissionDecision =
@@ -72,8 +72,8 @@
   const isMeasurable = backlog.accelerators > 0 && request.objectiveMs > 0
   if (!isMeasurable || request.isWithinGuarantee || canMakeRoom(request, backlog)) return ADMIT
   const figures = getFigures(request, backlog)
-  const { limitMs, startMs, ownMs, shareMs } = figures
-  if (ownMs > shareMs) return reject('queue-full', ownMs * limitMs / shareMs, figures)
+  const { limitMs, startMs, ownAcceleratorMs, shareAcceleratorMs } = figures
+  if (ownAcceleratorMs > shareAcceleratorMs) return reject('queue-full', ownAcceleratorMs * limitMs / shareAcceleratorMs, figures)
   if (startMs <= limitMs) return ADMIT
   return reject('deadline-unreachable', startMs, figures)
 }
@@ -88,51 +88,51 @@
 /** Whether an urgent job fits into the free accelerators and those that less urgent runs of other customers occupy, which can be stopped. */
 const canMakeRoom = ({ customer, priority, accelerators }: AdmissionRequest, backlog: ServiceBacklog): boolean => {
   if (priority !== 0) return false
-  const used = sumRunning(backlog.customers)
-  const stoppable = sumRunning(backlog.customers.filter((other) => other.customer !== customer && other.priority > 0))
+  const used = sumUsed(backlog.customers)
+  const stoppable = sumUsed(backlog.customers.filter((other) => other.customer !== customer && other.priority > 0))
   const free = Math.max(0, backlog.accelerators - used)
   return stoppable > 0 && free + stoppable >= accelerators
 }
 
-const sumRunning = (customers: readonly CustomerBacklog[]): number => customers.reduce((sum, { running }) => sum + running, 0)
+const sumUsed = (customers: readonly CustomerBacklog[]): number => customers.reduce((sum, { usedAccelerators }) => sum + usedAccelerators, 0)
 
 const getFigures = (request: AdmissionRequest, backlog: ServiceBacklog): AdmissionFigures => {
   const { accelerators } = backlog
   const limitMs = OBJECTIVES_TO_WAIT * request.objectiveMs
   const demands = sumDemands(request, backlog)
   const own = demands.get(request.customer) ?? NO_DEMAND
-  const ownMs = own.moreUrgentMs + own.equallyUrgentMs
-  const aheadMs = [...demands.values()].reduce((sum, demand) => sum + getAhead(demand, own, backlog), 0)
+  const ownAcceleratorMs = own.moreUrgentAcceleratorMs + own.equallyUrgentAcceleratorMs
+  const aheadAcceleratorMs = [...demands.values()].reduce((sum, demand) => sum + getAhead(demand, own, backlog), 0)
   demands.delete(request.customer)
-  const others = [...demands.values()].map(({ moreUrgentMs, equallyUrgentMs }) => moreUrgentMs + equallyUrgentMs)
-  const guaranteedMs = request.priority === 0 ? request.guaranteedAccelerators * limitMs : 0
-  const shareMs = Math.max(guaranteedMs, getFairShare(accelerators * limitMs, others))
-  return { accelerators, limitMs, aheadMs, startMs: aheadMs / accelerators, ownMs, shareMs }
+  const others = [...demands.values()].map(({ moreUrgentAcceleratorMs, equallyUrgentAcceleratorMs }) => moreUrgentAcceleratorMs + equallyUrgentAcceleratorMs)
+  const guaranteedAcceleratorMs = request.priority === 0 ? request.guaranteedAccelerators * limitMs : 0
+  const shareAcceleratorMs = Math.max(guaranteedAcceleratorMs, getFairShare(accelerators * limitMs, others))
+  return { accelerators, limitMs, aheadAcceleratorMs, startMs: aheadAcceleratorMs / accelerators, ownAcceleratorMs, shareAcceleratorMs }
 }
 
 /** Accepted work of a customer that is more urgent than the job, or as urgent and not too late. */
 interface Demand {
-  moreUrgentMs: number
-  equallyUrgentMs: number
+  moreUrgentAcceleratorMs: number
+  equallyUrgentAcceleratorMs: number
 }
 
-const NO_DEMAND: Demand = { moreUrgentMs: 0, equallyUrgentMs: 0 }
+const NO_DEMAND: Demand = { moreUrgentAcceleratorMs: 0, equallyUrgentAcceleratorMs: 0 }
 
 /** A customer whose work only runs has a demand of 0: it may submit more. */
 const sumDemands = ({ priority }: AdmissionRequest, { customers }: ServiceBacklog): Map<CustomerId | null, Demand> => {
   const demands = new Map<CustomerId | null, Demand>()
-  for (const { customer, priority: other, waitingMs, tooLateMs } of customers) {
+  for (const { customer, priority: other, waitingAcceleratorMs, tooLateAcceleratorMs } of customers) {
     const demand = demands.get(customer) ?? { ...NO_DEMAND }
-    if (other < priority) demand.moreUrgentMs += waitingMs + tooLateMs
-    if (other === priority) demand.equallyUrgentMs += waitingMs
+    if (other < priority) demand.moreUrgentAcceleratorMs += waitingAcceleratorMs + tooLateAcceleratorMs
+    if (other === priority) demand.equallyUrgentAcceleratorMs += waitingAcceleratorMs
     demands.set(customer, demand)
   }
   return demands
 }
 
 /** Returns the work of one customer that goes before the job. With fair shares others get no further ahead than its own customer. */
-const getAhead = ({ moreUrgentMs, equallyUrgentMs }: Demand, own: Demand, { hasFairShares }: ServiceBacklog): number =>
-  moreUrgentMs + (hasFairShares ? Math.min(equallyUrgentMs, own.equallyUrgentMs) : equallyUrgentMs)
+const getAhead = ({ moreUrgentAcceleratorMs, equallyUrgentAcceleratorMs }: Demand, own: Demand, { hasFairShares }: ServiceBacklog): number =>
+  moreUrgentAcceleratorMs + (hasFairShares ? Math.min(equallyUrgentAcceleratorMs, own.equallyUrgentAcceleratorMs) : equallyUrgentAcceleratorMs)
 
 /**
  * Returns what a customer with unlimited demand may use of a total: at least an equal share, and what the others leave of
--- a/packages/admission/tests/decide-admission.test.ts
+++ b/packages/admission/tests/decide-admission.test.ts
@@ -12,8 +12,8 @@
 const customer = (name: string): CustomerId => asId<CustomerId>(name)
 const createRequest = (overrides: Partial<AdmissionRequest> = {}): AdmissionRequest =>
   ({ customer: customer('a'), priority: 1, accelerators: 1, objectiveMs: OBJECTIVE_MS, guaranteedAccelerators: 0, isWithinGuarantee: false, ...overrides })
-const createEntry = (name: string, waitingMs: number, overrides: Partial<CustomerBacklog> = {}): CustomerBacklog =>
-  ({ customer: customer(name), priority: 1, waitingMs, tooLateMs: 0, running: 0, ...overrides })
+const createEntry = (name: string, waitingAcceleratorMs: number, overrides: Partial<CustomerBacklog> = {}): CustomerBacklog =>
+  ({ customer: customer(name), priority: 1, waitingAcceleratorMs, tooLateAcceleratorMs: 0, usedAccelerators: 0, ...overrides })
 const createBacklog = (customers: readonly CustomerBacklog[], overrides: Partial<ServiceBacklog> = {}): ServiceBacklog =>
   ({ accelerators: ACCELERATORS, customers, hasFairShares: false, ...overrides })
 const reasonOf = (request: AdmissionRequest, backlog: ServiceBacklog): string => {
@@ -97,7 +97,7 @@
   t.equal(reasonOf(createRequest({ priority: 0 }), flooded), 'queue-full')
   t.equal(reasonOf(createRequest({ priority: 0, isWithinGuarantee: true }), flooded), 'admit', 'within the guarantee')
   t.equal(reasonOf(createRequest({ priority: 0, customer: customer('c') }), flooded), 'deadline-unreachable')
-  const withStoppable = createBacklog([...flooded.customers, createEntry('a', 0, { priority: 0, running: 90 }), createEntry('b', 0, { priority: 2, running: 8 })])
+  const withStoppable = createBacklog([...flooded.customers, createEntry('a', 0, { priority: 0, usedAccelerators: 90 }), createEntry('b', 0, { priority: 2, usedAccelerators: 8 })])
   t.equal(reasonOf(createRequest({ priority: 0, accelerators: 10 }), withStoppable), 'admit', 'urgent work for which other customers can make room')
   t.equal(reasonOf(createRequest({ priority: 0, accelerators: 11 }), withStoppable), 'queue-full')
   t.equal(reasonOf(createRequest({ priority: 1, accelerators: 10 }), withStoppable), 'queue-full', 'other work can\'t stop runs')
@@ -108,7 +108,7 @@
   const TOO_MUCH = 2 * ACCELERATORS * LIMIT_MS
   t.equal(reasonOf(createRequest(), createBacklog([createEntry('b', TOO_MUCH, { priority: 2 })])), 'admit', 'less urgent work')
   t.equal(reasonOf(createRequest(), createBacklog([createEntry('b', TOO_MUCH, { priority: 0 })])), 'deadline-unreachable', 'more urgent work')
-  t.equal(reasonOf(createRequest(), createBacklog([createEntry('b', 0, { tooLateMs: TOO_MUCH })])), 'admit', 'equally urgent work that is too late')
+  t.equal(reasonOf(createRequest(), createBacklog([createEntry('b', 0, { tooLateAcceleratorMs: TOO_MUCH })])), 'admit', 'equally urgent work that is too late')
   t.equal(reasonOf(createRequest(), createBacklog([createEntry('b', TOO_MUCH)])), 'deadline-unreachable', 'older work of another customer')
   t.equal(reasonOf(createRequest(), createBacklog([createEntry('b', TOO_MUCH)], { hasFairShares: true })), 'admit', 'with fair shares it goes after')
 })
--- a/packages/cluster/src/admission-control.ts
+++ b/packages/cluster/src/admission-control.ts
@@ -71,9 +71,9 @@
 
   #report (): void {
     const { logger, metrics } = this.#options
-    for (const [service, workMs] of this.#backlogs.sumByService()) {
+    for (const [service, acceleratorMs] of this.#backlogs.sumByService()) {
       this.#reportedServices.add(service)
-      metrics.gauge(toGaugeName(service), Math.round(workMs / 1_000))
+      metrics.gauge(toGaugeName(service), Math.round(acceleratorMs / 1_000))
     }
     if (this.#linesLeftOut > 0) logger.info('more submissions were rejected; their lines are left out', { leftOut: this.#linesLeftOut })
     this.#lines = 0
@@ -90,9 +90,9 @@
 const toSeconds = (ms: number): number => Math.round(ms / 100) / 10
 
 /** Work is in accelerator seconds. */
-const toInfo = ({ accelerators, limitMs, aheadMs, startMs, ownMs, shareMs }: AdmissionFigures): Readonly<Record<string, number>> =>
-  ({ accelerators, limitMs: Math.round(limitMs), aheadS: toSeconds(aheadMs), startMs: Math.round(startMs), ownS: toSeconds(ownMs), shareS: toSeconds(shareMs) })
+const toInfo = ({ accelerators, limitMs, aheadAcceleratorMs, startMs, ownAcceleratorMs, shareAcceleratorMs }: AdmissionFigures): Readonly<Record<string, number>> =>
+  ({ accelerators, limitMs: Math.round(limitMs), aheadS: toSeconds(aheadAcceleratorMs), startMs: Math.round(startMs), ownS: toSeconds(ownAcceleratorMs), shareS: toSeconds(shareAcceleratorMs) })
 
-const describe = (reason: RejectionReason, { limitMs, startMs, ownMs, shareMs }: AdmissionFigures): string => reason === 'queue-full'
-  ? `the customer's backlog of ${toSeconds(ownMs)} accelerator seconds exceeds the ${toSeconds(shareMs)} that its share completes in ${Math.round(limitMs)} ms`
+const describe = (reason: RejectionReason, { limitMs, startMs, ownAcceleratorMs, shareAcceleratorMs }: AdmissionFigures): string => reason === 'queue-full'
+  ? `the customer's backlog of ${toSeconds(ownAcceleratorMs)} accelerator seconds exceeds the ${toSeconds(shareAcceleratorMs)} that its share completes in ${Math.round(limitMs)} ms`
   : `the job could begin in ${Math.round(startMs)} ms at the earliest; ${Math.round(limitMs)} ms are accepted`
--- a/packages/cluster/src/service-backlogs.ts
+++ b/packages/cluster/src/service-backlogs.ts
@@ -1,6 +1,6 @@
 import type { CustomerBacklog, ServiceBacklog } from '@ibisstair/admission'
 import type { CustomerId, JobId } from '@ibisstair/common'
-import { countPeakAccelerators, getLateness, NO_WORK_HISTORY, type WorkHistory } from '@ibisstair/dispatch'
+import { countPeakAccelerators, getLateness, LATENESS_TOO_LATE, NO_WORK_HISTORY, type WorkHistory } from '@ibisstair/dispatch'
 import type { EndpointRecord, JobEntry, SchedulingState, StepSpec } from '@ibisstair/jobs'
 import type { TimerService } from '@ibisstair/timers'
 import { BACKLOG_PERIOD_MS } from './constants.ts'
@@ -21,9 +21,6 @@
 
 type MutableCustomerBacklog = { -readonly [Key in keyof CustomerBacklog]: CustomerBacklog[Key] }
 
-/** getLateness of a job that is of no use any more. */
-const TOO_LATE = 2
-
 /**
  * The accepted work that has not run, by service, customer and priority. It is computed from the replicated state at most
  * every 250 ms, and jobs that are accepted meanwhile are added, so that a flood costs no pass over all jobs for each job.
@@ -49,7 +46,7 @@
   /** Returns the work of each service in accelerator milliseconds. */
   sumByService (): ReadonlyMap<string, number> {
     this.#refresh()
-    return new Map([...this.#backlogs].map(([service, { customers }]) => [service, customers.reduce((sum, { waitingMs, tooLateMs }) => sum + waitingMs + tooLateMs, 0)]))
+    return new Map([...this.#backlogs].map(([service, { customers }]) => [service, customers.reduce((sum, { waitingAcceleratorMs, tooLateAcceleratorMs }) => sum + waitingAcceleratorMs + tooLateAcceleratorMs, 0)]))
   }
 
   /** Returns the accelerators that the customer's urgent jobs need at this moment, which decides about its guarantee. */
@@ -67,7 +64,7 @@
   add (job: JobEntry): void {
     const occurrences = job.listDueOccurrences(this.#options.timers.wallClock()).length
     const backlog = this.#getCustomer(job)
-    for (const step of job.spec.steps) if (!step.longRunning) backlog.waitingMs += occurrences * step.count * this.#getTaskMs(job, step)
+    for (const step of job.spec.steps) if (!step.longRunning) backlog.waitingAcceleratorMs += occurrences * step.count * this.#getTaskMs(job, step)
     this.#addUrgent(job)
   }
 
@@ -86,15 +83,15 @@
 
   #addActive (job: JobEntry, wallMs: number): void {
     const backlog = this.#getCustomer(job)
-    const isTooLate = getLateness(job, wallMs, this.#history) === TOO_LATE
+    const isTooLate = getLateness(job, wallMs, this.#history) === LATENESS_TOO_LATE
     for (const occurrence of job.listDueOccurrences(wallMs)) {
       job.getOccurrence(occurrence).steps.forEach(({ doneTasks, activeTasks }, index) => {
         const step = job.spec.steps[index]!
-        backlog.running += activeTasks * step.resources.accelerators
+        backlog.usedAccelerators += activeTasks * step.resources.accelerators
         if (step.longRunning) return
-        const workMs = Math.max(0, step.count - doneTasks - activeTasks) * this.#getTaskMs(job, step)
-        if (isTooLate) backlog.tooLateMs += workMs
-        else backlog.waitingMs += workMs
+        const acceleratorMs = Math.max(0, step.count - doneTasks - activeTasks) * this.#getTaskMs(job, step)
+        if (isTooLate) backlog.tooLateAcceleratorMs += acceleratorMs
+        else backlog.waitingAcceleratorMs += acceleratorMs
       })
     }
     this.#addUrgent(job)
@@ -123,7 +120,7 @@
     const key = `${priority} ${customer ?? ''}`
     const known = byKey.get(key)
     if (known) return known
-    const backlog: MutableCustomerBacklog = { customer, priority, waitingMs: 0, tooLateMs: 0, running: 0 }
+    const backlog: MutableCustomerBacklog = { customer, priority, waitingAcceleratorMs: 0, tooLateAcceleratorMs: 0, usedAccelerators: 0 }
     customers.push(backlog)
     byKey.set(key, backlog)
     return backlog
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -4,7 +4,7 @@
 export type { LeaveNotice } from './leave-notice.ts'
 export { NO_SCHEDULING_POLICY, NO_WORK_HISTORY, type FleetView, type Plan, type PlanInput, type SchedulingPolicy, type WorkHistory } from './plan-types.ts'
 export { Planner, type PlannerOptions } from './planner.ts'
-export { estimateChainMs, getLateness } from './ready-work.ts'
+export { estimateChainMs, getLateness, LATENESS_TOO_LATE } from './ready-work.ts'
 export { countPeakAccelerators } from './urgent-demand.ts'
 export { RunRate, type ObservedRate } from './run-rate.ts'
 export { couldEverFit, placeTasks, type Assignment, type Candidate } from './placement.ts'
--- a/packages/dispatch/src/ready-work.ts
+++ b/packages/dispatch/src/ready-work.ts
@@ -43,7 +43,7 @@
 
 /**
  * Returns the waiting tasks that can start now. Suspects go first. The other tasks of their step wait until the suspects
- * have passed their probation: if the job is given up, they would be lost. Tasks that last only wait until the suspects
+ * have passed their probation: if the job is given up, they would be lost. Long-running tasks only wait until the suspects
  * have started, as each of them has to run.
  */
 const selectBySuspicion = (spec: StepSpec, entry: StepEntry, wallMs: number): Pick<ReadyWork, 'indexes' | 'isSuspect'> => {
@@ -82,11 +82,14 @@
 /** Completion within this multiple of the objective is late, but still of some use. */
 export const LATE_FACTOR = 3
 
+/** `getLateness` of a job that is of no use any more. */
+export const LATENESS_TOO_LATE = 2
+
 /** Returns 0 when the job can meet its objective if it starts now and runs as expected, 1 when it is late but of some use, 2 when it is too late. */
 export const getLateness = (job: JobEntry, wallMs: number, history: WorkHistory): 0 | 1 | 2 => {
   const chainMs = estimateChainMs(job, history)
   const objectiveMs = job.policy.targetLatencyMs + job.policy.stretch * chainMs
   const endMs = wallMs - job.acceptedAtMs + chainMs
   if (endMs <= objectiveMs) return 0
-  return endMs <= LATE_FACTOR * objectiveMs ? 1 : 2
+  return endMs <= LATE_FACTOR * objectiveMs ? 1 : LATENESS_TOO_LATE
 }
--- a/packages/dispatch/src/work-order.ts
+++ b/packages/dispatch/src/work-order.ts
@@ -1,8 +1,8 @@
 import type { CustomerShares } from './customer-shares.ts'
 import { isGuaranteed } from './guarantees.ts'
 import type { PassView } from './plan-types.ts'
-import { putBackHopeless } from './hopeless-work.ts'
-import { getLateness, listReadyWork, type ReadyWork } from './ready-work.ts'
+import { deferHopeless } from './hopeless-work.ts'
+import { getLateness, LATENESS_TOO_LATE, listReadyWork, type ReadyWork } from './ready-work.ts'
 import { findStarvingGang } from './reserving-gangs.ts'
 import { isDeferrable } from './shares.ts'
 
@@ -11,19 +11,16 @@
 /** Other work follows in the order of its priority. */
 const RANK_SUSPECT = 2
 
-/** Lateness of work that has waited for so long that the customers' shares no longer count. */
-const TOO_LATE = 2
-
-/** Comes after work that is too late for any use. */
-const LATENESS_HOPELESS = 3
+/** In place of the lateness of hopeless work, which comes after work that is too late. */
+const LATENESS_HOPELESS = LATENESS_TOO_LATE + 1
 
 /** In place of the lateness of the starving gang, which goes before other work of its priority. */
-const STARVING = -1
+const LATENESS_STARVING = -1
 
-/** Place of work for which runs are being stopped among the ranks of the shares. */
-const RANK_CLAIMANT = -1
+/** In place of the share rank of work for which runs are being stopped, so that it goes first. */
+const SHARE_RANK_CLAIMANT = -1
 
-/** What the order by shares depends on beside the pass. */
+/** What the order by shares needs beside the pass. */
 export interface OrderContext {
   readonly shares: CustomerShares
   /** Whether capacity is claimed for the work. */
@@ -42,7 +39,7 @@
   const { job, isSuspect } = ready
   if (isGuaranteed(state, job, needs)) return { work: ready, rank: RANK_GUARANTEED, lateness: 0 }
   const rank = job.policy.priority === 0 ? RANK_URGENT : isSuspect ? RANK_SUSPECT : RANK_SUSPECT + job.policy.priority
-  const { work, isHopeless } = putBackHopeless(ready, pass)
+  const { work, isHopeless } = deferHopeless(ready, pass)
   return { work, rank, lateness: isHopeless ? LATENESS_HOPELESS : getLateness(job, wallMs, history) }
 }
 
@@ -55,9 +52,9 @@
  * being stopped goes first: if the capacity went to another customer's work, the runs would have been stopped in vain.
  */
 const rankByShare = ({ work, rank, lateness }: RankedWork, { shares, hasClaim }: OrderContext): number => {
-  if (rank === RANK_GUARANTEED || lateness >= TOO_LATE || isDeferrable(work.job)) return 0
+  if (rank === RANK_GUARANTEED || lateness >= LATENESS_TOO_LATE || isDeferrable(work.job)) return 0
   const shareRank = shares.rankNext(work)
-  return hasClaim(work) ? RANK_CLAIMANT : shareRank
+  return hasClaim(work) ? SHARE_RANK_CLAIMANT : shareRank
 }
 
 /** Orders work of equal rank and lateness by the shares of the customers; expects it in the order of `compare`. */
@@ -74,15 +71,15 @@
 }
 
 /**
- * Returns the most urgent work first. Within a priority, urgent work within its customer's guarantee comes
- * first, the oldest before newer ones; then work that can still be on time, then late work, then work that has failed
- * on several healthy endpoints. Among these the oldest comes first, with fair shares after that of customers which use less. Suspect work that is not urgent comes after
- * urgent work: an endpoint that has crashed returns empty.
+ * Returns the most urgent work first. Within a priority the order is: urgent work within its customer's guarantee, work that
+ * can be in time, late work, work that is too late, and work that has failed on several healthy endpoints. Among equals
+ * the oldest comes first; with fair shares, work of customers that use less comes before it. Suspect work that is not
+ * urgent comes after urgent work: an endpoint that has crashed returns empty.
  */
 export const listWork = (pass: PassView, context: OrderContext): WorkOrder => {
   const ready = [...pass.state.jobs.listActive()].flatMap((job) => listReadyWork(job, pass.wallMs))
   const starving = findStarvingGang(ready, pass)
-  const ranked = ready.map((work) => work === starving ? { ...toRanked(work, pass), lateness: STARVING } : toRanked(work, pass)).sort(compare)
+  const ranked = ready.map((work) => work === starving ? { ...toRanked(work, pass), lateness: LATENESS_STARVING } : toRanked(work, pass)).sort(compare)
   const ordered = pass.policy.fairShares ? orderByShares(ranked, context) : ranked
   return { ready: ordered.map(({ work }) => work), starving }
 }
