estimation, cluster: names of constants and of copies

Cause: STEP, FREEDOM, PERCENTS and SOLVED_LINKS did not say what they measure, NO_MESSAGE was defined twice, the name of a call was written twice, and the same event was handleCopy for run times and receive for speeds. Change: POINT_SPACING, DEGREES_OF_FREEDOM, COMPLETE_PERCENT, LINKS_PER_SOLVE_PERIOD, RUN_TIMES_METHOD, handleCopy for both.

--- a/packages/cluster/src/core-node.ts
+++ b/packages/cluster/src/core-node.ts
@@ -11,7 +11,7 @@
 import { MESSAGE_TIMEOUT_MS, ROLE_CHECK_PERIOD_MS, SPEED_SHARING_PERIOD_MS, STATE_GROUP } from './constants.ts'
 import { LeaderFinder } from './leader-finder.ts'
 import { LeaderService } from './leader-service.ts'
-import { RunTimeSharing, type RunTimesCopy } from './run-time-sharing.ts'
+import { RUN_TIMES_METHOD, RunTimeSharing, type RunTimesCopy } from './run-time-sharing.ts'
 import { SPEEDS_METHOD, SpeedSharing } from './speed-sharing.ts'
 import type { ClusterView, LeaderMethod } from './types.ts'
 
@@ -153,8 +153,8 @@
   #registerHandlers (server: RpcServer): void {
     server.register('raft.message', (params, { from }) => this.#handleMessages(params as MessageBatch, from))
     server.register('cluster.view', () => this.getView())
-    server.register('fleet.run-times', (params) => this.#runTimeSharing.handleCopy(params))
-    server.register(SPEEDS_METHOD, (params) => this.#speedSharing.receive(params))
+    server.register(RUN_TIMES_METHOD, (params) => this.#runTimeSharing.handleCopy(params))
+    server.register(SPEEDS_METHOD, (params) => this.#speedSharing.handleCopy(params))
     for (const method of LEADER_METHODS) server.register(method, (params) => this.handleCall(method, params))
   }
 
--- a/packages/cluster/src/run-time-sharing.ts
+++ b/packages/cluster/src/run-time-sharing.ts
@@ -5,10 +5,13 @@
 import * as v from 'valibot'
 import { RUN_TIMES_PERIOD_MS, RUN_TIMES_TIMEOUT_MS } from './constants.ts'
 
-const MAX_NAME_LENGTH = 1_000
+/** Name of the call; a control process of an earlier build rejects it. */
+export const RUN_TIMES_METHOD = 'fleet.run-times'
+
+const MAX_NAME_CHARS = 1_000
 const MAX_QUANTILES = 16
 
-const NameSchema = v.pipe(v.string(), v.maxLength(MAX_NAME_LENGTH))
+const NameSchema = v.pipe(v.string(), v.maxLength(MAX_NAME_CHARS))
 const AmountSchema = v.pipe(v.number(), v.finite(), v.minValue(0))
 const QuantilesSchema = v.pipe(v.array(AmountSchema), v.maxLength(MAX_QUANTILES))
 
@@ -87,7 +90,7 @@
     if (own.groups.length === 0) return
     for (const other of listNodes()) {
       // A process of an earlier build does not know the method, and one that is down gets the next copy.
-      if (other !== node) rpc.call(toTarget(other), 'fleet.run-times', own, RUN_TIMES_TIMEOUT_MS).catch(() => {})
+      if (other !== node) rpc.call(toTarget(other), RUN_TIMES_METHOD, own, RUN_TIMES_TIMEOUT_MS).catch(() => {})
     }
   }
 }
--- a/packages/cluster/src/speed-sharing.ts
+++ b/packages/cluster/src/speed-sharing.ts
@@ -58,7 +58,7 @@
   }
 
   /** Handles the copy of a leader. Throws `invalid-request` for one that can't be read. */
-  receive (params: unknown): object {
+  handleCopy (params: unknown): object {
     const { term, ...snapshot } = checkValue(SpeedsSchema, params, SPEEDS_METHOD)
     this.keep(term, snapshot)
     return {}
--- a/packages/cluster/tests/speed-sharing.test.ts
+++ b/packages/cluster/tests/speed-sharing.test.ts
@@ -30,7 +30,7 @@
     const call = async (target: Target, method: string, params: unknown): Promise<unknown> => {
       const receiver = this.nodes.get(asId<NodeId>(`${target.address}:${target.port}`))
       if (!receiver || method !== SPEEDS_METHOD) throw new IbisError('invalid-request', 'no such method')
-      return receiver.receive(JSON.parse(JSON.stringify(params)))
+      return receiver.handleCopy(JSON.parse(JSON.stringify(params)))
     }
     const toTarget = (peer: NodeId): Target => ({ address: peer.split(':')[0]!, port: Number(peer.split(':')[1]) }) as Target
     const sharing = new SpeedSharing({ rpc: { call } as unknown as RpcClient, toTarget, timers: this.timers, metrics: this.metrics })
@@ -48,7 +48,7 @@
   await Promise.resolve()
   t.ok(follower.createEstimator().getSpeed(SLOW, 0)!.speed < 0.77)
   t.ok(leader.createEstimator().getSpeed(SLOW, 0)!.speed < 0.77, 'a leader that is elected again')
-  follower.receive({ term: 2, ids: '', speeds: [], confidences: '' })
+  follower.handleCopy({ term: 2, ids: '', speeds: [], confidences: '' })
   t.ok(follower.createEstimator().getSpeed(SLOW, 0), 'a late copy of an earlier leader is ignored')
 })
 
@@ -61,9 +61,9 @@
 
 t.test('a copy that can not be read is rejected and keeps the earlier one', async (t) => {
   const sharing = new Cluster().add(LEADER)
-  sharing.receive({ term: 1, ...createCopy() })
+  sharing.handleCopy({ term: 1, ...createCopy() })
   const broken = [{ term: 2 }, { term: -1, ids: '', speeds: [], confidences: '' }, { term: 2, ids: 'w1 w2', speeds: [1_000], confidences: '9' }, { term: 2, ids: 'w1', speeds: [0.5], confidences: 'x' }, null]
-  for (const params of broken) t.throws(() => sharing.receive(params), /fleet.speeds/)
+  for (const params of broken) t.throws(() => sharing.handleCopy(params), /fleet.speeds/)
   t.ok(sharing.createEstimator().getSpeed(SLOW, 0)!.speed < 0.77)
 })
 
--- a/packages/estimation/src/constants.ts
+++ b/packages/estimation/src/constants.ts
@@ -16,9 +16,9 @@
 /** An endpoint without new observations loses half of its precision in this time. */
 export const CONFIDENCE_HALF_LIFE_MS = 300_000
 
-/** Shortest time between two solutions of up to `SOLVED_LINKS` pairs; more pairs are solved less often in proportion. */
+/** Shortest time between two solutions of up to `LINKS_PER_SOLVE_PERIOD` pairs; more pairs are solved less often in proportion. */
 export const SOLVE_PERIOD_MS = 500
-export const SOLVED_LINKS = 2_048
+export const LINKS_PER_SOLVE_PERIOD = 2_048
 
 /** Exchanges of messages between steps and endpoints in one solution; the next one continues from its result. */
 export const SOLVE_ITERATIONS = 2
--- a/packages/estimation/src/gang-rates.ts
+++ b/packages/estimation/src/gang-rates.ts
@@ -1,15 +1,15 @@
 import { MAX_LOG_SPEED, MAX_MEMBER_PRECISION } from './constants.ts'
 import type { Gaussian } from './speed-graph.ts'
 
-/** Points of logarithms of speed at which distributions are evaluated. */
-const STEP = 0.1
-const POINTS: readonly number[] = Array.from({ length: 25 }, (_, i) => -1.2 + STEP * i)
+/** Logarithms of speed at which distributions are evaluated: speeds of 0.3 to 3.3. */
+const POINT_SPACING = 0.1
+const POINTS: readonly number[] = Array.from({ length: 25 }, (_, i) => -1.2 + POINT_SPACING * i)
 
 /** Factor that fits the logistic function to the normal distribution function. */
 const LOGISTIC_FACTOR = 1.702
 
-/** Degrees of freedom of the distribution of a gang's rate, which has tails: some gangs take seven times as long. */
-const FREEDOM = 3
+/** Of the Student's t-distribution of a gang's rate, which has tails: some gangs take seven times as long. */
+const DEGREES_OF_FREEDOM = 3
 
 /** Returns the probability of a speed above each point. */
 const toSurvival = ({ mean, precision }: Gaussian): number[] => {
@@ -23,7 +23,7 @@
 /** Returns the expected logarithm of the speed of the slowest member. */
 export const expectSlowest = (members: readonly Gaussian[]): number => {
   const survival = multiply(members.map(toSurvival))
-  return POINTS[0]! + STEP * survival.reduce((sum, value) => sum + value, 0) - STEP / 2
+  return POINTS[0]! + POINT_SPACING * survival.reduce((sum, value) => sum + value, 0) - POINT_SPACING / 2
 }
 
 /**
@@ -34,7 +34,7 @@
 export const explainGangRate = (members: readonly Gaussian[], slowest: Gaussian): Gaussian[] => {
   const survivals = members.map(toSurvival)
   const allFaster = multiply(survivals)
-  const likelihood = POINTS.map((point) => (1 + (point - slowest.mean) ** 2 * slowest.precision / FREEDOM) ** (-(FREEDOM + 1) / 2))
+  const likelihood = POINTS.map((point) => (1 + (point - slowest.mean) ** 2 * slowest.precision / DEGREES_OF_FREEDOM) ** (-(DEGREES_OF_FREEDOM + 1) / 2))
   return members.map((member, i) => {
     if (member.precision > MAX_MEMBER_PRECISION) return { mean: 0, precision: 0 }
     return toMessage(member, weighBySpeed(allFaster.map((all, k) => all / survivals[i]![k]!), likelihood))
--- a/packages/estimation/src/speed-estimator.ts
+++ b/packages/estimation/src/speed-estimator.ts
@@ -1,13 +1,14 @@
 import { asId, type EndpointId } from '@ibisstair/common'
 import {
-  MAX_ESTIMATED_ENDPOINTS, MAX_LOG_SPEED, MAX_MS_PER_PERCENT, MAX_OBSERVED_STEPS, MAX_SPEED_THOUSANDTHS, MAX_STEP_LINKS, MIN_MEDIAN_ENDPOINTS, MIN_MS_PER_PERCENT, SOLVED_LINKS, SOLVE_PERIOD_MS, STEP_EXPIRY_MS
+  MAX_ESTIMATED_ENDPOINTS, MAX_LOG_SPEED, MAX_MS_PER_PERCENT, MAX_OBSERVED_STEPS, MAX_SPEED_THOUSANDTHS, MAX_STEP_LINKS, MIN_MEDIAN_ENDPOINTS, MIN_MS_PER_PERCENT, LINKS_PER_SOLVE_PERIOD, SOLVE_PERIOD_MS, STEP_EXPIRY_MS
 } from './constants.ts'
 import { median } from './median.ts'
 import { createEndpoint, createLink, foldLink, getConfidence, recordRun, toPrecision, type EndpointNode, type StepNode } from './speed-graph.ts'
 import { solveSpeeds } from './speed-solver.ts'
 import type { EndObservation, EndpointSpeed, RateObservation, SpeedSnapshot } from './speed-types.ts'
 
-const PERCENTS = 100
+/** Percents of a whole run. */
+const COMPLETE_PERCENT = 100
 
 /**
  * Learns how fast endpoints are, relative to the median of their service, from the rates and run times of their runs.
@@ -40,7 +41,7 @@
 
   /** Takes the run time of a run that has done its whole work. */
   recordEnd ({ runMs, ...observation }: EndObservation): void {
-    this.recordRate({ ...observation, msPerPercent: runMs / PERCENTS, observedMs: runMs })
+    this.recordRate({ ...observation, msPerPercent: runMs / COMPLETE_PERCENT, observedMs: runMs })
   }
 
   /** Returns null for an endpoint that was never observed. */
@@ -126,7 +127,7 @@
   }
 
   #solveIfDue (nowMs: number): void {
-    const periodMs = SOLVE_PERIOD_MS * Math.max(1, this.#links / SOLVED_LINKS)
+    const periodMs = SOLVE_PERIOD_MS * Math.max(1, this.#links / LINKS_PER_SOLVE_PERIOD)
     if (this.#isSolved || nowMs - this.#solvedAtMs < periodMs) return
     this.#isSolved = true
     this.#solvedAtMs = nowMs
--- a/packages/estimation/src/speed-graph.ts
+++ b/packages/estimation/src/speed-graph.ts
@@ -56,7 +56,8 @@
 }
 
 const PRIOR_PRECISION = 1 / SPEED_VARIANCE
-const NO_MESSAGE: Gaussian = { mean: 0, precision: 0 }
+/** Says nothing about an endpoint. */
+export const NO_MESSAGE: Gaussian = { mean: 0, precision: 0 }
 
 export const createEndpoint = (id: EndpointId, service: string | null, nowMs: number): EndpointNode => ({
   id,
--- a/packages/estimation/src/speed-solver.ts
+++ b/packages/estimation/src/speed-solver.ts
@@ -1,13 +1,11 @@
 import { MAX_GANG_ENDPOINTS, MAX_LOG_SPEED, MAX_QUEUE_DEVIATION, MIN_QUEUE_DEVIATION, MIN_QUEUE_STEPS, SOLVE_ITERATIONS, TAIL_SCALE } from './constants.ts'
 import { expectSlowest, explainGangRate } from './gang-rates.ts'
 import { median } from './median.ts'
-import { getCavity, updateBelief, updateWeights, type EndpointNode, type Gaussian, type StepLink, type StepNode } from './speed-graph.ts'
+import { getCavity, NO_MESSAGE, updateBelief, updateWeights, type EndpointNode, type Gaussian, type StepLink, type StepNode } from './speed-graph.ts'
 
 /** Standard deviation of a normal distribution divided by its median absolute deviation. */
 const DEVIATION_PER_MAD = 1.4826
 
-const NO_MESSAGE: Gaussian = { mean: 0, precision: 0 }
-
 /**
  * Estimates speeds by Gaussian belief propagation: a run's logarithm of time per percent is the work of its step minus the
  * speed of its endpoint plus noise. Steps tell endpoints how fast they were compared with the other endpoints of the step
