dispatch: long-running tasks, exploratory tiers and repeats by one name each

Cause: long-running tasks were also 'tasks that last'; isTrial and sendRepeatedly did not say what they do; 'only since' reads as a time. Change: isExploratory, sendWithRepeat, MAX_SUSPECT_WAIT_MS, STARVING_WAIT_OBJECTIVES, and comments in one reading.

--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -48,7 +48,7 @@
 export const MAX_REPORTED_SILENT_ENDPOINTS = 256
 
 /** Longest time for which suspect work waits for an endpoint without other runs. */
-export const SUSPECT_PATIENCE_MS = 1_000
+export const MAX_SUSPECT_WAIT_MS = 1_000
 
 /** Delay of a planning pass after a change of the state, so that several changes share one pass. */
 export const PASS_DELAY_MS = 4
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -9,7 +9,7 @@
 import type { LongPolls } from './long-polls.ts'
 import type { ObservedRate } from './run-rate.ts'
 import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
-import { isConnectionRefused, sendRepeatedly } from './repeated-order.ts'
+import { isConnectionRefused, sendWithRepeat } from './repeated-order.ts'
 import { StrayRuns } from './stray-runs.ts'
 import { createTrackedRun, mayBeActive, toEnd, type AbsentRun, type RunPhase, type TrackedRun } from './tracked-run.ts'
 
@@ -254,7 +254,7 @@
     const leaseUntilMs = await mayOrder && this.#mayOrder() ? this.#lease.extend(this.#options.timers.now(), START_LEASE_MS) : null
     if (leaseUntilMs === null) return this.#endNotStarted(tracked)
     const order = { task: tracked.task, run: tracked.run, payload, checkpoint, fencingToken, leaseUntilMs }
-    const { result, isUncertain } = await sendRepeatedly((timeoutMs) => port.start(this.#endpoint, order, timeoutMs))
+    const { result, isUncertain } = await sendWithRepeat((timeoutMs) => port.start(this.#endpoint, order, timeoutMs))
     if (this.#isClosed) return
     if (result instanceof IbisError) {
       this.#recordFailure()
@@ -306,7 +306,7 @@
     const { port, fencingToken, events, timers } = this.#options
     while (!this.#isClosed && this.#runs.get(tracked.task) === tracked && !tracked.isStopAcked && events.isLeading()) {
       const order = { task: tracked.task, run: tracked.run, fencingToken }
-      const { result } = await sendRepeatedly((timeoutMs) => port.stop(this.#endpoint, order, timeoutMs))
+      const { result } = await sendWithRepeat((timeoutMs) => port.stop(this.#endpoint, order, timeoutMs))
       if (this.#isClosed) return
       if (result instanceof IbisError) {
         this.#recordFailure()
--- a/packages/dispatch/src/endpoint-use.ts
+++ b/packages/dispatch/src/endpoint-use.ts
@@ -3,9 +3,9 @@
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 
 /**
- * Why an endpoint gets no new work: it is being drained, has said that it leaves, was replaced by another incarnation, is
- * in a failure domain that operators have drained, counts as suspect since runs failed there or it refused a start, has not answered the last call, or has not announced
- * itself of late.
+ * Why an endpoint gets no new work: it announces that it drains, has said that it leaves, was replaced by another incarnation,
+ * is in a failure domain that operators have drained, counts as suspect because runs failed there or it refused a start, has
+ * not answered the last call, or has not announced itself of late.
  */
 export const OUT_OF_USE_REASONS = ['draining', 'leaving', 'replaced', 'domain-drained', 'suspect', 'unanswered', 'unannounced'] as const
 
--- a/packages/dispatch/src/pass-speeds.ts
+++ b/packages/dispatch/src/pass-speeds.ts
@@ -5,19 +5,20 @@
 import { getRequiredSpeed, URGENT_SPEED, USUAL_SPEED } from './required-speed.ts'
 import { sumFreeAccelerators } from './shares.ts'
 
-/** Candidates of about the same use for the work. */
+/** Candidates that serve the work about equally well. */
 export interface SpeedTier {
   readonly candidates: readonly Candidate[]
-  /** Whether the work shall find out their speeds. */
-  readonly isTrial: boolean
+  /** Whether the speeds are unknown and the work is to spread over the endpoints, so that they become known. */
+  readonly isExploratory: boolean
 }
 
 /** `slow` is fast enough for the work, but too slow for urgent work. */
 type SpeedClass = 'fast' | 'unknown' | 'slow' | 'too-slow'
 
-/** Urgent work avoids endpoints that may be slow; other work finds out which are. */
+/** Urgent work avoids endpoints that may be slow. */
 const URGENT_ORDER: readonly SpeedClass[] = ['fast', 'unknown', 'slow', 'too-slow']
-const SLACK_ORDER: readonly SpeedClass[] = ['slow', 'unknown', 'fast', 'too-slow']
+/** Other work leaves fast endpoints to urgent work and explores those whose speed is unknown. */
+const DEFAULT_ORDER: readonly SpeedClass[] = ['slow', 'unknown', 'fast', 'too-slow']
 
 /**
  * The speeds of a planning pass, and the order of endpoints by them. Answers the load of uneven endpoints: urgent work gets
@@ -66,17 +67,17 @@
 
   /**
    * Splits the candidates into tiers, to be used in this order. Urgent work uses endpoints that are fast enough first, other
-   * work first those among them that are too slow for urgent work, and then those whose speed is to be found out.
+   * work first those among them that are too slow for urgent work, and then those of unknown speed.
    */
   listTiers (work: ReadyWork, candidates: readonly Candidate[]): SpeedTier[] {
-    if (!this.isUneven(work)) return [{ candidates, isTrial: false }]
+    if (!this.isUneven(work)) return [{ candidates, isExploratory: false }]
     const required = getRequiredSpeed(work, this.#wallMs, this.#history)
     const isUrgent = work.job.policy.priority === 0
-    const byClass = new Map<SpeedClass, Candidate[]>((isUrgent ? URGENT_ORDER : SLACK_ORDER).map((speedClass) => [speedClass, []]))
+    const byClass = new Map<SpeedClass, Candidate[]>((isUrgent ? URGENT_ORDER : DEFAULT_ORDER).map((speedClass) => [speedClass, []]))
     for (const candidate of candidates) byClass.get(this.#classify(candidate, required))!.push(candidate)
     return [...byClass]
       .filter(([, tier]) => tier.length > 0)
-      .map(([speedClass, tier]) => ({ candidates: tier, isTrial: speedClass === 'unknown' && !isUrgent }))
+      .map(([speedClass, tier]) => ({ candidates: tier, isExploratory: speedClass === 'unknown' && !isUrgent }))
   }
 
   #getSlowest (service: string): number {
--- a/packages/dispatch/src/placement-ladder.ts
+++ b/packages/dispatch/src/placement-ladder.ts
@@ -12,7 +12,7 @@
   readonly useKept: boolean
   /** Use endpoints that are suspect themselves, those with the fewest failures first. */
   readonly useSuspects: boolean
-  /** Use only endpoints of at least this speed. */
+  /** Use only endpoints of at least this speed; null for any. */
   readonly minSpeed?: number | null
   /** Endpoints that are used after all others of a rung. */
   readonly triedInVain: ReadonlySet<EndpointIncarnation>
@@ -64,7 +64,7 @@
 }
 
 const joinTiers = (tiers: readonly SpeedTier[]): SpeedTier[] =>
-  tiers.map((_, i) => ({ candidates: tiers.slice(0, i + 1).flatMap(({ candidates }) => candidates), isTrial: false }))
+  tiers.map((_, i) => ({ candidates: tiers.slice(0, i + 1).flatMap(({ candidates }) => candidates), isExploratory: false }))
 
 const placeOn = (work: ReadyWork, pass: PassView, tiers: readonly SpeedTier[], options: PlacementOptions): Assignment[] => {
   const assignments: Assignment[] = []
@@ -72,10 +72,10 @@
     const rest = work.indexes.slice(assignments.length)
     if (rest.length > 0) assignments.push(...placeTasks(spec, rest, candidates, countOn, options))
   }
-  for (const { candidates, isTrial } of tiers) {
+  for (const { candidates, isExploratory } of tiers) {
     if (assignments.length > 0 && isPlacedTogether(work)) break
     // One task on each endpoint compares the most endpoints; a limit of the step's own is kept.
-    if (isTrial && work.spec.maxPerEndpoint === null) placeRest({ ...work.spec, maxPerEndpoint: 1 }, candidates, () => 0)
+    if (isExploratory && work.spec.maxPerEndpoint === null) placeRest({ ...work.spec, maxPerEndpoint: 1 }, candidates, () => 0)
     placeRest(work.spec, candidates, pass.createCounter(work))
   }
   return assignments
--- a/packages/dispatch/src/plan-types.ts
+++ b/packages/dispatch/src/plan-types.ts
@@ -9,7 +9,7 @@
 export interface FleetView {
   /** Whether the endpoint may be given new work. */
   isUsable (endpoint: EndpointRecord): boolean
-  /** Whether the endpoint gets no new work only since runs failed there or since it refused a start. */
+  /** Whether the endpoint gets no new work only because runs failed there or it refused a start. */
   isSuspect (endpoint: EndpointRecord): boolean
   /** Whether the endpoint has answered a call of this leader. */
   hasAnswered (endpoint: EndpointRecord): boolean
@@ -75,7 +75,7 @@
   readonly starts: readonly StartGroup[]
   /** Runs to stop so that more urgent work fits. */
   readonly preempted: readonly TaskId[]
-  /** Number of works for which nothing was stopped only since stops are limited. */
+  /** How much waiting work found no victims only because stops are limited. */
   readonly limited: number
   /** Work that is lost with the preempted runs, in core milliseconds. */
   readonly lostCoreMs: number
@@ -109,7 +109,7 @@
   listServiceCandidates (work: ReadyWork): readonly Candidate[]
   /** Those of them that may run the work: not the ones that are kept for a suspect of another job. */
   listCandidates (work: ReadyWork): readonly Candidate[]
-  /** The endpoints of the service that get no new work only since they are suspect. */
+  /** The endpoints of the service that get no new work only because they are suspect. */
   listSuspects (work: ReadyWork): readonly Candidate[]
   isIdleWithSuspects (work: ReadyWork): boolean
   getIdleness (work: ReadyWork): Idleness
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -326,7 +326,7 @@
 /** Suspect work is not deferred, so that it can use an endpoint that has returned empty. */
 const isDeferred = ({ job, isSuspect }: ReadyWork): boolean => isDeferrable(job) && !isSuspect
 
-/** One task is enough to get a job going; tasks that last, and those of a gang, are needed all. */
+/** One task is enough to get a job going; of long-running tasks and of a gang all are needed. */
 const limitStalled = (work: ReadyWork): ReadyWork =>
   work.spec.gang || work.spec.longRunning ? work : { ...work, indexes: work.indexes.slice(0, 1) }
 
--- a/packages/dispatch/src/preemption-limits.ts
+++ b/packages/dispatch/src/preemption-limits.ts
@@ -7,7 +7,7 @@
  * Whether a run, and the others of its gang, may no longer be stopped for work beyond a guarantee. The load: urgent gangs in a
  * burst stop lower work, which starts again in the same place and is stopped again by the next gang. Earlier runs that ended
  * without a failure count as stops. They are in the replicated state, so that a new leader continues to count; a lost run
- * counts, too, as its work was lost as well. A task that lasts is not protected, since it has no end to run to.
+ * counts, too, as its work was lost as well. A long-running task is not protected, since it has no end to run to.
  */
 export const isProtected = ({ jobs }: SchedulingState, { task, run }: ActiveRun): boolean => {
   if (run <= MAX_STOPS) return false
--- a/packages/dispatch/src/repeated-order.ts
+++ b/packages/dispatch/src/repeated-order.ts
@@ -19,7 +19,7 @@
 export const isConnectionRefused = (err: IbisError): boolean => err.details?.code === 'ECONNREFUSED'
 
 /** Sends an order, and once more if no answer arrives soon. Both attempts together take at most `ORDER_TIMEOUT_MS`. */
-export const sendRepeatedly = async (send: (timeoutMs: number) => Promise<OrderResult>): Promise<OrderOutcome> => {
+export const sendWithRepeat = async (send: (timeoutMs: number) => Promise<OrderResult>): Promise<OrderOutcome> => {
   const first = await send(ORDER_REPEAT_MS).catch(IbisError.from)
   if (!(first instanceof IbisError) || isConnectionRefused(first)) return { result: first, isUncertain: false }
   const second = await send(ORDER_TIMEOUT_MS - ORDER_REPEAT_MS).catch(IbisError.from)
--- a/packages/dispatch/src/reserving-gangs.ts
+++ b/packages/dispatch/src/reserving-gangs.ts
@@ -8,7 +8,7 @@
 const MAX_RESERVING_GANGS = 3
 
 /** A gang that has waited for this multiple of its objective starves: smaller work has taken all capacity that became free. */
-const STARVING_WAIT = 3
+const STARVING_WAIT_OBJECTIVES = 3
 
 const isReserving = ({ job, spec }: ReadyWork): boolean => spec.gang && job.policy.priority > 0
 
@@ -19,8 +19,8 @@
 const findLongestWaiting = (gangs: readonly ReadyWork[], pass: PassView): ReadyWork =>
   gangs.reduce((best, gang) => getRelativeWait(gang, pass) > getRelativeWait(best, pass) ? gang : best)
 
-/** Returns the resources of tasks that last on the endpoint: waiting for them frees nothing. */
-const sumLasting = ({ jobs }: PassView['state'], endpoint: EndpointIncarnation): Resources => {
+/** Returns the resources of long-running tasks on the endpoint: waiting for them frees nothing. */
+const sumLongRunning = ({ jobs }: PassView['state'], endpoint: EndpointIncarnation): Resources => {
   let sum = NO_RESOURCES
   for (const task of jobs.listRuns(endpoint).keys()) {
     const { job, step } = mustParseTaskId(task)
@@ -33,17 +33,17 @@
 /** Whether the gang fits once all runs that end by themselves have ended. */
 const couldFit = (work: ReadyWork, pass: PassView): boolean => {
   const { spec, indexes } = work
-  const idle = pass.listServiceCandidates(work).map(({ endpoint, penalty }): Candidate => ({ endpoint, free: subtractResources(endpoint.capacity, sumLasting(pass.state, endpoint.life)), penalty }))
+  const idle = pass.listServiceCandidates(work).map(({ endpoint, penalty }): Candidate => ({ endpoint, free: subtractResources(endpoint.capacity, sumLongRunning(pass.state, endpoint.life)), penalty }))
   return placeTasks(spec, indexes, idle, () => 0, { acceptFar: true }).length === indexes.length
 }
 
 /**
  * Returns the gang, not deferrable, that has waited longest relative to its objective if it starves; null if none does, or
- * if runs that last leave no room for it, so that a reservation would keep others out in vain.
+ * if long-running tasks leave no room for it, so that a reservation would keep others out in vain.
  */
 export const findStarvingGang = (ready: readonly ReadyWork[], pass: PassView): ReadyWork | null => {
   if (!pass.policy.fairShares) return null
-  const starving = ready.filter((work) => isReserving(work) && !isDeferrable(work.job) && getRelativeWait(work, pass) >= STARVING_WAIT)
+  const starving = ready.filter((work) => isReserving(work) && !isDeferrable(work.job) && getRelativeWait(work, pass) >= STARVING_WAIT_OBJECTIVES)
   if (starving.length === 0) return null
   const longest = findLongestWaiting(starving, pass)
   return couldFit(longest, pass) ? longest : null
--- a/packages/dispatch/src/stalled-work.ts
+++ b/packages/dispatch/src/stalled-work.ts
@@ -1,5 +1,5 @@
 import type { ActiveRun } from '@ibisstair/jobs'
-import { SUSPECT_PATIENCE_MS } from './constants.ts'
+import { MAX_SUSPECT_WAIT_MS } from './constants.ts'
 import type { PassView } from './plan-types.ts'
 import type { ReadyWork } from './ready-work.ts'
 import { fitsTwice } from './service-load.ts'
@@ -56,7 +56,7 @@
     if (!work.isSuspect) return false
     const wait = this.#waits.begin(work, nowMs)
     wait.suspectSinceMs ??= nowMs
-    return nowMs - wait.suspectSinceMs < SUSPECT_PATIENCE_MS
+    return nowMs - wait.suspectSinceMs < MAX_SUSPECT_WAIT_MS
   }
 
   /** Records whether a pass leaves room unused for work that it has not placed so far; to be called before capacity is reserved. */
--- a/packages/dispatch/src/victims.ts
+++ b/packages/dispatch/src/victims.ts
@@ -64,7 +64,7 @@
     return this.#listLower(job, sparesUrgent).filter((victim) => !this.#isProtectedFrom(job, victim))
   }
 
-  /** Whether the job may not preempt some of that work only since it was stopped often enough. */
+  /** Whether the job may not preempt some of that work only because it was stopped often enough. */
   isLimitedFor (job: JobEntry): boolean {
     return this.#listLower(job, false).some((victim) => this.#isProtectedFrom(job, victim))
   }
--- a/packages/dispatch/src/work-durations.ts
+++ b/packages/dispatch/src/work-durations.ts
@@ -50,7 +50,7 @@
   }
 
   #predict (job: JobEntry, step: StepSpec): RunTimePrediction | null {
-    // Tasks that last do not end by themselves, so that nothing is learned about them.
+    // Long-running tasks do not end by themselves, so that nothing is learned about them.
     return step.longRunning ? null : this.#estimator.predict(toWorkGroup(job, step), step.estimateMs)
   }
 }
--- a/packages/dispatch/tests/isolation.test.ts
+++ b/packages/dispatch/tests/isolation.test.ts
@@ -2,7 +2,7 @@
 import { SchedulingState, type EndpointRecord, type StepSpec } from '@ibisstair/jobs'
 import t from 'tap'
 import { accept, createEndpoint, createSpec, createStep, register, start } from '../../jobs/tests/support/samples.ts'
-import { SUSPECT_PATIENCE_MS } from '../src/constants.ts'
+import { MAX_SUSPECT_WAIT_MS } from '../src/constants.ts'
 import { Planner } from '../src/planner.ts'
 import { createFleetView } from './support/fleet-view.ts'
 
@@ -77,7 +77,7 @@
   for (const index of [0, 1, 2, 3]) fixture.state.apply({ type: 'start', groups: [{ job: asId('good'), occurrence: 0, step: 0, run: 1, members: [0, 1, 2, 3].map((i) => ({ index: 4 * index + i, endpoint: fixture.endpoints[index]!.life })) }], atMs: fixture.nowMs })
   fixture.plan()
   t.equal(fixture.countActive('bad'), 0)
-  fixture.nowMs += SUSPECT_PATIENCE_MS
+  fixture.nowMs += MAX_SUSPECT_WAIT_MS
   fixture.plan()
   t.equal(fixture.countActive('bad'), 1)
   t.not(fixture.findEndpoint('bad'), 0)
--- a/packages/dispatch/tests/repeated-order.test.ts
+++ b/packages/dispatch/tests/repeated-order.test.ts
@@ -4,7 +4,7 @@
 import { createEndpoint, createStep } from '../../jobs/tests/support/samples.ts'
 import { ORDER_REPEAT_MS, ORDER_TIMEOUT_MS } from '../src/constants.ts'
 import type { EndpointPort, OrderResult } from '../src/ports.ts'
-import { sendRepeatedly } from '../src/repeated-order.ts'
+import { sendWithRepeat } from '../src/repeated-order.ts'
 import { TestCluster } from './support/test-cluster.ts'
 
 const OK: OrderResult = { type: 'ok', clockMs: 1 }
@@ -14,7 +14,7 @@
 /** Sends an order to an endpoint that gives the answers one after the other. */
 const send = async (...answers: Array<OrderResult | IbisError>) => {
   const timeoutsMs: number[] = []
-  const outcome = await sendRepeatedly(async (timeoutMs) => {
+  const outcome = await sendWithRepeat(async (timeoutMs) => {
     const answer = answers[timeoutsMs.push(timeoutMs) - 1]!
     if (answer instanceof IbisError) throw answer
     return answer
--- a/packages/dispatch/tests/stalled-work.test.ts
+++ b/packages/dispatch/tests/stalled-work.test.ts
@@ -251,7 +251,7 @@
 
 t.test('a suspect whose starts are refused does not wait for an empty endpoint anew each time', async (t) => {
   // No endpoint is empty. Each refused start took the work out of the list for a pass, so that the second of
-  // SUSPECT_PATIENCE_MS began anew.
+  // MAX_SUSPECT_WAIT_MS began anew.
   const fleet = new Fleet([4])
   fleet.submit('s1', { count: 1, longRunning: true }, { priority: 1 })
   fleet.run(8_000)
