dispatch: shares.ts becomes deferrable-limits.ts; module comments name the load

Cause: beside customer-shares.ts, shares.ts read as shares of customers, but holds the budget of deferrable work and the reserve for urgent work; three decision modules did not say which load they answer; a log line on guarantees had no value. Change: the name, the module comments, and the number of drained domains in 'guarantees of all customers fit the fleet again'.

--- a/packages/cluster/src/admission-control.ts
+++ b/packages/cluster/src/admission-control.ts
@@ -89,7 +89,7 @@
 
 const toSeconds = (ms: number): number => Math.round(ms / 100) / 10
 
-/** Work is in accelerator seconds. */
+/** Amounts of work are in accelerator seconds: aheadS, ownS and shareS. */
 const toInfo = ({ accelerators, limitMs, aheadAcceleratorMs, startMs, ownAcceleratorMs, shareAcceleratorMs }: AdmissionFigures): Readonly<Record<string, number>> =>
   ({ accelerators, limitMs: Math.round(limitMs), aheadS: toSeconds(aheadAcceleratorMs), startMs: Math.round(startMs), ownS: toSeconds(ownAcceleratorMs), shareS: toSeconds(shareAcceleratorMs) })
 
--- a/packages/dispatch/src/shares.ts
+++ b/packages/dispatch/src/deferrable-limits.ts
@@ -4,6 +4,11 @@
 import type { ReadyWork } from './ready-work.ts'
 import { countPeakAccelerators, isRecurring, type UrgentDemand } from './urgent-demand.ts'
 
+/**
+ * Limits on deferrable work: its budget, and the reserve that it leaves free. The load: deferrable work fills a fleet, and
+ * urgent gangs wait until runs that were stopped for them have ended.
+ */
+
 /** Work with this or a higher priority number is deferred in favour of expected urgent work. */
 const DEFERRABLE_PRIORITY = 2
 
--- a/packages/dispatch/src/drained-domains.ts
+++ b/packages/dispatch/src/drained-domains.ts
@@ -66,7 +66,7 @@
     if (hasShortage === this.#hasShortage) return
     this.#hasShortage = hasShortage
     if (hasShortage) this.#options.logger.warn('guarantees of all customers exceed the fleet without its drained failure domains', { shortage: figures.guaranteeShortage, domains: this.#listDrained().join(' ') })
-    else this.#options.logger.info('guarantees of all customers fit the fleet again')
+    else this.#options.logger.info('guarantees of all customers fit the fleet again', { drained: figures.drained })
   }
 
   /** Sets the metrics of a leader whose term is over to 0. */
--- a/packages/dispatch/src/learned-history.ts
+++ b/packages/dispatch/src/learned-history.ts
@@ -25,7 +25,7 @@
   readonly runTimes?: readonly SharedRunTimes[]
 }
 
-/** When a run began and ended, by the clock of this leader. */
+/** When a run began and ended, by `timers.now()` of this leader. */
 export interface RunPeriod {
   /** Null when the endpoint did not confirm the start at once, or its answers were late since. */
   readonly startedAtMs: number | null
--- a/packages/dispatch/src/pass-speeds.ts
+++ b/packages/dispatch/src/pass-speeds.ts
@@ -3,7 +3,7 @@
 import type { ReadyWork } from './ready-work.ts'
 import type { FleetView, WorkHistory } from './plan-types.ts'
 import { getRequiredSpeed, URGENT_SPEED, USUAL_SPEED } from './required-speed.ts'
-import { sumFreeAccelerators } from './shares.ts'
+import { sumFreeAccelerators } from './deferrable-limits.ts'
 
 /** Candidates that serve the work about equally well. */
 export interface SpeedTier {
--- a/packages/dispatch/src/required-speed.ts
+++ b/packages/dispatch/src/required-speed.ts
@@ -2,6 +2,11 @@
 import type { WorkHistory } from './plan-types.ts'
 import { LATE_FACTOR, estimateChainMs, type ReadyWork } from './ready-work.ts'
 
+/**
+ * The speed that work needs of its endpoint. The load: endpoints of 0.6 to 1.6 times the usual speed, on the slow ones of which
+ * urgent work is late even if it starts at once.
+ */
+
 /** Median of a service, and the speed of endpoints that are not known. */
 export const USUAL_SPEED = 1
 
--- a/packages/dispatch/src/reserving-gangs.ts
+++ b/packages/dispatch/src/reserving-gangs.ts
@@ -2,7 +2,12 @@
 import { placeTasks, type Candidate } from './placement.ts'
 import type { PassView } from './plan-types.ts'
 import { estimateChainMs, type ReadyWork } from './ready-work.ts'
-import { isDeferrable } from './shares.ts'
+import { isDeferrable } from './deferrable-limits.ts'
+
+/**
+ * The choice of the gangs for which capacity is reserved. The load: small work that takes all capacity that becomes free, so
+ * that a gang which needs much of it at once never starts.
+ */
 
 /** Number of waiting gangs for which capacity is reserved at a time. */
 const MAX_RESERVING_GANGS = 3
--- a/packages/dispatch/src/run-rate.ts
+++ b/packages/dispatch/src/run-rate.ts
@@ -55,7 +55,7 @@
     return true
   }
 
-  /** The times of its reports are not those of its progress, for example since the endpoint could not be reached. */
+  /** Ignores the run from now on: the times of its reports are not those of its progress, as when its endpoint could not be reached. */
   discard (): void {
     this.#isDiscarded = true
   }
--- a/packages/dispatch/src/work-order.ts
+++ b/packages/dispatch/src/work-order.ts
@@ -4,7 +4,7 @@
 import { deferHopeless } from './hopeless-work.ts'
 import { getLateness, LATENESS_TOO_LATE, listReadyWork, type ReadyWork } from './ready-work.ts'
 import { findStarvingGang } from './reserving-gangs.ts'
-import { isDeferrable } from './shares.ts'
+import { isDeferrable } from './deferrable-limits.ts'
 
 const RANK_GUARANTEED = 0
 const RANK_URGENT = 1
--- a/packages/dispatch/tests/drained-domains.test.ts
+++ b/packages/dispatch/tests/drained-domains.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap'
 import { createStep, orderDrain } from '../../jobs/tests/support/samples.ts'
 import type { EndpointPort, OrderResult } from '../src/index.ts'
-import { getDeferrableBudget } from '../src/shares.ts'
+import { getDeferrableBudget } from '../src/deferrable-limits.ts'
 import { Zones } from './support/zones.ts'
 
 /** No task starts in a domain later than this after the acknowledgement of its drain. */
