--- a/packages/dispatch/src/repeated-order.ts
+++ b/packages/dispatch/src/repeated-order.ts
@@ -25,7 +25,7 @@
  * Sends an order, and once more if no answer arrives soon and `mayRepeat` still holds. Both attempts together take at most
  * `ORDER_TIMEOUT_MS`.
  */
-export const sendRepeatedly = async (send: (timeoutMs: number) => Promise<OrderResult>, mayRepeat: () => boolean): Promise<OrderOutcome> => {
+export const sendWithRepeat = async (send: (timeoutMs: number) => Promise<OrderResult>, mayRepeat: () => boolean): Promise<OrderOutcome> => {
   const first = await send(ORDER_REPEAT_MS).catch(IbisError.from)
   if (!(first instanceof IbisError) || !hasTimedOut(first) || !mayRepeat()) return { result: first, isUncertain: false }
   const second = await send(ORDER_TIMEOUT_MS - ORDER_REPEAT_MS).catch(IbisError.from)
