dispatch: a pass over an even fleet copies no candidates for the order by speed

A profile shows the copies of all candidates for each gang that is placed (joinTiers), and a search for slow endpoints for each deferrable job (sumFreeBeside). Change: the first tier is used as it is, and the search is left out while all speeds are usual.

--- a/packages/dispatch/src/pass-speeds.ts
+++ b/packages/dispatch/src/pass-speeds.ts
@@ -99,9 +99,9 @@
 
   /** Returns the free accelerators beside a reserve, which slow endpoints can't serve. */
   sumFreeBeside (reserve: number, candidates: readonly Candidate[]): number {
-    const slow = candidates.filter(({ endpoint }) => this.get(endpoint.life) < URGENT_SPEED)
-    if (slow.length === 0) return sumFreeAccelerators(candidates) - reserve
-    const slowFree = sumFreeAccelerators(slow)
-    return slowFree + Math.max(0, sumFreeAccelerators(candidates) - slowFree - reserve)
+    const free = sumFreeAccelerators(candidates)
+    if (this.#unusual.size === 0) return free - reserve
+    const slowFree = sumFreeAccelerators(candidates.filter(({ endpoint }) => this.get(endpoint.life) < URGENT_SPEED))
+    return slowFree + Math.max(0, free - slowFree - reserve)
   }
 }
--- a/packages/dispatch/src/placement-ladder.ts
+++ b/packages/dispatch/src/placement-ladder.ts
@@ -63,8 +63,9 @@
   return [0, 1, 2].flatMap((tier) => toTiers(candidates.filter((candidate) => isPlacedTogether(work) ? getTier(candidate) <= tier : getTier(candidate) === tier)))
 }
 
+/** The first tier is not copied: on an even fleet it has all candidates, and there is no other. */
 const joinTiers = (tiers: readonly SpeedTier[]): SpeedTier[] =>
-  tiers.map((_, i) => ({ candidates: tiers.slice(0, i + 1).flatMap(({ candidates }) => candidates), isExploratory: false }))
+  tiers.map(({ candidates }, i) => ({ candidates: i === 0 ? candidates : tiers.slice(0, i + 1).flatMap((tier) => tier.candidates), isExploratory: false }))
 
 const placeOn = (work: ReadyWork, pass: PassView, tiers: readonly SpeedTier[], options: PlacementOptions): Assignment[] => {
   const assignments: Assignment[] = []
