--- a/review/lib-3/deployment.ts
+++ b/review/lib-3/deployment.ts
@@ -237,16 +237,16 @@
   // Clients
 
   /** Sends a client's request to an entry; resolves with the status, or null without an answer. */
-  async call (method: string, path: string, body: unknown, entry: string): Promise<{ readonly status: number | null, readonly body: any }> {
-    const headers = { host: HOST, 'x-ibisstair-credential': KEY, 'x-ibisstair-deadline-ms': '3000' }
+  async call (method: string, path: string, body: unknown, entry: string, key = KEY): Promise<{ readonly status: number | null, readonly body: any }> {
+    const headers = { host: HOST, 'x-ibisstair-credential': key, 'x-ibisstair-deadline-ms': '3000' }
     const reply = await callJson(entry, method, path, body, headers, 3_000).catch(() => ({ status: null, body: null }))
     this.#options.record.write(`client ${method} ${path} at ${entry}: ${reply.status ?? 'no answer'} ${JSON.stringify(reply.body ?? '').slice(0, 120)}`)
     return reply
   }
 
-  async submit (id: string, steps: readonly object[], spec = 'work'): Promise<boolean> {
+  async submit (id: string, steps: readonly object[], spec = 'work', key = KEY): Promise<boolean> {
     for (let attempt = 0; attempt < 5; attempt++) {
-      const { status } = await this.call('POST', `/checks/${id}`, { Spec: spec, Steps: steps }, this.entryTargets[attempt % this.entryTargets.length]!)
+      const { status } = await this.call('POST', `/checks/${id}`, { Spec: spec, Steps: steps }, this.entryTargets[attempt % this.entryTargets.length]!, key)
       if (status === 200) return true
       if (status !== null && status !== 502 && status !== 504) return false
       await sleep(200)
@@ -254,8 +254,8 @@
     return false
   }
 
-  async getState (id: string, entry = this.entryTargets[0]!): Promise<string> {
-    const { status, body } = await this.call('GET', `/checks/${id}`, undefined, entry)
+  async getState (id: string, entry = this.entryTargets[0]!, key = KEY): Promise<string> {
+    const { status, body } = await this.call('GET', `/checks/${id}`, undefined, entry, key)
     return status === 200 ? body.State : String(status ?? 'no answer')
   }
 
@@ -278,12 +278,13 @@
   }
 }
 
-export const createConfig = (version: number): object => ({
+export const createConfig = (version: number, overrides: object = {}): object => ({
   Version: version,
   Routes: [{ Name: 'checks', Host: HOST, PathPrefix: '/checks/', Kind: 'unsafe', TimeoutMs: 3_000, TargetLatencyMs: 250, Priority: 0, Service: 'app', MaxAttempts: 3, Stretch: 1.5, Public: false }],
   Services: [{ Name: 'app', HealthPath: '/health', MaxConns: 64, Protocol: 'h1', Tls: false, RejectsOverload: false, Standby: false }],
   Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 262_144, HeaderTimeoutMs: 3_000, IdleTimeoutMs: 15_000 },
-  Tenants: [{ Name: 'clinics', ApiKeys: [KEY], Priority: 1, Guaranteed: { Gpu: 8 } }]
+  Tenants: [{ Name: 'clinics', ApiKeys: [KEY], Priority: 1, Guaranteed: { Gpu: 8 } }],
+  ...overrides
 })
 
 export type Verdict = { readonly type: 'held', readonly detail: string } | { readonly type: 'broken', readonly detail: string }
--- a/review/lib-3/worker.ts
+++ b/review/lib-3/worker.ts
@@ -22,7 +22,8 @@
 interface Run {
   readonly task: string
   readonly run: number
-  readonly timer: NodeJS.Timeout
+  /** Undefined for a task that lasts. */
+  readonly timer: NodeJS.Timeout | undefined
 }
 
 interface Answer {
@@ -36,6 +37,9 @@
 const STOP_MS = 60
 const CAPACITY = { Cpu: 8_000, MemMb: 8_000, Gpu: 8 }
 
+/** Payload of tasks that last until they are stopped. */
+export const LASTING = 'lasts'
+
 /** A sound worker: it announces itself, runs tasks under a lease on its steady clock, and lists runs that have ended. */
 export class Worker {
   readonly #options: WorkerOptions
@@ -162,12 +166,12 @@
     this.#leaseTimer = setTimeout(() => { for (const task of this.running) this.#endRun(task, 'lapsed') }, granted - this.#clockMs)
   }
 
-  #startRun ({ Task: task, Run: run, UntilMs: untilMs }: { Task: string, Run: number, UntilMs: number }): Answer {
+  #startRun ({ Task: task, Run: run, Spec: spec, UntilMs: untilMs }: { Task: string, Run: number, Spec: string, UntilMs: number }): Answer {
     if (this.#runs.get(task)?.run === run) return this.#accept()
     if (run <= (this.#highestRuns.get(task) ?? 0)) return this.#reject('old')
     if (untilMs <= this.#clockMs) return this.#reject('late')
     this.#highestRuns.set(task, run)
-    this.#runs.set(task, { task, run, timer: setTimeout(() => this.#endRun(task, 'done'), this.#options.runMs) })
+    this.#runs.set(task, { task, run, timer: spec === LASTING ? undefined : setTimeout(() => this.#endRun(task, 'done'), this.#options.runMs) })
     this.#options.record.write(`worker ${this.#options.id} starts ${task} run ${run}`)
     this.#options.onChange?.()
     return this.#accept()
