--- a/review/11/case.ts
+++ b/review/11/case.ts
@@ -7,6 +7,41 @@
 const QUESTIONS_MS = 20_000
 const JOB = '5c0e7a21d94b36f8'
 
+/** Time from the loss of a machine until its successor starts, and for which the leaders are replaced one after the other. */
+const SUCCESSOR_MS = Number(process.env.SUCCESSOR_MS ?? 1_000)
+const REPLACEMENTS_MS = 60_000
+
+/** Removes one leader after the other without SIGTERM, each once the successor of the last one has had `CatchUpS`. */
+const replaceLeaders = async (deployment: Deployment, record: CaseRecord): Promise<void> => {
+  const endMs = performance.now() + REPLACEMENTS_MS
+  while (performance.now() < endMs) {
+    const leader = deployment.findLeader()!
+    if (!deployment.isRunning(leader)) return record.write('no process leads')
+    await deployment.end(leader, 'SIGKILL')
+    await sleep(SUCCESSOR_MS)
+    const successor = deployment.addControl(leader.zone)
+    record.write(`${leader.address}, which led, is gone for good; ${successor.address} has come in its place`)
+    await sleep(BOUNDS.CatchUpS * 1_000 + 100)
+  }
+}
+
+/** Replaces a machine as planned, and wipes the disk of another one right after. */
+const replaceAndWipe = async (deployment: Deployment, record: CaseRecord): Promise<void> => {
+  const leader = deployment.findLeader()
+  const [removed, wiped] = deployment.controls.slice(0, 3).filter((machine) => machine !== leader)
+  if (!leader || !removed || !wiped) throw new Error('no leader among the seeds')
+  const successor = deployment.addControl(removed.zone)
+  record.write(`${leader.address} leads; ${successor.address} is new, ${removed.address} is to be removed`)
+  await sleep(BOUNDS.CatchUpS * 1_000 + 1_000)
+  await deployment.end(removed, 'SIGTERM')
+  record.write(`${removed.address} was stopped with SIGTERM, has ended, and is gone for good`)
+  await sleep(GAP_MS)
+  await deployment.end(wiped, 'SIGKILL')
+  deployment.wipe(wiped)
+  deployment.launch(wiped, false)
+  record.write(`${wiped.address} has lost its disk and is back with an empty one`)
+}
+
 const play = async (record: CaseRecord, isTroubled: boolean): Promise<Verdict> => {
   const zones = ['z1', 'z2', 'z3', 'z4']
   const deployment = new Deployment({ zones, controls: zones, entries: ['z1', 'z2'], record })
@@ -15,24 +50,10 @@
   const worker = new Worker({ id: 'i-1', zone: 'z1', ...await deployment.createTarget(), controls: deployment.controlTargets, runMs: 2_500, record })
   await worker.start()
   if (!await waitUntil(async () => await deployment.submit(JOB, [{ Count: 2, Cpu: 500, MemMb: 256, Gpu: 1 }]), 10_000)) throw new Error('the job was not accepted')
-  // The planned replacement: the new machine comes first, and the old one is stopped once the new one has had its time.
-  const leader = deployment.findLeader()
-  const [removed, wiped] = deployment.controls.slice(0, 3).filter((machine) => machine !== leader)
-  if (!leader || !removed || !wiped) throw new Error('no leader among the seeds')
-  record.write(`leader ${leader.address}; to be removed ${removed.address}; to lose its disk ${wiped.address}`)
-  const successor = isTroubled ? deployment.addControl(removed.zone) : null
-  record.write(`new machine ${successor?.address ?? 'none'}`)
-  await sleep(BOUNDS.CatchUpS * 1_000 + 1_000)
-  if (isTroubled) {
-    await deployment.end(removed, 'SIGTERM')
-    record.write(`${removed.address} was stopped with SIGTERM, has ended, and is gone for good`)
-    await sleep(GAP_MS)
-    await deployment.end(wiped, 'SIGKILL')
-    deployment.wipe(wiped)
-    deployment.launch(wiped, false)
-    record.write(`${wiped.address} has lost its disk and is back with an empty one`)
-  }
-  const targets = deployment.controlTargets.filter((_, i) => deployment.controls[i] !== removed || !isTroubled)
+  if (isTroubled && process.env.VARIANT === 'leaders') await replaceLeaders(deployment, record)
+  else if (isTroubled) await replaceAndWipe(deployment, record)
+  else await sleep(BOUNDS.CatchUpS * 1_000 + 1_000)
+  const targets = deployment.controlTargets.filter((_, i) => deployment.isRunning(deployment.controls[i]!))
   await sleep(BOUNDS.RecoveryS * 1_000)
   let version: number | string = 'no answer'
   const isRead = await waitUntil(async () => {
--- a/review/lib-3/deployment.ts
+++ b/review/lib-3/deployment.ts
@@ -163,7 +163,7 @@
       Ip: address,
       Zone: zone,
       PortRange: [internal, internal + 15],
-      Seeds: this.#seeds,
+      Seeds: isFirstStart ? this.#seeds : this.#listSeeds(machine),
       Bootstrap: isFirstStart,
       DataDir: role === 'control' ? dataFolder : undefined,
       Listen: role === 'control' ? { Control: `${address}:${control}` } : { Front: `${address}:${front}`, Ready: `${address}:${ready}` },
@@ -265,6 +265,12 @@
     else rmSync(this.#folder, { recursive: true, force: true })
   }
 
+  /** The first three control processes of the operator's list; one that has ended is not on it. */
+  #listSeeds (starting: Machine): string[] {
+    const running = this.controls.filter((machine) => machine !== starting && this.isRunning(machine))
+    return running.slice(0, 3).map(({ address }) => `${address}:${this.#ports.control}`)
+  }
+
   #createMachine (role: Role, zone: string): Machine {
     return { address: this.#nextAddress(), role, zone, child: null }
   }
