--- a/review/lib-3/deployment.ts
+++ b/review/lib-3/deployment.ts
@@ -13,6 +13,8 @@
 /** The operator moves on to another node after this time without an answer. */
 const OPERATOR_TIMEOUT_MS = 1_000
 const POLL_MS = 50
+/** Within the ports that are free for the project. */
+const BEHIND_PROXY_OFFSET = 5
 
 export const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)))
 
@@ -99,6 +101,8 @@
   readonly controls: readonly string[]
   readonly entries: readonly string[]
   readonly record: CaseRecord
+  /** Puts a proxy in front of a control process: it listens at the internal port and passes on to the other one. */
+  readonly internalBehind?: (machine: Machine, port: number, behind: number) => Promise<void>
 }
 
 /** The project's programs as separate processes on loopback addresses, started as the deploy file says. */
@@ -138,6 +142,8 @@
     const internal = 7_000 + 16 * Math.floor(Math.random() * 100)
     this.#ports = { internal, control: internal + 2_000, front: internal + 2_001, ready: internal + 2_002 }
     this.#seeds = this.controlTargets.slice(0, 3)
+    const { internalBehind } = this.#options
+    if (internalBehind) for (const machine of this.controls) await internalBehind(machine, internal, internal + BEHIND_PROXY_OFFSET)
     for (const machine of [...this.controls, ...this.entries]) this.launch(machine, true)
     const isServed = await waitUntil(async () => (await this.readConfig(this.controlTargets[0]!)) !== 'no answer', 15_000)
     if (!isServed) throw new Error('the control processes did not start')
@@ -158,6 +164,8 @@
     const settings = `${this.#folder}/${address}.yaml`
     const dataFolder = `${this.#folder}/disk-${address}/data`
     if (role === 'control') mkdirSync(`${this.#folder}/disk-${address}`, { recursive: true })
+    const isBehindProxy = role === 'control' && this.#options.internalBehind !== undefined
+    const portMapping = isBehindProxy ? `\ninternalListener: "${address}:${internal + BEHIND_PROXY_OFFSET}"\n` : ''
     writeFileSync(settings, render(template, {
       Node: `${role}-${address}`,
       Ip: address,
@@ -170,7 +178,7 @@
       Bounds: BOUNDS,
       FaultTolerance: { Machines: 1, Zones: 1, Regions: 0 },
       Zones: Object.fromEntries(this.#options.zones.map((name) => [name, 'region']))
-    }))
+    }) + portMapping)
     const [program, ...args] = command as [string, ...string[]]
     const child = spawn(program === 'node' ? process.execPath : program, args, {
       env: { PATH: process.env.PATH, HOME: process.env.HOME, UV_USE_IO_URING: '0', IBISSTAIR_SETTINGS: settings },
@@ -206,6 +214,12 @@
     }
   }
 
+  /** Returns the metrics of a process as text. */
+  async readMetrics ({ address }: Machine): Promise<string> {
+    const reply = await fetch(`http://${address}:${this.#ports.internal + 1}/metrics`)
+    return await reply.text()
+  }
+
   /** The control process that began to lead last, by its log. */
   findLeader (): Machine | null {
     const terms = this.controls.map((machine) => ({ machine, term: Math.max(0, ...[...this.readLog(machine).matchAll(/"begins to lead","fields":\{"term":(\d+)/g)].map(([, term]) => Number(term))) }))
