--- a/review/lib-3/deployment.ts
+++ b/review/lib-3/deployment.ts
@@ -314,6 +314,8 @@
 
 /** Runs a case in the folder that the command line names, and exits with its verdict. */
 export const runCase = async (play: (record: CaseRecord, isTroubled: boolean) => Promise<Verdict>): Promise<void> => {
+  // The processes that a case has started are killed when it exits.
+  process.once('SIGTERM', () => process.exit(CANNOT_RUN))
   const record = new CaseRecord(process.argv[2] ?? '.')
   const isTroubled = process.env.TROUBLE !== '0'
   record.write(isTroubled ? 'with the disruption' : 'without the disruption')
