dispatch: a refused connection no longer ends the runs of an endpoint that leaves

EndpointSession took the refused connection for its end; the leader's log shows that rule 0.28 s after the message. Change: a run on an endpoint that leaves ends by a report or by the end of its lease. So that a sound endpoint need not wait for its lease, the answer to its message waits until the ends of its stopped runs are committed, for 0.8 s at most: it ends when it gets the answer. LeavingEndpoints holds what the dispatcher knew of them. Conclusion: only what an endpoint lists, or the end of its lease, ends a run there; an endpoint that ends without an answer costs its work up to 6.5 s.

--- a/packages/cluster/src/leader-service.ts
+++ b/packages/cluster/src/leader-service.ts
@@ -44,7 +44,7 @@
       case 'config.put': return await this.#configure(params as ConfigureParams)
       case 'config.get': return await this.#readConfig()
       case 'endpoint.announce': return await this.#announce(params as AnnounceParams)
-      case 'endpoint.leave': return this.#leave(params as LeaveParams)
+      case 'endpoint.leave': return await this.#leave(params as LeaveParams)
       case 'domain.drain': return await this.#domains.drain(params as DomainOrderParams)
       case 'domain.restore': return await this.#domains.restore(params as DomainOrderParams)
       case 'domain.list': return await this.#domains.list()
@@ -152,8 +152,8 @@
     return { announceTo: relays.getAnnounceAddress(endpoint, timers.now()) }
   }
 
-  #leave ({ endpointId, bornMs = null, service = null, address = null }: LeaveParams): object {
-    this.#options.dispatcher.leave({ endpointId, bornMs, service, address })
+  async #leave ({ endpointId, bornMs = null, service = null, address = null }: LeaveParams): Promise<object> {
+    await this.#options.dispatcher.leave({ endpointId, bornMs, service, address })
     return {}
   }
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -5,7 +5,7 @@
 import type { Logger, Metrics } from '@ibisstair/telemetry'
 import type { TimerService, Unsubscribe } from '@ibisstair/timers'
 import { Announcements } from './announcements.ts'
-import { BARRIER_RETRY_DELAY_MS, COMMIT_TIMEOUT_MS, FAILED_PASS_DELAY_MS, LEAVE_GRACE_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
+import { BARRIER_RETRY_DELAY_MS, COMMIT_TIMEOUT_MS, FAILED_PASS_DELAY_MS, MAX_PASS_DELAY_MS, MAX_SURVEY_MS, PASS_DELAY_MS, PASS_PAUSE_FACTOR, SESSION_TICK_MS } from './constants.ts'
 import { DrainedDomains } from './drained-domains.ts'
 import { EndpointHealth } from './endpoint-health.ts'
 import { EndpointRegistrar } from './endpoint-registrar.ts'
@@ -13,6 +13,7 @@
 import { EndpointUse } from './endpoint-use.ts'
 import { LearnedHistory } from './learned-history.ts'
 import { isNoticeOf, type LeaveNotice } from './leave-notice.ts'
+import { LeavingEndpoints } from './leaving-endpoints.ts'
 import { PendingRecords } from './pending-records.ts'
 import { LongPolls } from './long-polls.ts'
 import { ObservedFleet } from './observed-fleet.ts'
@@ -67,8 +68,7 @@
   readonly #startOrders: StartOrders
   readonly #longPolls = new LongPolls()
   readonly #unwantedRuns: UnwantedRuns
-  /** When each endpoint said that it leaves. */
-  readonly #leavingSinceMs = new Map<EndpointIncarnation, number>()
+  readonly #leaving: LeavingEndpoints
   readonly #replaced: ReplacedEndpoints
   readonly #fleet: ObservedFleet
   readonly #endpointUse: EndpointUse
@@ -107,6 +107,7 @@
     })
     this.#unwantedRuns = new UnwantedRuns(options.state)
     this.#unsettledRuns = new UnsettledRuns(options.logger, options.metrics)
+    this.#leaving = new LeavingEndpoints(state, timers)
     this.#replaced = new ReplacedEndpoints({
       timers: options.timers,
       isRegistered: (life) => options.state.endpoints.get(life) !== undefined,
@@ -134,7 +135,7 @@
       replaced: this.#replaced,
       speeds: this.#runSpeeds,
       getSession: (life) => this.#sessions.get(life),
-      isLeaving: (life) => this.#leavingSinceMs.has(life)
+      isLeaving: (life) => this.#leaving.has(life)
     })
     this.#endpointUse = new EndpointUse(options.logger, options.metrics)
     this.#drainedDomains = new DrainedDomains({
@@ -171,6 +172,7 @@
     this.#isClosed = true
     for (const unsubscribe of this.#unsubscribes) unsubscribe()
     for (const session of this.#sessions.values()) session.close()
+    this.#leaving.close()
     this.#endpointUse.close()
     this.#drainedDomains.close()
     this.#history.close()
@@ -195,19 +197,25 @@
   }
 
   /**
-   * Handles the message that an endpoint shuts down: removes it after a grace period, once no run is active there.
-   * An endpoint whose message got no answer may still run for some seconds. The message may arrive late, after another
-   * incarnation has registered under the id; the runs of an endpoint whose message is ignored end with their lease.
+   * Handles the message that an endpoint shuts down: stops its runs, and removes it once none is active there. Resolves
+   * when the message may be answered. An endpoint whose message got no answer may still run for some seconds. The
+   * message may arrive late, after another incarnation has registered under the id; the runs of an endpoint whose
+   * message is ignored end with their lease.
    */
-  leave (notice: LeaveNotice): void {
-    const { state, timers, logger } = this.#options
+  async leave (notice: LeaveNotice): Promise<void> {
+    const { state, timers, logger, metrics } = this.#options
     const { endpointId: id } = notice
     const record = [...state.endpoints.list()].find((endpoint) => endpoint.id === id)
     if (!record) return
-    if (!isNoticeOf(notice, record)) return logger.info('message that an endpoint leaves is not of its present incarnation; ignored', { ...notice, life: record.life, draining: record.draining })
-    logger.info('endpoint leaves', { endpoint: id, life: record.life })
-    if (!this.#leavingSinceMs.has(record.life)) this.#leavingSinceMs.set(record.life, timers.now())
-    this.#sessions.get(record.life)?.handleLeaving()
+    const { life } = record
+    if (!isNoticeOf(notice, record)) return logger.info('message that an endpoint leaves is not of its present incarnation; ignored', { ...notice, life, draining: record.draining })
+    const beganAtMs = timers.now()
+    logger.info('endpoint leaves', { endpoint: id, life, runs: state.jobs.listRuns(life).size })
+    this.#leaving.add(life)
+    this.#sessions.get(life)?.handleLeaving()
+    await this.#leaving.waitForRuns(life)
+    metrics.timing('endpoints.leave', timers.now() - beganAtMs)
+    logger.info('endpoint may end', { endpoint: id, life, activeRuns: state.jobs.listRuns(life).size, waitedMs: Math.round(timers.now() - beganAtMs) })
   }
 
   /** Returns a copy of the speeds that this leader has learned. */
@@ -271,6 +279,7 @@
     if (result.type === 'registered') for (const ended of result.replaced) this.#reportEnded(ended)
     if (result.type === 'removed' && result.ended) this.#reportEnded(result.ended)
     if (command.type === 'register-endpoint' || command.type === 'remove-endpoint') this.#closeStaleSessions()
+    this.#leaving.handleApplied()
     this.#schedulePass()
   }
 
@@ -299,7 +308,7 @@
     if (!endpoint) return null
     const session = new EndpointSession({ endpoint, port, timers, fencingToken, leaseMaxMs, longPolls: this.#longPolls, events: this })
     this.#sessions.set(incarnation, session)
-    if (this.#leavingSinceMs.has(incarnation)) session.handleLeaving()
+    if (this.#leaving.has(incarnation)) session.handleLeaving()
     return session
   }
 
@@ -316,7 +325,6 @@
       this.#health.remove(incarnation)
       this.#history.removeEndpoint(incarnation)
     }
-    for (const incarnation of this.#leavingSinceMs.keys()) if (!this.#options.state.endpoints.get(incarnation)) this.#leavingSinceMs.delete(incarnation)
   }
 
   /** Resolves once its runs are handed over and the attempt to remove it is over. */
@@ -349,7 +357,7 @@
     if (!this.isLeading()) return
     for (const session of this.#sessions.values()) session.tick()
     this.#removeSilentEndpoints()
-    this.#removeLeftEndpoints()
+    for (const record of this.#leaving.listRemovable()) this.#remove(record, 'left')
     this.#replaced.retryDue()
     this.#endpointUse.observe([...this.#options.state.endpoints.list()], (endpoint) => this.#fleet.getOutOfUse(endpoint))
     this.#drainedDomains.observe()
@@ -383,14 +391,6 @@
     }
   }
 
-  #removeLeftEndpoints (): void {
-    const { state, timers } = this.#options
-    for (const [incarnation, sinceMs] of this.#leavingSinceMs) {
-      const record = state.endpoints.get(incarnation)
-      if (record && timers.now() - sinceMs >= LEAVE_GRACE_MS && state.jobs.listRuns(incarnation).size === 0) this.#remove(record, 'left')
-    }
-  }
-
   #schedulePass (): void {
     if (this.#isPassScheduled || this.#isClosed) return
     this.#isPassScheduled = true
--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -54,8 +54,6 @@
   #silentSinceMs: number | null = null
   /** When the endpoint said that it leaves. */
   #leavingSinceMs: number | null = null
-  /** Whether nothing listens at the address of the leaving endpoint any more. */
-  #hasLeft = false
   #hasReported = false
   #isPolling = false
   #pollAgain = false
@@ -142,7 +140,8 @@
 
   /**
    * The endpoint says that it leaves. It may run on for some time if that message got no answer, so that its runs are
-   * stopped; each counts as ended when a report, a refused connection or the end of the lease shows it.
+   * stopped; each counts as ended when a report or the end of the lease shows it. A refused connection shows nothing:
+   * a partition may refuse connections, too.
    */
   handleLeaving (): void {
     this.#leavingSinceMs ??= this.#options.timers.now()
@@ -228,18 +227,17 @@
     this.#pollLoop().catch((err: unknown) => this.#options.events.log('lease renewal failed unexpectedly', { endpoint: this.#endpoint.id, err })).finally(() => { this.#isPolling = false })
   }
 
-  /** Reports runs as lost once the endpoint has left, or their lease has certainly expired on an unreachable one. */
+  /** Reports runs as lost once their lease has certainly expired on an unreachable endpoint. */
   tick (): void {
     if (this.#isClosed || this.#runs.size === 0) return
     if (this.#leavingSinceMs !== null) this.#stopAll()
     for (const tracked of this.#runs.values()) if (tracked.phase === 'not-started') this.#endNotStarted(tracked)
     this.poll()
     const hasExpired = this.#failures > 0 && this.#options.timers.now() >= this.#lease.getEndMs()
-    if (!hasExpired && !this.#hasLeft) return
+    if (!hasExpired) return
     const ends = [...this.#runs.values()].filter(mayBeActive).map((tracked) => toEnd(tracked, 'lost'))
     if (ends.length === 0) return
-    const cause = this.#hasLeft ? 'endpoint that leaves accepts no more connections' : 'lease of an unreachable endpoint expired'
-    this.#options.events.log(`${cause}; its runs count as lost`, { endpoint: this.#endpoint.id, runs: ends.length, failures: this.#failures })
+    this.#options.events.log('lease of an unreachable endpoint expired; its runs count as lost', { endpoint: this.#endpoint.id, runs: ends.length, failures: this.#failures, isLeaving: this.#leavingSinceMs !== null })
     this.#submit(ends).catch(() => {})
   }
 
@@ -432,7 +430,6 @@
     if (this.#isClosed) return true
     if (result instanceof IbisError) {
       this.#recordFailure()
-      this.#hasLeft ||= isConnectionRefused(result) && this.#leavingSinceMs !== null && sentAtMs >= this.#leavingSinceMs
       if (this.#failures === 1) this.#options.events.log('endpoint does not answer', { endpoint: this.#endpoint.id, address: this.#endpoint.address, runs: this.#runs.size, detail: result.message })
       return false
     }
--- a/packages/dispatch/tests/random-faults.test.ts
+++ b/packages/dispatch/tests/random-faults.test.ts
@@ -41,11 +41,13 @@
     case 'crash': return fleet.crash(endpoint.life)
     // The answer to the message is lost, so that the endpoint runs on for a while; another one takes its place.
     case 'leave': {
-      if (random.float() < 0.5) fleet.faults.unreachable.add(endpoint.life)
-      cluster.leave(endpoint.id, endpoint.bornMs)
+      const share = random.float()
+      const cut = share < 0.5 ? fleet.faults.unreachable : share < 0.75 ? fleet.faults.refusingConnections : null
+      cut?.add(endpoint.life)
+      cluster.leave(endpoint.id, endpoint.bornMs).catch(() => {})
       timers.subscribe(random.int(500, 4_000), () => {
         fleet.crash(endpoint.life)
-        fleet.faults.unreachable.delete(endpoint.life)
+        cut?.delete(endpoint.life)
       })
       return
     }
--- a/packages/dispatch/tests/support/fake-fleet.ts
+++ b/packages/dispatch/tests/support/fake-fleet.ts
@@ -26,6 +26,8 @@
   crashAfterMs: number
   /** Runs that every endpoint reports besides its own. */
   strayRuns: readonly RunReport[]
+  /** Endpoints that announce themselves, behind a partition that refuses connections to them. */
+  readonly refusingConnections: Set<EndpointIncarnation>
   /** Endpoints that announce themselves but answer no call. */
   readonly hanging: Set<EndpointIncarnation>
   /** Endpoints that answer every call with a refusal, and do nothing. */
@@ -220,7 +222,7 @@
     this.timers = timers
     this.random = random
     this.#getState = getState
-    this.faults = { lostShare: 0, unreachable: new Set(), runMs: 1_000, slowness: new Map(), failingShare: 0, crashingTasks: new Set(), crashAfterMs: 10, strayRuns: [], hanging: new Set(), refusing: new Set(), refusingStarts: new Set(), failing: new Set(), ...faults }
+    this.faults = { lostShare: 0, unreachable: new Set(), runMs: 1_000, slowness: new Map(), failingShare: 0, crashingTasks: new Set(), crashAfterMs: 10, strayRuns: [], refusingConnections: new Set(), hanging: new Set(), refusing: new Set(), refusingStarts: new Set(), failing: new Set(), ...faults }
     for (const record of records) this.#endpoints.set(record.life, new FakeEndpoint(record, this))
   }
 
@@ -263,8 +265,8 @@
 
   /** The endpoints that run, with what they run. */
   listViews (): FakeEndpointView[] {
-    const { unreachable, hanging, refusing, refusingStarts, failing } = this.faults
-    const faulty = [unreachable, hanging, refusing, refusingStarts, failing]
+    const { unreachable, refusingConnections, hanging, refusing, refusingStarts, failing } = this.faults
+    const faulty = [unreachable, refusingConnections, hanging, refusing, refusingStarts, failing]
     return [...this.#endpoints.values()].filter(({ isCrashed }) => !isCrashed).map(({ record, bornAtMs, runs }) =>
       ({ record, bornAtMs, tasks: [...runs.keys()], isSound: !faulty.some((set) => set.has(record.life)) }))
   }
@@ -278,7 +280,7 @@
   describe (life: EndpointIncarnation): string {
     const fake = this.#endpoints.get(life)!
     const successor = fake.successor && findSuccessor(fake)
-    const faults = (['unreachable', 'hanging', 'refusing', 'refusingStarts', 'failing'] as const).filter((name) => this.faults[name].has(life))
+    const faults = (['unreachable', 'refusingConnections', 'hanging', 'refusing', 'refusingStarts', 'failing'] as const).filter((name) => this.faults[name].has(life))
     const states = [...fake.isCrashed ? ['gone'] : [], ...faults, ...successor ? [`now ${successor.record.life}: ${this.describe(successor.record.life)}`] : []]
     return states.join(', ') || 'sound'
   }
@@ -384,7 +386,7 @@
     const called = this.#endpoints.get(incarnation)!
     await this.timers.delay(1)
     const fake = findSuccessor(called)
-    if (fake.isCrashed) throw new IbisError('unreachable', 'connection refused', { info: { reason: 'connect', code: 'ECONNREFUSED' } })
+    if (fake.isCrashed || this.faults.refusingConnections.has(fake.record.life)) throw new IbisError('unreachable', 'connection refused', { info: { reason: 'connect', code: 'ECONNREFUSED' } })
     if (this.faults.refusing.has(fake.record.life)) return { type: 'refused', reason: 'status-503' } as T
     if (this.faults.hanging.has(fake.record.life)) return await this.#loseAnswer(timeoutMs)
     if (this.faults.unreachable.has(incarnation) || this.faults.unreachable.has(fake.record.life)) return await this.#loseAnswer(timeoutMs)
--- a/packages/dispatch/tests/support/test-cluster.ts
+++ b/packages/dispatch/tests/support/test-cluster.ts
@@ -191,8 +191,9 @@
     this.state.apply({ type: 'cancel', job: asId<JobId>(id), atMs: this.timers.now() })
   }
 
-  leave (id: string, bornMs: number | null, claims: Partial<LeaveNotice> = {}): void {
-    this.#dispatcher?.leave({ endpointId: asId<EndpointId>(id), bornMs, service: null, address: null, ...claims })
+  /** Resolves once the endpoint gets the answer to its message. */
+  async leave (id: string, bornMs: number | null, claims: Partial<LeaveNotice> = {}): Promise<void> {
+    await this.#dispatcher?.leave({ endpointId: asId<EndpointId>(id), bornMs, service: null, address: null, ...claims })
   }
 
   /** Announces the endpoints with another capacity from now on. */
