consensus: log each change of the members with its reason and the peers that decided it

Change: the leader logs each configuration that it appends, with the reason and with the silence and readiness of each peer. The plan of a change carries its reason.

--- a/packages/consensus/src/automatic-membership.ts
+++ b/packages/consensus/src/automatic-membership.ts
@@ -13,10 +13,25 @@
   readonly isPromotable: boolean
 }
 
+/** Why the leader changes the configuration. */
+export type MemberChangeReason =
+  | 'operator'
+  | 'node-joins'
+  | 'node-lost-its-state'
+  | 'voter-missing'
+  | 'voter-silent'
+  | 'voter-surplus'
+  | 'learner-silent'
+
+export interface MemberPlan {
+  readonly members: readonly Member[]
+  readonly reason: MemberChangeReason
+}
+
 /** Returns the configuration in which a learner that can vote at once has become a voter; null if there is none. */
-export const promoteLearner = (members: readonly Member[], peers: readonly Peer[]): readonly Member[] | null => {
+export const promoteLearner = (members: readonly Member[], peers: readonly Peer[], reason: MemberChangeReason): MemberPlan | null => {
   const learner = peers.find(({ isPromotable }) => isPromotable)
-  return learner ? withVoter(members, learner.member.node) : null
+  return learner ? { members: withVoter(members, learner.member.node), reason } : null
 }
 
 /**
@@ -24,20 +39,24 @@
  * A silent voter gives its vote up only after its substitute has one: with a voter less, the group would not survive
  * the loss of as many disks, not even while the change is not yet committed.
  */
-export const planMembers = (members: readonly Member[], peers: readonly Peer[], maxVoters: number): readonly Member[] | null => {
+export const planMembers = (members: readonly Member[], peers: readonly Peer[], maxVoters: number): MemberPlan | null => {
   const voterCount = listVoters(members).length
   if (voterCount > maxVoters) return demoteLongestSilent(members, peers)
+  return addVoter(members, peers, maxVoters) ?? removeSilentLearner(members, peers)
+}
+
+const addVoter = (members: readonly Member[], peers: readonly Peer[], maxVoters: number): MemberPlan | null => {
+  if (listVoters(members).length < maxVoters) return promoteLearner(members, peers, 'voter-missing')
   const hasSilentVoter = peers.some(({ member, silentMs }) => member.role === 'voter' && silentMs >= VOTER_SILENCE_MS)
-  const promoted = voterCount < maxVoters || hasSilentVoter ? promoteLearner(members, peers) : null
-  return promoted ?? removeSilentLearner(members, peers)
+  return hasSilentVoter ? promoteLearner(members, peers, 'voter-silent') : null
 }
 
-const demoteLongestSilent = (members: readonly Member[], peers: readonly Peer[]): readonly Member[] | null => {
+const demoteLongestSilent = (members: readonly Member[], peers: readonly Peer[]): MemberPlan | null => {
   const [longestSilent] = peers.filter(({ member }) => member.role === 'voter').sort((a, b) => a.lastContactAt - b.lastContactAt)
-  return longestSilent ? withLearner(members, longestSilent.member) : null
+  return longestSilent ? { members: withLearner(members, longestSilent.member), reason: 'voter-surplus' } : null
 }
 
-const removeSilentLearner = (members: readonly Member[], peers: readonly Peer[]): readonly Member[] | null => {
+const removeSilentLearner = (members: readonly Member[], peers: readonly Peer[]): MemberPlan | null => {
   const silent = peers.find(({ member, silentMs }) => member.role === 'learner' && silentMs >= LEARNER_SILENCE_MS)
-  return silent ? withoutNode(members, silent.member.node) : null
+  return silent ? { members: withoutNode(members, silent.member.node), reason: 'learner-silent' } : null
 }
--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -241,6 +241,7 @@
       case 'refused': return this.#proposals.refuse(effect.id, effect.reason, this.getStatus().leader)
       case 'dropped': return this.#proposals.failFrom(effect.fromIndex)
       case 'send': return this.#send(effect)
+      case 'members-appended': return this.#logMembers(effect)
       case 'save-hard-state': {
         this.#latestHardState = effect.state
         this.#queue.push(effect)
@@ -256,6 +257,17 @@
     }
   }
 
+  #logMembers ({ index, plan, peers }: Extract<Effect, { type: 'members-appended' }>): void {
+    const { group, log } = this.#options
+    log?.('info', 'members of the group change', {
+      group,
+      index,
+      reason: plan.reason,
+      members: plan.members.map(({ node, role }) => `${node}:${role}`).join(' '),
+      peers: peers.map(({ member, silentMs, isPromotable }) => ({ node: member.node, role: member.role, silentMs: Math.round(silentMs), isPromotable }))
+    })
+  }
+
   #notifyStatusChange (): void {
     const previous = this.#status
     const status = this.getStatus()
--- a/packages/consensus/src/replica-types.ts
+++ b/packages/consensus/src/replica-types.ts
@@ -1,5 +1,6 @@
 import type { NodeId } from '@ibisstair/common'
 import type { RandomSource } from '@ibisstair/timers'
+import type { MemberPlan, Peer } from './automatic-membership.ts'
 import type { Message } from './messages.ts'
 import type { EncodedSnapshot, HardState, LogEntry } from './types.ts'
 
@@ -80,6 +81,8 @@
   | { readonly type: 'refused', readonly id: number, readonly reason: RefusalReason }
   /** The entries from the index on were removed from the log; they were never stored or sent. */
   | { readonly type: 'dropped', readonly fromIndex: number }
+  /** This leader has appended another configuration; `peers` is what it knew of the other members when it decided. */
+  | { readonly type: 'members-appended', readonly index: number, readonly plan: MemberPlan, readonly peers: readonly Peer[] }
 
 export interface ReplicaCounters {
   elections: number
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -1,7 +1,7 @@
 import { assertNever, invariant } from '@ibisstair/common'
 import type { NodeId } from '@ibisstair/common'
 import { planMembers, promoteLearner } from './automatic-membership.ts'
-import type { Peer } from './automatic-membership.ts'
+import type { MemberPlan, Peer } from './automatic-membership.ts'
 import { ElapsedClock } from './clock.ts'
 import {
   ELECTION_TIMEOUT_MAX_MS, ELECTION_TIMEOUT_MIN_MS, HEARTBEAT_MS, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_LOG_ENTRIES,
@@ -737,10 +737,14 @@
     return isMajority(active.length, members)
   }
 
-  #appendMembers (members: readonly Member[]): LogEntry {
+  #appendMembers (plan: MemberPlan): LogEntry {
+    const { members } = plan
     invariant(countVoterChanges(this.#members, members) <= 1, 'a change adds or removes one voter', { from: this.#members, to: members })
     this.counters.memberChanges += 1
-    return this.#appendAsLeader({ type: 'members', members })
+    const peers = this.#listPeers()
+    const entry = this.#appendAsLeader({ type: 'members', members })
+    this.#effects.push({ type: 'members-appended', index: entry.index, plan, peers })
+    return entry
   }
 
   #changeMembers (id: number, change: MemberChange): void {
@@ -751,7 +755,7 @@
     if (!isValid) return this.#refuse(id, 'invalid-change')
     const members = change.type === 'add' ? withLearner(this.#members, change) : withoutNode(this.#members, change.node)
     if (!this.#hasActiveMajority(members)) return this.#refuse(id, 'no-quorum')
-    const entry = this.#appendMembers(members)
+    const entry = this.#appendMembers({ members, reason: 'operator' })
     this.#effects.push({ type: 'accepted', id, index: entry.index, term: entry.term })
   }
 
@@ -767,7 +771,7 @@
       this.counters.refusedJoins += 1
       return
     }
-    this.#appendMembers(withLearner(this.#members, { node: from, incarnation, witness: existing.witness }))
+    this.#appendMembers({ members: withLearner(this.#members, { node: from, incarnation, witness: existing.witness }), reason: 'node-lost-its-state' })
   }
 
   /** With automatic membership, a learner gets a vote before the node that lost its state gives its own up; that node asks again. */
@@ -775,9 +779,9 @@
     const { maxVoters } = this.#options
     if (maxVoters === undefined || listVoters(this.#members).length > maxVoters) return false
     if (this.#findRefusalReason() || !this.#canChangeMembers()) return false
-    const next = promoteLearner(this.#members, this.#listPeers())
-    if (!next || !this.#hasActiveMajority(next)) return false
-    this.#appendMembers(next)
+    const plan = promoteLearner(this.#members, this.#listPeers(), 'node-lost-its-state')
+    if (!plan || !this.#hasActiveMajority(plan.members)) return false
+    this.#appendMembers(plan)
     return true
   }
 
@@ -788,17 +792,17 @@
       this.counters.refusedJoins += 1
       return
     }
-    this.#appendMembers(withLearner(this.#members, { node, incarnation, witness: false }))
+    this.#appendMembers({ members: withLearner(this.#members, { node, incarnation, witness: false }), reason: 'node-joins' })
   }
 
   #adjustMembers (): void {
     if (this.#diskFull || this.#now < this.#transferDeadline || !this.#canChangeMembers()) return
     const { maxVoters } = this.#options
     const peers = this.#listPeers()
-    const next = maxVoters === undefined ? promoteLearner(this.#members, peers) : planMembers(this.#members, peers, maxVoters)
-    if (!next || !this.#hasActiveMajority(next)) return
-    if (listVoters(next).length < listVoters(this.#members).length) this.counters.replacedVoters += 1
-    this.#appendMembers(next)
+    const plan = maxVoters === undefined ? promoteLearner(this.#members, peers, 'voter-missing') : planMembers(this.#members, peers, maxVoters)
+    if (!plan || !this.#hasActiveMajority(plan.members)) return
+    if (listVoters(plan.members).length < listVoters(this.#members).length) this.counters.replacedVoters += 1
+    this.#appendMembers(plan)
   }
 
   #listPeers (): Peer[] {
--- a/packages/consensus/tests/support/replica-cluster.ts
+++ b/packages/consensus/tests/support/replica-cluster.ts
@@ -316,6 +316,7 @@
         node.pendingEffects.push(effect)
         return
       }
+      case 'members-appended': return
       default: node.pendingEffects.push(effect)
     }
   }
