consensus: the silence of a lost leader counts from its last message, not from the next election

A new leader counted the silence of each peer from its election, so that the lost one kept its vote for an election and 2.5 s more. Change: the leader before is silent since its last message, once it had a heartbeat to answer in; other peers as before. Conclusion: a lost leader is replaced 2.5 s after its last message; one that was only cut off loses its vote up to an election sooner.

--- a/packages/consensus/src/automatic-membership.ts
+++ b/packages/consensus/src/automatic-membership.ts
@@ -7,7 +7,7 @@
   readonly member: Member
   /** Send time of the newest message that it answered; -Infinity if it has answered none. */
   readonly lastContactAt: number
-  /** Time since its last answer, or since the election of a leader that it has not answered yet. */
+  /** Time since it was last heard of; for a peer that has not answered this leader, since the election, or since its last message as the leader before. */
   readonly silentMs: number
   /** Whether it has asked to give up its vote, as it shuts down. */
   readonly isLeaving: boolean
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -80,6 +80,8 @@
   #leader: NodeId | null = null
   /** The leader seen in the current term, to assert that a term has at most one. */
   #knownLeaderOfTerm: NodeId | null = null
+  /** The other replica that led last, as far as this one knows, and when it last heard from it. */
+  #lastOtherLeader: NodeId | null = null
   #leaderContactAt = -Infinity
   #electionDeadline: number
   #votes = new Map<NodeId, boolean>()
@@ -470,6 +472,7 @@
   #followLeader (from: NodeId): void {
     this.#recordLeaderOfTerm(from)
     if (this.#role !== 'follower' || this.#leader !== from) this.#becomeFollower(this.#term, from)
+    this.#lastOtherLeader = from
     this.#leaderContactAt = this.#now
     this.#electionDeadline = this.#now + this.#randomElectionTimeout()
   }
@@ -809,12 +812,21 @@
     return [...this.#progress.values()].map((progress) => ({
       member: progress.member,
       lastContactAt: progress.lastContactAt,
-      silentMs: this.#now - Math.max(progress.lastContactAt, this.#electedAt),
+      silentMs: this.#now - Math.max(progress.lastContactAt, this.#getHeardAt(progress.member.node)),
       isLeaving: this.#isLeaving(progress),
       isPromotable: this.#canPromote(progress)
     }))
   }
 
+  /**
+   * Returns the time since which a peer that has not answered this leader counts as silent: its election, but for the
+   * replica that led before, whose silence has led to the election, the last message from it.
+   */
+  #getHeardAt (node: NodeId): number {
+    const hadTimeToAnswer = this.#now - this.#electedAt >= HEARTBEAT_MS
+    return node === this.#lastOtherLeader && hadTimeToAnswer ? this.#leaderContactAt : this.#electedAt
+  }
+
   #canPromote (progress: Progress): boolean {
     if (progress.member.role !== 'learner' || progress.mode !== 'replicate' || this.#isLeaving(progress)) return false
     return progress.isCaughtUp && this.#now - progress.lastContactAt < ELECTION_TIMEOUT_MIN_MS
--- a/packages/consensus/tests/automatic-membership.test.ts
+++ b/packages/consensus/tests/automatic-membership.test.ts
@@ -150,3 +150,31 @@
   t.equal(listVoters(cluster).length, 3)
   t.same(listLearners(cluster), [follower.id], 'it returns as a learner')
 })
+
+t.test('leaders that are lost for good one after the other, each once the successor of the last one has caught up, do not end the group', async (t) => {
+  // Guards against a lost leader that keeps its vote until long after the next election, when the next leader is lost.
+  const CATCH_UP_MS = 4_000
+  const LOSSES = 8
+  for (const successorAfterMs of [0, 1_000, 3_000]) {
+    for (let seed = 1; seed <= 10; seed++) {
+      const cluster = createCluster(seed)
+      let acknowledged = 0
+      for (let loss = 0; loss < LOSSES && cluster.leaders.length === 1; loss++) {
+        const [leader] = cluster.leaders
+        cluster.propose(leader!, `command ${loss}`)
+        cluster.run(100)
+        acknowledged = cluster.history.acknowledgedCount
+        cluster.crash(leader!)
+        cluster.run(successorAfterMs)
+        cluster.addJoiner()
+        cluster.run(CATCH_UP_MS + 100)
+      }
+      cluster.run(12_000)
+      const name = `successors after ${successorAfterMs} ms, seed ${seed}`
+      if (!t.equal(cluster.leaders.length, 1, name)) continue
+      t.equal(acknowledged, LOSSES, name)
+      cluster.history.checkComplete(cluster.statusOf(cluster.leaders[0]!)!.commitIndex)
+      t.equal(listVoters(cluster).length, 3, name)
+    }
+  }
+})
--- a/packages/consensus/tests/support/replica-cluster.ts
+++ b/packages/consensus/tests/support/replica-cluster.ts
@@ -90,6 +90,14 @@
     this.queue.run(ms)
   }
 
+  /** Adds a node with an empty disk, which asks to join. */
+  addJoiner (): Node {
+    const node = this.#createJoiner(asId<NodeId>(`n${this.nodes.length}`))
+    this.nodes.push(node)
+    this.start(node)
+    return node
+  }
+
   node (i: number): Node {
     return this.nodes[i % this.nodes.length]!
   }
