consensus: two more voters while two members more than needed answer

Cause: a voter that is lost for good without SIGTERM, after its successor has joined, and a disk that is lost before the group has noticed end the group: two of three voters are gone. Ruled out: a shorter silence before a voter is replaced; the disk may be lost at the same moment, and the group would change at every pause of a process. Change: with EXTRA_VOTERS members beyond the minimum that vote or could at once, the group has two more voters, and returns to the minimum when one of them is silent or leaves. maxVoters becomes minVoters. Conclusion: the group bears the end of a voter whose successor has joined and the disks that may be lost, at the same moment.

--- a/packages/cluster/src/core-node.ts
+++ b/packages/cluster/src/core-node.ts
@@ -20,7 +20,8 @@
   readonly node: NodeId
   /** Control processes that are asked for the other members; the initial members of a new installation. */
   readonly seeds: readonly NodeId[]
-  readonly maxVoters: number
+  /** Number of voters that the group has if it has as many members. */
+  readonly minVoters: number
   readonly folder: DataFolder
   readonly rpc: RpcClient
   readonly server: RpcServer
@@ -88,7 +89,7 @@
   }
 
   async start (): Promise<void> {
-    const { server, timers, node, folder, random, seeds, maxVoters, rpc, logger, toTarget, onFatal } = this.#options
+    const { server, timers, node, folder, random, seeds, minVoters, rpc, logger, toTarget, onFatal } = this.#options
     const sender = new MessageSender(rpc, { get: toTarget }, MESSAGE_TIMEOUT_MS)
     const initialMembers = seeds.map((seed): Member => ({ node: seed, incarnation: '1', role: 'voter', witness: false }))
     this.#replica = await ReplicaDriver.open({
@@ -101,7 +102,7 @@
       machine: this.#state,
       initialMembers,
       peers: this.#finder.nodes,
-      maxVoters,
+      minVoters,
       log: (level, message, info) => logger[level](message, info),
       onFatal
     })
--- a/packages/consensus/src/automatic-membership.ts
+++ b/packages/consensus/src/automatic-membership.ts
@@ -1,4 +1,4 @@
-import { LEARNER_SILENCE_MS, VOTER_SILENCE_MS } from './constants.ts'
+import { EXTRA_VOTERS, LEARNER_SILENCE_MS, VOTER_SILENCE_MS } from './constants.ts'
 import { listVoters, withLearner, withoutNode, withVoter } from './members.ts'
 import type { Member } from './types.ts'
 
@@ -37,22 +37,34 @@
   return learner ? { members: withVoter(members, learner.member.node), reason } : null
 }
 
+const isSilentVoter = ({ member, silentMs }: Peer): boolean => member.role === 'voter' && silentMs >= VOTER_SILENCE_MS
+
+const isLeavingVoter = ({ member, isLeaving }: Peer): boolean => member.role === 'voter' && isLeaving
+
+/** Whether it votes, or could at once, and is expected to go on doing so. */
+const isSound = (peer: Peer): boolean => peer.isPromotable || (peer.member.role === 'voter' && !isSilentVoter(peer) && !isLeavingVoter(peer))
+
+/** Returns how many voters the group should have: an odd number, so that one half of an even split keeps a majority. */
+export const getVoterTarget = (peers: readonly Peer[], minVoters: number): number => {
+  const soundMembers = 1 + peers.filter(isSound).length
+  return soundMembers >= minVoters + EXTRA_VOTERS ? minVoters + EXTRA_VOTERS : minVoters
+}
+
 /**
- * Returns the next configuration of a group that keeps the given number of voters by itself; null to keep the present one.
- * A silent or leaving voter gives its vote up only after its substitute has one: with a voter less, the group would not survive
- * the loss of as many disks, not even while the change is not yet committed.
+ * Returns the next configuration of a group that decides about its voters by itself; null to keep the present one.
+ * A silent or leaving voter gives its vote up only after its substitute has one: with a voter less, the group would not
+ * survive the loss of as many disks, not even while the change is not yet committed.
  */
-export const planMembers = (members: readonly Member[], peers: readonly Peer[], maxVoters: number): MemberPlan | null => {
-  const voterCount = listVoters(members).length
-  if (voterCount > maxVoters) return demoteVoter(members, peers)
-  return addVoter(members, peers, maxVoters) ?? removeSilentLearner(members, peers)
+export const planMembers = (members: readonly Member[], peers: readonly Peer[], minVoters: number): MemberPlan | null => {
+  const target = getVoterTarget(peers, minVoters)
+  if (listVoters(members).length > target) return demoteVoter(members, peers)
+  return addVoter(members, peers, target) ?? removeSilentLearner(members, peers)
 }
 
-const addVoter = (members: readonly Member[], peers: readonly Peer[], maxVoters: number): MemberPlan | null => {
-  if (listVoters(members).length < maxVoters) return promoteLearner(members, peers, 'voter-missing')
-  const voters = peers.filter(({ member }) => member.role === 'voter')
-  if (voters.some(({ isLeaving }) => isLeaving)) return promoteLearner(members, peers, 'voter-leaves')
-  if (voters.some(({ silentMs }) => silentMs >= VOTER_SILENCE_MS)) return promoteLearner(members, peers, 'voter-silent')
+const addVoter = (members: readonly Member[], peers: readonly Peer[], target: number): MemberPlan | null => {
+  if (listVoters(members).length < target) return promoteLearner(members, peers, 'voter-missing')
+  if (peers.some(isLeavingVoter)) return promoteLearner(members, peers, 'voter-leaves')
+  if (peers.some(isSilentVoter)) return promoteLearner(members, peers, 'voter-silent')
   return null
 }
 
@@ -60,7 +72,7 @@
 const demoteVoter = (members: readonly Member[], peers: readonly Peer[]): MemberPlan | null => {
   const voters = peers.filter(({ member }) => member.role === 'voter')
   const [longestSilent] = voters.sort((a, b) => a.lastContactAt - b.lastContactAt)
-  const demoted = voters.find(({ isLeaving }) => isLeaving) ?? longestSilent
+  const demoted = voters.find(isLeavingVoter) ?? longestSilent
   return demoted ? { members: withLearner(members, demoted.member), reason: 'voter-surplus' } : null
 }
 
--- a/packages/consensus/src/constants.ts
+++ b/packages/consensus/src/constants.ts
@@ -12,6 +12,12 @@
 /** Lets the other voters campaign before a witness, which would have to transfer leadership again. */
 export const WITNESS_TIMEOUT_FACTOR = 3
 
+/**
+ * Voters beyond the minimum while enough members answer, so that the group bears a voter that is lost for good, and
+ * whose successor has joined, at the same moment as the lost disks that the minimum is for.
+ */
+export const EXTRA_VOTERS = 2
+
 /**
  * With automatic membership, a learner replaces a voter that has not answered for this time. Shorter than
  * the time after which a second machine may be lost, and longer than the restart of a process.
--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -27,8 +27,8 @@
   readonly initialMembers: readonly Member[]
   /** Nodes that this one sends join requests to; the initial members by default. Read at each attempt. */
   readonly peers?: readonly NodeId[]
-  /** Maximum number of voters; enables automatic membership when set. */
-  readonly maxVoters?: number
+  /** Number of voters that the group has if it has as many members; enables automatic membership when set. */
+  readonly minVoters?: number
   /** Receives log messages for operators. */
   readonly log?: (level: 'info' | 'warn' | 'error', message: string, info: Readonly<Record<string, unknown>>) => void
   /** Called when the replica has stopped permanently, for example because of an I/O error. */
@@ -110,7 +110,7 @@
       incarnation: folder.incarnation,
       peers: options.peers ?? initialMembers.map((member) => member.node),
       disabled: options.disabled ?? [],
-      ...(options.maxVoters !== undefined && { maxVoters: options.maxVoters })
+      ...(options.minVoters !== undefined && { minVoters: options.minVoters })
     }, opened.state, options.timers.now())
     const { snapshot } = opened.state
     this.#appliedIndex = snapshot.index
--- a/packages/consensus/src/replica-types.ts
+++ b/packages/consensus/src/replica-types.ts
@@ -26,10 +26,11 @@
   readonly peers: readonly NodeId[]
   readonly random: RandomSource
   /**
-   * Maximum number of voters. Enables automatic membership: nodes outside the configuration are admitted
-   * as learners, and a learner that has caught up replaces a voter that no longer answers.
+   * Number of voters that the group has if it has as many members; two more vote while enough members answer. Enables
+   * automatic membership: nodes outside the configuration are admitted as learners, and a learner that has caught up
+   * replaces a voter that no longer answers.
    */
-  readonly maxVoters?: number
+  readonly minVoters?: number
   readonly trailingEntries?: number
   readonly snapshotChunkChars?: number
   readonly maxBatchEntries?: number
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -1,6 +1,6 @@
 import { assertNever, invariant } from '@ibisstair/common'
 import type { NodeId } from '@ibisstair/common'
-import { planMembers, promoteLearner } from './automatic-membership.ts'
+import { getVoterTarget, planMembers, promoteLearner } from './automatic-membership.ts'
 import type { MemberPlan, Peer } from './automatic-membership.ts'
 import { ElapsedClock } from './clock.ts'
 import {
@@ -231,7 +231,7 @@
     this.#incomingSnapshot = null
     // A learner requests again, because the change that admitted it may have been lost with its leader.
     // With automatic membership, a voter may have been replaced while it was disconnected.
-    if (this.#self?.role !== 'voter' || this.#options.maxVoters !== undefined) this.#requestJoin()
+    if (this.#self?.role !== 'voter' || this.#options.minVoters !== undefined) this.#requestJoin()
     // A voter may campaign until its removal is known to be committed: it may be the only one with the entries that the
     // remaining voters need. With a full disk, the vote for itself could not be stored.
     if (!this.hasVote || this.#diskFull) {
@@ -779,10 +779,11 @@
 
   /** With automatic membership, a learner gets a vote before the node that lost its state gives its own up; that node asks again. */
   #promoteSubstitute (): boolean {
-    const { maxVoters } = this.#options
-    if (maxVoters === undefined || listVoters(this.#members).length > maxVoters) return false
+    const { minVoters } = this.#options
+    const peers = this.#listPeers()
+    if (minVoters === undefined || listVoters(this.#members).length > getVoterTarget(peers, minVoters)) return false
     if (this.#findRefusalReason() || !this.#canChangeMembers()) return false
-    const plan = promoteLearner(this.#members, this.#listPeers(), 'node-lost-its-state')
+    const plan = promoteLearner(this.#members, peers, 'node-lost-its-state')
     if (!plan || !this.#hasActiveMajority(plan.members)) return false
     this.#appendMembers(plan)
     return true
@@ -790,7 +791,7 @@
 
   /** Admits a node outside the configuration as a learner, which does not count towards majorities. */
   #admitLearner (node: NodeId, incarnation: string): void {
-    if (this.#options.maxVoters === undefined) return
+    if (this.#options.minVoters === undefined) return
     if (this.#findRefusalReason() || !this.#canChangeMembers()) {
       this.counters.refusedJoins += 1
       return
@@ -800,9 +801,9 @@
 
   #adjustMembers (): void {
     if (this.#diskFull || this.#now < this.#transferDeadline || !this.#canChangeMembers()) return
-    const { maxVoters } = this.#options
+    const { minVoters } = this.#options
     const peers = this.#listPeers()
-    const plan = maxVoters === undefined ? promoteLearner(this.#members, peers, 'voter-missing') : planMembers(this.#members, peers, maxVoters)
+    const plan = minVoters === undefined ? promoteLearner(this.#members, peers, 'voter-missing') : planMembers(this.#members, peers, minVoters)
     if (!plan || !this.#hasActiveMajority(plan.members)) return
     if (listVoters(plan.members).length < listVoters(this.#members).length) this.counters.replacedVoters += 1
     this.#appendMembers(plan)
