--- a/tests/support/tcp-proxy.ts
+++ b/tests/support/tcp-proxy.ts
@@ -26,6 +26,7 @@
  */
 export class TcpProxy {
   readonly #server: Server
+  readonly #listener: Listener
   readonly #pairs = new Set<Pair>()
   readonly #dropped = new Set<string>()
   #target: Listener = { address: '127.0.0.1', port: 0 }
@@ -33,17 +34,26 @@
   accepted = 0
   delayMs = 0
 
-  private constructor () {
+  private constructor (listener: Listener) {
+    this.#listener = listener
     this.#server = createServer((near) => this.#handle(near))
   }
 
-  static async start ({ address, port }: Listener = ANY_PORT): Promise<TcpProxy> {
-    const proxy = new TcpProxy()
+  static async start (listener: Listener = ANY_PORT): Promise<TcpProxy> {
+    const proxy = new TcpProxy(listener)
+    await proxy.#listen()
+    return proxy
+  }
+
+  async #listen (): Promise<void> {
+    const { address, port } = this.#listener
     await new Promise<void>((resolve, reject) => {
-      proxy.#server.once('error', reject)
-      proxy.#server.listen(port, address, resolve)
+      this.#server.once('error', reject)
+      this.#server.listen(port, address, () => {
+        this.#server.off('error', reject)
+        resolve()
+      })
     })
-    return proxy
   }
 
   get port (): number {
@@ -71,6 +81,17 @@
     this.silenceOpen()
   }
 
+  /** Resets the open connections and refuses new ones until `accept`. Needs a proxy with a fixed port. */
+  refuse (): void {
+    this.#server.close()
+    this.reset()
+  }
+
+  /** Ends a `refuse`. */
+  async accept (): Promise<void> {
+    if (!this.#server.listening) await this.#listen()
+  }
+
   /** New connections work again; silenced ones stay silent. */
   restore (): void {
     this.#isSilentForNew = false
