--- a/packages/consensus/src/progress.ts
+++ b/packages/consensus/src/progress.ts
@@ -1,4 +1,4 @@
-import { ELECTION_TIMEOUT_MIN_MS, MAX_INFLIGHT_BATCHES, REPLY_TIMEOUT_MS } from './constants.ts'
+import { ELECTION_TIMEOUT_MIN_MS, MAX_INFLIGHT_BATCHES, REPLY_TIMEOUT_MS, RESIGN_VALIDITY_MS } from './constants.ts'
 import type { Member } from './types.ts'
 
 type ReplicationMode = 'probe' | 'replicate' | 'snapshot'
@@ -28,6 +28,28 @@
     this.#roundStartedAt = now
   }
 
+  hasAnsweredWithin (ms: number, now: number): boolean {
+    return now - this.lastContactAt < ms
+  }
+
+  /** Whether the peer has asked to give up its vote, as it shuts down. */
+  isLeaving (now: number): boolean {
+    return now - this.resignedAt < RESIGN_VALIDITY_MS
+  }
+
+  /** Whether the peer is a learner that answers and holds the log, so that it can vote at once. */
+  isPromotable (now: number): boolean {
+    if (this.member.role !== 'learner' || this.mode !== 'replicate' || this.isLeaving(now)) return false
+    return this.isCaughtUp && this.hasAnsweredWithin(ELECTION_TIMEOUT_MIN_MS, now)
+  }
+
+  /** Whether the peer is a voter that can lead at once. */
+  canLead (lastIndex: number, now: number): boolean {
+    const { role, witness } = this.member
+    if (role !== 'voter' || witness || this.diskFull) return false
+    return this.matchIndex === lastIndex && this.hasAnsweredWithin(ELECTION_TIMEOUT_MIN_MS, now)
+  }
+
   updateCatchUpRound (lastIndex: number, now: number): void {
     if (this.matchIndex < this.#roundIndex) return
     this.isCaughtUp = now - this.#roundStartedAt < ELECTION_TIMEOUT_MIN_MS
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -5,24 +5,18 @@
 import { ElapsedClock } from './clock.ts'
 import {
   ELECTION_TIMEOUT_MAX_MS, ELECTION_TIMEOUT_MIN_MS, HEARTBEAT_MS, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_LOG_ENTRIES,
-  MAX_SNAPSHOT_CHARS, MAX_UNCOMMITTED_BYTES, MAX_UNCOMMITTED_ENTRIES, RESIGN_VALIDITY_MS, SNAPSHOT_CHUNK_CHARS,
+  MAX_UNCOMMITTED_BYTES, MAX_UNCOMMITTED_ENTRIES, SNAPSHOT_CHUNK_CHARS,
   START_TIMEOUT_MAX_MS, START_TIMEOUT_MIN_MS, TRAILING_BYTES, TRAILING_ENTRIES, WITNESS_TIMEOUT_FACTOR
 } from './constants.ts'
+import { IncomingSnapshot } from './incoming-snapshot.ts'
 import { ReplicaLog } from './log.ts'
 import { countVoterChanges, findMember, isMajority, isSameMember, listVoters, majorityValue, withLearner, withoutNode } from './members.ts'
 import type { Message, MessageOf } from './messages.ts'
-import { Progress } from './progress.ts'
+import { Peers } from './peers.ts'
+import type { Progress } from './progress.ts'
 import type { Effect, Mechanism, MemberChange, RefusalReason, ReplicaCounters, ReplicaEvent, ReplicaOptions, ReplicaState } from './replica-types.ts'
 import type { EncodedSnapshot, LogEntry, Member, ReplicaStatus, Role } from './types.ts'
 
-interface IncomingSnapshot {
-  readonly index: number
-  readonly lastTerm: number
-  readonly leader: NodeId
-  data: string
-  isSaving: boolean
-}
-
 interface PendingAppend {
   readonly sequence: number
   lastIndex: number
@@ -88,7 +82,7 @@
   #campaignStartedAt = 0
   #incomingSnapshot: IncomingSnapshot | null = null
 
-  #progress = new Map<NodeId, Progress>()
+  readonly #peers = new Peers()
   #nextHeartbeatAt = 0
   #electedAt = 0
   /** During a leadership transfer, proposals are refused until this time. */
@@ -222,7 +216,7 @@
     this.#adjustMembers()
     if (this.#now < this.#nextHeartbeatAt) return
     this.#nextHeartbeatAt = this.#now + HEARTBEAT_MS
-    for (const progress of this.#progress.values()) this.#sendHeartbeat(progress)
+    for (const progress of this.#peers.values()) this.#sendHeartbeat(progress)
   }
 
   #handleElectionTimeout (): void {
@@ -376,7 +370,7 @@
     this.#role = 'follower'
     this.#leader = leader
     if (leader !== null) this.#hasKnownLeader = true
-    this.#progress.clear()
+    this.#peers.clear()
     this.#transferDeadline = -Infinity
   }
 
@@ -389,15 +383,15 @@
     this.#electedAt = this.#now
     this.#nextHeartbeatAt = this.#now + HEARTBEAT_MS
     this.#transferDeadline = -Infinity
-    this.#progress.clear()
-    this.#updateProgress()
+    this.#peers.clear()
+    this.#updatePeers()
     for (const node of this.#votes.keys()) {
-      const progress = this.#progress.get(node)
+      const progress = this.#peers.get(node)
       if (progress) progress.lastContactAt = this.#campaignStartedAt
     }
     // Entries of earlier terms are committed only together with an entry of this term.
     if (!this.#diskFull) this.#appendAsLeader({ type: 'noop' })
-    for (const progress of this.#progress.values()) this.#sendHeartbeat(progress)
+    for (const progress of this.#peers.values()) this.#sendHeartbeat(progress)
   }
 
   #recordLeaderOfTerm (node: NodeId): void {
@@ -408,7 +402,7 @@
   #hasQuorum (now: number, withinMs: number): boolean {
     const contactAt = majorityValue(this.#members, (member) => {
       if (isSameMember(member, this.#options)) return now
-      return this.#progress.get(member.node)?.lastContactAt ?? -Infinity
+      return this.#peers.getContactAt(member.node)
     })
     return now - contactAt <= withinMs
   }
@@ -557,7 +551,7 @@
       return
     }
     this.#advanceLeaderCommit()
-    for (const progress of this.#progress.values()) this.#sendEntries(progress)
+    for (const progress of this.#peers.values()) this.#sendEntries(progress)
   }
 
   #advanceCommit (index: number): void {
@@ -577,7 +571,7 @@
     this.#log.truncateFrom(this.#persistedIndex + 1)
     this.#knownCommitIndex = Math.min(this.#knownCommitIndex, this.#persistedIndex)
     this.#effects.push({ type: 'dropped', fromIndex: this.#persistedIndex + 1 })
-    if (this.#role === 'leader') this.#updateProgress()
+    if (this.#role === 'leader') this.#updatePeers()
   }
 
   #handleDiskWritable (): void {
@@ -615,21 +609,12 @@
   #appendAsLeader (body: LogEntry['body']): LogEntry {
     const entry = { index: this.#log.lastIndex + 1, term: this.#term, body }
     this.#appendEntries([entry])
-    if (body.type === 'members') this.#updateProgress()
+    if (body.type === 'members') this.#updatePeers()
     return entry
   }
 
-  /** Keeps one progress for each other member, and creates a new one for a new incarnation. */
-  #updateProgress (): void {
-    for (const [node, progress] of this.#progress) {
-      if (!this.#members.some((member) => isSameMember(member, progress.member))) this.#progress.delete(node)
-    }
-    for (const member of this.#members) {
-      const existing = this.#progress.get(member.node)
-      if (existing) existing.member = member
-      if (existing || member.node === this.#options.node) continue
-      this.#progress.set(member.node, new Progress(member, this.#persistedIndex + 1, this.#log.lastIndex, this.#now))
-    }
+  #updatePeers (): void {
+    this.#peers.update(this.#members, this.#options.node, this.#persistedIndex + 1, this.#log.lastIndex, this.#now)
   }
 
   #sendHeartbeat (progress: Progress): void {
@@ -670,7 +655,7 @@
   }
 
   #findProgress (from: NodeId, incarnation: string): Progress | null {
-    const progress = this.#role === 'leader' ? this.#progress.get(from) : undefined
+    const progress = this.#role === 'leader' ? this.#peers.get(from) : undefined
     if (!progress) return null
     if (progress.member.incarnation === incarnation || !this.#isEnabled('incarnation-check')) return progress
     this.counters.wrongIncarnation += 1
@@ -707,7 +692,7 @@
     if (this.#role !== 'leader') return
     const index = majorityValue(this.#members, (member) => {
       if (isSameMember(member, this.#options)) return this.#isEnabled('persisted-commit') ? this.#persistedIndex : this.#log.lastIndex
-      return this.#progress.get(member.node)?.matchIndex ?? 0
+      return this.#peers.get(member.node)?.matchIndex ?? 0
     })
     if (index <= this.#commitIndex) return
     if (this.#isEnabled('current-term-commit') && this.#log.termAt(index) !== this.#term) return
@@ -735,7 +720,7 @@
   #hasActiveMajority (members: readonly Member[]): boolean {
     const active = listVoters(members).filter((member) => {
       if (isSameMember(member, this.#options)) return true
-      return this.#now - (this.#progress.get(member.node)?.lastContactAt ?? -Infinity) < ELECTION_TIMEOUT_MIN_MS
+      return this.#now - this.#peers.getContactAt(member.node) < ELECTION_TIMEOUT_MIN_MS
     })
     return isMajority(active.length, members)
   }
@@ -767,7 +752,7 @@
     const existing = findMember(this.#members, from)
     if (this.#role !== 'leader' || existing?.incarnation === incarnation) return
     if (!existing) return this.#admitLearner(from, incarnation)
-    const isAlive = this.#now - (this.#progress.get(from)?.lastContactAt ?? -Infinity) < ELECTION_TIMEOUT_MAX_MS
+    const isAlive = this.#now - this.#peers.getContactAt(from) < ELECTION_TIMEOUT_MAX_MS
     const remaining = withoutNode(this.#members, from)
     if (existing.role === 'voter' && this.#promoteSubstitute()) return
     if (from === this.#options.node || isAlive || this.#findRefusalReason() || !this.#canChangeMembers() || !this.#hasActiveMajority(remaining)) {
@@ -810,31 +795,7 @@
   }
 
   #listPeers (): Peer[] {
-    return [...this.#progress.values()].map((progress) => ({
-      member: progress.member,
-      lastContactAt: progress.lastContactAt,
-      silentMs: this.#now - Math.max(progress.lastContactAt, this.#getHeardAt(progress.member.node)),
-      isLeaving: this.#isLeaving(progress),
-      isPromotable: this.#canPromote(progress)
-    }))
-  }
-
-  /**
-   * Returns the time since which a peer that has not answered this leader counts as silent: its election, but for the
-   * replica that led before, whose silence has led to the election, the last message from it.
-   */
-  #getHeardAt (node: NodeId): number {
-    const hadTimeToAnswer = this.#now - this.#electedAt >= HEARTBEAT_MS
-    return node === this.#lastOtherLeader && hadTimeToAnswer ? this.#leaderContactAt : this.#electedAt
-  }
-
-  #canPromote (progress: Progress): boolean {
-    if (progress.member.role !== 'learner' || progress.mode !== 'replicate' || this.#isLeaving(progress)) return false
-    return progress.isCaughtUp && this.#now - progress.lastContactAt < ELECTION_TIMEOUT_MIN_MS
-  }
-
-  #isLeaving ({ resignedAt }: Progress): boolean {
-    return this.#now - resignedAt < RESIGN_VALIDITY_MS
+    return this.#peers.describe({ electedAt: this.#electedAt, formerLeader: this.#lastOtherLeader, formerLeaderAt: this.#leaderContactAt }, this.#now)
   }
 
   #resign (): void {
@@ -851,19 +812,13 @@
 
   #transferLeadership (): void {
     if (this.#role !== 'leader' || this.#now < this.#transferDeadline) return
-    const target = [...this.#progress.values()].find((progress) => this.#canLead(progress))
+    const target = this.#peers.findNextLeader(this.#log.lastIndex, this.#now)
     if (!target) return
     this.counters.transfers += 1
     this.#transferDeadline = this.#now + ELECTION_TIMEOUT_MIN_MS
     this.#send(target.member.node, target.member.incarnation, { type: 'timeout-now' })
   }
 
-  #canLead (progress: Progress): boolean {
-    const { member } = progress
-    if (member.role !== 'voter' || member.witness || progress.diskFull) return false
-    return progress.matchIndex === this.#log.lastIndex && this.#now - progress.lastContactAt < ELECTION_TIMEOUT_MIN_MS
-  }
-
   // ---- snapshots ----
 
   #sendSnapshotPart (progress: Progress): boolean {
@@ -904,19 +859,10 @@
       this.#acknowledgeCommitted(from, message.fromIncarnation, message.sentAt)
       return
     }
-    const incoming = this.#getIncomingSnapshot(from, message)
-    if (!incoming.isSaving && message.offset === incoming.data.length && message.total <= MAX_SNAPSHOT_CHARS) incoming.data += message.data
-    this.#send(from, message.fromIncarnation, { type: 'snapshot-reply', index: message.index, offset: incoming.data.length, sentAt: message.sentAt })
-    if (incoming.isSaving || incoming.data.length < message.total) return
-    incoming.isSaving = true
-    this.#effects.push({ type: 'save-snapshot', snapshot: { index: message.index, term: message.lastTerm, members: message.members, data: incoming.data } })
-  }
-
-  #getIncomingSnapshot (from: NodeId, message: MessageOf<'snapshot'>): IncomingSnapshot {
-    const current = this.#incomingSnapshot
-    if (current && current.index === message.index && current.lastTerm === message.lastTerm && current.leader === from) return current
-    this.#incomingSnapshot = { index: message.index, lastTerm: message.lastTerm, leader: from, data: '', isSaving: false }
-    return this.#incomingSnapshot
+    if (!this.#incomingSnapshot?.isOf(from, message)) this.#incomingSnapshot = new IncomingSnapshot(from, message)
+    const snapshot = this.#incomingSnapshot.add(message)
+    this.#send(from, message.fromIncarnation, { type: 'snapshot-reply', index: message.index, offset: this.#incomingSnapshot.offset, sentAt: message.sentAt })
+    if (snapshot) this.#effects.push({ type: 'save-snapshot', snapshot })
   }
 
   #acknowledgeCommitted (to: NodeId, incarnation: string, sentAt: number): void {
