dispatch: the timing of renewals and the pause between them in modules of their own

Change: getRenewalWaitMs and getRenewalPauseMs are pure functions of the phases; InterruptiblePause is the wait that a poll cuts short. No behaviour changes.

--- a/packages/dispatch/src/endpoint-session.ts
+++ b/packages/dispatch/src/endpoint-session.ts
@@ -1,14 +1,14 @@
 import { assertNever, IbisError, type TaskId } from '@ibisstair/common'
 import type { ActiveRun, EndpointRecord, RunEnd } from '@ibisstair/jobs'
 import type { TimerService } from '@ibisstair/timers'
-import {
-  COMMIT_POLL_INTERVAL_MS, CONTACT_VALIDITY_MS, RENEW_TIMEOUT_MARGIN_MS, RENEW_LONG_POLL_MS, RETRY_DELAY_MS, SHORT_POLL_INTERVAL_MS, START_LEASE_MS, START_LONG_POLL_MS, STOP_POLL_INTERVAL_MS
-} from './constants.ts'
+import { CONTACT_VALIDITY_MS, RENEW_TIMEOUT_MARGIN_MS, RETRY_DELAY_MS, START_LEASE_MS } from './constants.ts'
 import { EndpointLease } from './endpoint-lease.ts'
 import { Handover } from './handover.ts'
+import { InterruptiblePause } from './interruptible-pause.ts'
 import type { LongPolls } from './long-polls.ts'
 import type { ObservedRate } from './run-rate.ts'
 import type { EndpointPort, EndpointReport, OrderResult, RenewResult } from './ports.ts'
+import { getRenewalPauseMs, getRenewalWaitMs } from './renewal-timing.ts'
 import { isConnectionRefused, sendWithRepeat } from './repeated-order.ts'
 import { StrayRuns } from './stray-runs.ts'
 import { createTrackedRun, mayBeActive, toEnd, type AbsentRun, type RunPhase, type TrackedRun } from './tracked-run.ts'
@@ -57,7 +57,7 @@
   #hasReported = false
   #isPolling = false
   #pollAgain = false
-  #cancelPause: () => void = () => {}
+  readonly #pause: InterruptiblePause
   #isClosed = false
   /** Whether the successor of this incarnation follows a newer leader. */
   #isFenced = false
@@ -70,6 +70,7 @@
     this.#options = options
     this.#endpoint = options.endpoint
     this.#lease = new EndpointLease(options.timers.now(), options.leaseMaxMs)
+    this.#pause = new InterruptiblePause(options.timers)
     const { port, fencingToken, events } = options
     this.#strayRuns = new StrayRuns({ port, fencingToken, handleStopped: () => this.poll(), log: (message, fields) => events.log(message, fields) })
   }
@@ -221,7 +222,7 @@
   poll (): void {
     if (this.#isClosed) return
     this.#pollAgain = true
-    this.#cancelPause()
+    this.#pause.interrupt()
     if (this.#isPolling) return
     this.#isPolling = true
     this.#pollLoop().catch((err: unknown) => this.#options.events.log('lease renewal failed unexpectedly', { endpoint: this.#endpoint.id, err })).finally(() => { this.#isPolling = false })
@@ -369,7 +370,7 @@
         mayWait = waitMs === wantedMs
         return this.#renew(waitMs, true)
       })
-      if (answered) await this.#pause(this.#getPauseMs(mayWait))
+      if (answered) await this.#pauseUnlessPolled(this.#getPauseMs(mayWait))
       else await timers.delay(RETRY_DELAY_MS)
     }
   }
@@ -377,33 +378,20 @@
   /** Returns how long the endpoint may hold back its answer until a run ends. */
   #getWaitMs (): number {
     if (this.#failures > 0 || this.#runs.size === 0 || this.#ackedUpto < this.#committedUpto) return 0
-    const phases = new Set([...this.#runs.values()].map(({ phase }) => phase))
-    if (phases.has('inherited') || phases.has('unconfirmed') || phases.has('stopping')) return 0
-    // A start is usually answered; if it is not, the next report shows its outcome.
-    return phases.has('starting') ? START_LONG_POLL_MS : RENEW_LONG_POLL_MS
+    return getRenewalWaitMs(this.#listPhases())
   }
 
-  /** `mayWait` is false if too many other renewals were waiting at endpoints for the last one to wait, too. */
   #getPauseMs (mayWait: boolean): number {
-    // The endpoint lists the same ends again until they are acknowledged, which needs their commit.
     const awaitsCommit = this.#submittedUpto > this.#committedUpto || [...this.#runs.values()].some(({ isEnding }) => isEnding)
-    if (awaitsCommit) return COMMIT_POLL_INTERVAL_MS
-    // Stops take some time to be reported; polling more often would not speed them up.
-    if ([...this.#runs.values()].some(({ phase }) => phase === 'stopping' || phase === 'unconfirmed')) return STOP_POLL_INTERVAL_MS
-    return mayWait ? 0 : SHORT_POLL_INTERVAL_MS
-  }
-
-  /** Waits for the time, or until `poll` is called. */
-  async #pause (ms: number): Promise<void> {
-    if (ms === 0 || this.#pollAgain) return
-    await new Promise<void>((resolve) => {
-      const stopTimer = this.#options.timers.subscribe(ms, resolve)
-      this.#cancelPause = () => {
-        stopTimer()
-        resolve()
-      }
-    })
-    this.#cancelPause = () => {}
+    return getRenewalPauseMs({ phases: this.#listPhases(), awaitsCommit, mayWait })
+  }
+
+  #listPhases (): ReadonlySet<RunPhase> {
+    return new Set([...this.#runs.values()].map(({ phase }) => phase))
+  }
+
+  async #pauseUnlessPolled (ms: number): Promise<void> {
+    if (ms > 0 && !this.#pollAgain) await this.#pause.wait(ms)
   }
 
   #needsPoll (): boolean {
