--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -798,7 +798,9 @@
     return this.#peers.describe({ electedAt: this.#electedAt, formerLeader: this.#lastOtherLeader, formerLeaderAt: this.#leaderContactAt }, this.#now)
   }
 
+  /** A leader has to be succeeded first; its successor then takes the vote away. */
   #resign (): void {
+    if (this.#role === 'leader') return this.#transferLeadership()
     const leader = this.#leader === null ? undefined : findMember(this.#members, this.#leader)
     if (this.#role === 'follower' && leader && this.hasVote) this.#send(leader.node, leader.incarnation, { type: 'resign' })
   }
--- a/packages/consensus/tests/automatic-membership.test.ts
+++ b/packages/consensus/tests/automatic-membership.test.ts
@@ -151,6 +151,22 @@
   t.same(listLearners(cluster), [follower.id], 'it returns as a learner')
 })
 
+t.test('a leader that shuts down while entries are in flight is succeeded within a second', async (t) => {
+  // Guards against a leader that waits for somebody to take its vote, and meanwhile keeps the others from an election.
+  const SUCCESSION_MS = 1_000
+  for (let seed = 1; seed <= 20; seed++) {
+    const cluster = createCluster(seed)
+    const leader = cluster.leaders[0]!
+    for (let i = 0; i < 20; i++) cluster.propose(leader, `command ${seed}.${i}`)
+    cluster.run(seed % 5)
+    const beganAt = cluster.queue.now
+    cluster.shutDown(leader)
+    cluster.run(Math.max(0, beganAt + SUCCESSION_MS - cluster.queue.now))
+    t.equal(cluster.leaders.length, 1, `seed ${seed}`)
+    t.not(cluster.leaders[0], leader)
+  }
+})
+
 t.test('leaders that are lost for good one after the other, each once the successor of the last one has caught up, do not end the group', async (t) => {
   // Guards against a lost leader that keeps its vote until long after the next election, when the next leader is lost.
   const CATCH_UP_MS = 4_000
