consensus: the silence of an admitted node counts from its admission

Cause: a member that had not answered yet counted as silent since the election of the leader. A node that joined a leader of over 10 s was removed with the next tick as a learner that is silent, unless its first answer came sooner, and had to ask again 1 s to 2 s later (found while looking for other places that take a silence as proof that a member has ended). Change: Progress knows when it was created, at the election or at the admission; the silence counts from there. A leaving voter is no target of a transfer, and the line at a shutdown tells whether the vote was given up. Conclusion: a successor on a slow link joins once.

--- a/packages/consensus/src/automatic-membership.ts
+++ b/packages/consensus/src/automatic-membership.ts
@@ -7,7 +7,7 @@
   readonly member: Member
   /** Send time of the newest message that it answered; -Infinity if it has answered none. */
   readonly lastContactAt: number
-  /** Time since it was last heard of; for a peer that has not answered this leader, since the election, or since its last message as the leader before. */
+  /** Time since it was last heard of; for a peer that has not answered this leader, since its admission, the election, or its last message as the leader before. */
   readonly silentMs: number
   /** Whether it has asked to give up its vote, as it shuts down. */
   readonly isLeaving: boolean
--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -166,7 +166,7 @@
       this.#dispatch({ type: 'resign' })
       await timers.delay(RESIGN_PERIOD_MS)
     }
-    log?.('info', 'vote given up before a shutdown', { group, node, hasVote: this.#replica.hasVote, waitedMs: Math.round(timers.now() - beganAtMs) })
+    log?.('info', this.#replica.hasVote ? 'shuts down with its vote' : 'shuts down without a vote', { group, node, waitedMs: Math.round(timers.now() - beganAtMs) })
   }
 
   getStatus (): ReplicaStatus {
--- a/packages/consensus/src/peers.ts
+++ b/packages/consensus/src/peers.ts
@@ -57,7 +57,7 @@
     return [...this.#progress.values()].map((progress) => ({
       member: progress.member,
       lastContactAt: progress.lastContactAt,
-      silentMs: now - Math.max(progress.lastContactAt, getHeardAt(progress.member.node, election, now)),
+      silentMs: now - Math.max(progress.lastContactAt, getHeardAt(progress, election, now)),
       isLeaving: progress.isLeaving(now),
       isPromotable: progress.isPromotable(now)
     }))
@@ -65,10 +65,10 @@
 }
 
 /**
- * Returns the time since which a peer that has not answered this leader counts as silent: its election, but for the
- * former leader, whose silence has led to the election, the last message from it.
+ * Returns the time since which a peer that has not answered this leader counts as silent: the election, or its admission
+ * if that came later. For the former leader, whose silence has led to the election, it is the last message from it.
  */
-const getHeardAt = (node: NodeId, { electedAt, formerLeader, formerLeaderAt }: ElectionView, now: number): number => {
+const getHeardAt = ({ member, addedAt }: Progress, { electedAt, formerLeader, formerLeaderAt }: ElectionView, now: number): number => {
   const hadTimeToAnswer = now - electedAt >= HEARTBEAT_MS
-  return node === formerLeader && hadTimeToAnswer ? formerLeaderAt : electedAt
+  return member.node === formerLeader && addedAt === electedAt && hadTimeToAnswer ? formerLeaderAt : addedAt
 }
--- a/packages/consensus/src/progress.ts
+++ b/packages/consensus/src/progress.ts
@@ -23,9 +23,10 @@
   #roundIndex: number
   #roundStartedAt: number
 
-  constructor (public member: Member, public nextIndex: number, lastIndex: number, now: number) {
+  /** `addedAt` is the time of the leader's election, or of the peer's admission if that came later. */
+  constructor (public member: Member, public nextIndex: number, lastIndex: number, readonly addedAt: number) {
     this.#roundIndex = lastIndex
-    this.#roundStartedAt = now
+    this.#roundStartedAt = addedAt
   }
 
   hasAnsweredWithin (ms: number, now: number): boolean {
@@ -46,7 +47,7 @@
   /** Whether the peer is a voter that can lead at once. */
   canLead (lastIndex: number, now: number): boolean {
     const { role, witness } = this.member
-    if (role !== 'voter' || witness || this.diskFull) return false
+    if (role !== 'voter' || witness || this.diskFull || this.isLeaving(now)) return false
     return this.matchIndex === lastIndex && this.hasAnsweredWithin(ELECTION_TIMEOUT_MIN_MS, now)
   }
 
--- a/packages/consensus/tests/automatic-membership.test.ts
+++ b/packages/consensus/tests/automatic-membership.test.ts
@@ -116,6 +116,21 @@
   }
 })
 
+t.test('a node that is admitted long after the election of the leader is not removed before it could answer', async (t) => {
+  // Guards against a silence that is counted from a time at which the node was not yet a member.
+  for (let seed = 1; seed <= 20; seed++) {
+    const cluster = new ReplicaCluster({ voters: 3, witnesses: 0, minVoters: 3, seed })
+    cluster.run(15_000)
+    cluster.setFaults({ drop: 0, duplicate: 0, delayMs: 150 })
+    const [leader] = cluster.leaders
+    const before = leader!.replica!.counters.memberChanges
+    cluster.addJoiner()
+    cluster.run(6_000)
+    t.equal(cluster.leaders[0], leader)
+    t.equal(leader!.replica!.counters.memberChanges - before, 1, `admitted once, seed ${seed}`)
+  }
+})
+
 t.test('a voter that shuts down for good gives its vote to a learner first, so that a disk may be lost right after', async (t) => {
   // Guards against a voter that keeps its vote after its planned end, which leaves one of three voters when a disk is lost.
   for (const removes of ['follower', 'leader'] as const) {
