consensus tests: random cases shut nodes down and replace them for good

Change: actions 'shut-down', 'replace' (without a warning) and 'replace-warned', in which a successor joins first; the consensus soak plays the automatic profile, too. An id is never used again. Conclusion: the votes of nodes that are gone for good are under random test.

--- a/packages/consensus/tests/support/actions.ts
+++ b/packages/consensus/tests/support/actions.ts
@@ -6,7 +6,7 @@
 export type Action =
   | { readonly type: 'run', readonly ms: number }
   | { readonly type: 'propose', readonly node: number, readonly count: number }
-  | { readonly type: 'crash' | 'start' | 'lose' | 'fill' | 'free' | 'transfer' | 'remove' | 'add', readonly node: number }
+  | { readonly type: 'crash' | 'start' | 'lose' | 'fill' | 'free' | 'transfer' | 'remove' | 'add' | 'shut-down' | 'replace' | 'replace-warned', readonly node: number }
   | { readonly type: 'freeze', readonly node: number, readonly ms: number }
   | { readonly type: 'jump', readonly node: number, readonly ms: number }
   | { readonly type: 'partition', readonly parts: readonly number[] }
@@ -30,8 +30,8 @@
   churn: { 'run-short': 12, run: 4, 'propose-one': 8, 'crash-leader': 6, start: 12, partition: 6, 'heal-network': 4 },
   /** Many membership changes by leaders that lose contact. */
   changes: { 'run-short': 6, run: 3, 'propose-one': 4, remove: 12, add: 8, 'isolate-leader': 3, 'heal-network': 3, crash: 1, start: 2, 'restart-all': 1 },
-  /** Silent voters and lost disks that overlap, in a group that replaces voters by itself. */
-  automatic: { 'run-short': 6, run: 6, 'propose-one': 6, lose: 6, freeze: 6, crash: 3, start: 6, partition: 2, 'isolate-leader': 1, 'heal-network': 3, 'restart-all': 1, transfer: 1 }
+  /** Silent voters, lost disks and replaced nodes that overlap, in a group that replaces voters by itself. */
+  automatic: { 'run-short': 6, run: 6, 'propose-one': 6, lose: 6, freeze: 6, crash: 3, start: 6, partition: 2, 'isolate-leader': 1, 'heal-network': 3, 'restart-all': 1, transfer: 1, 'shut-down': 2, replace: 2, 'replace-warned': 1 }
 }
 
 const ARBITRARIES: Record<keyof Required<Weights>, fc.Arbitrary<Action>> = {
@@ -47,6 +47,9 @@
   transfer: onNode('transfer'),
   remove: onNode('remove'),
   add: onNode('add'),
+  'shut-down': onNode('shut-down'),
+  replace: onNode('replace'),
+  'replace-warned': onNode('replace-warned'),
   freeze: fc.record({ type: type('freeze'), node, ms: fc.integer({ min: 100, max: 8000 }) }),
   jump: fc.record({ type: type('jump'), node, ms: fc.integer({ min: -100_000, max: 100_000 }) }),
   partition: fc.record({ type: type('partition'), parts: fc.array(fc.nat({ max: 1 }), { minLength: 5, maxLength: 5 }) }),
@@ -89,6 +92,9 @@
     case 'fill': return cluster.setFull(cluster.node(action.node), true)
     case 'free': return cluster.setFull(cluster.node(action.node), false)
     case 'transfer': return cluster.transfer(cluster.node(action.node))
+    case 'shut-down': return cluster.shutDown(cluster.node(action.node))
+    case 'replace': return cluster.replace(cluster.node(action.node), false)
+    case 'replace-warned': return cluster.replace(cluster.node(action.node), true)
     case 'remove': {
       if (!cluster.canRemove(cluster.node(action.node))) return
       for (const leader of cluster.leaders) cluster.change(leader, { type: 'remove', node: cluster.node(action.node).id })
--- a/packages/consensus/tests/support/replica-cluster.ts
+++ b/packages/consensus/tests/support/replica-cluster.ts
@@ -1,7 +1,7 @@
 import { asId } from '@ibisstair/common'
 import type { NodeId } from '@ibisstair/common'
 import { RandomSource } from '@ibisstair/timers'
-import { RESIGN_PERIOD_MS, RESIGN_TIMEOUT_MS } from '../../src/constants.ts'
+import { EXTRA_VOTERS, RESIGN_PERIOD_MS, RESIGN_TIMEOUT_MS } from '../../src/constants.ts'
 import { Replica } from '../../src/index.ts'
 import type { Effect, EncodedSnapshot, HardState, LogEntry, Mechanism, Member, ReplicaEvent, ReplicaStatus } from '../../src/index.ts'
 import { EventQueue } from './event-queue.ts'
@@ -9,6 +9,8 @@
 
 const TICK_MS = 50
 const MAX_HELD_MESSAGES = 500
+/** Time from the start of a successor until its predecessor ends. */
+const REPLACEMENT_MS = 5_000
 
 interface Disk {
   hardState: HardState
@@ -71,6 +73,8 @@
   /** The partition of each node; nodes in different partitions cannot reach each other. */
   #partitionOf = new Map<NodeId, number>()
   #nextId = 0
+  /** Ids are not used again. */
+  #createdNodes: number
   sentMessages = 0
   /** Nodes that lost their disk since the group last had all its voters and these nodes back, each with the whole log. */
   readonly #lostDisks = new Set<Node>()
@@ -81,6 +85,7 @@
     const total = options.voters + options.witnesses
     this.#initialMembers = Array.from({ length: total }, (_, i) => ({ node: asId<NodeId>(`n${i}`), incarnation: '1', role: 'voter', witness: i >= options.voters }))
     this.history = new History(this.#initialMembers)
+    this.#createdNodes = total
     const joiners = Array.from({ length: options.joiners ?? 0 }, (_, i) => this.#createJoiner(asId<NodeId>(`n${total + i}`)))
     this.nodes = [...this.#initialMembers.map(({ node }) => this.#createNode(node)), ...joiners]
     for (const node of this.nodes) this.start(node)
@@ -92,7 +97,7 @@
 
   /** Adds a node with an empty disk, which asks to join. */
   addJoiner (): Node {
-    const node = this.#createJoiner(asId<NodeId>(`n${this.nodes.length}`))
+    const node = this.#createJoiner(asId<NodeId>(`n${this.#createdNodes}`))
     this.nodes.push(node)
     this.start(node)
     return node
@@ -179,6 +184,22 @@
     this.queue.schedule(this.#random.int(0, TICK_MS), tick)
   }
 
+  /**
+   * Removes a node for good, whose successor joins and catches up first; with a shutdown or without a warning. Does
+   * nothing unless all nodes hold the whole log, as losses must not overlap beyond what the group is to bear.
+   */
+  replace (node: Node, isWarned: boolean): void {
+    const minVoters = this.#options.minVoters!
+    if (!this.#isAtFullStrength(minVoters, true)) return
+    this.addJoiner()
+    this.run(REPLACEMENT_MS)
+    if (!this.#isAtFullStrength(minVoters + (isWarned ? 0 : EXTRA_VOTERS), true)) return
+    if (isWarned) this.shutDown(node)
+    else this.crash(node)
+    this.#lostDisks.clear()
+    this.nodes.splice(this.nodes.indexOf(node), 1)
+  }
+
   /** Whether every configuration that may be active keeps an intact majority without the node. */
   canLoseDisk (node: Node): boolean {
     const { minVoters } = this.#options
@@ -194,13 +215,14 @@
     })
   }
 
-  #isAtFullStrength (voterCount: number): boolean {
+  /** Whether the group has that many voters, and they and the nodes that lost their disks hold the whole log; or all nodes. */
+  #isAtFullStrength (voterCount: number, isAllNeeded = false): boolean {
     const status = this.leaders.map((leader) => this.statusOf(leader)!).find(({ hasQuorum }) => hasQuorum)
     if (!status) return false
     const voters = status.members.filter(({ role }) => role === 'voter')
     const hasWholeLog = (node: Node): boolean =>
       status.members.some((member) => member.node === node.id && member.incarnation === node.incarnation) && this.statusOf(node)?.commitIndex === status.lastIndex
-    const needed = this.nodes.filter((node) => this.#lostDisks.has(node) || voters.some((voter) => voter.node === node.id))
+    const needed = this.nodes.filter((node) => isAllNeeded || this.#lostDisks.has(node) || voters.some((voter) => voter.node === node.id))
     return voters.length >= voterCount && needed.every(hasWholeLog)
   }
 
@@ -266,6 +288,7 @@
   }
 
   #createJoiner (id: NodeId): Node {
+    this.#createdNodes += 1
     return { ...this.#createNode(id), incarnation: `first-of-${id}`, disk: this.#createDisk([]) }
   }
 
--- a/scripts/soak-consensus.ts
+++ b/scripts/soak-consensus.ts
@@ -3,13 +3,13 @@
 import { parseArgs } from 'node:util'
 import fc from 'fast-check'
 import type { Mechanism } from '../packages/consensus/src/index.ts'
-import { createCaseArbitrary, LONG, runReplicaCase, SHORT } from '../packages/consensus/tests/support/actions.ts'
+import { createAutomaticCaseArbitrary, createCaseArbitrary, LONG, runReplicaCase, SHORT } from '../packages/consensus/tests/support/actions.ts'
 import type { Profile } from '../packages/consensus/tests/support/actions.ts'
 import { createDriverCaseArbitrary, runDriverCase } from '../packages/consensus/tests/support/driver-actions.ts'
 
 const RUNS_PER_ROUND = 100
 const LONG_RUNS_PER_ROUND = 25
-const PROFILES: readonly Profile[] = ['general', 'churn', 'changes']
+const PROFILES: readonly Profile[] = ['general', 'churn', 'changes', 'automatic']
 
 const { values } = parseArgs({
   options: {
@@ -36,7 +36,9 @@
 }
 
 const runReplicas = (profile: Profile, seed: number, isLong: boolean): void => {
-  const property = fc.property(createCaseArbitrary(profile, undefined, isLong ? LONG : SHORT), (replicaCase) => {
+  const length = isLong ? LONG : SHORT
+  const cases = profile === 'automatic' ? createAutomaticCaseArbitrary(length) : createCaseArbitrary(profile, undefined, length)
+  const property = fc.property(cases, (replicaCase) => {
     const cluster = runReplicaCase(replicaCase, { disabled })
     for (const node of cluster.nodes) count({ ...node.replica?.counters })
     count({ committed: cluster.history.lastIndex, acknowledged: cluster.history.acknowledgedCount })
