consensus tests: a group with the vote of a node that is gone is not at full strength

The random cases let a second disk be lost 0.3 s after the first, while a node that had been replaced without a warning still had its vote. Change: every voter has to be there for the group to be at full strength. Conclusion: a condition of the harness; no fault of the product is shown.

--- a/packages/consensus/tests/support/replica-cluster.ts
+++ b/packages/consensus/tests/support/replica-cluster.ts
@@ -223,7 +223,9 @@
     const hasWholeLog = (node: Node): boolean =>
       status.members.some((member) => member.node === node.id && member.incarnation === node.incarnation) && this.statusOf(node)?.commitIndex === status.lastIndex
     const needed = this.nodes.filter((node) => isAllNeeded || this.#lostDisks.has(node) || voters.some((voter) => voter.node === node.id))
-    return voters.length >= voterCount && needed.every(hasWholeLog)
+    // A node that is gone for good may still have its vote.
+    const areVotersThere = voters.every((voter) => this.nodes.some(({ id }) => id === voter.node))
+    return voters.length >= voterCount && areVotersThere && needed.every(hasWholeLog)
   }
 
   /** Whether a removal leaves an intact majority; an operator must not remove a node otherwise. */
