consensus: no voter gives up its vote without a substitute while another one may be gone

A group of five voters returned to three as soon as one left or was silent for 2.5 s. With one voter lost for good and not noticed yet, two that were restarted gave up their votes; one of the three that were left was gone, and the loss of one disk ended the group though two intact disks came back. Change: a leaving voter counts towards the number of voters until a learner takes its vote, and the group returns to its minimum only when a voter has been silent for 10 s. A silent voter is demoted before a leaving one. Conclusion: the larger group is never weaker than the minimum that it came from.

--- a/packages/consensus/src/automatic-membership.ts
+++ b/packages/consensus/src/automatic-membership.ts
@@ -1,4 +1,4 @@
-import { EXTRA_VOTERS, LEARNER_SILENCE_MS, VOTER_SILENCE_MS } from './constants.ts'
+import { EXTRA_VOTER_SILENCE_MS, EXTRA_VOTERS, LEARNER_SILENCE_MS, VOTER_SILENCE_MS } from './constants.ts'
 import { listVoters, withLearner, withoutNode, withVoter } from './members.ts'
 import type { Member } from './types.ts'
 
@@ -37,17 +37,19 @@
   return learner ? { members: withVoter(members, learner.member.node), reason } : null
 }
 
-const isSilentVoter = ({ member, silentMs }: Peer): boolean => member.role === 'voter' && silentMs >= VOTER_SILENCE_MS
+const isVoter = ({ member }: Peer): boolean => member.role === 'voter'
 
-const isLeavingVoter = ({ member, isLeaving }: Peer): boolean => member.role === 'voter' && isLeaving
+const isSilentVoter = (peer: Peer): boolean => isVoter(peer) && peer.silentMs >= VOTER_SILENCE_MS
 
-/** Whether it votes, or could at once, and is expected to go on doing so. */
-const isSound = (peer: Peer): boolean => peer.isPromotable || (peer.member.role === 'voter' && !isSilentVoter(peer) && !isLeavingVoter(peer))
+const isLeavingVoter = (peer: Peer): boolean => isVoter(peer) && peer.isLeaving
 
-/** Returns how many voters the group should have: an odd number, so that one half of an even split keeps a majority. */
+/**
+ * Returns how many voters the group should have: an odd number, so that one half of an even split keeps a majority.
+ * A voter that leaves or has just fallen silent counts: its disk may be needed if another one is lost.
+ */
 export const getVoterTarget = (peers: readonly Peer[], minVoters: number): number => {
-  const soundMembers = 1 + peers.filter(isSound).length
-  return soundMembers >= minVoters + EXTRA_VOTERS ? minVoters + EXTRA_VOTERS : minVoters
+  const others = peers.filter((peer) => peer.isPromotable || (isVoter(peer) && peer.silentMs < EXTRA_VOTER_SILENCE_MS))
+  return 1 + others.length >= minVoters + EXTRA_VOTERS ? minVoters + EXTRA_VOTERS : minVoters
 }
 
 /**
@@ -68,11 +70,10 @@
   return null
 }
 
-/** Demotes a voter that leaves, or else the one that has been silent for the longest time. */
+/** Demotes the voter that has been silent for too long, else one that leaves, else the one with the oldest answer. */
 const demoteVoter = (members: readonly Member[], peers: readonly Peer[]): MemberPlan | null => {
-  const voters = peers.filter(({ member }) => member.role === 'voter')
-  const [longestSilent] = voters.sort((a, b) => a.lastContactAt - b.lastContactAt)
-  const demoted = voters.find(isLeavingVoter) ?? longestSilent
+  const voters = peers.filter(isVoter).sort((a, b) => a.lastContactAt - b.lastContactAt)
+  const demoted = voters.find(isSilentVoter) ?? voters.find(isLeavingVoter) ?? voters[0]
   return demoted ? { members: withLearner(members, demoted.member), reason: 'voter-surplus' } : null
 }
 
--- a/packages/consensus/src/constants.ts
+++ b/packages/consensus/src/constants.ts
@@ -24,6 +24,12 @@
  */
 export const VOTER_SILENCE_MS = 2500
 
+/**
+ * A group with extra voters returns to its minimum when a voter has not answered for this time and no learner can
+ * replace it. Longer than `VOTER_SILENCE_MS`: with a silent voter among the larger number, it bears as many lost disks.
+ */
+export const EXTRA_VOTER_SILENCE_MS = 10_000
+
 /** A voter that shuts down waits at most for this time until a learner has its vote, and asks the leader this often. */
 export const RESIGN_TIMEOUT_MS = 1500
 export const RESIGN_PERIOD_MS = 100
