consensus tests: nodes find those that were added later

CoreNode asks the live list of LeaderFinder. Change: the ids that the random cases pass as peers are live, too. Conclusion: a condition of the harness; no fault of the product is shown.

--- a/packages/consensus/tests/support/replica-cluster.ts
+++ b/packages/consensus/tests/support/replica-cluster.ts
@@ -75,6 +75,8 @@
   #nextId = 0
   /** Ids are not used again. */
   #createdNodes: number
+  /** Ids of all nodes, also of those that are added later: nodes find each other. */
+  readonly #ids: NodeId[] = []
   sentMessages = 0
   /** Nodes that lost their disk since the group last had all its voters and these nodes back, each with the whole log. */
   readonly #lostDisks = new Set<Node>()
@@ -86,6 +88,7 @@
     this.#initialMembers = Array.from({ length: total }, (_, i) => ({ node: asId<NodeId>(`n${i}`), incarnation: '1', role: 'voter', witness: i >= options.voters }))
     this.history = new History(this.#initialMembers)
     this.#createdNodes = total
+    this.#ids.push(...this.#initialMembers.map(({ node }) => node))
     const joiners = Array.from({ length: options.joiners ?? 0 }, (_, i) => this.#createJoiner(asId<NodeId>(`n${total + i}`)))
     this.nodes = [...this.#initialMembers.map(({ node }) => this.#createNode(node)), ...joiners]
     for (const node of this.nodes) this.start(node)
@@ -166,7 +169,7 @@
       node: node.id,
       incarnation: node.incarnation,
       // A group that admits nodes by itself is led by any of them, and finds them all.
-      peers: this.#options.minVoters === undefined ? this.#initialMembers.map((member) => member.node) : this.nodes.map(({ id }) => id),
+      peers: this.#options.minVoters === undefined ? this.#initialMembers.map((member) => member.node) : this.#ids,
       random,
       trailingEntries: 5,
       snapshotChunkChars: 10,
@@ -291,6 +294,7 @@
 
   #createJoiner (id: NodeId): Node {
     this.#createdNodes += 1
+    this.#ids.push(id)
     return { ...this.#createNode(id), incarnation: `first-of-${id}`, disk: this.#createDisk([]) }
   }
 
