consensus: a voter that shuts down also waits for the second change

Cause: in eight restarts of control processes with SIGTERM one ended with its vote after 0.5 s. It waited only while the group had a learner; between the learner's promotion and its own demotion there is none. Change: whether there is a learner is read once, at the beginning.

--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -161,12 +161,18 @@
   async resign (): Promise<void> {
     const { timers, log, group, node } = this.#options
     const beganAtMs = timers.now()
-    while (!this.#isStopped && this.#replica.hasVote && this.getStatus().members.some(({ role }) => role === 'learner')) {
-      if (timers.now() - beganAtMs >= RESIGN_TIMEOUT_MS) break
+    const hasLearner = this.getStatus().members.some(({ role }) => role === 'learner')
+    if (hasLearner) await this.#giveUpVote(beganAtMs + RESIGN_TIMEOUT_MS)
+    log?.('info', this.#replica.hasVote ? 'shuts down with its vote' : 'shuts down without a vote', { group, node, waitedMs: Math.round(timers.now() - beganAtMs) })
+  }
+
+  /** The learner that takes the vote is none any more before this replica's vote is gone. */
+  async #giveUpVote (deadlineMs: number): Promise<void> {
+    const { timers } = this.#options
+    while (!this.#isStopped && this.#replica.hasVote && timers.now() < deadlineMs) {
       this.#dispatch({ type: 'resign' })
       await timers.delay(RESIGN_PERIOD_MS)
     }
-    log?.('info', this.#replica.hasVote ? 'shuts down with its vote' : 'shuts down without a vote', { group, node, waitedMs: Math.round(timers.now() - beganAtMs) })
   }
 
   getStatus (): ReplicaStatus {
--- a/packages/consensus/tests/driver.test.ts
+++ b/packages/consensus/tests/driver.test.ts
@@ -323,3 +323,18 @@
   await Promise.all([t.rejects(pending, { message: /stopped/ }), driver.stop()])
   await t.rejects(driver.propose('b', 1000), IbisError)
 })
+
+t.test('a voter that resigns waits until the learner that takes its vote has it and its own is gone', async (t) => {
+  // Guards against a shutdown between the two changes: the learner votes then, and the voter still has its vote.
+  for (let seed = 1; seed <= 20; seed++) {
+    const cluster = await DriverCluster.create({ voters: 3, learners: 1, seed })
+    await cluster.run(4_000)
+    const follower = cluster.nodes.slice(0, 3).find((node) => node !== leaderOf(cluster))!
+    cluster.setFaults({ drop: 0, duplicate: 0, delayMs: 100 })
+    let members = follower.driver!.getStatus().members
+    follower.driver!.resign().then(() => { members = follower.driver!.getStatus().members }).catch(t.error)
+    await cluster.run(2_000)
+    t.equal(members.find(({ node }) => node === follower.id)?.role, 'learner', `seed ${seed}`)
+    t.equal(members.filter(({ role }) => role === 'voter').length, 3)
+  }
+})
--- a/packages/consensus/tests/support/driver-cluster.ts
+++ b/packages/consensus/tests/support/driver-cluster.ts
@@ -39,6 +39,8 @@
 export interface DriverClusterOptions {
   readonly voters: number
   readonly witnesses?: number
+  /** Learners of a group that decides about its voters by itself. */
+  readonly learners?: number
   readonly seed: number
   readonly snapshotEvery?: number
   readonly disabled?: readonly Mechanism[]
@@ -79,8 +81,10 @@
   private constructor (options: DriverClusterOptions) {
     this.#options = options
     this.#random = new RandomSource(options.seed)
-    const total = options.voters + (options.witnesses ?? 0)
-    this.members = Array.from({ length: total }, (_, i) => ({ node: asId<NodeId>(`n${i}`), incarnation: '1', role: 'voter', witness: i >= options.voters }))
+    const { voters, witnesses = 0, learners = 0 } = options
+    this.members = Array.from({ length: voters + witnesses + learners }, (_, i) => ({
+      node: asId<NodeId>(`n${i}`), incarnation: '1', role: i < voters + witnesses ? 'voter' : 'learner', witness: i >= voters && i < voters + witnesses
+    }))
   }
 
   static async create (options: DriverClusterOptions): Promise<DriverCluster> {
@@ -249,6 +253,7 @@
       transport: { send: (_group, to, message) => this.#transmit(node, processNumber, to, message) },
       machine,
       initialMembers: this.members,
+      ...(this.#options.learners !== undefined && { minVoters: this.#options.voters }),
       snapshotEveryEntries: this.#options.snapshotEvery ?? 20,
       disabled: this.#options.disabled ?? [],
       onFatal: (err) => { if (node.processNumber === processNumber) node.fatal = err }
