--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -166,7 +166,7 @@
     log?.('info', this.#replica.hasVote ? 'shuts down with its vote' : 'shuts down without a vote', { group, node, waitedMs: Math.round(timers.now() - beganAtMs) })
   }
 
-  /** The learner that takes the vote is none any more before this replica's vote is gone. */
+  /** Asks until the vote is gone. Meanwhile the group may have no learner: the one that takes the vote votes already. */
   async #giveUpVote (deadlineMs: number): Promise<void> {
     const { timers } = this.#options
     while (!this.#isStopped && this.#replica.hasVote && timers.now() < deadlineMs) {
